--- /dev/null
+++ b/connection/engine/engine.go
@@ -0,0 +1,217 @@
+// Package engine is the client of the engine protocol: HTTP with server-sent
+// events.
+//
+// An engine runs generations that the entry names. A generation outlives the
+// connection that started it: Resume reads it on from any token until some
+// time after its end. Every frame carries the engine's boot, so that a
+// restarted engine is never mistaken for its predecessor. A rejection before
+// executing carries the header X-Not-Run: true; nothing else proves that a
+// request has not run.
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/eelgrassdock/eelgrassdock/request/refusal"
+	"github.com/eelgrassdock/eelgrassdock/request/stream"
+)
+
+const (
+	// NotRunHeader on an answer proves that the request was not executed.
+	NotRunHeader = "X-Not-Run"
+
+	maxFrameBytes  = 64 << 10 // longest frame accepted from an engine
+	maxReportBytes = 1 << 20  // longest report accepted from an engine
+)
+
+type (
+	// Request starts a generation.
+	Request struct {
+		Gen    string `json:"gen"`
+		Prompt string `json:"prompt"`
+		Max    int    `json:"max"`
+		Rank   int    `json:"rank,omitempty"`
+		Model  string `json:"model,omitempty"`
+	}
+
+	// Report is an engine's load as it publishes it, with a lag.
+	Report struct {
+		Boot      string   `json:"boot"`
+		At        int64    `json:"at"` // Unix time in ms at which the report was true
+		Running   int      `json:"running"`
+		Waiting   int      `json:"waiting"`
+		Used      int64    `json:"used"`  // tokens of memory in use
+		Total     int64    `json:"total"` // tokens of memory
+		Preempted int64    `json:"preempted"`
+		Leaving   bool     `json:"leaving,omitempty"`
+		Models    []string `json:"models,omitempty"`
+		Role      string   `json:"role,omitempty"`
+		Fence     int64    `json:"fence,omitempty"`
+	}
+
+	// Order is the desired state of an engine, always sent whole.
+	Order struct {
+		Fence  int64    `json:"fence"`
+		Models []string `json:"models"`
+		Role   string   `json:"role,omitempty"`
+		Drain  bool     `json:"drain,omitempty"`
+	}
+
+	// Event is one change of an engine's prefix cache. Sequence numbers may
+	// have gaps.
+	Event struct {
+		Seq    int64  `json:"seq"`
+		Prefix uint64 `json:"prefix"` // hash of the prefix
+		Gone   bool   `json:"gone,omitempty"`
+	}
+
+	// Conn speaks to one engine. Addr is its IP address and port.
+	Conn struct {
+		Addr string
+		HTTP *http.Client
+	}
+)
+
+// Generate starts a generation. An error is a *refusal.Error.
+func (c *Conn) Generate(ctx context.Context, req Request) (*Reader, error) {
+	body, err := json.Marshal(req)
+	if err != nil {
+		return nil, refusal.New(refusal.Internal, refusal.NotRun, err.Error())
+	}
+	return c.open(ctx, http.MethodPost, "/generate", body, stream.Check{Gen: req.Gen})
+}
+
+// Resume reads a generation on after token n. An error is a *refusal.Error;
+// its reason is GenerationLost if the engine no longer has the generation.
+func (c *Conn) Resume(ctx context.Context, gen, boot string, n int) (*Reader, error) {
+	path := "/generate/" + url.PathEscape(gen) + "?after=" + strconv.Itoa(n)
+	return c.open(ctx, http.MethodGet, path, nil, stream.Check{Gen: gen, Boot: boot, Last: n})
+}
+
+// Cancel ends a generation. Cancelling one that is gone is not an error.
+func (c *Conn) Cancel(ctx context.Context, gen string) error {
+	res, err := c.do(ctx, http.MethodDelete, "/generate/"+url.PathEscape(gen), nil)
+	if err != nil {
+		return fmt.Errorf("cancel generation: %w", err)
+	}
+	return res.Body.Close()
+}
+
+// Load reads the engine's report.
+func (c *Conn) Load(ctx context.Context) (Report, error) {
+	var report Report
+	if err := c.read(ctx, http.MethodGet, "/load", nil, &report); err != nil {
+		return Report{}, fmt.Errorf("read load: %w", err)
+	}
+	return report, nil
+}
+
+// Events reads the changes of the prefix cache after sequence number seq.
+func (c *Conn) Events(ctx context.Context, seq int64) ([]Event, error) {
+	var events []Event
+	if err := c.read(ctx, http.MethodGet, "/cache?after="+strconv.FormatInt(seq, 10), nil, &events); err != nil {
+		return nil, fmt.Errorf("read cache events: %w", err)
+	}
+	return events, nil
+}
+
+// Order sets the desired state.
+func (c *Conn) Order(ctx context.Context, order Order) error {
+	body, err := json.Marshal(order)
+	if err != nil {
+		return fmt.Errorf("encode order: %w", err)
+	}
+	if err := c.read(ctx, http.MethodPost, "/order", body, nil); err != nil {
+		return fmt.Errorf("send order: %w", err)
+	}
+	return nil
+}
+
+func (c *Conn) read(ctx context.Context, method, path string, body []byte, v any) error {
+	res, err := c.do(ctx, method, path, body)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(res.Body, maxReportBytes))
+	if err != nil {
+		return fmt.Errorf("read answer: %w", err)
+	}
+	if res.StatusCode != http.StatusOK {
+		return fmt.Errorf("status %d: %s", res.StatusCode, bytes.TrimSpace(data))
+	}
+	if v == nil {
+		return nil
+	}
+	if err := json.Unmarshal(data, v); err != nil {
+		return fmt.Errorf("decode answer: %w", err)
+	}
+	return nil
+}
+
+func (c *Conn) do(ctx context.Context, method, path string, body []byte) (*http.Response, error) {
+	var content io.Reader
+	if body != nil {
+		content = bytes.NewReader(body)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.Addr+path, content)
+	if err != nil {
+		return nil, fmt.Errorf("make request: %w", err)
+	}
+	// Without GetBody the transport never sends a body a second time.
+	req.GetBody = nil
+	return c.HTTP.Do(req)
+}
+
+func (c *Conn) open(ctx context.Context, method, path string, body []byte, check stream.Check) (*Reader, error) {
+	var sent bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { sent = true },
+	})
+	res, err := c.do(ctx, method, path, body)
+	if err != nil {
+		return nil, openError(err, sent)
+	}
+	if res.StatusCode != http.StatusOK {
+		defer res.Body.Close()
+		return nil, statusError(res)
+	}
+	return newReader(res.Body, check), nil
+}
+
+// openError tells a connection that was never made from one that broke. With
+// a connection in hand the request may have been read by the engine.
+func openError(err error, sent bool) error {
+	switch {
+	case !sent:
+		return refusal.New(refusal.Dial, refusal.NotRun, err.Error())
+	case errors.Is(err, context.DeadlineExceeded):
+		return refusal.New(refusal.Timeout, refusal.Unknown, err.Error())
+	case errors.Is(err, context.Canceled):
+		return refusal.New(refusal.Canceled, refusal.Unknown, err.Error())
+	default:
+		return refusal.New(refusal.Broken, refusal.Unknown, err.Error())
+	}
+}
+
+func statusError(res *http.Response) error {
+	text, _ := io.ReadAll(io.LimitReader(res.Body, 512))
+	detail := fmt.Sprintf("status %d: %s", res.StatusCode, bytes.TrimSpace(text))
+	if res.StatusCode == http.StatusNotFound || res.StatusCode == http.StatusGone {
+		return refusal.New(refusal.GenerationLost, refusal.Unknown, detail)
+	}
+	if res.Header.Get(NotRunHeader) == "true" {
+		return refusal.New(refusal.Rejected, refusal.NotRun, detail)
+	}
+	return refusal.New(refusal.Garbage, refusal.Unknown, detail)
+}
--- /dev/null
+++ b/process/platform/memory.go
@@ -0,0 +1,236 @@
+package platform
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+const (
+	rowsPerRead = 100 // rows that one read of a list covers
+)
+
+type (
+	// Faults sets how a Memory misbehaves. The zero value is a healthy platform.
+	Faults struct {
+		// Down refuses every call.
+		Down bool `json:"down"`
+		// Slow delays every answer by this many milliseconds.
+		Slow int `json:"slow"`
+		// Lose is the share of writes, from 0 to 1, that take effect and whose
+		// answer is lost.
+		Lose float64 `json:"lose"`
+	}
+
+	// Usage counts what a Memory served.
+	Usage struct {
+		Reads   int64 `json:"reads"`
+		Writes  int64 `json:"writes"`
+		Limited int64 `json:"limited"`
+		Failed  int64 `json:"failed"`
+	}
+
+	// Memory is a platform in memory, for tests and for the stand-in process.
+	// The zero value is ready, healthy and without rate limits.
+	Memory struct {
+		// Writes and Reads limit the rate per second; nil means no limit.
+		Writes *rate.Limiter
+		Reads  *rate.Limiter
+		// Seed seeds the choice of lost answers.
+		Seed uint64
+
+		mu        sync.Mutex
+		random    *rand.Rand
+		faults    Faults
+		usage     Usage
+		rows      map[string]Row
+		last      map[string]int64
+		objects   map[string][]byte
+		instances []Instance
+	}
+)
+
+// Platform gives the seam to m.
+func (m *Memory) Platform() Platform {
+	return Platform{
+		Get: m.get, List: m.list, Commit: m.commit,
+		GetObject: m.getObject, PutObject: m.putObject, Instances: m.listInstances,
+	}
+}
+
+// Break sets the faults from now on.
+func (m *Memory) Break(f Faults) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.faults = f
+}
+
+// Usage gives the counts so far.
+func (m *Memory) Usage() Usage {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.usage
+}
+
+// SetInstances replaces the list of instances.
+func (m *Memory) SetInstances(list []Instance) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.instances = slices.Clone(list)
+}
+
+// admit waits out the configured delay and applies outage and rate limit to a
+// call of n units on the limiter.
+func (m *Memory) admit(ctx context.Context, limiter *rate.Limiter, n int) error {
+	m.mu.Lock()
+	slow := m.faults.Slow
+	m.mu.Unlock()
+	if slow > 0 {
+		timer := time.NewTimer(time.Duration(slow) * time.Millisecond)
+		defer timer.Stop()
+		select {
+		case <-ctx.Done():
+			return ErrUnknown
+		case <-timer.C:
+		}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.faults.Down {
+		m.usage.Failed++
+		return ErrDown
+	}
+	if limiter != nil && !limiter.AllowN(time.Now(), n) {
+		m.usage.Limited++
+		return ErrLimited
+	}
+	return nil
+}
+
+func (m *Memory) get(ctx context.Context, key string) (Row, error) {
+	if err := m.admit(ctx, m.Reads, 1); err != nil {
+		return Row{}, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.usage.Reads++
+	row := m.rows[key]
+	row.Key = key
+	return row, nil
+}
+
+func (m *Memory) list(ctx context.Context, prefix, after string, n int) ([]Row, error) {
+	if err := m.admit(ctx, m.Reads, 1+n/rowsPerRead); err != nil {
+		return nil, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.usage.Reads += int64(1 + n/rowsPerRead)
+	var rows []Row
+	for _, key := range slices.Sorted(maps.Keys(m.rows)) {
+		if len(rows) == n {
+			break
+		}
+		if strings.HasPrefix(key, prefix) && key > after {
+			rows = append(rows, m.rows[key])
+		}
+	}
+	return rows, nil
+}
+
+func (m *Memory) commit(ctx context.Context, ops []Op) error {
+	var writes int
+	for _, op := range ops {
+		if op.Kind != Check {
+			writes++
+		}
+	}
+	if err := m.admit(ctx, m.Writes, writes); err != nil {
+		return err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, op := range ops {
+		if m.rows[op.Key].Version != op.Version {
+			return ErrConflict
+		}
+	}
+	for _, op := range ops {
+		m.apply(op)
+	}
+	m.usage.Writes += int64(writes)
+	return m.loseAnswer()
+}
+
+// apply writes one operation. Versions go on growing after a row was deleted,
+// so that a condition on an older row of the same key never holds again.
+func (m *Memory) apply(op Op) {
+	if m.rows == nil {
+		m.rows, m.last = map[string]Row{}, map[string]int64{}
+	}
+	switch op.Kind {
+	case Put:
+		m.last[op.Key]++
+		m.rows[op.Key] = Row{Key: op.Key, Value: slices.Clone(op.Value), Version: m.last[op.Key]}
+	case Delete:
+		delete(m.rows, op.Key)
+	}
+}
+
+func (m *Memory) loseAnswer() error {
+	if m.faults.Lose <= 0 {
+		return nil
+	}
+	if m.random == nil {
+		m.random = rand.New(rand.NewPCG(m.Seed, m.Seed))
+	}
+	if m.random.Float64() < m.faults.Lose {
+		m.usage.Failed++
+		return ErrUnknown
+	}
+	return nil
+}
+
+func (m *Memory) getObject(ctx context.Context, name string) ([]byte, error) {
+	if err := m.admit(ctx, m.Reads, 1); err != nil {
+		return nil, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.usage.Reads++
+	data, ok := m.objects[name]
+	if !ok {
+		return nil, ErrAbsent
+	}
+	return slices.Clone(data), nil
+}
+
+func (m *Memory) putObject(ctx context.Context, name string, data []byte) error {
+	if err := m.admit(ctx, m.Writes, 1); err != nil {
+		return err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.objects == nil {
+		m.objects = map[string][]byte{}
+	}
+	m.objects[name] = slices.Clone(data)
+	m.usage.Writes++
+	return m.loseAnswer()
+}
+
+func (m *Memory) listInstances(ctx context.Context) ([]Instance, error) {
+	if err := m.admit(ctx, m.Reads, 1); err != nil {
+		return nil, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.usage.Reads++
+	return slices.Clone(m.instances), nil
+}
