--- /dev/null
+++ b/process/length/estimate.go
@@ -0,0 +1,160 @@
+package length
+
+import "math"
+
+// Estimate is the distribution of the output length of one generation. It is a
+// plain value; its methods don't allocate.
+type Estimate struct {
+	weights [buckets]float32
+	limit   int32 // zero for none
+}
+
+// blend mixes observed counts into the weights. bias is the number of
+// observations at which both weigh the same.
+func (e *Estimate) blend(counts *[buckets]uint16, bias float32) {
+	var sum float32
+	for _, c := range counts {
+		sum += float32(c)
+	}
+	if sum == 0 {
+		return
+	}
+	share := sum / (sum + bias*unit)
+	for i, c := range counts {
+		e.weights[i] = e.weights[i]*(1-share) + share*float32(c)/sum
+	}
+}
+
+// Mean gives the expected number of tokens still to come after done tokens.
+func (e *Estimate) Mean(done int) float64 {
+	mean, _ := e.moments(done)
+	return mean
+}
+
+// Variance gives the variance of the number of tokens still to come after done
+// tokens.
+func (e *Estimate) Variance(done int) float64 {
+	_, variance := e.moments(done)
+	return variance
+}
+
+// Survival gives the probability that more than done+h tokens are produced,
+// given that more than done are.
+func (e *Estimate) Survival(done, h int) float64 {
+	to := float64(done + h)
+	if e.limit > 0 && to >= float64(e.limit) {
+		return 0
+	}
+	alive := e.above(float64(done))
+	if alive <= 0 {
+		return lindy(done, h)
+	}
+	return e.above(to) / alive
+}
+
+// Quantile gives the number of tokens still to come after done tokens that is
+// not exceeded with probability p.
+func (e *Estimate) Quantile(done int, p float64) float64 {
+	from := float64(done)
+	mass := 0.0
+	for i := range e.weights {
+		mass += e.part(i, from)
+	}
+	if mass <= 0 {
+		return e.cut(from/max(1-p, 1e-3), from)
+	}
+	want := mass * min(max(p, 0), 1)
+	for i := range e.weights {
+		w := e.part(i, from)
+		if w > 0 && want <= w {
+			lo, hi := bounds(i)
+			lo = max(lo, from)
+			return e.cut(lo+(hi-lo)*want/w, from)
+		}
+		want -= w
+	}
+	return e.cut(math.Exp2(buckets), from)
+}
+
+func (e *Estimate) cut(length, from float64) float64 {
+	if e.limit > 0 {
+		length = min(length, float64(e.limit))
+	}
+	return max(length-from, 0)
+}
+
+// lindy is the survival of a generation that is longer than all that are known:
+// its remaining length is of the order of what it has produced.
+func lindy(done, h int) float64 {
+	return float64(max(done, 1)) / float64(max(done, 1)+h)
+}
+
+func bounds(i int) (lo, hi float64) {
+	lo = float64(int(1) << i)
+	return lo, 2 * lo
+}
+
+// part gives the weight of the part of bucket i that lies above from.
+func (e *Estimate) part(i int, from float64) float64 {
+	lo, hi := bounds(i)
+	w := float64(e.weights[i])
+	switch {
+	case from >= hi:
+		return 0
+	case from > lo:
+		return w * (hi - from) / (hi - lo)
+	}
+	return w
+}
+
+func (e *Estimate) above(from float64) float64 {
+	first := 0
+	if from >= 1 {
+		first = int(math.Float64bits(from)>>52) - 1023
+	}
+	sum := 0.0
+	for i := first; i < buckets; i++ {
+		sum += e.part(i, from)
+	}
+	return sum
+}
+
+func (e *Estimate) moments(done int) (mean, variance float64) {
+	from, limit := float64(done), math.Inf(1)
+	if e.limit > 0 {
+		limit = float64(e.limit)
+	}
+	if from >= limit {
+		return 0, 0
+	}
+	var mass, first, second float64
+	for i := range e.weights {
+		w := e.part(i, from)
+		if w <= 0 {
+			continue
+		}
+		lo, hi := bounds(i)
+		lo = max(lo, from)
+		m1, m2 := uniformMoments(lo-from, hi-from, limit-from)
+		mass, first, second = mass+w, first+w*m1, second+w*m2
+	}
+	if mass <= 0 {
+		rest := min(max(from, 1), limit-from)
+		return rest, rest * rest
+	}
+	mean = first / mass
+	return mean, max(second/mass-mean*mean, 0)
+}
+
+// uniformMoments gives the first two moments of min(X, limit) for X uniform
+// between lo and hi.
+func uniformMoments(lo, hi, limit float64) (m1, m2 float64) {
+	if limit <= lo {
+		return limit, limit * limit
+	}
+	top := min(hi, limit)
+	below := (top - lo) / (hi - lo)
+	m1 = below*(lo+top)/2 + (1-below)*top
+	m2 = below*(lo*lo+lo*top+top*top)/3 + (1-below)*top*top
+	return m1, m2
+}
--- /dev/null
+++ b/process/placement/account.go
@@ -0,0 +1,302 @@
+package placement
+
+import (
+	"math"
+	"time"
+
+	"github.com/eelgrassdock/eelgrassdock/process/length"
+)
+
+const (
+	horizons = 4
+
+	staleAfter     = 10 * time.Second // a later report is taken whatever its time
+	sampleInterval = 100 * time.Millisecond
+	sampleCount    = 128 // covers reports that are up to 12.8 s late
+
+	bytesPerPrompt = 4   // bytes of a prompt token on the wire
+	bytesPerToken  = 150 // bytes of an output token on the wire, as one event
+)
+
+// horizonTokens are the numbers of tokens ahead at which memory is predicted.
+// The peak of the memory of a batch lies between the first, where everything
+// still runs, and the last, where little does.
+var horizonTokens = [horizons]int{16, 128, 512, 2048}
+
+type (
+	// load is memory in tokens, expected at each horizon, with variance.
+	load struct {
+		mean, variance [horizons]float64
+	}
+
+	endpoint struct {
+		Endpoint
+		report   Report
+		received time.Time
+		suspect  time.Time
+		gone     bool // no longer listed
+		far      bool // in another region
+		near     bool // in the entry's place
+
+		// Own work.
+		count  int
+		used   float64 // tokens of prompts and outputs
+		ahead  load
+		fill   float64 // prompt tokens sent and probably not computed yet
+		fillAt time.Time
+
+		// Work of others: the report less own work at its time.
+		others     float64
+		othersRuns int
+		sinceCount int // own generations placed since the report
+
+		history history
+
+		// Prefix cache.
+		seq   int64
+		epoch uint32
+		mark  uint64 // request for which match is valid
+		match float64
+	}
+
+	reservation struct {
+		gen      uint32
+		active   bool
+		ep       *endpoint
+		account  string
+		estimate length.Estimate
+		prompt   float64 // prompt tokens that take memory of their own
+		done     int
+		refresh  int // tokens at which the expectation is computed again
+		ahead    load
+	}
+
+	sample struct {
+		at    time.Time
+		used  float64
+		count int
+	}
+
+	// history remembers own work, as it was just before some of its changes.
+	history struct {
+		ring [sampleCount]sample
+		n    int
+	}
+
+	// mix is the sum of all own work, from which the growth of other entries'
+	// work is inferred.
+	mix struct {
+		count int
+		used  float64
+		ahead load
+	}
+
+	// flow is how much this entry sends.
+	flow struct {
+		rate   float64 // requests per second
+		tokens float64 // mean prompt
+		at     time.Time
+	}
+)
+
+func (l *load) add(o *load, sign float64) {
+	for h := range l.mean {
+		l.mean[h] += sign * o.mean[h]
+		l.variance[h] += sign * o.variance[h]
+	}
+}
+
+// expect computes the memory of one generation at each horizon: its context
+// then, if it still runs.
+func expect(e *length.Estimate, prompt float64, done int) (l load) {
+	context := prompt + float64(done)
+	for h, tokens := range horizonTokens {
+		size := context + float64(tokens)
+		alive := e.Survival(done, tokens)
+		l.mean[h] = size * alive
+		l.variance[h] = size * size * alive * (1 - alive)
+	}
+	return l
+}
+
+func (h *history) record(at time.Time, used float64, count int) {
+	if h.n > 0 && at.Sub(h.ring[(h.n-1)%sampleCount].at) < sampleInterval {
+		return
+	}
+	h.ring[h.n%sampleCount] = sample{at, used, count}
+	h.n++
+}
+
+// lookup gives own work at a time; now is the present value.
+func (h *history) lookup(at time.Time, now sample) sample {
+	found := now
+	for i := h.n - 1; i >= 0 && i >= h.n-sampleCount; i-- {
+		s := h.ring[i%sampleCount]
+		if s.at.Before(at) {
+			break
+		}
+		found = s
+	}
+	return found
+}
+
+// take installs a report.
+func (e *endpoint) take(r Report, now time.Time) {
+	own := e.history.lookup(r.At, sample{now, e.used, e.count})
+	e.report, e.received = r, now
+	e.others = max(float64(r.Used)-own.used, 0)
+	e.othersRuns = max(r.Running+r.Waiting-own.count, 0)
+	e.sinceCount = max(e.count-own.count, 0)
+}
+
+func (e *endpoint) total() float64 {
+	if e.report.Total > 0 {
+		return float64(e.report.Total)
+	}
+	return float64(e.Tokens)
+}
+
+// change adjusts own work of an endpoint and of the whole scheduler.
+func (s *Scheduler) change(e *endpoint, count int, used float64, ahead *load, sign float64) {
+	e.history.record(s.now, e.used, e.count)
+	e.count += count
+	e.used += used
+	e.ahead.add(ahead, sign)
+	s.mix.count += count
+	s.mix.used += used
+	s.mix.ahead.add(ahead, sign)
+	if e.count == 0 {
+		// Sums of floating point numbers keep a residue.
+		if math.Abs(e.used) > 1 {
+			s.violate("memory left without reservations")
+		}
+		e.used, e.ahead = 0, load{}
+	}
+	if e.count < 0 || e.used < -1 {
+		s.violate("own work is negative")
+		e.count, e.used = max(e.count, 0), max(e.used, 0)
+	}
+}
+
+func (s *Scheduler) reserve(ep *endpoint, req *Request, estimate *length.Estimate) Ticket {
+	var i uint32
+	if n := len(s.free); n > 0 {
+		i, s.free = s.free[n-1], s.free[:n-1]
+	} else {
+		i = uint32(len(s.slots))
+		s.slots = append(s.slots, reservation{})
+	}
+	cached := s.matched(ep, req)
+	r := &s.slots[i]
+	*r = reservation{gen: r.gen + 1, active: true, ep: ep, account: req.Account, estimate: *estimate}
+	r.prompt = max(float64(req.Prompt)-cached, 1)
+	r.plan()
+	s.change(ep, 1, r.prompt, &r.ahead, 1)
+	ep.sinceCount++
+	ep.drain(s.now, s.FillTime)
+	ep.fill += r.prompt
+	s.flow.sent(r.prompt, s.now)
+	s.beliefs.placed(ep, req.Prefix)
+	s.move(ep, req.Prompt*bytesPerPrompt)
+	return Ticket(uint64(r.gen)<<32 | uint64(i))
+}
+
+// plan computes the expectation and when to compute it again: growth by an
+// eighth changes the conditional distribution little.
+func (r *reservation) plan() {
+	r.ahead = expect(&r.estimate, r.prompt, r.done)
+	r.refresh = r.done + max(16, r.done/8)
+}
+
+// Progress says that a generation has produced n tokens in all.
+func (s *Scheduler) Progress(ticket Ticket, n int, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.advance(now)
+	if r := s.find(ticket); r != nil {
+		s.progress(r, n)
+	}
+}
+
+func (s *Scheduler) progress(r *reservation, n int) {
+	if n <= r.done {
+		return
+	}
+	grown := float64(n - r.done)
+	s.move(r.ep, (n-r.done)*bytesPerToken)
+	r.done = n
+	var delta load
+	if n >= r.refresh {
+		before := r.ahead
+		r.plan()
+		delta = r.ahead
+		delta.add(&before, -1)
+	}
+	s.change(r.ep, 0, grown, &delta, 1)
+}
+
+// Done says that a generation has ended after n tokens and releases its
+// reservation. completed means that it ended by itself, so that its length is
+// worth learning.
+func (s *Scheduler) Done(ticket Ticket, n int, completed bool, now time.Time) {
+	account, ok := s.release(ticket, n, now)
+	if ok && completed {
+		s.Length.Observe(s.Service, account, n, now)
+	}
+}
+
+func (s *Scheduler) release(ticket Ticket, n int, now time.Time) (account string, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.advance(now)
+	r := s.find(ticket)
+	if r == nil {
+		return "", false
+	}
+	s.move(r.ep, max(n-r.done, 0)*bytesPerToken)
+	s.change(r.ep, -1, -(r.prompt + float64(r.done)), &r.ahead, -1)
+	account = r.account
+	r.active, r.ep, r.account = false, nil, ""
+	s.free = append(s.free, uint32(ticket))
+	return account, true
+}
+
+func (s *Scheduler) find(ticket Ticket) *reservation {
+	i, gen := uint32(ticket), uint32(ticket>>32)
+	if int(i) >= len(s.slots) || !s.slots[i].active || s.slots[i].gen != gen {
+		s.violate("reservation used after its release")
+		return nil
+	}
+	return &s.slots[i]
+}
+
+// move counts bytes between regions.
+func (s *Scheduler) move(ep *endpoint, bytes int) {
+	if ep.far {
+		s.bytes += int64(bytes)
+		counters.Add("bytes", int64(bytes))
+	}
+}
+
+// drain takes off the prompt tokens that the engine has computed meanwhile.
+func (e *endpoint) drain(now time.Time, fillTime time.Duration) {
+	if e.fill > 0 {
+		e.fill = max(e.fill-1000*float64(now.Sub(e.fillAt))/float64(fillTime), 0)
+	}
+	e.fillAt = now
+}
+
+// sent takes in one placement. Rate and size follow the last few seconds.
+func (f *flow) sent(tokens float64, now time.Time) {
+	const tau = 5.0 // seconds
+	f.rate = f.rateAt(now, tau) + 1/tau
+	f.at = now
+	f.tokens += (tokens - f.tokens) * 0.05
+}
+
+func (f *flow) rateAt(now time.Time, tau float64) float64 {
+	if f.at.IsZero() {
+		return 0
+	}
+	return f.rate * math.Exp(-max(now.Sub(f.at).Seconds(), 0)/tau)
+}
--- /dev/null
+++ b/process/placement/baseline.go
@@ -0,0 +1,68 @@
+package placement
+
+import "slices"
+
+// The baselines send at once to the endpoint that their rule names, and leave
+// queueing to the engine.
+
+// usable reports whether an endpoint may get new work.
+func (s *Scheduler) usable(e *endpoint, req *Request) bool {
+	return !e.Drain && !e.report.Leaving && !s.now.Before(e.suspect) &&
+		(len(req.Exclude) == 0 || !slices.Contains(req.Exclude, e.ID))
+}
+
+func (s *Scheduler) roundRobin(req *Request) *endpoint {
+	for range s.list {
+		s.turn = (s.turn + 1) % len(s.list)
+		if e := s.list[s.turn]; s.usable(e, req) {
+			return e
+		}
+	}
+	return nil
+}
+
+// connections is what the last report shows plus own work sent since.
+func (e *endpoint) connections() int {
+	return e.report.Running + e.report.Waiting + e.sinceCount
+}
+
+// leastConn takes the endpoint with the fewest of the entry's own generations,
+// like a balancer that counts its connections; equal ones are taken in turn.
+func (s *Scheduler) leastConn(req *Request) *endpoint {
+	var best *endpoint
+	s.turn++
+	for i := range s.list {
+		e := s.list[(s.turn+i)%len(s.list)]
+		if s.usable(e, req) && (best == nil || e.count < best.count) {
+			best = e
+		}
+	}
+	return best
+}
+
+// twoChoice takes the one with less work of two random endpoints.
+func (s *Scheduler) twoChoice(req *Request) *endpoint {
+	var first, second *endpoint
+	n := 0
+	for _, e := range s.list {
+		if !s.usable(e, req) {
+			continue
+		}
+		// Reservoir sampling of two.
+		n++
+		switch i := s.rand.IntN(n); {
+		case n == 1:
+			first = e
+		case n == 2:
+			second = e
+		case i == 0:
+			first = e
+		case i == 1:
+			second = e
+		}
+	}
+	if second == nil || first.connections() <= second.connections() {
+		return first
+	}
+	return second
+}
