--- /dev/null
+++ b/request/claim/guard.go
@@ -0,0 +1,255 @@
+package claim
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/cockroachdb/errors"
+
+	"github.com/eelgrassdock/eelgrassdock/request/refusal"
+)
+
+const (
+	// defaultPatience covers a hand-over of a shard, but not the wait for a
+	// lease whose holder died, for which callers should not be kept.
+	defaultPatience = 3 * time.Second
+	askTimeout      = 30 * time.Second // longest wait for another entry's call, for requests without deadline
+)
+
+type (
+	// Guard runs requests at most once. Exported fields are set before use.
+	Guard struct {
+		Ledger *Ledger
+		// Instance is the incarnation of this entry, which bound keys name.
+		Instance string
+		// Ask asks another entry what became of a key; that entry answers with
+		// Ledger.Answer.
+		Ask func(ctx context.Context, instance string, q Query) (Reply, error)
+		// TakeRemote has a claim taken by the owner of the shard, here or
+		// elsewhere, with Owner.Take or Owner.Answer.
+		TakeRemote func(ctx context.Context, shard int, c Claim) (Grant, error)
+		// ReleaseRemote has a claim released; used by Release alone.
+		ReleaseRemote func(ctx context.Context, shard int, c Claim) error
+		Now           func() time.Time // time.Now if nil
+		Shards        int              // Shards if zero
+		// Patience bounds the repeated attempts to find the owner of a shard, 3 s
+		// if zero.
+		Patience time.Duration
+
+		nonce atomic.Uint64
+	}
+
+	// Request identifies a request. Fingerprint distinguishes requests that
+	// differ, for example a hash of method, path and body. A zero Deadline
+	// stands for none.
+	Request struct {
+		Account     string
+		Key         string
+		Fingerprint string
+		Deadline    time.Time
+	}
+
+	// call is one request on its way through Do.
+	call struct {
+		Request
+		key     Key
+		attempt *Attempt
+	}
+)
+
+func (g *Guard) now() time.Time {
+	if g.Now == nil {
+		return time.Now().Round(0)
+	}
+	return g.Now().Round(0)
+}
+
+// Do calls run unless the key has been used, and otherwise gives what became of
+// it. An error of run is, or wraps, a *refusal.Error; after outcome NotRun the
+// key may be tried again, after any other it never runs again. Errors of Do are
+// *refusal.Error.
+func (g *Guard) Do(ctx context.Context, req Request, run func(ctx context.Context) (Result, error)) (Result, error) {
+	if !req.Deadline.IsZero() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, req.Deadline.Sub(g.now()))
+		defer cancel()
+	}
+	c := &call{Request: req, key: ParseKey(req.Key)}
+	if c.key.Instance != "" && c.key.Instance != g.Instance {
+		if e := c.key.check(g.now()); e != nil {
+			return Result{}, e
+		}
+		return g.ask(ctx, c.key.Instance, c)
+	}
+	attempt, reply := g.Ledger.Begin(ctx, req.Account, c.key, req.Fingerprint)
+	if attempt == nil {
+		return reply.unpack()
+	}
+	c.attempt = attempt
+	return g.perform(ctx, c, run)
+}
+
+// perform runs the key in the name of all calls that wait for it.
+func (g *Guard) perform(ctx context.Context, c *call, run func(ctx context.Context) (Result, error)) (result Result, err error) {
+	failure := refusal.New(refusal.Internal, refusal.Unknown, "the call panicked")
+	defer func() { c.attempt.Finish(result, failure) }()
+	result, err = g.claimAndRun(ctx, c, run)
+	failure = nil
+	if err != nil {
+		failure = refusal.From(err)
+		return Result{}, failure
+	}
+	return result, nil
+}
+
+func (g *Guard) claimAndRun(ctx context.Context, c *call, run func(ctx context.Context) (Result, error)) (Result, error) {
+	if c.key.Instance == "" {
+		holder, err := g.claim(ctx, c)
+		if err != nil {
+			return Result{}, err
+		}
+		if holder != g.Instance {
+			return g.ask(ctx, holder, c)
+		}
+	}
+	c.attempt.Start()
+	if err := g.late(ctx, c); err != nil {
+		return Result{}, err
+	}
+	return run(ctx)
+}
+
+// late refuses a request that must not be dispatched any more. It is the last
+// check before run: the process may have been paused at any earlier point.
+func (g *Guard) late(ctx context.Context, c *call) error {
+	now := g.now()
+	switch {
+	case !c.Deadline.IsZero() && !now.Before(c.Deadline):
+		return refusal.New(refusal.Deadline, refusal.NotRun, "the deadline passed before dispatch")
+	case ctx.Err() != nil:
+		return refusal.New(refusal.Canceled, refusal.NotRun, "the caller left before dispatch")
+	case c.key.Instance != "":
+		if now.Before(c.key.Minted.Add(Expiry)) {
+			return nil
+		}
+	case now.Before(c.attempt.Held().Add(-retention)):
+		return nil
+	}
+	return refusal.New(refusal.Deadline, refusal.NotRun, "the key expired before dispatch")
+}
+
+// claim gives the holder of the key's durable claim, after taking it if it is
+// free. A claim that is held and fresh is used again.
+func (g *Guard) claim(ctx context.Context, c *call) (string, error) {
+	now := g.now()
+	expiry := c.key.expiry(now)
+	// A claim taken long ago would expire soon after the dispatch, and a
+	// repeated request at another entry could then run.
+	if c.attempt.Held().After(expiry.Add(-maxAhead)) {
+		return g.Instance, nil
+	}
+	c.attempt.Keep(expiry)
+	wanted := Claim{
+		Holder: g.Instance, Nonce: g.nonce.Add(1), Account: c.Account,
+		Hash: HashKey(c.Account, c.Key), Expiry: expiry,
+	}
+	grant, err := g.take(ctx, wanted)
+	switch {
+	case err != nil:
+		return "", err
+	case grant.Granted(wanted):
+		c.attempt.Hold(wanted.Nonce, expiry)
+	case grant.Holder == g.Instance:
+		return "", refusal.New(refusal.Store, refusal.NotRun, "a later claim of this entry exists")
+	}
+	return grant.Holder, nil
+}
+
+// take repeats a claim under the same nonce while no owner answers.
+func (g *Guard) take(ctx context.Context, c Claim) (Grant, error) {
+	patience := g.Patience
+	if patience <= 0 {
+		patience = defaultPatience
+	}
+	grant, err := backoff.Retry(ctx, func() (Grant, error) {
+		grant, err := g.TakeRemote(ctx, c.Hash.Shard(g.Shards), c)
+		var e *refusal.Error
+		switch {
+		case err == nil && grant.Refusal != nil:
+			return Grant{}, backoff.Permanent(grant.Refusal)
+		case errors.As(err, &e):
+			return Grant{}, backoff.Permanent(e)
+		case err == nil && grant.NotOwner:
+			return Grant{}, ErrNotOwner
+		case err != nil:
+			return Grant{}, fmt.Errorf("take claim: %w", err)
+		}
+		return grant, nil
+	}, backoff.WithMaxElapsedTime(patience), backoff.WithBackOff(takeBackOff()))
+	if err == nil {
+		return grant, nil
+	}
+	var e *refusal.Error
+	if errors.As(err, &e) {
+		return Grant{}, e
+	}
+	// Without an owner, nothing is known of earlier requests under the key.
+	return Grant{}, refusal.New(refusal.Store, refusal.Unknown, "no owner of the claim shard answers: "+err.Error())
+}
+
+func takeBackOff() *backoff.ExponentialBackOff {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval, b.MaxInterval = 50*time.Millisecond, 500*time.Millisecond
+	return b
+}
+
+// ask gives what another entry knows of the key.
+func (g *Guard) ask(ctx context.Context, instance string, c *call) (Result, error) {
+	q := Query{Account: c.Account, Key: c.Key, Fingerprint: c.Fingerprint, Deadline: c.Deadline}
+	if q.Deadline.IsZero() {
+		q.Deadline = g.now().Add(askTimeout)
+	}
+	reply, err := g.Ask(ctx, instance, q)
+	if err != nil {
+		return Result{}, refusal.New(refusal.KeyTaken, refusal.Unknown, "the entry that may run the key does not answer")
+	}
+	return reply.unpack()
+}
+
+// Release gives up the durable claim of a key that has not run here, so that
+// it can run at another entry. It does nothing if there is no such claim.
+func (g *Guard) Release(ctx context.Context, account, key string) error {
+	c, ok := g.Ledger.surrender(HashKey(account, key))
+	if !ok || g.ReleaseRemote == nil {
+		return nil
+	}
+	c.Account, c.Holder = account, g.Instance
+	if err := g.ReleaseRemote(ctx, c.Hash.Shard(g.Shards), c); err != nil {
+		return fmt.Errorf("release claim: %w", err)
+	}
+	return nil
+}
+
+// unpack turns a reply into what Do gives back.
+func (r Reply) unpack() (Result, error) {
+	switch r.State {
+	case Done:
+		if r.Result != nil {
+			return *r.Result, nil
+		}
+		return Result{}, refusal.New(refusal.KeyTaken, refusal.Run, "the request ran and its result is no longer kept")
+	case Barred:
+		return Result{}, refusal.New(refusal.KeyBarred, refusal.NotRun, "the key was barred before it could run")
+	case Reused:
+		return Result{}, refusal.New(refusal.KeyReused, refusal.NotRun, "the key was used with a different request")
+	case Running, Pending:
+		return Result{}, refusal.New(refusal.KeyTaken, refusal.Unknown, "an earlier call under the key has not ended")
+	}
+	if r.Refusal != nil {
+		return Result{}, r.Refusal
+	}
+	return Result{}, refusal.New(refusal.KeyTaken, refusal.Unknown, "it is not known whether the request ran")
+}
--- /dev/null
+++ b/request/claim/owner.go
@@ -0,0 +1,207 @@
+package claim
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+
+	"github.com/eelgrassdock/eelgrassdock/process/lease"
+	"github.com/eelgrassdock/eelgrassdock/process/platform"
+	"github.com/eelgrassdock/eelgrassdock/request/refusal"
+)
+
+const (
+	defaultPace = 20.0             // writes a second and shard: 320 with 16 shards
+	expireEvery = 30 * time.Second // interval of deleting expired segments
+	dutyPrefix  = "claim-"
+)
+
+type (
+	// Owner writes the claims of the shards whose leases this entry holds.
+	// Exported fields are set before use; Gained and Lost are given to a
+	// lease.Keeper with the duties that Duties lists.
+	Owner struct {
+		Platform platform.Platform
+		// Holder is the incarnation of the entry.
+		Holder string
+		Shards int              // Shards if zero
+		Now    func() time.Time // time.Now if nil
+		// Pace is the most writes a second for each shard, 20 if zero. It is
+		// halved when the store limits, and recovers with each write.
+		Pace float64
+		Log  *logrus.Logger // the standard logger if nil
+		// Violation is told of a broken invariant, after it was counted and logged.
+		Violation func(string)
+
+		once   sync.Once
+		base   context.Context
+		cancel context.CancelFunc
+		wg     conc.WaitGroup
+
+		mu     sync.Mutex
+		shards map[int]*shard
+	}
+)
+
+func (o *Owner) prepare() {
+	o.once.Do(func() {
+		if o.Shards <= 0 {
+			o.Shards = Shards
+		}
+		if o.Now == nil {
+			o.Now = time.Now
+		}
+		if o.Log == nil {
+			o.Log = logrus.StandardLogger()
+		}
+		if o.Pace <= 0 {
+			o.Pace = defaultPace
+		}
+		o.base, o.cancel = context.WithCancel(context.Background())
+		o.shards = map[int]*shard{}
+	})
+}
+
+// Duty names the lease duty of a shard.
+func Duty(shard int) string { return dutyPrefix + strconv.Itoa(shard) }
+
+// Duties lists the lease duties of n shards.
+func Duties(n int) []string {
+	names := make([]string, n)
+	for i := range names {
+		names[i] = Duty(i)
+	}
+	return names
+}
+
+// Run deletes expired segments until ctx ends, and then stops all work. It
+// returns the error of ctx.
+func (o *Owner) Run(ctx context.Context) error {
+	o.prepare()
+	ticker := time.NewTicker(expireEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			o.cancel()
+			o.wg.Wait()
+			return fmt.Errorf("claim owner ended: %w", ctx.Err())
+		case <-ticker.C:
+			for _, s := range o.all() {
+				s.expire(ctx)
+			}
+		}
+	}
+}
+
+func (o *Owner) all() []*shard {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	list := make([]*shard, 0, len(o.shards))
+	for _, s := range o.shards {
+		list = append(list, s)
+	}
+	return list
+}
+
+func shardOf(duty string) (int, bool) {
+	text, ok := strings.CutPrefix(duty, dutyPrefix)
+	if !ok {
+		return 0, false
+	}
+	n, err := strconv.Atoi(text)
+	return n, err == nil
+}
+
+// Gained starts the shard of a lease: its epoch is written and its segments are
+// read before it answers. Leases on other duties are ignored.
+func (o *Owner) Gained(l lease.Lease) {
+	o.prepare()
+	n, ok := shardOf(l.Duty)
+	if !ok || n >= o.Shards {
+		return
+	}
+	s := newShard(o, n, l)
+	o.mu.Lock()
+	old := o.shards[n]
+	o.shards[n] = s
+	o.mu.Unlock()
+	if old != nil {
+		old.stop()
+	}
+	o.wg.Go(s.load)
+}
+
+// Lost notes that the lease of a shard has ended. The shard is kept, since its
+// claims remain true and tell duplicates apart while the store is down; the
+// epoch row refuses its writes as soon as there is a successor.
+func (o *Owner) Lost(l lease.Lease) {
+	o.prepare()
+	n, ok := shardOf(l.Duty)
+	if !ok {
+		return
+	}
+	o.mu.Lock()
+	s := o.shards[n]
+	o.mu.Unlock()
+	if s != nil {
+		s.lapse(l)
+	}
+}
+
+// remove forgets a shard that has a successor.
+func (o *Owner) remove(s *shard) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.shards[s.number] == s {
+		delete(o.shards, s.number)
+	}
+}
+
+// Take claims a key. It returns a Grant once the claim is durable, or one that
+// names the present holder. Repeating it with the same holder and nonce gives
+// the same grant. It fails with ErrNotOwner, or with a refusal of reason Store
+// and outcome NotRun; the claim may then have been written, so the nonce must
+// not be used to dispatch the key.
+func (o *Owner) Take(ctx context.Context, c Claim) (Grant, error) {
+	return o.submit(ctx, c, false)
+}
+
+// Release gives up a claim. Its holder must not have dispatched the key, and
+// must take a new claim before it ever does.
+func (o *Owner) Release(ctx context.Context, c Claim) error {
+	_, err := o.submit(ctx, c, true)
+	return err
+}
+
+// Answer is Take with failures folded into the Grant, for use behind net/rpc.
+func (o *Owner) Answer(ctx context.Context, c Claim) Grant { return fold(o.Take(ctx, c)) }
+
+func fold(g Grant, err error) Grant {
+	switch {
+	case err == nil:
+		return g
+	case isNotOwner(err):
+		return Grant{NotOwner: true}
+	default:
+		return Grant{Refusal: refusal.From(err)}
+	}
+}
+
+func (o *Owner) submit(ctx context.Context, c Claim, release bool) (Grant, error) {
+	o.prepare()
+	n := c.Hash.Shard(o.Shards)
+	o.mu.Lock()
+	s := o.shards[n]
+	o.mu.Unlock()
+	if s == nil {
+		return Grant{}, fmt.Errorf("claim shard %d: %w", n, ErrNotOwner)
+	}
+	return s.submit(ctx, c, release)
+}
--- /dev/null
+++ b/request/claim/segment.go
@@ -0,0 +1,148 @@
+package claim
+
+import (
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+const (
+	maxSegment  = 16 << 10 // bytes at which a segment is sealed
+	lineBytes   = 48       // more than a line without its names takes
+	pageRows    = 99       // rows of one list call, which counts as one read of the store
+	epochSuffix = "epoch"
+)
+
+type (
+	// segment is the value of a row claim/SHARD/SEGMENT. Seq makes the value of
+	// every write distinct, so that reading a row tells which write it came from.
+	segment struct {
+		Seq   uint64
+		Names []string
+		Lines []line
+	}
+
+	// line is one claim or release. A later line replaces earlier ones of the
+	// same key. Holder and Account are positions in Names.
+	line struct {
+		Hash     []byte
+		Nonce    uint64
+		Holder   int
+		Account  int
+		Expiry   int64 // Unix seconds, rounded up
+		Released bool
+	}
+
+	// epoch is the value of the row claim/SHARD/epoch.
+	epoch struct {
+		Fence  int64
+		Holder string
+		Shards int
+	}
+
+	// held is a claim in memory.
+	held struct {
+		holder string
+		nonce  uint64
+		expiry int64
+	}
+)
+
+func prefix(shard int) string { return "claim/" + strconv.Itoa(shard) + "/" }
+
+func epochKey(shard int) string { return prefix(shard) + epochSuffix }
+
+// segmentKey names segment n of an epoch. The fencing token in it keeps keys
+// from being used again, and their order is the order of the writes.
+func segmentKey(shard int, fence int64, n int) string {
+	return fmt.Sprintf("%s%016d-%08d", prefix(shard), fence, n)
+}
+
+func encode(v any) ([]byte, error) {
+	data, err := msgpack.Marshal(v)
+	if err != nil {
+		return nil, fmt.Errorf("encode claim row: %w", err)
+	}
+	return data, nil
+}
+
+func decode(data []byte, v any) error {
+	if err := msgpack.Unmarshal(data, v); err != nil {
+		return fmt.Errorf("decode claim row: %w", err)
+	}
+	return nil
+}
+
+// EncodeMsgpack writes a segment as an array, which saves the names of fields.
+func (l line) EncodeMsgpack(e *msgpack.Encoder) error {
+	return e.EncodeMulti(l.Hash, l.Nonce, l.Holder, l.Account, l.Expiry, l.Released)
+}
+
+// DecodeMsgpack reads what EncodeMsgpack wrote.
+func (l *line) DecodeMsgpack(d *msgpack.Decoder) error {
+	return d.DecodeMulti(&l.Hash, &l.Nonce, &l.Holder, &l.Account, &l.Expiry, &l.Released)
+}
+
+// name gives the position of a name, which is added if it is new.
+func (s *segment) name(text string) int {
+	for i, name := range s.Names {
+		if name == text {
+			return i
+		}
+	}
+	s.Names = append(s.Names, text)
+	return len(s.Names) - 1
+}
+
+func (s *segment) add(c Claim, released bool) {
+	s.Lines = append(s.Lines, line{
+		Hash: c.Hash[:], Nonce: c.Nonce, Holder: s.name(c.Holder), Account: s.name(c.Account),
+		Expiry: seconds(c.Expiry), Released: released,
+	})
+}
+
+// size is an upper bound of the encoded size.
+func (s *segment) size() int {
+	n := len(s.Lines)*lineBytes + lineBytes
+	for _, name := range s.Names {
+		n += len(name) + 5
+	}
+	return n
+}
+
+// clone copies s so that lines can be added to the copy.
+func (s *segment) clone() segment {
+	return segment{
+		Seq:   s.Seq,
+		Names: append([]string(nil), s.Names...),
+		Lines: append([]line(nil), s.Lines...),
+	}
+}
+
+// expiry is when the last line of s expires.
+func (s *segment) expiry() int64 {
+	var last int64
+	for _, l := range s.Lines {
+		last = max(last, l.Expiry)
+	}
+	return last
+}
+
+// replay applies the lines of s to claims, in order.
+func (s *segment) replay(claims map[Hash]held) error {
+	for _, l := range s.Lines {
+		if len(l.Hash) != len(Hash{}) || l.Holder < 0 || l.Holder >= len(s.Names) {
+			return fmt.Errorf("claim segment is malformed")
+		}
+		if l.Released {
+			delete(claims, Hash(l.Hash))
+			continue
+		}
+		claims[Hash(l.Hash)] = held{holder: s.Names[l.Holder], nonce: l.Nonce, expiry: l.Expiry}
+	}
+	return nil
+}
+
+func seconds(t time.Time) int64 { return t.Add(time.Second - 1).Unix() }
--- /dev/null
+++ b/request/claim/shard.go
@@ -0,0 +1,226 @@
+package claim
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/eelgrassdock/eelgrassdock/process/lease"
+	"github.com/eelgrassdock/eelgrassdock/request/refusal"
+)
+
+type (
+	// shard is one claim shard at its owner. One write is in flight at a time;
+	// claims that arrive meanwhile go into the next one.
+	shard struct {
+		owner  *Owner
+		number int
+		fence  int64
+		ctx    context.Context
+		cancel context.CancelFunc
+		pace   *rate.Limiter
+		loaded chan struct{} // closed when the segments have been read, or the shard stopped
+
+		mu       sync.Mutex
+		lapsed   bool
+		failed   error // set when the shard is no longer usable
+		epoch    int64 // version of the epoch row
+		claims   map[Hash]held
+		sealed   []sealedSegment
+		open     segment
+		count    int   // number of the open segment
+		version  int64 // version of the open segment's row, 0 if not written yet
+		seq      uint64
+		queue    []*order
+		flushing bool
+	}
+
+	sealedSegment struct {
+		key     string
+		version int64
+		expiry  int64
+	}
+
+	// order is one claim or release on its way.
+	order struct {
+		ctx     context.Context
+		claim   Claim
+		release bool
+		grant   Grant
+		err     error
+		done    chan struct{}
+	}
+)
+
+func newShard(o *Owner, number int, l lease.Lease) *shard {
+	ctx, cancel := context.WithCancel(o.base)
+	return &shard{
+		owner: o, number: number, fence: l.Fence, ctx: ctx, cancel: cancel,
+		pace: rate.NewLimiter(rate.Limit(o.Pace), 1), loaded: make(chan struct{}),
+		claims: map[Hash]held{}, count: 1,
+	}
+}
+
+func isNotOwner(err error) bool { return errors.Is(err, ErrNotOwner) }
+
+func storeRefusal(detail string) *refusal.Error {
+	return refusal.New(refusal.Store, refusal.NotRun, detail)
+}
+
+func (s *shard) notOwner() error { return fmt.Errorf("claim shard %d: %w", s.number, ErrNotOwner) }
+
+// stop ends the shard. Its orders fail as ErrNotOwner.
+func (s *shard) stop() {
+	s.mu.Lock()
+	if s.failed == nil {
+		s.failed = s.notOwner()
+	}
+	queue := s.queue
+	s.queue = nil
+	s.mu.Unlock()
+	s.cancel()
+	for _, o := range queue {
+		o.end(Grant{}, s.notOwner())
+	}
+	s.owner.remove(s)
+}
+
+func (s *shard) lapse(l lease.Lease) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.fence == l.Fence {
+		s.lapsed = true
+	}
+}
+
+func (o *order) end(g Grant, err error) {
+	o.grant, o.err = g, err
+	close(o.done)
+}
+
+// submit answers at once what is known, and queues what has to be written.
+func (s *shard) submit(ctx context.Context, c Claim, release bool) (Grant, error) {
+	select {
+	case <-s.loaded:
+	case <-ctx.Done():
+		return Grant{}, refusal.New(refusal.Store, refusal.Unknown, "the claims of the shard are still being read")
+	}
+	s.mu.Lock()
+	if s.failed != nil {
+		defer s.mu.Unlock()
+		return Grant{}, s.failed
+	}
+	if g, known := s.known(s.claims, c, release); known {
+		s.mu.Unlock()
+		return g, nil
+	}
+	o := &order{ctx: ctx, claim: c, release: release, done: make(chan struct{})}
+	s.queue = append(s.queue, o)
+	if !s.flushing {
+		s.flushing = true
+		s.owner.wg.Go(s.flush)
+	}
+	s.mu.Unlock()
+	select {
+	case <-o.done:
+		return o.grant, o.err
+	case <-ctx.Done():
+		return Grant{}, storeRefusal("the claim was not written in time")
+	}
+}
+
+// known answers an order that needs no write, given what is claimed.
+func (s *shard) known(claims map[Hash]held, c Claim, release bool) (Grant, bool) {
+	h, ok := claims[c.Hash]
+	ok = ok && h.expiry > s.owner.Now().Unix()
+	same := ok && h.holder == c.Holder
+	if release {
+		return Grant{}, !same || h.nonce != c.Nonce
+	}
+	if !ok || same && c.Nonce > h.nonce {
+		return Grant{}, false
+	}
+	return Grant{Holder: h.holder, Nonce: h.nonce}, true
+}
+
+// flush writes the queue until it is empty.
+func (s *shard) flush() {
+	for {
+		if err := s.pace.Wait(s.ctx); err != nil {
+			s.stop()
+			return
+		}
+		b, ok := s.gather()
+		if !ok {
+			return
+		}
+		s.write(b)
+	}
+}
+
+// gather makes the next write out of the queue.
+func (s *shard) gather() (*batch, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.queue) == 0 || s.failed != nil {
+		s.flushing = false
+		return nil, false
+	}
+	if s.open.size() >= maxSegment-2*lineBytes {
+		s.seal()
+	}
+	b := &batch{base: s.open.clone()}
+	b.base.trim(s.owner.Now().Unix())
+	for _, o := range s.queue {
+		if o.ctx.Err() == nil {
+			b.orders = append(b.orders, o)
+		} else {
+			o.end(Grant{}, storeRefusal("the caller left before the claim was written"))
+		}
+	}
+	s.queue = nil
+	return b, true
+}
+
+// seal closes the open segment and begins the next one.
+func (s *shard) seal() {
+	s.sealed = append(s.sealed, sealedSegment{
+		key: segmentKey(s.number, s.fence, s.count), version: s.version, expiry: s.open.expiry(),
+	})
+	s.count++
+	s.open, s.version = segment{}, 0
+}
+
+// requeue puts orders that did not fit back in front.
+func (s *shard) requeue(rest []*order) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.queue = append(rest, s.queue...)
+}
+
+func (s *shard) slower() {
+	s.pace.SetLimit(max(s.pace.Limit()/2, 1))
+}
+
+func (s *shard) faster() {
+	if limit := rate.Limit(s.owner.Pace); s.pace.Limit() < limit {
+		s.pace.SetLimit(min(s.pace.Limit()+0.5, limit))
+	}
+}
+
+// trim removes expired lines. A release expires no earlier than the claim it
+// ends, so it is never removed before.
+func (s *segment) trim(now int64) {
+	kept := s.Lines[:0]
+	for _, l := range s.Lines {
+		if l.Expiry+int64(retention/time.Second) > now {
+			kept = append(kept, l)
+		}
+	}
+	s.Lines = kept
+}
