--- /dev/null
+++ b/process/operator/models.go
@@ -0,0 +1,93 @@
+package operator
+
+import (
+	"slices"
+
+	"github.com/eelgrassdock/eelgrassdock/version/config"
+)
+
+// load adds a model to an endpoint's desired models.
+func load(doc *config.Document, s *Statement) ([]string, error) {
+	at, models, err := modelsOf(doc, s, s.Load.Model, s.Load.Endpoint)
+	if err != nil {
+		return nil, err
+	}
+	model := s.Load.Model.Text
+	if slices.Contains(models, model) {
+		return nil, nil
+	}
+	setModels(doc, at, append(models, model))
+	return []string{"endpoint " + doc.Endpoints[at].ID + " loads model " + model}, nil
+}
+
+// unload removes a model from an endpoint's desired models. An empty list
+// means the service's model, so the last model stays; and the model that the
+// endpoint's service uses is removed only once the endpoint drains.
+func unload(doc *config.Document, s *Statement) ([]string, error) {
+	at, models, err := modelsOf(doc, s, s.Unload.Model, s.Unload.Endpoint)
+	if err != nil {
+		return nil, err
+	}
+	endpoint, model, offset := doc.Endpoints[at], s.Unload.Model.Text, s.Unload.Model.Pos.Offset
+	switch {
+	case !slices.Contains(models, model):
+		return nil, nil
+	case len(models) == 1:
+		return nil, errorAt(BadState, s.Text, offset, "%q is the only model of endpoint %q; drain the endpoint instead", model, endpoint.ID)
+	case model == serviceModel(doc, endpoint.Service) && !endpoint.Drain:
+		return nil, errorAt(BadState, s.Text, offset, "service %q uses model %q on endpoint %q; drain the endpoint first", endpoint.Service, model, endpoint.ID)
+	}
+	setModels(doc, at, slices.DeleteFunc(models, func(m string) bool { return m == model }))
+	return []string{"endpoint " + endpoint.ID + " unloads model " + model}, nil
+}
+
+// modelsOf finds an endpoint and a copy of its desired models, and checks the
+// model's name and that the endpoint is an engine.
+func modelsOf(doc *config.Document, s *Statement, model, name Name) (int, []string, error) {
+	at, err := findEndpoint(doc, s, name)
+	if err != nil {
+		return 0, nil, err
+	}
+	if err := find(s, "model", model, modelNames(doc)); err != nil {
+		return 0, nil, err
+	}
+	endpoint := doc.Endpoints[at]
+	service := slices.IndexFunc(doc.Services, func(v config.Service) bool { return v.ID == endpoint.Service })
+	if service >= 0 && doc.Services[service].Kind == config.Plain {
+		return 0, nil, errorAt(BadState, s.Text, name.Pos.Offset, "endpoint %q is not an engine", endpoint.ID)
+	}
+	if len(endpoint.Models) == 0 {
+		return at, []string{serviceModel(doc, endpoint.Service)}, nil
+	}
+	return at, slices.Clone(endpoint.Models), nil
+}
+
+func setModels(doc *config.Document, at int, models []string) {
+	doc.Endpoints = slices.Clone(doc.Endpoints)
+	doc.Endpoints[at].Models = models
+}
+
+// serviceModel names the model that a service uses.
+func serviceModel(doc *config.Document, id string) string {
+	for _, service := range doc.Services {
+		if service.ID == id && service.Model != "" {
+			return service.Model
+		}
+	}
+	return id
+}
+
+// modelNames lists the models of all engine services and endpoints.
+func modelNames(doc *config.Document) []string {
+	var names []string
+	for _, service := range doc.Services {
+		if service.Kind == config.Engine {
+			names = append(names, serviceModel(doc, service.ID))
+		}
+	}
+	for _, endpoint := range doc.Endpoints {
+		names = append(names, endpoint.Models...)
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
