--- /dev/null
+++ b/process/member/gossip.go
@@ -0,0 +1,194 @@
+package member
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+const (
+	retransmits   = 4 // times that a node sends an update, times log10 of the members
+	spreadFanout  = 3 // members that get an extra datagram in a hot tick
+	maxTransfers  = 16
+	piggybackRows = 16 // rows on one probe; probes are frequent
+)
+
+type (
+	// update is a row on its way out.
+	update struct {
+		id    string
+		raw   msgpack.RawMessage
+		sent  int
+		stale bool // a later row of the same member replaced it
+	}
+
+	transfer struct {
+		addr string
+		ids  []string
+	}
+)
+
+func raws(rows ...row) []msgpack.RawMessage {
+	list := make([]msgpack.RawMessage, len(rows))
+	for i, r := range rows {
+		list[i] = mustEncode(r)
+	}
+	return list
+}
+
+// enqueue starts the spread of a row and ends that of older rows of the member.
+func (n *Node) enqueue(r row) {
+	if old := n.queued[r.ID]; old != nil {
+		old.stale = true
+	}
+	u := &update{id: r.ID, raw: mustEncode(r)}
+	n.queued[r.ID] = u
+	n.requeue(u)
+}
+
+func (n *Node) requeue(u *update) {
+	if u.sent >= int(math.Ceil(retransmits*scale(len(n.live)+1))) {
+		if n.queued[u.id] == u {
+			delete(n.queued, u.id)
+		}
+		return
+	}
+	for len(n.queue) <= u.sent {
+		n.queue = append(n.queue, nil)
+	}
+	n.queue[u.sent] = append(n.queue[u.sent], u)
+}
+
+// post completes a datagram and puts it out. Probes, acknowledgements and
+// gossip carry waiting updates as far as size and budget allow.
+func (n *Node) post(addr string, d *datagram) {
+	d.From, d.Inc, d.Payload = n.Self.ID, n.Self.Incarnation, n.payload
+	if d.Kind == kindPing || d.Kind == kindAck || d.Kind == kindGossip {
+		n.fill(d)
+	}
+	data := mustEncode(d)
+	n.stats.Datagrams++
+	n.stats.Bytes += int64(len(data))
+	n.out = append(n.out, packet{addr: addr, data: data})
+}
+
+func (d *datagram) size() int {
+	size := headBytes + len(d.From) + len(d.Target) + len(d.Addr) + len(d.Payload) + len(d.Digest)
+	for _, raw := range d.Rows {
+		size += len(raw)
+	}
+	return size
+}
+
+// fill adds the updates that were sent the fewest times.
+func (n *Node) fill(d *datagram) {
+	size := d.size()
+	var taken []*update
+	for level := range n.queue {
+		list := n.queue[level]
+		for len(list) > 0 && len(taken) < piggybackRows {
+			u := list[len(list)-1]
+			if !u.stale {
+				if size+len(u.raw) > maxDatagram || !n.budget.AllowN(n.last, len(u.raw)) {
+					break
+				}
+				size += len(u.raw)
+				d.Rows = append(d.Rows, u.raw)
+				taken = append(taken, u)
+			}
+			list = list[:len(list)-1]
+		}
+		n.queue[level] = list
+	}
+	for _, u := range taken {
+		u.sent++
+		n.requeue(u)
+	}
+}
+
+// spread sends extra datagrams while a payload is new or updates wait.
+func (n *Node) spread(now time.Time) {
+	fanout := 0
+	switch {
+	case n.hot > 0:
+		n.hot--
+		fanout = spreadFanout
+	case len(n.queued) > 0 && n.budget.TokensAt(now) > maxDatagram:
+		fanout = 1
+	}
+	for _, e := range n.pick(fanout, nil) {
+		n.post(e.Probe, &datagram{Kind: kindGossip})
+	}
+}
+
+// startSync compares tables with one random member now and then.
+func (n *Node) startSync(now time.Time) {
+	if now.Before(n.nextSync) {
+		return
+	}
+	n.nextSync = now.Add(syncInterval/2 + n.jitter(syncInterval))
+	for _, e := range n.pick(1, nil) {
+		n.post(e.Probe, &datagram{Kind: kindDigest, Digest: encodeDigest(&n.buckets)})
+	}
+}
+
+// offer queues the rows of the buckets in mask for transfer.
+func (n *Node) offer(addr string, mask uint32) {
+	if len(n.transfer) >= maxTransfers || slices.ContainsFunc(n.transfer, func(t transfer) bool { return t.addr == addr }) {
+		return // the next comparison finds what is still missing
+	}
+	var ids []string
+	for id := range n.rows {
+		if mask&(1<<bucket(id)) != 0 {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	n.transfer = append(n.transfer, transfer{addr: addr, ids: ids})
+}
+
+// pump sends queued transfers, one datagram from each in turn, as far as the
+// budget allows.
+func (n *Node) pump(now time.Time) {
+	for len(n.transfer) > 0 && n.budget.TokensAt(now) >= maxDatagram {
+		t := n.transfer[0]
+		n.transfer = n.transfer[1:]
+		d := &datagram{Kind: kindRows}
+		d.From, d.Payload = n.Self.ID, n.payload
+		size := d.size()
+		for len(t.ids) > 0 {
+			raw := n.transferRow(t.ids[0])
+			if size+len(raw) > maxDatagram {
+				break
+			}
+			if raw != nil {
+				d.Rows = append(d.Rows, raw)
+			}
+			size += len(raw)
+			t.ids = t.ids[1:]
+		}
+		n.budget.AllowN(now, size)
+		if len(d.Rows) > 0 {
+			n.post(t.addr, d)
+		}
+		if len(t.ids) > 0 {
+			n.transfer = append(n.transfer, t)
+		}
+	}
+}
+
+// transferRow encodes a row in full: a suspect goes as alive, because its
+// suspicion spreads through gossip and a receiver may lack its addresses.
+func (n *Node) transferRow(id string) msgpack.RawMessage {
+	e := n.rows[id]
+	if e == nil {
+		return nil
+	}
+	status := e.status
+	if status == Suspect {
+		status = Alive
+	}
+	return mustEncode(rowOf(e.Member, status))
+}
--- /dev/null
+++ b/process/member/run.go
@@ -0,0 +1,138 @@
+package member
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
+)
+
+const (
+	readBuffer = 1 << 20 // bytes of socket buffer; covers a pause of seconds
+	seedLimit  = 10 * time.Second
+)
+
+// Socket carries datagrams over UDP.
+type Socket struct {
+	conn *net.UDPConn
+}
+
+// ListenUDP opens a socket at an IP address and port; port 0 chooses one.
+func ListenUDP(addr string) (*Socket, error) {
+	ap, err := netip.ParseAddrPort(addr)
+	if err != nil {
+		return nil, fmt.Errorf("parse probe address: %w", err)
+	}
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(ap))
+	if err != nil {
+		return nil, fmt.Errorf("listen for probes: %w", err)
+	}
+	_ = conn.SetReadBuffer(readBuffer) // a smaller buffer loses datagrams only
+	return &Socket{conn: conn}, nil
+}
+
+// Addr gives the address that the socket is bound to.
+func (s *Socket) Addr() string { return s.conn.LocalAddr().String() }
+
+// Close ends Serve.
+func (s *Socket) Close() error { return s.conn.Close() }
+
+// Send sends one datagram.
+func (s *Socket) Send(addr string, data []byte) error {
+	ap, err := netip.ParseAddrPort(addr)
+	if err != nil {
+		return fmt.Errorf("parse member address: %w", err)
+	}
+	if _, err := s.conn.WriteToUDPAddrPort(data, ap); err != nil {
+		return fmt.Errorf("send datagram: %w", err)
+	}
+	return nil
+}
+
+// Serve hands each datagram to receive until the socket is closed.
+func (s *Socket) Serve(receive func(data []byte, from string)) error {
+	buf := make([]byte, 2*maxDatagram)
+	for {
+		size, from, err := s.conn.ReadFromUDPAddrPort(buf)
+		switch {
+		case errors.Is(err, net.ErrClosed):
+			return nil
+		case err != nil:
+			counts.Add("read_failed", 1) // such as a refusal that an earlier datagram met
+			time.Sleep(time.Millisecond)
+			continue
+		}
+		from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
+		receive(buf[:size], from.String())
+	}
+}
+
+// Run drives the node until ctx ends. If Send is nil, it opens a UDP socket at
+// Self.Probe and serves it.
+func (n *Node) Run(ctx context.Context) error {
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if n.Send == nil {
+		socket, err := ListenUDP(n.Self.Probe)
+		if err != nil {
+			return err
+		}
+		defer func() { _ = socket.Close() }()
+		n.Send = socket.Send
+		wg.Go(func() { _ = socket.Serve(n.Receive) })
+	}
+	wg.Go(func() { n.seedLoop(ctx) })
+	ticker := time.NewTicker(Tick)
+	defer ticker.Stop()
+	for {
+		n.Step(n.now())
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
+
+// seedLoop reads the list of seeds, at first often, then once a minute.
+func (n *Node) seedLoop(ctx context.Context) {
+	if n.Seeds == nil {
+		return
+	}
+	for {
+		pause := seedInterval
+		call, cancel := context.WithTimeout(ctx, seedLimit)
+		list, err := n.Seeds(call)
+		cancel()
+		if err != nil {
+			counts.Add("seeds_failed", 1)
+			pause = seedInterval / 30
+		} else {
+			n.Seeded(list)
+		}
+		if len(n.Members()) <= 1 {
+			pause = seedInterval / 30
+		}
+		timer := time.NewTimer(pause/2 + time.Duration(float64(pause)*n.fraction()))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case <-timer.C:
+		}
+	}
+}
+
+// fraction gives a random number from 0 to 1.
+func (n *Node) fraction() float64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.start(n.now())
+	return n.random.Float64()
+}
--- /dev/null
+++ b/process/member/wire.go
@@ -0,0 +1,194 @@
+package member
+
+import (
+	"bytes"
+	"encoding/binary"
+	"expvar"
+	"fmt"
+	"math"
+	"net/netip"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+const (
+	maxDatagram = 1200    // fits the smallest common path MTU
+	maxName     = 128     // bytes of an ID, place or region
+	maxRows     = 256     // rows in one datagram
+	maxInc      = 1 << 62 // leaves room to refute
+	bucketCount = 32      // one bit each in a mask
+	headBytes   = 64      // fixed part of a datagram, rounded up
+	digestBytes = 8 * bucketCount
+)
+
+const (
+	kindPing   uint8 = iota + 1 // asks for an acknowledgement
+	kindAck                     // acknowledges Seq
+	kindAsk                     // asks the receiver to probe Target at Addr
+	kindGossip                  // carries rows and payload only
+	kindDigest                  // carries bucket hashes
+	kindPull                    // asks for the rows of the buckets in Mask
+	kindRows                    // carries rows of a transfer
+	kindLast                    // one above the last kind
+)
+
+type (
+	datagram struct {
+		_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
+
+		Kind    uint8
+		Seq     uint64
+		From    string
+		Inc     uint64
+		Target  string
+		Addr    string
+		Want    bool // the sender lacks the receiver's row
+		Mask    uint32
+		Payload []byte
+		Digest  []byte
+		Rows    []msgpack.RawMessage
+		rows    []row
+	}
+
+	// row is one member at one incarnation. Rows of status Suspect, Dead or
+	// Left carry no addresses.
+	row struct {
+		_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
+
+		Status  Status
+		Inc     uint64
+		ID      string
+		Addr    string
+		Probe   string
+		RPC     string
+		Place   string
+		Region  string
+		Leaving bool
+	}
+)
+
+var (
+	counts = expvar.NewMap("member")
+
+	errDatagram = errors.New("malformed datagram")
+)
+
+func rowOf(m Member, s Status) row {
+	r := row{Status: s, Inc: m.Incarnation, ID: m.ID}
+	if s == Alive {
+		r.Addr, r.Probe, r.RPC, r.Place, r.Region, r.Leaving = m.Addr, m.Probe, m.RPC, m.Place, m.Region, m.Leaving
+	}
+	return r
+}
+
+func (r row) member() Member {
+	return Member{
+		ID: r.ID, Addr: r.Addr, Probe: r.Probe, RPC: r.RPC, Place: r.Place, Region: r.Region,
+		Incarnation: r.Inc, Leaving: r.Leaving,
+	}
+}
+
+// hash covers all that two nodes must agree on for a live member.
+func (m Member) hash() uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	for _, s := range []string{m.ID, m.Addr, m.Probe, m.RPC, m.Place, m.Region} {
+		_, _ = d.WriteString(s)
+		_, _ = d.Write([]byte{0})
+	}
+	var b [9]byte
+	binary.LittleEndian.PutUint64(b[:], m.Incarnation)
+	if m.Leaving {
+		b[8] = 1
+	}
+	_, _ = d.Write(b[:])
+	return d.Sum64()
+}
+
+func bucket(id string) int { return int(xxhash.Sum64String(id) % bucketCount) }
+
+func mustEncode(v any) []byte {
+	var buf bytes.Buffer
+	enc := msgpack.GetEncoder()
+	defer msgpack.PutEncoder(enc)
+	enc.Reset(&buf)
+	enc.UseCompactInts(true)
+	if err := enc.Encode(v); err != nil {
+		panic(fmt.Errorf("encode datagram: %w", err)) // plain structs into memory always encode
+	}
+	return buf.Bytes()
+}
+
+// decode reads and checks a datagram. Everything that comes out of it is
+// within bounds.
+func decode(data []byte) (datagram, error) {
+	var d datagram
+	if len(data) > maxDatagram {
+		return d, fmt.Errorf("%d bytes: %w", len(data), errDatagram)
+	}
+	if err := msgpack.Unmarshal(data, &d); err != nil {
+		return d, fmt.Errorf("decode datagram: %w", errors.Mark(err, errDatagram))
+	}
+	switch {
+	case d.Kind == 0 || d.Kind >= kindLast,
+		!validName(d.From), d.Inc > maxInc, len(d.Target) > maxName,
+		len(d.Payload) > MaxPayload, len(d.Rows) > maxRows,
+		d.Kind == kindDigest && len(d.Digest) != digestBytes,
+		d.Kind == kindAsk && (!validName(d.Target) || !validAddr(d.Addr)):
+		return d, fmt.Errorf("header of kind %d: %w", d.Kind, errDatagram)
+	}
+	d.rows = make([]row, len(d.Rows))
+	for i, raw := range d.Rows {
+		if err := msgpack.Unmarshal(raw, &d.rows[i]); err != nil {
+			return d, fmt.Errorf("decode row: %w", errors.Mark(err, errDatagram))
+		}
+		if !d.rows[i].valid() {
+			return d, fmt.Errorf("row %d: %w", i, errDatagram)
+		}
+	}
+	return d, nil
+}
+
+func (r row) valid() bool {
+	if r.Status < Alive || r.Status > Left || !validName(r.ID) || r.Inc > maxInc {
+		return false
+	}
+	if r.Status != Alive {
+		return r.Probe == "" && r.Addr == "" && r.RPC == "" && r.Place == "" && r.Region == ""
+	}
+	return validAddr(r.Probe) && (r.Addr == "" || validAddr(r.Addr)) && (r.RPC == "" || validAddr(r.RPC)) &&
+		len(r.Place) <= maxName && len(r.Region) <= maxName
+}
+
+func validName(s string) bool { return s != "" && len(s) <= maxName }
+
+func validAddr(s string) bool {
+	_, err := netip.ParseAddrPort(s)
+	return err == nil
+}
+
+func encodeDigest(buckets *[bucketCount]uint64) []byte {
+	b := make([]byte, 0, digestBytes)
+	for _, h := range buckets {
+		b = binary.LittleEndian.AppendUint64(b, h)
+	}
+	return b
+}
+
+// differing gives the mask of the buckets whose hashes differ.
+func differing(buckets *[bucketCount]uint64, digest []byte) uint32 {
+	var mask uint32
+	for i, h := range buckets {
+		if binary.LittleEndian.Uint64(digest[8*i:]) != h {
+			mask |= 1 << i
+		}
+	}
+	return mask
+}
+
+// log10 of the number of members, at least 1.
+func scale(members int) float64 { return max(1, math.Log10(float64(members))) }
+
+func hotTicks(members int) int { return 2 + int(math.Ceil(math.Log2(float64(members+1))/2)) }
