--- /dev/null
+++ b/cmd/eelgrassdock/main.go
@@ -0,0 +1,99 @@
+// Command eelgrassdock is the serving system in one binary: the entry daemon,
+// its tools, simulated back ends, and a demonstration.
+//
+// Exit codes: 0 for success, 1 when the command ran and failed, 2 for wrong
+// arguments.
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// commands is the command line.
+type commands struct {
+	Entry   entryCommand   `cmd:"" help:"Run one entry instance. SIGTERM stops it gracefully; a second SIGTERM ends the stop early."`
+	Check   checkCommand   `cmd:"" help:"Check a settings or configuration file and name every fault."`
+	Publish publishCommand `cmd:"" help:"Store the first version of the configuration in the platform."`
+	Ask     askCommand     `cmd:"" help:"Send one query or command of the operators' language to an entry."`
+	Standin standinCommand `cmd:"" help:"Run a simulated engine, service or platform."`
+	Load    loadCommand    `cmd:"" help:"Drive entries with load and check every answer."`
+	Demo    demoCommand    `cmd:"" help:"Run a whole system in this process, under load and failures."`
+}
+
+// streams are the process's standard streams.
+type streams struct {
+	out, err io.Writer
+}
+
+func main() { os.Exit(run(os.Args[1:], streams{out: os.Stdout, err: os.Stderr})) }
+
+// run runs one command line and gives the exit code.
+func run(args []string, std streams) int {
+	var c commands
+	exit := -1
+	parser, err := kong.New(&c, kong.Name("eelgrassdock"), kong.UsageOnError(),
+		kong.Description("A serving system for generations of unknown length on crowded engines.\n\n"+
+			"Exit codes: 0 success, 1 the command failed, 2 wrong arguments."),
+		kong.Writers(std.out, std.err), kong.Exit(func(code int) { exit = code }), kong.Bind(std))
+	if err != nil {
+		fmt.Fprintln(std.err, "eelgrassdock:", err)
+		return exitFailed
+	}
+	ctx, err := parser.Parse(args)
+	if exit >= 0 {
+		return exit // --help was given
+	}
+	if err != nil {
+		fmt.Fprintln(std.err, "eelgrassdock:", err)
+		return exitUsage
+	}
+	if err := ctx.Run(std); err != nil {
+		fmt.Fprintln(std.err, "eelgrassdock:", err)
+		return exitFailed
+	}
+	return 0
+}
+
+// signals gives a context that ends at the first SIGTERM or SIGINT; abort is
+// called at the second.
+func signals(abort func()) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(context.Background())
+	c := make(chan os.Signal, 2)
+	signal.Notify(c, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-c
+		cancel()
+		<-c
+		if abort != nil {
+			abort()
+		}
+	}()
+	return ctx, func() {
+		signal.Stop(c)
+		cancel()
+	}
+}
+
+// newLog makes a log of JSON lines on w.
+func newLog(w io.Writer, level string) *logrus.Logger {
+	log := logrus.New()
+	log.SetOutput(w)
+	log.SetFormatter(&logrus.JSONFormatter{})
+	if l, err := logrus.ParseLevel(level); err == nil {
+		log.SetLevel(l)
+	}
+	return log
+}
--- /dev/null
+++ b/cmd/eelgrassdock/tools.go
@@ -0,0 +1,134 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/user"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/eelgrassdock/eelgrassdock/internal/demo"
+	"github.com/eelgrassdock/eelgrassdock/internal/load"
+)
+
+type (
+	askCommand struct {
+		Text  []string `arg:"" help:"The query or command, such as: show endpoints where place = riga-1"`
+		Entry string   `required:"" help:"Address of any entry."`
+		Key   string   `env:"EELGRASSDOCK_KEY" help:"Operator key."`
+		JSON  bool     `help:"Print JSON instead of a table."`
+		Wait  string   `help:"How long a command may wait until it is in force, such as 10s."`
+	}
+
+	loadCommand struct {
+		Entries  []string      `help:"Addresses of entries."`
+		Accounts []string      `help:"Accounts as ID:KEY:CALLERS."`
+		Model    string        `default:"guide" help:"Engine service."`
+		Plain    string        `default:"orders" help:"Plain service with POST /orders and GET /stock."`
+		Runs     []string      `help:"Addresses of the plain service's replicas, to verify what ran."`
+		Place    string        `help:"Place of the callers."`
+		Seconds  int           `default:"10" help:"Duration."`
+		Seed     uint64        `default:"1" help:"Seed."`
+		Max      int           `default:"400" help:"Longest answer in tokens."`
+		Pause    time.Duration `default:"50ms" help:"Mean pause of a caller between requests."`
+	}
+
+	demoCommand struct {
+		Seconds int    `default:"20" help:"Duration of the load."`
+		Seed    uint64 `default:"1" help:"Seed."`
+		Level   string `default:"error" enum:"debug,info,warn,error" help:"Lowest level that is logged."`
+	}
+)
+
+func (c *askCommand) Run(std streams) error {
+	body, err := json.Marshal(map[string]any{"text": strings.Join(c.Text, " "), "json": c.JSON, "wait": c.Wait})
+	if err != nil {
+		return fmt.Errorf("encode question: %w", err)
+	}
+	req, err := http.NewRequest(http.MethodPost, "http://"+c.Entry+"/v1/operator", bytes.NewReader(body))
+	if err != nil {
+		return fmt.Errorf("make request: %w", err)
+	}
+	req.Header.Set("Authorization", "Bearer "+c.Key)
+	if u, err := user.Current(); err == nil {
+		req.Header.Set("X-Caller", u.Username)
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return fmt.Errorf("ask entry: %w", err)
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(io.LimitReader(res.Body, 1<<20))
+		return errors.New(string(bytes.TrimSpace(text)))
+	}
+	if _, err := io.Copy(std.out, res.Body); err != nil {
+		return fmt.Errorf("read answer: %w", err)
+	}
+	if code := res.Trailer.Get("X-Failed"); code != "" {
+		return errors.New(code)
+	}
+	return nil
+}
+
+func (c *loadCommand) Run(std streams) error {
+	l := &load.Runner{
+		Entries: c.Entries, Model: c.Model, Plain: c.Plain, Runs: c.Runs, Place: c.Place,
+		Seed: c.Seed, Max: c.Max, Pause: c.Pause,
+	}
+	for _, text := range c.Accounts {
+		a, err := parseAccount(text)
+		if err != nil {
+			return err
+		}
+		l.Accounts = append(l.Accounts, a)
+	}
+	if len(c.Entries) == 0 || len(l.Accounts) == 0 {
+		return errors.New("--entries and --accounts are needed")
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(c.Seconds)*time.Second)
+	defer cancel()
+	return verdict(std, l.Run(ctx))
+}
+
+func parseAccount(text string) (load.Account, error) {
+	parts := strings.Split(text, ":")
+	a := load.Account{Callers: 1}
+	if len(parts) < 2 || len(parts) > 3 {
+		return a, errors.Newf("account %q must be ID:KEY or ID:KEY:CALLERS", text)
+	}
+	a.ID, a.Key = parts[0], parts[1]
+	if len(parts) == 3 {
+		if _, err := fmt.Sscanf(parts[2], "%d", &a.Callers); err != nil || a.Callers < 1 {
+			return a, errors.Newf("callers of account %q must be a number from 1", text)
+		}
+	}
+	return a, nil
+}
+
+func verdict(std streams, report load.Report) error {
+	fmt.Fprintln(std.out, report.Write())
+	if report.Broken() {
+		return errors.New("a promise was broken: duplicated, lost, crossed, rantwice or falsenotrun is not 0")
+	}
+	return nil
+}
+
+func (c *demoCommand) Run(std streams) error {
+	o := demo.Options{Seconds: c.Seconds, Seed: c.Seed, Log: newLog(std.err, c.Level)}
+	if info, err := os.Stderr.Stat(); err == nil && info.Mode()&os.ModeCharDevice != 0 {
+		o.Status = std.err
+	}
+	report, err := demo.Run(context.Background(), o)
+	if err != nil {
+		return err
+	}
+	return verdict(std, report)
+}
--- a/connection/engine/engine.go
+++ b/connection/engine/engine.go
@@ -20,8 +20,6 @@
 	"net/url"
 	"strconv"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/eelgrassdock/eelgrassdock/request/refusal"
 	"github.com/eelgrassdock/eelgrassdock/request/stream"
 )
@@ -29,6 +27,8 @@
 const (
 	// NotRunHeader on an answer proves that the request was not executed.
 	NotRunHeader = "X-Not-Run"
+	// BootHeader names the engine process that answers.
+	BootHeader = "X-Boot"
 
 	maxFrameBytes  = 64 << 10 // longest frame accepted from an engine
 	maxReportBytes = 1 << 20  // longest report accepted from an engine
@@ -53,6 +53,7 @@
 		Used      int64    `json:"used"`  // tokens of memory in use
 		Total     int64    `json:"total"` // tokens of memory
 		Preempted int64    `json:"preempted"`
+		Step      int64    `json:"step"` // recent time between tokens in µs
 		Leaving   bool     `json:"leaving,omitempty"`
 		Models    []string `json:"models,omitempty"`
 		Role      string   `json:"role,omitempty"`
@@ -107,6 +108,16 @@
 	return res.Body.Close()
 }
 
+// CancelIdle ends a generation that nobody reads. A caller that hung up may be
+// reading it through another entry, which only the engine can know.
+func (c *Conn) CancelIdle(ctx context.Context, gen string) error {
+	res, err := c.do(ctx, http.MethodDelete, "/generate/"+url.PathEscape(gen)+"?idle=true", nil)
+	if err != nil {
+		return fmt.Errorf("cancel idle generation: %w", err)
+	}
+	return res.Body.Close()
+}
+
 // Load reads the engine's report.
 func (c *Conn) Load(ctx context.Context) (Report, error) {
 	var report Report
@@ -180,28 +191,16 @@
 	})
 	res, err := c.do(ctx, method, path, body)
 	if err != nil {
-		return nil, openError(err, sent)
+		return nil, refusal.Failed(err, sent)
 	}
 	if res.StatusCode != http.StatusOK {
 		defer res.Body.Close()
 		return nil, statusError(res)
 	}
-	return newReader(res.Body, check), nil
-}
-
-// openError tells a connection that was never made from one that broke. With
-// a connection in hand the request may have been read by the engine.
-func openError(err error, sent bool) error {
-	switch {
-	case !sent:
-		return refusal.New(refusal.Dial, refusal.NotRun, err.Error())
-	case errors.Is(err, context.DeadlineExceeded):
-		return refusal.New(refusal.Timeout, refusal.Unknown, err.Error())
-	case errors.Is(err, context.Canceled):
-		return refusal.New(refusal.Canceled, refusal.Unknown, err.Error())
-	default:
-		return refusal.New(refusal.Broken, refusal.Unknown, err.Error())
+	if check.Boot == "" {
+		check.Boot = res.Header.Get(BootHeader)
 	}
+	return newReader(res.Body, check), nil
 }
 
 func statusError(res *http.Response) error {
--- /dev/null
+++ b/connection/peer/peer.go
@@ -0,0 +1,147 @@
+// Package peer carries calls between entries: net/rpc with gob over TCP.
+//
+// A Pool keeps one connection per address. Calls share it, and a call that
+// runs into its deadline closes it, so that a stalled link is replaced by a
+// new connection instead of delaying every later call.
+package peer
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	dialTimeout = 2 * time.Second // a peer that does not accept in this time counts as unreachable
+)
+
+var (
+	// ErrUnreachable reports a peer that could not be connected to: the call
+	// was not sent.
+	ErrUnreachable = errors.New("peer unreachable")
+	// ErrLost reports a call that was sent and got no answer.
+	ErrLost = errors.New("no answer from peer")
+)
+
+// Pool holds connections to peers. The zero value is ready.
+type Pool struct {
+	// Dial connects to an address; nil means TCP.
+	Dial func(ctx context.Context, addr string) (net.Conn, error)
+
+	mu      sync.Mutex
+	clients map[string]*rpc.Client
+}
+
+// Call calls a method, named "Service.Method", of the peer at addr and waits
+// for the answer until ctx ends. An error of the method itself is an
+// rpc.ServerError.
+func (p *Pool) Call(ctx context.Context, addr, method string, args, reply any) error {
+	client, err := p.client(ctx, addr)
+	if err != nil {
+		return fmt.Errorf("connect to peer %s: %w", addr, errors.Mark(err, ErrUnreachable))
+	}
+	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
+	select {
+	case <-ctx.Done():
+		p.drop(addr, client)
+		return fmt.Errorf("call %s of peer %s: %w", method, addr, errors.Mark(ctx.Err(), ErrLost))
+	case <-call.Done:
+	}
+	var remote rpc.ServerError
+	if call.Error == nil || errors.As(call.Error, &remote) {
+		return call.Error
+	}
+	p.drop(addr, client)
+	return fmt.Errorf("call %s of peer %s: %w", method, addr, errors.Mark(call.Error, ErrLost))
+}
+
+// Close closes all connections.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for addr, client := range p.clients {
+		_ = client.Close()
+		delete(p.clients, addr)
+	}
+}
+
+func (p *Pool) client(ctx context.Context, addr string) (*rpc.Client, error) {
+	p.mu.Lock()
+	client := p.clients[addr]
+	p.mu.Unlock()
+	if client != nil {
+		return client, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := p.dial(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	client = rpc.NewClient(conn)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if other := p.clients[addr]; other != nil {
+		_ = client.Close()
+		return other, nil
+	}
+	if p.clients == nil {
+		p.clients = map[string]*rpc.Client{}
+	}
+	p.clients[addr] = client
+	return client, nil
+}
+
+func (p *Pool) dial(ctx context.Context, addr string) (net.Conn, error) {
+	if p.Dial != nil {
+		return p.Dial(ctx, addr)
+	}
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", addr)
+}
+
+func (p *Pool) drop(addr string, client *rpc.Client) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.clients[addr] == client {
+		delete(p.clients, addr)
+	}
+	_ = client.Close()
+}
+
+// Serve answers calls on the listener until it is closed. The connections that
+// are open then are closed too.
+func Serve(l net.Listener, server *rpc.Server) error {
+	var (
+		mu    sync.Mutex
+		conns = map[net.Conn]struct{}{}
+		wg    sync.WaitGroup
+	)
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			break
+		}
+		mu.Lock()
+		conns[conn] = struct{}{}
+		mu.Unlock()
+		wg.Go(func() {
+			server.ServeConn(conn)
+			mu.Lock()
+			delete(conns, conn)
+			mu.Unlock()
+		})
+	}
+	mu.Lock()
+	for conn := range conns {
+		_ = conn.Close()
+	}
+	mu.Unlock()
+	wg.Wait()
+	return nil
+}
--- /dev/null
+++ b/connection/service/service.go
@@ -0,0 +1,121 @@
+// Package service makes calls to plain services and says what is known of each.
+//
+// A call is sent at most once: the body cannot be rewound, so the transport
+// never repeats it. An answer that was read in full is Run, also when its
+// status is an error. A failure before a connection was obtained, or an answer
+// with the header X-Not-Run: true, is NotRun. Everything else is Unknown.
+package service
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"time"
+
+	"github.com/eelgrassdock/eelgrassdock/connection/engine"
+	"github.com/eelgrassdock/eelgrassdock/request/refusal"
+)
+
+const (
+	// KeyHeader carries the request's idempotency key to the service. It is not
+	// Idempotency-Key, because net/http repeats requests that carry that one.
+	KeyHeader = "X-Request-Key"
+	// DeadlineHeader carries the absolute deadline, RFC 3339.
+	DeadlineHeader = "X-Deadline"
+
+	maxAnswerBytes = 8 << 20 // largest answer passed on to a caller
+)
+
+type (
+	// Call is one call.
+	Call struct {
+		Method   string
+		Path     string // with the query
+		Header   http.Header
+		Body     []byte
+		Key      string
+		Deadline time.Time
+	}
+
+	// Answer is the result of a call that ran.
+	Answer struct {
+		Status int
+		Header http.Header
+		Body   []byte
+	}
+
+	// Health is what a service says of itself.
+	Health struct {
+		Leaving bool `json:"leaving"`
+	}
+
+	// Conn speaks to one replica. Addr is its IP address and port.
+	Conn struct {
+		Addr string
+		HTTP *http.Client
+	}
+
+	// once hides the type of a body, so that the transport cannot rewind it.
+	once struct{ io.Reader }
+)
+
+// Do makes the call once. An error is a *refusal.Error.
+func (c *Conn) Do(ctx context.Context, call Call) (Answer, error) {
+	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
+	defer cancel()
+	var sent bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { sent = true },
+	})
+	req, err := http.NewRequestWithContext(ctx, call.Method, "http://"+c.Addr+call.Path, once{bytes.NewReader(call.Body)})
+	if err != nil {
+		return Answer{}, refusal.New(refusal.BadRequest, refusal.NotRun, err.Error())
+	}
+	req.ContentLength = int64(len(call.Body))
+	if call.Header != nil {
+		req.Header = call.Header.Clone()
+	}
+	req.Header.Set(KeyHeader, call.Key)
+	req.Header.Set(DeadlineHeader, call.Deadline.UTC().Format(time.RFC3339Nano))
+	res, err := c.HTTP.Do(req)
+	if err != nil {
+		return Answer{}, refusal.Failed(err, sent)
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes+1))
+	if res.Header.Get(engine.NotRunHeader) == "true" {
+		return Answer{}, refusal.New(refusal.Rejected, refusal.NotRun, fmt.Sprintf("status %d: %.200s", res.StatusCode, body))
+	}
+	if err != nil {
+		return Answer{}, refusal.Failed(err, true)
+	}
+	if len(body) > maxAnswerBytes {
+		return Answer{}, refusal.New(refusal.Garbage, refusal.Run, "answer is over 8 MiB")
+	}
+	return Answer{Status: res.StatusCode, Header: res.Header, Body: body}, nil
+}
+
+// Health asks the replica for its state.
+func (c *Conn) Health(ctx context.Context) (Health, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.Addr+"/health", nil)
+	if err != nil {
+		return Health{}, fmt.Errorf("make health request: %w", err)
+	}
+	res, err := c.HTTP.Do(req)
+	if err != nil {
+		return Health{}, fmt.Errorf("read health: %w", err)
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return Health{}, fmt.Errorf("read health: status %d", res.StatusCode)
+	}
+	var h Health
+	if err := json.NewDecoder(io.LimitReader(res.Body, 1<<16)).Decode(&h); err != nil {
+		return Health{}, fmt.Errorf("decode health: %w", err)
+	}
+	return h, nil
+}
--- /dev/null
+++ b/process/entry/call.go
@@ -0,0 +1,155 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"path"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/julienschmidt/httprouter"
+
+	"github.com/eelgrassdock/eelgrassdock/connection/service"
+	"github.com/eelgrassdock/eelgrassdock/request/claim"
+	"github.com/eelgrassdock/eelgrassdock/request/refusal"
+	"github.com/eelgrassdock/eelgrassdock/version/config"
+)
+
+// passedHeaders are the headers of a call and of its answer that are passed on.
+var passedHeaders = []string{"Accept", "Accept-Language", "Content-Type", "Content-Language", "Location"}
+
+// callService passes a call on to a replica of a plain service.
+func (e *Entry) callService(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
+	c, err := e.authenticate(r)
+	if err != nil {
+		e.refuse(w, err)
+		return
+	}
+	s, err := e.service(c, p.ByName("service"), config.Plain)
+	if err != nil {
+		e.refuse(w, err)
+		return
+	}
+	if p.ByName("path") != path.Clean(p.ByName("path")) {
+		e.refuse(w, refusal.New(refusal.BadRequest, refusal.NotRun, "path must be clean, without empty or dot segments"))
+		return
+	}
+	route := s.Route(r.Method, p.ByName("path"))
+	if route == nil {
+		e.refuse(w, refusal.New(refusal.NoService, refusal.NotRun, "service has no route "+r.Method+" "+p.ByName("path")))
+		return
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	if err != nil {
+		e.refuse(w, refusal.New(refusal.BadRequest, refusal.NotRun, "read body of at most 1 MiB: "+err.Error()))
+		return
+	}
+	grant, err := e.acquire(c, 0)
+	if err != nil {
+		e.refuse(w, err)
+		return
+	}
+	defer e.releaseGrant(grant)
+	ctx, act, end := e.begin(r.Context(), c, "call", s.ID)
+	defer end()
+	out := service.Call{
+		Method: r.Method, Path: p.ByName("path"), Header: passHeader(r.Header), Body: body,
+		Key: r.Header.Get(KeyHeader), Deadline: c.deadline,
+	}
+	if r.URL.RawQuery != "" {
+		out.Path += "?" + r.URL.RawQuery
+	}
+	result, err := e.answer(ctx, c, s, route, out, act)
+	if err != nil {
+		e.refuse(w, err)
+		return
+	}
+	for name, values := range result.Header {
+		w.Header()[name] = values
+	}
+	w.WriteHeader(result.Status)
+	_, _ = w.Write(result.Body)
+}
+
+// answer makes the call: an idempotent one as often as it may take, another
+// one at most once under its key.
+func (e *Entry) answer(ctx context.Context, c call, s *config.Service, route *config.Route, out service.Call, act *activity) (claim.Result, error) {
+	if route.Idempotent {
+		return e.attempts(ctx, s, out, act, true)
+	}
+	if out.Key == "" {
+		return claim.Result{}, refusal.New(refusal.NoKey, refusal.NotRun, "a call that is not idempotent needs the header Idempotency-Key")
+	}
+	// A dispatched call runs to its end also when the caller hangs up: the
+	// result is kept for a caller that asks again with the same key.
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), c.deadline)
+	defer cancel()
+	request := claim.Request{
+		Account: c.account.ID, Key: out.Key, Deadline: c.deadline, Fingerprint: fingerprint(c.caller, s.ID, out),
+	}
+	return e.guard.Do(ctx, request, func(ctx context.Context) (claim.Result, error) {
+		return e.attempts(ctx, s, out, act, false)
+	})
+}
+
+// fingerprint tells apart requests that use the same key. The caller is part
+// of it, so that a colleague on the account cannot read the result.
+func fingerprint(caller, id string, out service.Call) string {
+	d := xxhash.New()
+	for _, part := range []string{caller, id, out.Method, out.Path} {
+		_, _ = d.WriteString(part)
+		_, _ = d.Write([]byte{0})
+	}
+	_, _ = d.Write(out.Body)
+	return strconv.FormatUint(d.Sum64(), 16)
+}
+
+// attempts makes the call at one replica after the other, for as long as a
+// failed attempt may be repeated.
+func (e *Entry) attempts(ctx context.Context, s *config.Service, out service.Call, act *activity, idempotent bool) (claim.Result, error) {
+	var exclude []string
+	for attempt := 0; ; attempt++ {
+		endpoint, err := e.replica(s, exclude)
+		if err != nil {
+			return claim.Result{}, err
+		}
+		act.Endpoint.Store(&endpoint.ID)
+		conn := &service.Conn{Addr: endpoint.Addr, HTTP: e.http}
+		answer, err := conn.Do(ctx, out)
+		if err == nil {
+			e.succeeded(s.ID)
+			return claim.Result{Status: answer.Status, Header: passHeader(answer.Header), Body: answer.Body}, nil
+		}
+		fault := refusal.From(err)
+		if !idempotent && fault.Outcome != refusal.NotRun {
+			return claim.Result{}, err
+		}
+		e.replicaFailed(s.ID, endpoint.ID)
+		at, ok := e.nextAttempt(s.ID, fault, idempotent, attempt, out.Deadline)
+		if !ok || ctx.Err() != nil {
+			return claim.Result{}, err
+		}
+		exclude = append(exclude, endpoint.ID)
+		refusal.CountRetry(fault.Reason)
+		if !sleepUntil(ctx, at, e.now()) {
+			return claim.Result{}, err
+		}
+	}
+}
+
+func passHeader(from http.Header) http.Header {
+	to := http.Header{}
+	for _, name := range passedHeaders {
+		if values := from[name]; len(values) > 0 {
+			to[name] = values
+		}
+	}
+	for name, values := range from {
+		if strings.HasPrefix(name, "X-App-") {
+			to[name] = values
+		}
+	}
+	return to
+}
--- /dev/null
+++ b/process/entry/completion.go
@@ -0,0 +1,221 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/julienschmidt/httprouter"
+
+	"github.com/eelgrassdock/eelgrassdock/connection/engine"
+	"github.com/eelgrassdock/eelgrassdock/request/refusal"
+	"github.com/eelgrassdock/eelgrassdock/request/resume"
+	"github.com/eelgrassdock/eelgrassdock/request/stream"
+	"github.com/eelgrassdock/eelgrassdock/version/config"
+)
+
+const (
+	defaultMax = 65536 // largest output in tokens of a service that sets none
+)
+
+type (
+	// CompletionRequest is the body of POST /v1/completions.
+	CompletionRequest struct {
+		Model  string `json:"model"`
+		Prompt string `json:"prompt"`
+		Max    int    `json:"max_tokens,omitempty"`
+		Stream bool   `json:"stream,omitempty"`
+		User   string `json:"user,omitempty"`
+	}
+
+	// Completion is the answer to POST /v1/completions, whole or one event.
+	Completion struct {
+		ID      string   `json:"id"`
+		Object  string   `json:"object"`
+		Model   string   `json:"model"`
+		Choices []Choice `json:"choices"`
+		Usage   *Usage   `json:"usage,omitempty"`
+	}
+
+	// Choice is the text of a Completion.
+	Choice struct {
+		Index  int    `json:"index"`
+		Text   string `json:"text"`
+		Finish string `json:"finish_reason,omitempty"`
+	}
+
+	// Usage counts the tokens of a whole Completion.
+	Usage struct {
+		Completion int `json:"completion_tokens"`
+	}
+)
+
+func (e *Entry) complete(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	c, err := e.authenticate(r)
+	if err != nil {
+		e.refuse(w, err)
+		return
+	}
+	req, service, err := e.readCompletion(w, r, &c)
+	if err != nil {
+		e.refuse(w, err)
+		return
+	}
+	grant, err := e.acquire(c, e.estimateTokens(c, req))
+	if err != nil {
+		e.refuse(w, err)
+		return
+	}
+	defer e.releaseGrant(grant)
+	ctx, act, end := e.begin(r.Context(), c, "stream", service.ID)
+	defer end()
+	j := &job{e: e, call: c, req: req, service: service, act: act}
+	if req.Stream {
+		j.stream(ctx, w, r.Header.Get("Last-Event-ID"))
+		return
+	}
+	j.whole(ctx, w)
+}
+
+// stream answers with server-sent events, from the start or after the event
+// that the caller received last.
+func (j *job) stream(ctx context.Context, w http.ResponseWriter, last string) {
+	out := newEventWriter(w, j.service.ID)
+	j.out = out
+	err := j.resumeFrom(last)
+	if err == nil {
+		err = j.run(ctx)
+	}
+	if err != nil {
+		j.e.finishStream(w, out, err)
+	}
+}
+
+// whole answers with the complete text in one document.
+func (j *job) whole(ctx context.Context, w http.ResponseWriter) {
+	out := &wholeWriter{}
+	j.out = out
+	if err := j.run(ctx); err != nil {
+		j.e.refuse(w, err)
+		return
+	}
+	j.e.writeJSON(w, Completion{
+		ID: j.generation, Object: "text_completion", Model: j.service.ID,
+		Choices: []Choice{{Text: out.text.String(), Finish: "stop"}}, Usage: &Usage{Completion: out.n},
+	})
+}
+
+// readCompletion decodes and checks the body.
+func (e *Entry) readCompletion(w http.ResponseWriter, r *http.Request, c *call) (CompletionRequest, *config.Service, error) {
+	var req CompletionRequest
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(&req); err != nil {
+		detail := "body must be a JSON object: " + err.Error()
+		if size := new(http.MaxBytesError); errors.As(err, &size) {
+			detail = "body is over 1 MiB"
+		}
+		return req, nil, refusal.New(refusal.BadRequest, refusal.NotRun, detail)
+	}
+	if c.caller == "" {
+		c.caller = req.User
+	}
+	service, err := e.service(*c, req.Model, config.Engine)
+	if err != nil {
+		return req, nil, err
+	}
+	limit := service.Max
+	if limit == 0 {
+		limit = defaultMax
+	}
+	if req.Max < 0 || req.Max > limit {
+		return req, nil, refusal.New(refusal.BadRequest, refusal.NotRun,
+			fmt.Sprintf("max_tokens must be from 0 to %d, is %d", limit, req.Max))
+	}
+	if req.Prompt == "" {
+		return req, nil, refusal.New(refusal.BadRequest, refusal.NotRun, "prompt must not be empty")
+	}
+	if req.Max == 0 {
+		req.Max = limit
+	}
+	return req, service, nil
+}
+
+// finishStream tells the caller why a stream ended early: as a status if
+// nothing was sent yet, as an event otherwise.
+func (e *Entry) finishStream(w http.ResponseWriter, out *eventWriter, err error) {
+	if !out.begun {
+		e.refuse(w, err)
+		return
+	}
+	fault := refusal.From(err)
+	refusal.Count(fault.Reason)
+	event := "error"
+	if fault.Reason == refusal.Stopping {
+		event = "moved"
+	}
+	out.event(event, fault.Problem())
+}
+
+// cancelStream ends the generation that a resume token names.
+func (e *Entry) cancelStream(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
+	c, err := e.authenticate(r)
+	if err != nil {
+		e.refuse(w, err)
+		return
+	}
+	token, err := e.openToken(c, strings.TrimSuffix(p.ByName("token"), "/"))
+	if err != nil {
+		e.refuse(w, err)
+		return
+	}
+	endpoint := c.index.Endpoint(token.Endpoint)
+	if endpoint == nil {
+		e.refuse(w, refusal.New(refusal.GenerationLost, refusal.Unknown, "endpoint is no longer configured"))
+		return
+	}
+	conn := &engine.Conn{Addr: endpoint.Addr, HTTP: e.http}
+	if err := conn.Cancel(r.Context(), token.Generation); err != nil {
+		e.refuse(w, refusal.Failed(err, true))
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Entry) openToken(c call, id string) (resume.Token, error) {
+	sealed := id
+	if s, _, err := resume.Split(id); err == nil {
+		sealed = s
+	}
+	token, err := resume.Sealer{Secrets: c.index.Document.Secrets}.Open(sealed, c.account.ID, c.caller, c.arrived)
+	if err != nil {
+		return token, refusal.New(refusal.BadToken, refusal.NotRun, err.Error())
+	}
+	return token, nil
+}
+
+// wholeWriter collects an answer that is not streamed.
+type wholeWriter struct {
+	text strings.Builder
+	n    int
+}
+
+func (o *wholeWriter) open(string, string) error { return nil }
+
+func (o *wholeWriter) token(f stream.Frame, _ bool) error {
+	o.text.WriteString(f.Text)
+	o.n++
+	return nil
+}
+
+func (o *wholeWriter) end(int) error { return nil }
+
+func (o *wholeWriter) delivered() bool { return false }
+
+func (o *wholeWriter) reset() {
+	o.text.Reset()
+	o.n = 0
+}
+
+func (o *wholeWriter) continueAfter(int) {}
--- /dev/null
+++ b/process/entry/desk.go
@@ -0,0 +1,230 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/eelgrassdock/eelgrassdock/connection/engine"
+	"github.com/eelgrassdock/eelgrassdock/process/placement"
+	"github.com/eelgrassdock/eelgrassdock/process/queue"
+	"github.com/eelgrassdock/eelgrassdock/request/refusal"
+	"github.com/eelgrassdock/eelgrassdock/request/retry"
+	"github.com/eelgrassdock/eelgrassdock/version/config"
+)
+
+const (
+	waitPoll     = 20 * time.Millisecond // waiting work is offered again this often without another cause
+	suspectTime  = 3 * time.Second       // an endpoint that failed gets no new work for this long
+	overloadWait = time.Second           // when to come back after a full queue
+)
+
+type (
+	// desk places the generations of one service: at once if an endpoint can
+	// take them, else from a queue.
+	desk struct {
+		e       *Entry
+		service string
+		sched   *placement.Scheduler
+		queue   queue.Queue
+		next    atomic.Uint64
+		used    atomic.Int64 // Unix ms of the last use
+
+		mu    sync.Mutex // orders placements, so that waiting work goes first
+		watch map[string]*watch
+	}
+
+	// slot is a reservation at an endpoint. It is released once.
+	slot struct {
+		desk     *desk
+		endpoint *config.Endpoint
+		model    string
+		ticket   placement.Ticket
+		tokens   int
+	}
+
+	// waiter is a job in the queue.
+	waiter struct {
+		request placement.Request
+		ready   chan placement.Decision
+	}
+)
+
+// desk gives the desk of a service.
+func (e *Entry) desk(service string) *desk {
+	if d, ok := e.desks.Load(service); ok {
+		return d.(*desk)
+	}
+	d := &desk{e: e, service: service, watch: map[string]*watch{}}
+	d.sched = &placement.Scheduler{
+		Service: service, Region: e.Settings.Region, EntryPlace: e.Settings.Place, Length: &e.lengths,
+		PrefixTokens: engine.PrefixBytes / engine.BytesPerToken, Seed: hashID(e.id + service),
+	}
+	if s := e.config().Service(service); s != nil {
+		d.sched.Policy = placement.Policy(s.Policy)
+		d.sched.Weights = placement.Weights(s.Weights)
+	}
+	d.queue.Weight = e.accountWeight
+	actual, loaded := e.desks.LoadOrStore(service, d)
+	if !loaded {
+		d.configure(e.config())
+		e.wg.Go(func() { d.run(e.background) })
+	}
+	return actual.(*desk)
+}
+
+// request describes a job to the scheduler.
+func (d *desk) request(j *job) placement.Request {
+	return placement.Request{
+		ID: d.next.Add(1), Account: j.call.account.ID, Prompt: engine.Tokens(j.req.Prompt),
+		Prefix: engine.Prefixes(j.req.Prompt), Max: j.req.Max, Rank: j.call.account.Rank,
+		Arrived: j.call.arrived, Deadline: j.call.deadline, Exclude: j.exclude,
+	}
+}
+
+// acquire waits until an endpoint can take the job. An error is a
+// *refusal.Error with outcome NotRun.
+func (d *desk) acquire(ctx context.Context, j *job) (*slot, error) {
+	now := d.e.now()
+	d.used.Store(now.UnixMilli())
+	w := &waiter{request: d.request(j), ready: make(chan placement.Decision, 1)}
+	item := &queue.Item{
+		Account: j.call.account.ID, Caller: j.call.caller, Rank: j.call.account.Rank,
+		Arrived: j.call.arrived, Deadline: j.call.deadline, Cost: float64(w.request.Prompt), Value: w,
+	}
+	decision, err := d.placeOrPush(w, item, now)
+	if err != nil {
+		return nil, err
+	}
+	if decision.Wait {
+		select {
+		case decision = <-w.ready:
+		case <-ctx.Done():
+			if d.queue.Remove(item) {
+				return nil, refusal.Failed(ctx.Err(), false)
+			}
+			decision = <-w.ready
+		}
+	}
+	return d.slot(j, decision)
+}
+
+func (d *desk) placeOrPush(w *waiter, item *queue.Item, now time.Time) (placement.Decision, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.queue.Len() == 0 {
+		if decision := d.sched.Place(w.request, now); !decision.Wait {
+			return decision, nil
+		}
+	}
+	if err := d.queue.Push(item); err != nil {
+		fault := refusal.New(refusal.Overload, refusal.NotRun, "queue of service \""+d.service+"\" is full")
+		fault.RetryAt = now.Add(overloadWait)
+		return placement.Decision{}, fault
+	}
+	return placement.Decision{Wait: true}, nil
+}
+
+// slot turns a decision into a slot or a refusal.
+func (d *desk) slot(j *job, decision placement.Decision) (*slot, error) {
+	if decision.Endpoint == "" {
+		if !d.e.now().Before(j.call.deadline) {
+			return nil, refusal.New(refusal.Deadline, refusal.NotRun, "deadline passed while waiting for an endpoint")
+		}
+		fault := refusal.New(refusal.NoEndpoint, refusal.NotRun, "no endpoint of service \""+d.service+"\" can be used")
+		fault.RetryAt = d.e.now().Add(overloadWait)
+		return nil, fault
+	}
+	s := &slot{desk: d, ticket: decision.Ticket, model: j.service.Model}
+	if s.model == "" {
+		s.model = j.service.ID
+	}
+	if s.endpoint = d.e.config().Endpoint(decision.Endpoint); s.endpoint == nil {
+		s.endpoint = j.call.index.Endpoint(decision.Endpoint)
+	}
+	if s.endpoint == nil {
+		s.release(false)
+		return nil, refusal.New(refusal.NoEndpoint, refusal.NotRun, "endpoint was removed from the configuration")
+	}
+	return s, nil
+}
+
+// offer gives waiting work to endpoints and refuses what is too late.
+func (d *desk) offer() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.queue.Len() == 0 {
+		return
+	}
+	now := d.e.now()
+	for _, item := range d.queue.Expire(now) {
+		item.Value.(*waiter).ready <- placement.Decision{None: true}
+	}
+	d.queue.Next(now, func(item *queue.Item) bool {
+		w := item.Value.(*waiter)
+		decision := d.sched.Place(w.request, now)
+		if decision.Wait {
+			return false
+		}
+		w.ready <- decision
+		return true
+	})
+}
+
+// run offers waiting work and watches the endpoints until ctx ends.
+func (d *desk) run(ctx context.Context) {
+	ticker := time.NewTicker(waitPoll)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			d.stopWatches()
+			return
+		case <-ticker.C:
+			d.offer()
+		}
+	}
+}
+
+// suspect keeps new work from an endpoint that failed.
+func (d *desk) suspect(endpoint string, fault *refusal.Error) {
+	if fault.Reason == refusal.GenerationLost {
+		return
+	}
+	d.sched.Suspect(endpoint, d.e.now().Add(suspectTime))
+	d.e.Log.WithFields(logrus.Fields{"endpoint": endpoint, "reason": fault.Reason}).Debug("endpoint suspected")
+}
+
+func (s *slot) progress(n int) {
+	s.tokens = n
+	// The scheduler's estimate changes little from token to token.
+	if n&7 == 1 {
+		s.desk.sched.Progress(s.ticket, n, s.desk.e.now())
+	}
+}
+
+// release gives the reservation back. Completed generations teach lengths.
+func (s *slot) release(completed bool) {
+	s.desk.sched.Done(s.ticket, s.tokens, completed, s.desk.e.now())
+	s.desk.offer()
+}
+
+// nextAttempt decides about the repetition of a failed attempt, counted from 0.
+func (e *Entry) nextAttempt(service string, fault *refusal.Error, idempotent bool, attempt int, deadline time.Time) (time.Time, bool) {
+	policy := e.retryPolicy(service)
+	at, ok := policy.Next(fault.Outcome, fault.Reason, idempotent, attempt+1, deadline, e.now())
+	return at, ok
+}
+
+func (e *Entry) succeeded(service string) { e.retryPolicy(service).Budget.Success() }
+
+func (e *Entry) retryPolicy(service string) *retry.Policy {
+	if p, ok := e.retries.Load(service); ok {
+		return p.(*retry.Policy)
+	}
+	p, _ := e.retries.LoadOrStore(service, &retry.Policy{})
+	return p.(*retry.Policy)
+}
--- /dev/null
+++ b/process/entry/entry.go
@@ -0,0 +1,149 @@
+// Package entry runs one entry instance: it takes requests from callers over
+// HTTP and serves them from endpoints.
+//
+// An entry keeps nothing that must outlive it. A generation lives in its
+// engine and can be read on through any entry with the caller's resume token;
+// configuration, leases and durable claims live in the platform; the rest is
+// relearned. An entry stops in two steps: it first disappears from the answers
+// to callers that ask which entries to use, and goes on serving until those
+// answers have expired and the requests in flight have ended.
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+
+	"github.com/eelgrassdock/eelgrassdock/connection/peer"
+	"github.com/eelgrassdock/eelgrassdock/process/lease"
+	"github.com/eelgrassdock/eelgrassdock/process/length"
+	"github.com/eelgrassdock/eelgrassdock/process/member"
+	"github.com/eelgrassdock/eelgrassdock/process/platform"
+	"github.com/eelgrassdock/eelgrassdock/process/share"
+	"github.com/eelgrassdock/eelgrassdock/request/claim"
+	"github.com/eelgrassdock/eelgrassdock/version/config"
+)
+
+const (
+	defaultKeep = 30 * time.Second  // how long callers may keep a locate answer
+	defaultStop = 300 * time.Second // longest graceful stop
+	readHeader  = 10 * time.Second  // a caller must send its header in this time
+	idleConn    = 120 * time.Second // an idle connection of a caller is closed after this
+	dialTimeout = 2 * time.Second   // an endpoint that does not accept in this time is tried later
+)
+
+// Entry is one entry instance. Exported fields are set before Run.
+type Entry struct {
+	Settings Settings
+	Platform platform.Platform
+	Log      *logrus.Logger
+	// Now is the clock; time.Now if nil.
+	Now func() time.Time
+	// Dial connects to endpoints; nil means TCP.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+	// Violation is called when a promise is seen broken; nil means that it is
+	// counted and logged only.
+	Violation func(rule, detail string)
+
+	id       string
+	index    atomic.Pointer[config.Index]
+	http     *http.Client
+	peers    peer.Pool
+	desks    sync.Map // service ID to *desk
+	streams  registry
+	stopping atomic.Bool   // no longer in locate answers
+	refusing atomic.Bool   // takes no new requests
+	expired  chan struct{} // closed when the longest graceful stop has passed
+	server   *http.Server
+	cancel   context.CancelFunc
+	killed   atomic.Bool
+
+	peerListener net.Listener
+	store        config.Store
+	members      *member.Node
+	leases       *lease.Keeper
+	owner        *claim.Owner
+	ledger       *claim.Ledger
+	guard        *claim.Guard
+	borrower     *share.Borrower
+	lender       *share.Owner
+	lengths      length.Learner
+	retries      sync.Map // service ID to *retry.Policy
+	wg           conc.WaitGroup
+	background   context.Context
+}
+
+// ID gives the identity of this run of the entry.
+func (e *Entry) ID() string { return e.id }
+
+// Addr gives the address that callers connect to, once Run has begun.
+func (e *Entry) Addr() string { return e.Settings.Addr }
+
+func (e *Entry) now() time.Time {
+	if e.Now != nil {
+		return e.Now()
+	}
+	return time.Now()
+}
+
+func (e *Entry) prepare() {
+	e.id = e.Settings.Name + "-" + uuid.NewString()[:8]
+	e.expired = make(chan struct{})
+	if e.Log == nil {
+		e.Log = logrus.New()
+	}
+	dial := e.Dial
+	if dial == nil {
+		d := &net.Dialer{Timeout: dialTimeout}
+		dial = d.DialContext
+	}
+	e.http = &http.Client{Transport: &http.Transport{
+		DialContext:         dial,
+		MaxIdleConnsPerHost: 64,
+		IdleConnTimeout:     idleConn,
+		ReadBufferSize:      2 << 10,
+		WriteBufferSize:     2 << 10,
+		DisableCompression:  true,
+	}}
+}
+
+// Run serves until ctx ends, then stops gracefully. It returns nil after a
+// stop that cut off no request, and an error that names what was cut otherwise.
+// A second signal is given by Abort.
+func (e *Entry) Run(ctx context.Context) error {
+	e.prepare()
+	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	e.background, e.cancel = background, cancel
+	l, err := net.Listen("tcp", e.Settings.Addr)
+	if err != nil {
+		return fmt.Errorf("listen for callers: %w", err)
+	}
+	if err := e.join(background); err != nil {
+		_ = l.Close()
+		return fmt.Errorf("join the system: %w", err)
+	}
+	e.server = &http.Server{Handler: e.Handler(), ReadHeaderTimeout: readHeader, IdleTimeout: idleConn}
+	e.wg.Go(func() {
+		if err := e.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			e.Log.WithError(err).Error("caller listener failed")
+		}
+	})
+	e.Log.WithFields(logrus.Fields{"entry": e.id, "addr": l.Addr().String()}).Info("entry started")
+	<-ctx.Done()
+	err = e.stop()
+	cancel()
+	e.peers.Close()
+	e.wg.Wait()
+	e.http.CloseIdleConnections()
+	return err
+}
--- /dev/null
+++ b/process/entry/http.go
@@ -0,0 +1,144 @@
+package entry
+
+import (
+	"context"
+	"expvar"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/julienschmidt/httprouter"
+
+	"github.com/eelgrassdock/eelgrassdock/request/refusal"
+	"github.com/eelgrassdock/eelgrassdock/version/config"
+)
+
+const (
+	maxBody         = 1 << 20          // largest request body in bytes
+	defaultDeadline = 15 * time.Minute // deadline of a request that names none
+	maxDeadline     = 2 * time.Hour    // latest deadline that a request may name
+	maxCallerName   = 128              // longest caller identity in bytes
+
+	// CallerHeader tells callers on one account apart.
+	CallerHeader = "X-Caller"
+	// DeadlineHeader carries the absolute deadline, RFC 3339.
+	DeadlineHeader = "X-Deadline"
+	// KeyHeader carries the idempotency key.
+	KeyHeader = "Idempotency-Key"
+)
+
+// call is what every request of a caller carries.
+type call struct {
+	index    *config.Index
+	account  *config.Account
+	caller   string
+	deadline time.Time
+	arrived  time.Time
+}
+
+// Handler serves callers and operators.
+func (e *Entry) Handler() http.Handler {
+	router := httprouter.New()
+	router.GET("/v1/entries", e.locate)
+	router.POST("/v1/completions", e.complete)
+	router.DELETE("/v1/completions/:token", e.cancelStream)
+	for _, method := range []string{
+		http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete,
+	} {
+		router.Handle(method, "/v1/services/:service/*path", e.callService)
+	}
+	router.GET("/v1/health", e.health)
+	router.Handler(http.MethodGet, "/debug/vars", expvar.Handler())
+	e.operatorRoutes(router)
+	router.NotFound = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		e.refuse(w, refusal.New(refusal.NoService, refusal.NotRun, "no such path: "+r.URL.Path))
+	})
+	router.PanicHandler = func(w http.ResponseWriter, r *http.Request, v any) {
+		if v == http.ErrAbortHandler {
+			panic(v)
+		}
+		e.Log.WithField("path", r.URL.Path).WithField("panic", v).Error("request handler panicked")
+		e.refuse(w, refusal.New(refusal.Internal, refusal.Unknown, "internal fault"))
+	}
+	return router
+}
+
+func (e *Entry) refuse(w http.ResponseWriter, err error) { refusal.Write(w, err, e.now()) }
+
+// authenticate finds account, caller and deadline of a request.
+func (e *Entry) authenticate(r *http.Request) (call, error) {
+	c := call{index: e.config(), arrived: e.now(), caller: r.Header.Get(CallerHeader)}
+	if c.index == nil {
+		return c, refusal.New(refusal.Stale, refusal.NotRun, "entry has no configuration yet")
+	}
+	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return c, refusal.New(refusal.BadKey, refusal.NotRun, "header Authorization must be \"Bearer KEY\"")
+	}
+	if c.account = c.index.Authenticate(key); c.account == nil {
+		return c, refusal.New(refusal.BadKey, refusal.NotRun, "account key is not known")
+	}
+	if len(c.caller) > maxCallerName {
+		return c, refusal.New(refusal.BadRequest, refusal.NotRun, "header X-Caller is longer than 128 bytes")
+	}
+	var err error
+	c.deadline, err = e.deadline(r, c.arrived)
+	return c, err
+}
+
+func (e *Entry) deadline(r *http.Request, now time.Time) (time.Time, error) {
+	text := r.Header.Get(DeadlineHeader)
+	if text == "" {
+		return now.Add(defaultDeadline), nil
+	}
+	deadline, err := time.Parse(time.RFC3339Nano, text)
+	if err != nil {
+		return deadline, refusal.New(refusal.BadRequest, refusal.NotRun,
+			"header X-Deadline must be an RFC 3339 time, is \""+text+"\"")
+	}
+	if !now.Before(deadline) {
+		return deadline, refusal.New(refusal.Deadline, refusal.NotRun, "deadline "+text+" has passed")
+	}
+	if latest := now.Add(maxDeadline); deadline.After(latest) {
+		deadline = latest
+	}
+	return deadline, nil
+}
+
+// service finds the service that a request names and checks that the account
+// may use it now.
+func (e *Entry) service(c call, id, kind string) (*config.Service, error) {
+	s := c.index.Service(id)
+	if s == nil || s.Kind != kind {
+		return nil, refusal.New(refusal.NoService, refusal.NotRun, "no "+kind+" service \""+id+"\"")
+	}
+	if !c.account.Allows(id) {
+		return nil, refusal.New(refusal.Forbidden, refusal.NotRun, "account may not call service \""+id+"\"")
+	}
+	if s.Strict && e.stale() {
+		return nil, refusal.New(refusal.Stale, refusal.NotRun, "configuration may be out of date")
+	}
+	if e.refusing.Load() {
+		return nil, refusal.New(refusal.Stopping, refusal.NotRun, "entry is stopping; use another entry")
+	}
+	return s, nil
+}
+
+// begin registers a request in flight. The context ends at the deadline.
+func (e *Entry) begin(ctx context.Context, c call, kind, service string) (context.Context, *activity, func()) {
+	ctx, cancel := context.WithDeadline(ctx, c.deadline)
+	a := &activity{
+		ID: uuid.NewString(), Kind: kind, Account: c.account.ID, Caller: c.caller,
+		Service: service, Begun: c.arrived, cancel: cancel,
+	}
+	e.streams.add(a)
+	return ctx, a, func() {
+		cancel()
+		e.streams.remove(a)
+	}
+}
+
+func (e *Entry) health(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	e.writeJSON(w, Health{ID: e.id, Stopping: e.stopping.Load(), Stale: e.stale(), Version: e.version()})
+}
--- /dev/null
+++ b/process/entry/job.go
@@ -0,0 +1,335 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+
+	"github.com/eelgrassdock/eelgrassdock/connection/engine"
+	"github.com/eelgrassdock/eelgrassdock/request/refusal"
+	"github.com/eelgrassdock/eelgrassdock/request/resume"
+	"github.com/eelgrassdock/eelgrassdock/request/stream"
+	"github.com/eelgrassdock/eelgrassdock/version/config"
+)
+
+const (
+	tokenLife     = time.Hour              // a resume token is accepted for this long after its deadline
+	hangupGrace   = 5 * time.Second        // a caller that hung up may resume before its generation is cancelled
+	stallTimeout  = 10 * time.Second       // a stream that is silent for this long is read over a new connection
+	reconnectTime = 8 * time.Second        // how long a lost connection to an engine is tried again
+	reconnectWait = 100 * time.Millisecond // mean wait before the first new try
+	cancelTimeout = 2 * time.Second        // time for an engine to accept a cancellation
+)
+
+// job is one completion, from the choice of an endpoint to the last token. It
+// outlives connections to engines, and generations as long as the caller has
+// received no token.
+type job struct {
+	e       *Entry
+	call    call
+	req     CompletionRequest
+	service *config.Service
+	act     *activity
+	out     output
+
+	generation string
+	after      int // number of the last token that the caller has
+	token      resume.Token
+	resumed    bool
+	exclude    []string // endpoints that failed this job
+	attempt    int
+}
+
+// resumeFrom reads the Last-Event-ID of a caller that comes back.
+func (j *job) resumeFrom(id string) error {
+	if id == "" {
+		return nil
+	}
+	sealed, n, err := resume.Split(id)
+	if err != nil {
+		return refusal.New(refusal.BadToken, refusal.NotRun, err.Error())
+	}
+	token, err := j.e.openToken(j.call, sealed)
+	if err != nil {
+		return err
+	}
+	if token.Service != j.service.ID {
+		return refusal.New(refusal.BadToken, refusal.NotRun, "token belongs to service \""+token.Service+"\"")
+	}
+	j.token, j.after, j.resumed = token, n, true
+	j.out.continueAfter(n)
+	return nil
+}
+
+// run serves the job. A nil error means that the whole answer was passed on.
+func (j *job) run(ctx context.Context) error {
+	if j.resumed {
+		err := j.resume(ctx)
+		if err == nil || !j.mayRestart(err) {
+			return j.outcome(ctx, err)
+		}
+	}
+	for {
+		err := j.start(ctx)
+		if err == nil {
+			return nil
+		}
+		if ctx.Err() != nil || !j.mayRestart(err) {
+			return j.outcome(ctx, err)
+		}
+		fault := refusal.From(err)
+		at, ok := j.e.nextAttempt(j.service.ID, fault, true, j.attempt, j.call.deadline)
+		if !ok {
+			return err
+		}
+		j.attempt++
+		j.after = 0
+		j.out.reset()
+		refusal.CountRetry(fault.Reason)
+		if !sleepUntil(ctx, at, j.e.now()) {
+			return j.outcome(ctx, err)
+		}
+	}
+}
+
+// mayRestart tells whether another generation may serve the job: never after
+// the caller has received a token, and not for a fault of the request itself.
+func (j *job) mayRestart(err error) bool {
+	if j.out.delivered() {
+		return false
+	}
+	switch refusal.From(err).Reason {
+	case refusal.Dial, refusal.Broken, refusal.Timeout, refusal.Garbage, refusal.GenerationLost,
+		refusal.Rejected, refusal.Leaving:
+		return true
+	}
+	return false
+}
+
+// outcome replaces an error by the reason for which the context ended.
+func (j *job) outcome(ctx context.Context, err error) error {
+	switch {
+	case err == nil:
+		return nil
+	case j.e.isExpired():
+		return refusal.New(refusal.Stopping, refusal.Unknown, "entry has stopped; resume at another entry")
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return refusal.New(refusal.Deadline, refusal.Unknown, "deadline passed")
+	case ctx.Err() != nil:
+		return refusal.New(refusal.Canceled, refusal.Unknown, "caller hung up")
+	}
+	return err
+}
+
+// start runs one generation on an endpoint that the service's desk chooses.
+func (j *job) start(ctx context.Context) error {
+	s, err := j.e.desk(j.service.ID).acquire(ctx, j)
+	if err != nil {
+		return err
+	}
+	j.act.Endpoint.Store(&s.endpoint.ID)
+	j.generation = uuid.NewString()
+	conn := &engine.Conn{Addr: s.endpoint.Addr, HTTP: j.e.http}
+	reader, err := conn.Generate(ctx, engine.Request{
+		Gen: j.generation, Prompt: j.req.Prompt, Max: j.req.Max, Rank: j.call.account.Rank, Model: s.model,
+	})
+	if err != nil {
+		s.release(false)
+		j.failed(s.endpoint.ID, err)
+		return err
+	}
+	j.token = resume.Token{
+		Service: j.service.ID, Endpoint: s.endpoint.ID, Boot: reader.Boot(), Generation: j.generation,
+		Account: j.call.account.ID, Caller: j.call.caller, Until: j.call.deadline.Add(tokenLife),
+	}
+	err = j.open()
+	if err == nil {
+		err = j.relay(ctx, conn, reader, s)
+	} else {
+		_ = reader.Close()
+	}
+	s.release(err == nil)
+	if err != nil {
+		j.abandon(ctx, conn, err)
+		j.failed(s.endpoint.ID, err)
+	}
+	return err
+}
+
+// resume goes on with the generation that the caller's token names.
+func (j *job) resume(ctx context.Context) error {
+	endpoint := j.call.index.Endpoint(j.token.Endpoint)
+	if endpoint == nil {
+		return refusal.New(refusal.GenerationLost, refusal.Unknown, "endpoint is no longer configured")
+	}
+	j.act.Endpoint.Store(&endpoint.ID)
+	j.generation = j.token.Generation
+	conn := &engine.Conn{Addr: endpoint.Addr, HTTP: j.e.http}
+	reader, err := j.reconnect(ctx, conn, j.after)
+	if err != nil {
+		return err
+	}
+	if err := j.open(); err != nil {
+		_ = reader.Close()
+		return err
+	}
+	err = j.relay(ctx, conn, reader, nil)
+	if err != nil {
+		j.abandon(ctx, conn, err)
+	}
+	return err
+}
+
+func (j *job) open() error {
+	sealed, err := resume.Sealer{Secrets: j.call.index.Document.Secrets}.Seal(j.token)
+	if err != nil {
+		return refusal.New(refusal.Internal, refusal.Unknown, err.Error())
+	}
+	if err := j.out.open(sealed, j.generation); err != nil {
+		return refusal.New(refusal.Canceled, refusal.Unknown, "caller hung up")
+	}
+	return nil
+}
+
+// relay passes tokens from the engine to the caller, over as many connections
+// as it takes.
+func (j *job) relay(ctx context.Context, conn *engine.Conn, reader *engine.Reader, s *slot) error {
+	for {
+		err := j.pump(ctx, reader, s)
+		last := reader.Last()
+		_ = reader.Close()
+		if err == nil || ctx.Err() != nil || j.e.isExpired() || refusal.From(err).Reason != refusal.Broken {
+			return err
+		}
+		refusal.CountRetry(refusal.Broken)
+		if reader, err = j.reconnect(ctx, conn, last); err != nil {
+			return err
+		}
+	}
+}
+
+// pump passes tokens on until the generation ends or the connection fails.
+func (j *job) pump(ctx context.Context, reader *engine.Reader, s *slot) error {
+	watch := time.AfterFunc(stallTimeout, func() { _ = reader.Close() })
+	defer watch.Stop()
+	stop := context.AfterFunc(ctx, func() { _ = reader.Close() })
+	defer stop()
+	for {
+		f, err := reader.Next()
+		if err != nil {
+			return err
+		}
+		watch.Reset(stallTimeout)
+		if f.End {
+			return j.finish(f)
+		}
+		if j.e.isExpired() {
+			return refusal.New(refusal.Stopping, refusal.Unknown, "entry has stopped; resume at another entry")
+		}
+		if err := j.out.token(f, reader.Buffered()); err != nil {
+			return refusal.New(refusal.Canceled, refusal.Unknown, "caller hung up")
+		}
+		j.act.Tokens.Store(int64(f.N))
+		if f.N != j.after+1 {
+			j.e.violation("token order", fmt.Sprintf("token %d delivered after token %d of %s", f.N, j.after, j.generation))
+		}
+		j.after = f.N
+		if s != nil {
+			s.progress(f.N)
+		}
+	}
+}
+
+func (j *job) finish(f stream.Frame) error {
+	if f.Error != "" {
+		return refusal.New(refusal.GenerationLost, refusal.Unknown, "engine ended the generation: "+f.Error)
+	}
+	if err := j.out.end(f.N); err != nil {
+		return refusal.New(refusal.Canceled, refusal.Unknown, "caller hung up")
+	}
+	j.e.succeeded(j.service.ID)
+	return nil
+}
+
+// reconnect reads the generation on after token n. An unreachable engine is
+// tried for a while; one that no longer has the generation ends the job.
+func (j *job) reconnect(ctx context.Context, conn *engine.Conn, n int) (*engine.Reader, error) {
+	until := j.e.now().Add(reconnectTime)
+	wait := reconnectWait
+	for {
+		reader, err := conn.Resume(ctx, j.generation, j.token.Boot, n)
+		if err == nil && reader.Boot() == j.token.Boot {
+			return reader, nil
+		}
+		if err == nil {
+			_ = reader.Close()
+			return nil, refusal.New(refusal.GenerationLost, refusal.Unknown, "engine has restarted")
+		}
+		fault := refusal.From(err)
+		at := j.e.now().Add(time.Duration((0.5 + rand.Float64()) * float64(wait)))
+		if fault.Reason == refusal.GenerationLost || fault.Reason == refusal.Garbage || at.After(until) {
+			return nil, err
+		}
+		if !sleepUntil(ctx, at, j.e.now()) {
+			return nil, err
+		}
+		wait *= 2
+	}
+}
+
+// failed remembers an endpoint that could not serve the job and reports it as
+// suspect to the desk.
+func (j *job) failed(endpoint string, err error) {
+	switch fault := refusal.From(err); fault.Reason {
+	case refusal.Canceled, refusal.Deadline, refusal.Stopping:
+	default:
+		j.exclude = append(j.exclude, endpoint)
+		j.e.desk(j.service.ID).suspect(endpoint, fault)
+		j.e.Log.WithFields(logrus.Fields{
+			"endpoint": endpoint, "reason": fault.Reason, "gen": j.generation, "after": j.after,
+		}).Warn("generation failed: " + fault.Detail)
+	}
+}
+
+// abandon cancels a generation that this job no longer reads. A caller that
+// hung up may come back through any entry, so its generation is cancelled only
+// after a while and only if nobody reads it then.
+func (j *job) abandon(ctx context.Context, conn *engine.Conn, err error) {
+	reason := refusal.From(err).Reason
+	if reason == refusal.Stopping {
+		return
+	}
+	cancel, at := conn.Cancel, j.e.now()
+	hungUp := errors.Is(ctx.Err(), context.Canceled) || reason == refusal.Canceled
+	if hungUp || j.out.delivered() {
+		cancel, at = conn.CancelIdle, at.Add(hangupGrace)
+	}
+	generation := j.generation
+	j.e.wg.Go(func() {
+		if !sleepUntil(j.e.background, at, j.e.now()) {
+			return
+		}
+		ctx, stop := context.WithTimeout(j.e.background, cancelTimeout)
+		defer stop()
+		if err := cancel(ctx, generation); err != nil {
+			j.e.Log.WithError(err).WithField("gen", generation).Debug("generation could not be cancelled")
+		}
+	})
+}
+
+// sleepUntil waits until the time at and tells whether ctx is still alive.
+func sleepUntil(ctx context.Context, at, now time.Time) bool {
+	timer := time.NewTimer(at.Sub(now))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/process/entry/registry.go
@@ -0,0 +1,97 @@
+package entry
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const registryShards = 16
+
+type (
+	// activity is one request in flight.
+	activity struct {
+		ID       string
+		Kind     string // "stream" or "call"
+		Account  string
+		Caller   string
+		Service  string
+		Endpoint atomic.Pointer[string]
+		Tokens   atomic.Int64
+		Begun    time.Time
+		cancel   func()
+	}
+
+	// registry holds the requests in flight, in shards.
+	registry struct {
+		expireOnce sync.Once
+		n          atomic.Int64
+		shards     [registryShards]struct {
+			mu   sync.Mutex
+			list map[string]*activity
+		}
+	}
+)
+
+func (r *registry) shard(id string) int {
+	return int(id[len(id)-1]) % registryShards
+}
+
+func (r *registry) add(a *activity) {
+	s := &r.shards[r.shard(a.ID)]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.list == nil {
+		s.list = map[string]*activity{}
+	}
+	s.list[a.ID] = a
+	r.n.Add(1)
+}
+
+func (r *registry) remove(a *activity) {
+	s := &r.shards[r.shard(a.ID)]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.list, a.ID)
+	r.n.Add(-1)
+}
+
+func (r *registry) active() int64 { return r.n.Load() }
+
+// all gives the requests in flight at about the same time.
+func (r *registry) all() []*activity {
+	var list []*activity
+	for i := range r.shards {
+		s := &r.shards[i]
+		s.mu.Lock()
+		for _, a := range s.list {
+			list = append(list, a)
+		}
+		s.mu.Unlock()
+	}
+	return list
+}
+
+func (r *registry) names() []string {
+	var names []string
+	for _, a := range r.all() {
+		names = append(names, a.Kind+" "+a.ID+" of "+a.Account)
+	}
+	return names
+}
+
+// cancel ends a request by its ID and tells whether it was there.
+func (r *registry) cancel(id string) bool {
+	if id == "" {
+		return false
+	}
+	s := &r.shards[r.shard(id)]
+	s.mu.Lock()
+	a := s.list[id]
+	s.mu.Unlock()
+	if a == nil {
+		return false
+	}
+	a.cancel()
+	return true
+}
--- /dev/null
+++ b/process/entry/settings.go
@@ -0,0 +1,83 @@
+package entry
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-playground/validator/v10"
+)
+
+// Settings are what one process is told at its start. Everything else is in
+// the configuration that all entries share.
+type Settings struct {
+	// Name is for people; the entry's identity is made anew at each start.
+	Name string `json:"name" validate:"required,max=64,printascii,excludesall=. "`
+	// Addr is the IP address and port that callers connect to.
+	Addr string `json:"addr" validate:"required,ipport"`
+	// Peer is the IP address and port, TCP and UDP, that other entries use.
+	Peer string `json:"peer" validate:"required,ipport"`
+	// Place is the data centre and Region the region that it belongs to.
+	Place  string `json:"place" validate:"required,max=64,printascii"`
+	Region string `json:"region" validate:"required,max=64,printascii"`
+	// Platform is the URL of the platform's services.
+	Platform string `json:"platform" validate:"required,http_url"`
+	// Stop is the longest graceful stop in seconds; 300 if 0.
+	Stop int `json:"stop,omitempty" validate:"gte=0,lte=86400"`
+	// Keep is how long callers may keep a locate answer, in seconds; 30 if 0.
+	Keep int `json:"keep,omitempty" validate:"gte=0,lte=600"`
+	// Level is the lowest level that is logged: "info" if empty.
+	Level string `json:"level,omitempty" validate:"omitempty,oneof=debug info warn error"`
+}
+
+// ReadSettings reads and checks a settings file. The error names every fault
+// with its field, the value and what is allowed.
+func ReadSettings(path string) (Settings, error) {
+	var s Settings
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return s, fmt.Errorf("read settings: %w", err)
+	}
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&s); err != nil {
+		return s, fmt.Errorf("decode settings %s: %w", path, err)
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return s, fmt.Errorf("decode settings %s: data after the end of the object", path)
+	}
+	if err := s.Check(); err != nil {
+		return s, fmt.Errorf("check settings %s: %w", path, err)
+	}
+	return s, nil
+}
+
+// Check names every fault of the settings in one error.
+func (s Settings) Check() error {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	if err := v.RegisterValidation("ipport", isIPPort); err != nil {
+		return fmt.Errorf("register check: %w", err)
+	}
+	err := v.Struct(s)
+	var faults validator.ValidationErrors
+	if !errors.As(err, &faults) {
+		return err
+	}
+	var lines []string
+	for _, f := range faults {
+		rule := strings.TrimSuffix(f.Tag()+"="+f.Param(), "=")
+		lines = append(lines, fmt.Sprintf("%s: value %q does not satisfy %s",
+			strings.ToLower(f.Field()), fmt.Sprint(f.Value()), rule))
+	}
+	return errors.New(strings.Join(lines, "; "))
+}
+
+func isIPPort(f validator.FieldLevel) bool {
+	host, port, err := net.SplitHostPort(f.Field().String())
+	return err == nil && net.ParseIP(host) != nil && port != ""
+}
--- /dev/null
+++ b/process/entry/watch.go
@@ -0,0 +1,216 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/eelgrassdock/eelgrassdock/connection/engine"
+	"github.com/eelgrassdock/eelgrassdock/connection/service"
+	"github.com/eelgrassdock/eelgrassdock/process/locate"
+	"github.com/eelgrassdock/eelgrassdock/process/placement"
+	"github.com/eelgrassdock/eelgrassdock/request/refusal"
+	"github.com/eelgrassdock/eelgrassdock/version/config"
+)
+
+const (
+	pollPeriod  = time.Second            // period of load reports; a leaving endpoint must be noticed in 3 s
+	pollTimeout = 800 * time.Millisecond // an endpoint that does not report in this time is suspect
+	maxEvents   = 4096                   // cache events taken from one poll
+)
+
+// watch polls one endpoint for its load.
+type watch struct {
+	endpoint config.Endpoint
+	stop     context.CancelFunc
+	report   atomic.Pointer[engine.Report]
+	leaving  atomic.Bool
+	down     atomic.Bool
+	failed   atomic.Int64 // Unix ms until which the endpoint is tried last
+}
+
+// configure takes a new configuration in.
+func (d *desk) configure(x *config.Index) {
+	s := x.Service(d.service)
+	if s == nil {
+		d.setWatches(nil)
+		return
+	}
+	chosen := d.e.subset(x, d.service)
+	var endpoints []placement.Endpoint
+	for _, endpoint := range chosen {
+		endpoints = append(endpoints, placement.Endpoint{
+			ID: endpoint.ID, Place: endpoint.Place, Region: endpoint.Region, Tokens: endpoint.Tokens, Drain: endpoint.Drain,
+		})
+	}
+	d.sched.SetEndpoints(endpoints)
+	d.sched.SetPeers(d.e.sharing(x, d.service, len(chosen)))
+	d.setWatches(chosen)
+}
+
+// subset gives the endpoints of a service that this entry uses.
+func (e *Entry) subset(x *config.Index, service string) []*config.Endpoint {
+	all := x.Endpoints(service)
+	list := make([]locate.Endpoint, len(all))
+	for i, endpoint := range all {
+		list[i] = locate.Endpoint{ID: endpoint.ID, Region: endpoint.Region}
+	}
+	var chosen []*config.Endpoint
+	for _, endpoint := range locate.Subset(list, e.entries(), e.id, service, e.Settings.Region, locate.Endpoints) {
+		chosen = append(chosen, x.Endpoint(endpoint.ID))
+	}
+	return chosen
+}
+
+// sharing estimates how many entries share the endpoints that this one uses.
+func (e *Entry) sharing(x *config.Index, service string, chosen int) int {
+	all := len(x.Endpoints(service))
+	if all == 0 {
+		return 1
+	}
+	return max(1, len(e.entries())*chosen/all)
+}
+
+func (d *desk) setWatches(endpoints []*config.Endpoint) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	wanted := map[string]config.Endpoint{}
+	for _, endpoint := range endpoints {
+		wanted[endpoint.ID] = *endpoint
+	}
+	for id, w := range d.watch {
+		if next, ok := wanted[id]; ok && next.Addr == w.endpoint.Addr {
+			delete(wanted, id)
+			continue
+		}
+		w.stop()
+		delete(d.watch, id)
+	}
+	for id, endpoint := range wanted {
+		ctx, cancel := context.WithCancel(d.e.background)
+		w := &watch{endpoint: endpoint, stop: cancel}
+		d.watch[id] = w
+		d.e.wg.Go(func() { d.poll(ctx, w) })
+	}
+}
+
+func (d *desk) stopWatches() { d.setWatches(nil) }
+
+// watches lists the watches in the order of their names.
+func (d *desk) watches() []*watch {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	list := make([]*watch, 0, len(d.watch))
+	for _, w := range d.watch {
+		list = append(list, w)
+	}
+	slices.SortFunc(list, func(a, b *watch) int {
+		if a.endpoint.ID < b.endpoint.ID {
+			return -1
+		}
+		return 1
+	})
+	return list
+}
+
+// poll reads the load of an endpoint once a period until ctx ends.
+func (d *desk) poll(ctx context.Context, w *watch) {
+	var seq int64
+	for {
+		if s := d.e.config().Service(d.service); s != nil && s.Kind == config.Plain {
+			d.pollPlain(ctx, w)
+		} else {
+			seq = d.pollEngine(ctx, w, seq)
+		}
+		// Half of the period varies, so that entries do not poll in step.
+		wait := pollPeriod/2 + rand.N(pollPeriod/2)
+		if !sleepUntil(ctx, d.e.now().Add(wait), d.e.now()) {
+			return
+		}
+	}
+}
+
+func (d *desk) pollEngine(ctx context.Context, w *watch, seq int64) int64 {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	conn := &engine.Conn{Addr: w.endpoint.Addr, HTTP: d.e.http}
+	r, err := conn.Load(ctx)
+	w.down.Store(err != nil)
+	if err != nil {
+		d.sched.Suspect(w.endpoint.ID, d.e.now().Add(suspectTime))
+		return seq
+	}
+	old := w.report.Swap(&r)
+	w.leaving.Store(r.Leaving)
+	now := d.e.now()
+	d.sched.Report(w.endpoint.ID, placement.Report{
+		At: time.UnixMilli(r.At), Running: r.Running, Waiting: r.Waiting, Used: r.Used, Total: r.Total,
+		Preempted: r.Preempted, Leaving: r.Leaving, StepTime: time.Duration(r.Step) * time.Microsecond,
+	}, now)
+	if old != nil && old.Boot != r.Boot {
+		seq = 0
+	}
+	events, err := conn.Events(ctx, seq)
+	if err != nil || len(events) == 0 {
+		return seq
+	}
+	list := make([]placement.CacheEvent, 0, min(len(events), maxEvents))
+	for _, ev := range events[:min(len(events), maxEvents)] {
+		list = append(list, placement.CacheEvent(ev))
+	}
+	d.sched.Cache(w.endpoint.ID, list)
+	return list[len(list)-1].Seq
+}
+
+func (d *desk) pollPlain(ctx context.Context, w *watch) {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	h, err := (&service.Conn{Addr: w.endpoint.Addr, HTTP: d.e.http}).Health(ctx)
+	w.down.Store(err != nil)
+	if err == nil {
+		w.leaving.Store(h.Leaving)
+	}
+}
+
+// replica chooses a replica of a plain service: a random one of those that
+// work, own region first.
+func (e *Entry) replica(s *config.Service, exclude []string) (*config.Endpoint, error) {
+	now := e.now().UnixMilli()
+	best, rank := (*config.Endpoint)(nil), 0
+	for _, w := range e.desk(s.ID).watches() {
+		endpoint := e.config().Endpoint(w.endpoint.ID)
+		if endpoint == nil || endpoint.Drain || w.leaving.Load() {
+			continue
+		}
+		score := rand.IntN(100) + 1
+		for _, good := range []bool{
+			endpoint.Region == e.Settings.Region, !w.down.Load(), now > w.failed.Load(), !slices.Contains(exclude, endpoint.ID),
+		} {
+			// Each condition counts for more than all before it together.
+			score *= 2
+			if good {
+				score += 1000
+			}
+		}
+		if best == nil || score > rank {
+			best, rank = endpoint, score
+		}
+	}
+	if best == nil {
+		fault := refusal.New(refusal.NoEndpoint, refusal.NotRun, "no replica of service \""+s.ID+"\" can be used")
+		fault.RetryAt = e.now().Add(overloadWait)
+		return nil, fault
+	}
+	return best, nil
+}
+
+// replicaFailed makes a replica the last choice for a while.
+func (e *Entry) replicaFailed(service, id string) {
+	for _, w := range e.desk(service).watches() {
+		if w.endpoint.ID == id {
+			w.failed.Store(e.now().Add(suspectTime).UnixMilli())
+		}
+	}
+}
--- a/process/platform/platform.go
+++ b/process/platform/platform.go
@@ -54,7 +54,9 @@
 	Instance struct {
 		ID      string `json:"id"`
 		Addr    string `json:"addr"`
+		Peer    string `json:"peer"` // address that other entries use
 		Place   string `json:"place"`
+		Region  string `json:"region"`
 		Leaving bool   `json:"leaving,omitempty"`
 	}
 
--- a/request/refusal/refusal.go
+++ b/request/refusal/refusal.go
@@ -10,6 +10,7 @@
 package refusal
 
 import (
+	"context"
 	"encoding/json"
 	"expvar"
 	"net/http"
@@ -46,6 +47,10 @@
 	}
 )
 
+// Header marks an answer as a refusal of an entry, so that the answer of a
+// plain service in the same format is never mistaken for one.
+const Header = "X-Refusal"
+
 // Outcomes.
 const (
 	Unknown Outcome = iota // the request may have run
@@ -154,6 +159,24 @@
 	return New(Internal, Unknown, err.Error())
 }
 
+// Failed makes the refusal for a call that failed with err. Sent tells whether
+// a connection had been obtained: from then on the endpoint may have read the
+// request, and only before that it has certainly not run.
+func Failed(err error, sent bool) *Error {
+	switch {
+	case !sent && errors.Is(err, context.Canceled):
+		return New(Canceled, NotRun, err.Error())
+	case !sent:
+		return New(Dial, NotRun, err.Error())
+	case errors.Is(err, context.DeadlineExceeded):
+		return New(Timeout, Unknown, err.Error())
+	case errors.Is(err, context.Canceled):
+		return New(Canceled, Unknown, err.Error())
+	default:
+		return New(Broken, Unknown, err.Error())
+	}
+}
+
 // Count counts a refusal that is given to a caller.
 func Count(reason Reason) { refusals.Add(string(reason), 1) }
 
@@ -181,6 +204,7 @@
 	e := From(err)
 	Count(e.Reason)
 	w.Header().Set("Content-Type", "application/problem+json")
+	w.Header().Set(Header, string(e.Reason))
 	if !e.RetryAt.IsZero() {
 		seconds := int(e.RetryAt.Sub(now)/time.Second) + 1
 		w.Header().Set("Retry-After", strconv.Itoa(max(seconds, 1)))
--- /dev/null
+++ b/standin/generation.go
@@ -0,0 +1,64 @@
+package standin
+
+import "sync"
+
+// generation is the output of one request so far. Readers may come and go.
+type generation struct {
+	prompt string
+	limit  int
+
+	mu      sync.Mutex
+	n       int
+	ended   bool
+	reason  string
+	readers int
+	wake    chan struct{}
+}
+
+func newGeneration(prompt string, limit int) *generation {
+	return &generation{prompt: prompt, limit: limit, wake: make(chan struct{})}
+}
+
+// grow adds n tokens and wakes the readers.
+func (g *generation) grow(n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.n += n
+	g.signal()
+}
+
+// end marks the output as complete, or as cut short for a reason.
+func (g *generation) end(reason string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.ended {
+		return
+	}
+	g.ended, g.reason = true, reason
+	g.signal()
+}
+
+func (g *generation) signal() {
+	close(g.wake)
+	g.wake = make(chan struct{})
+}
+
+// look gives the number of tokens, whether they are all, and a channel that is
+// closed at the next change.
+func (g *generation) look() (n int, ended bool, reason string, wake <-chan struct{}) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.n, g.ended, g.reason, g.wake
+}
+
+func (g *generation) attach(delta int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.readers += delta
+}
+
+func (g *generation) idle() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.readers == 0
+}
--- /dev/null
+++ b/standin/service.go
@@ -0,0 +1,118 @@
+package standin
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+)
+
+// BodyKey begins the name under which a Service counts the runs of a body, so
+// that a call that ran twice under two keys shows, too.
+const BodyKey = "body:"
+
+// Service is a simulated plain service. It counts how often each key ran, so
+// that a test can tell a request that ran twice. The zero value is ready.
+type Service struct {
+	// Delay gives the time that a request takes; nil means none.
+	Delay func() time.Duration
+
+	mu      sync.Mutex
+	leaving bool
+	reject  bool
+	hang    bool
+	runs    map[string]int
+}
+
+type (
+	// ServiceFaults sets how a Service misbehaves.
+	ServiceFaults struct {
+		Leaving bool `json:"leaving"` // reports that it is leaving and rejects new work
+		Reject  bool `json:"reject"`  // rejects every call before executing it
+		Hang    bool `json:"hang"`    // executes calls and closes the connection without an answer
+	}
+
+	// Receipt is the answer to a call that ran.
+	Receipt struct {
+		Key  string `json:"key"`
+		Path string `json:"path"`
+		Echo string `json:"echo"`
+		Runs int    `json:"runs"`
+	}
+)
+
+// Break sets the faults from now on.
+func (s *Service) Break(f ServiceFaults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving, s.reject, s.hang = f.Leaving, f.Reject, f.Hang
+}
+
+// Runs gives how often each key ran.
+func (s *Service) Runs() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	runs := make(map[string]int, len(s.runs))
+	for key, n := range s.runs {
+		runs[key] = n
+	}
+	return runs
+}
+
+// Handler serves the calls below /, GET /health, GET /runs and POST /faults.
+func (s *Service) Handler() http.Handler {
+	router := httprouter.New()
+	router.GET("/health", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		_ = json.NewEncoder(w).Encode(map[string]bool{"leaving": s.leaving})
+	})
+	router.GET("/runs", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+		_ = json.NewEncoder(w).Encode(s.Runs())
+	})
+	router.POST("/faults", func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+		var f ServiceFaults
+		if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		s.Break(f)
+	})
+	router.NotFound = http.HandlerFunc(s.call)
+	return router
+}
+
+func (s *Service) call(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, 1<<20))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	if s.leaving || s.reject {
+		s.mu.Unlock()
+		w.Header().Set("X-Not-Run", "true")
+		http.Error(w, "rejected before execution", http.StatusServiceUnavailable)
+		return
+	}
+	key := r.Header.Get("X-Request-Key")
+	if s.runs == nil {
+		s.runs = map[string]int{}
+	}
+	s.runs[key]++
+	s.runs[BodyKey+string(body)]++
+	receipt := Receipt{Key: key, Path: r.URL.Path, Echo: string(body), Runs: s.runs[key]}
+	hang := s.hang
+	s.mu.Unlock()
+	if s.Delay != nil {
+		time.Sleep(s.Delay())
+	}
+	if hang {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(receipt)
+}
