--- a/process/member/member.go
+++ b/process/member/member.go
@@ -211,6 +211,15 @@
 	})
 }
 
+// Ask makes one member send its payload at once.
+func (n *Node) Ask(id string) {
+	n.enter(func(time.Time) {
+		if e := n.rows[id]; e != nil && e.status < Dead && id != n.Self.ID {
+			n.ping(e, 0)
+		}
+	})
+}
+
 // Drain marks this member as leaving; it stays a member until Leave.
 func (n *Node) Drain() {
 	n.enter(func(time.Time) {
