entry: serve the whole path with shared configuration, claims and orders

Cause: the thin path polled the store for the configuration and had no membership, leases, claims, shares, orders or operators. Change: the entry joins the membership, holds the configuration with the evidence that travels on membership messages, claims keys through shard owners, borrows account limits, reconciles endpoints under leases, and answers operators. Refusals with reason store during the outage are reported as unknown more often than needed; that is the next thing to look at.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -93,6 +93,7 @@
 	for _, a := range Accounts {
 		s.Document.Accounts = append(s.Document.Accounts, config.Account{ID: a.ID, Keys: []string{config.HashKey(a.Key)}})
 	}
+	s.Document.Accounts = append(s.Document.Accounts, config.Account{ID: "ops", Keys: []string{config.HashKey("key-ops")}, Operator: true})
 	s.Document.Services = []config.Service{
 		{ID: Model, Kind: config.Engine, Weights: config.Weights{Stall: 3, Gap: 1, Preempt: 1}},
 		{ID: Plain, Kind: config.Plain, Routes: []config.Route{
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -94,7 +94,6 @@
 	// verdict is what a caller was told of a call that is not idempotent.
 	verdict struct {
 		outcome refusal.Outcome
-		prefix  string
 	}
 )
 
@@ -183,8 +182,8 @@
 	f(&l.report)
 }
 
-// refused counts an error by its reason.
-func (l *Runner) refused(err error) *refusal.Error {
+// refused counts an error by its reason and gives what it says of the request.
+func (l *Runner) refused(err error) refusal.Outcome {
 	fault := refusal.From(err)
 	l.count(func(r *Report) {
 		r.Refused[string(fault.Reason)]++
@@ -192,7 +191,7 @@
 			r.Unknown++
 		}
 	})
-	return fault
+	return fault.Outcome
 }
 
 // prompt reads one answer, in some cases with a hang-up in the middle, and
@@ -220,7 +219,7 @@
 		n, _, err = l.read(c, p, n, -1)
 	}
 	if err != nil {
-		l.refused(err)
+		_ = l.refused(err)
 		return
 	}
 	l.count(func(r *Report) {
@@ -283,7 +282,7 @@
 		Deadline: time.Now().Add(requestTime),
 	})
 	if err != nil {
-		l.refused(err)
+		_ = l.refused(err)
 		return
 	}
 	l.answered(answer, "", "")
@@ -341,14 +340,14 @@
 		l.answered(answer, body, call.Key)
 		return refusal.Run
 	}
-	fault := l.refused(err)
-	if call.Key == "" && fault.Outcome == refusal.NotRun {
+	outcome := l.refused(err)
+	if call.Key == "" && outcome == refusal.NotRun {
 		// The client's own keys are not known here; the body tells them apart.
 		l.mu.Lock()
 		l.keys[standin.BodyKey+body] = verdict{outcome: refusal.NotRun}
 		l.mu.Unlock()
 	}
-	return fault.Outcome
+	return outcome
 }
 
 // audit asks the plain replicas what ran, and compares it with what the
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -27,10 +27,12 @@
 	"github.com/eelgrassdock/eelgrassdock/process/lease"
 	"github.com/eelgrassdock/eelgrassdock/process/length"
 	"github.com/eelgrassdock/eelgrassdock/process/member"
+	"github.com/eelgrassdock/eelgrassdock/process/operator"
 	"github.com/eelgrassdock/eelgrassdock/process/platform"
 	"github.com/eelgrassdock/eelgrassdock/process/share"
 	"github.com/eelgrassdock/eelgrassdock/request/claim"
 	"github.com/eelgrassdock/eelgrassdock/version/config"
+	"github.com/eelgrassdock/eelgrassdock/version/order"
 )
 
 const (
@@ -54,32 +56,37 @@
 	// counted and logged only.
 	Violation func(rule, detail string)
 
-	id       string
-	index    atomic.Pointer[config.Index]
-	http     *http.Client
-	peers    peer.Pool
-	desks    sync.Map // service ID to *desk
-	streams  registry
+	id         string
+	http       *http.Client
+	peers      peer.Pool
+	desks      sync.Map // service ID to *desk
+	retries    sync.Map // service ID to *retry.Policy
+	addrs      sync.Map // entry ID to its address for peers, also of entries that are gone
+	streams    registry
+	lengths    length.Learner
+	wg         conc.WaitGroup
+	background context.Context
+	cancel     context.CancelFunc
+
 	stopping atomic.Bool   // no longer in locate answers
 	refusing atomic.Bool   // takes no new requests
+	killed   atomic.Bool   // ends without goodbye
+	ready    atomic.Bool   // has joined
 	expired  chan struct{} // closed when the longest graceful stop has passed
-	server   *http.Server
-	cancel   context.CancelFunc
-	killed   atomic.Bool
 
+	server       *http.Server
 	peerListener net.Listener
-	store        config.Store
 	members      *member.Node
+	holder       *config.Holder
+	tracker      config.Tracker
 	leases       *lease.Keeper
 	owner        *claim.Owner
 	ledger       *claim.Ledger
 	guard        *claim.Guard
 	borrower     *share.Borrower
 	lender       *share.Owner
-	lengths      length.Learner
-	retries      sync.Map // service ID to *retry.Policy
-	wg           conc.WaitGroup
-	background   context.Context
+	orders       []*order.Reconciler
+	operators    *operator.Desk
 }
 
 // ID gives the identity of this run of the entry.
@@ -128,8 +135,9 @@
 	if err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
-	if err := e.join(background); err != nil {
+	if err := e.join(ctx); err != nil {
 		_ = l.Close()
+		e.end()
 		return fmt.Errorf("join the system: %w", err)
 	}
 	e.server = &http.Server{Handler: e.Handler(), ReadHeaderTimeout: readHeader, IdleTimeout: idleConn}
@@ -138,12 +146,25 @@
 			e.Log.WithError(err).Error("caller listener failed")
 		}
 	})
+	e.ready.Store(true)
 	e.Log.WithFields(logrus.Fields{"entry": e.id, "addr": l.Addr().String()}).Info("entry started")
 	<-ctx.Done()
 	err = e.stop()
-	cancel()
+	if !e.killed.Load() {
+		e.members.Leave()
+		time.Sleep(goodbyeTime)
+	}
+	e.end()
+	return err
+}
+
+// end ends the parts of the entry and waits for them.
+func (e *Entry) end() {
+	e.cancel()
+	if e.peerListener != nil {
+		_ = e.peerListener.Close()
+	}
 	e.peers.Close()
 	e.wg.Wait()
 	e.http.CloseIdleConnections()
-	return err
 }
--- a/process/entry/http.go
+++ b/process/entry/http.go
@@ -69,9 +69,6 @@
 // authenticate finds account, caller and deadline of a request.
 func (e *Entry) authenticate(r *http.Request) (call, error) {
 	c := call{index: e.config(), arrived: e.now(), caller: r.Header.Get(CallerHeader)}
-	if c.index == nil {
-		return c, refusal.New(refusal.Stale, refusal.NotRun, "entry has no configuration yet")
-	}
 	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 	if !ok {
 		return c, refusal.New(refusal.BadKey, refusal.NotRun, "header Authorization must be \"Bearer KEY\"")
--- a/process/entry/job.go
+++ b/process/entry/job.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"strings"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -140,7 +142,7 @@
 	})
 	if err != nil {
 		s.release(false)
-		j.failed(s.endpoint.ID, err)
+		j.failed(s.endpoint.ID, j.outcome(ctx, err))
 		return err
 	}
 	j.token = resume.Token{
@@ -156,7 +158,7 @@
 	s.release(err == nil)
 	if err != nil {
 		j.abandon(ctx, conn, err)
-		j.failed(s.endpoint.ID, err)
+		j.failed(s.endpoint.ID, j.outcome(ctx, err))
 	}
 	return err
 }
@@ -272,9 +274,12 @@
 		}
 		fault := refusal.From(err)
 		at := j.e.now().Add(time.Duration((0.5 + rand.Float64()) * float64(wait)))
-		if fault.Reason == refusal.GenerationLost || fault.Reason == refusal.Garbage || at.After(until) {
+		if fault.Reason == refusal.GenerationLost || fault.Reason == refusal.Garbage {
 			return nil, err
 		}
+		if at.After(until) {
+			return nil, j.unreachable(err)
+		}
 		if !sleepUntil(ctx, at, j.e.now()) {
 			return nil, err
 		}
@@ -282,6 +287,18 @@
 	}
 }
 
+// unreachable judges an engine that could not be connected to for a while. An
+// address that refuses connections has no process, so its generations are
+// gone; a silent one may be behind a stalled link and can be resumed later.
+func (j *job) unreachable(err error) error {
+	if strings.Contains(err.Error(), syscall.ECONNREFUSED.Error()) {
+		return refusal.New(refusal.GenerationLost, refusal.Unknown, "engine is gone: "+err.Error())
+	}
+	fault := *refusal.From(err)
+	fault.Outcome, fault.RetryAt = refusal.Unknown, j.e.now().Add(reconnectTime)
+	return &fault
+}
+
 // failed remembers an endpoint that could not serve the job and reports it as
 // suspect to the desk.
 func (j *job) failed(endpoint string, err error) {
--- /dev/null
+++ b/process/entry/join.go
@@ -0,0 +1,119 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"expvar"
+	"fmt"
+	"net"
+	"net/http"
+	"net/rpc"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
+
+	"github.com/eelgrassdock/eelgrassdock/connection/peer"
+)
+
+const (
+	goodbyeTime = 500 * time.Millisecond // time for the news of a leave to spread
+)
+
+// violations counts, by rule, the promises that were seen broken.
+var violations = expvar.NewMap("violations")
+
+// Health is the answer to GET /v1/health.
+type Health struct {
+	ID       string `json:"id"`
+	Stopping bool   `json:"stopping"`
+	Stale    bool   `json:"stale"`
+	Version  int64  `json:"version"`
+}
+
+// violation counts and logs a promise that was seen broken.
+func (e *Entry) violation(rule, detail string) {
+	violations.Add(rule, 1)
+	e.Log.WithFields(logrus.Fields{"rule": rule, "entry": e.id}).Error("invariant violated: " + detail)
+	if e.Violation != nil {
+		e.Violation(rule, detail)
+	}
+}
+
+func hashID(id string) uint64 { return xxhash.Sum64String(id) }
+
+func (e *Entry) writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(v); err != nil {
+		e.Log.WithError(err).Debug("answer could not be written")
+	}
+}
+
+// join connects the entry with the others and the platform, and waits until it
+// knows the configuration.
+func (e *Entry) join(ctx context.Context) error {
+	e.newConfig()
+	e.newClaims()
+	e.newShares()
+	e.newOrders()
+	e.members = e.newMembers()
+	e.newOperators()
+	l, err := net.Listen("tcp", e.Settings.Peer)
+	if err != nil {
+		return fmt.Errorf("listen for peers: %w", err)
+	}
+	server, err := e.rpcServer()
+	if err != nil {
+		_ = l.Close()
+		return err
+	}
+	e.peerListener = l
+	e.wg.Go(func() { _ = peer.Serve(l, server) })
+	e.task("membership", e.members.Run)
+	e.task("configuration", e.holder.Run)
+	if err := e.waitConfig(ctx); err != nil {
+		return err
+	}
+	e.task("leases", e.leases.Run)
+	e.task("claims", e.owner.Run)
+	e.task("shares", e.runShares)
+	e.task("reaper", e.runReaper)
+	for _, r := range e.orders {
+		e.task("orders", r.Run)
+	}
+	return nil
+}
+
+// task runs a part of the entry until the entry ends.
+func (e *Entry) task(name string, run func(context.Context) error) {
+	e.wg.Go(func() {
+		if err := run(e.background); err != nil && e.background.Err() == nil {
+			e.Log.WithError(err).Error(name + " ended")
+		}
+	})
+}
+
+// rpcServer gives the server of calls between entries.
+func (e *Entry) rpcServer() (*rpc.Server, error) {
+	server := rpc.NewServer()
+	for name, calls := range map[string]any{
+		"Claim": &claimCalls{e}, "Share": &shareCalls{e}, "Config": &configCalls{e}, "Operator": &operatorCalls{e},
+	} {
+		if err := server.RegisterName(name, calls); err != nil {
+			return nil, fmt.Errorf("register calls %s: %w", name, err)
+		}
+	}
+	return server, nil
+}
+
+// Kill ends the entry at once, as a crash does. It is for failure tests.
+func (e *Entry) Kill() {
+	e.killed.Store(true)
+	if !e.ready.Load() {
+		return
+	}
+	e.Abort()
+	_ = e.server.Close()
+	_ = e.peerListener.Close()
+	e.cancel()
+}
--- /dev/null
+++ b/process/entry/members.go
@@ -0,0 +1,185 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/julienschmidt/httprouter"
+
+	"github.com/eelgrassdock/eelgrassdock/process/locate"
+	"github.com/eelgrassdock/eelgrassdock/process/member"
+)
+
+const (
+	reapPeriod  = time.Second      // period of the search for entries that are gone
+	reapTimeout = time.Second      // time for the address of such an entry to refuse a connection
+	listPeriod  = 10 * time.Second // period of reads of the instance list while an entry is missing
+)
+
+// locateAnswer is the answer to GET /v1/entries.
+type locateAnswer struct {
+	Entries []locate.Entry `json:"entries"`
+	Until   time.Time      `json:"until"`
+}
+
+func (e *Entry) newMembers() *member.Node {
+	set := e.Settings
+	return &member.Node{
+		Self: member.Member{
+			ID: e.id, Addr: set.Addr, Probe: set.Peer, RPC: set.Peer, Place: set.Place, Region: set.Region,
+		},
+		Seeds: e.seeds, Changed: e.membersChanged,
+		Payload: e.holder.Payload, OnPayload: e.holder.OnPayload,
+	}
+}
+
+// seeds gives the members that the platform's list of instances names.
+func (e *Entry) seeds(ctx context.Context) ([]member.Member, error) {
+	list, err := e.Platform.Instances(ctx)
+	if err != nil {
+		return nil, fmt.Errorf("read instance list: %w", err)
+	}
+	var seeds []member.Member
+	for _, i := range list {
+		if i.Peer != "" && i.Peer != e.Settings.Peer {
+			seeds = append(seeds, member.Member{ID: i.ID, Addr: i.Addr, Probe: i.Peer, RPC: i.Peer, Place: i.Place, Region: i.Region})
+		}
+	}
+	return seeds, nil
+}
+
+func (e *Entry) membersChanged(list []member.Member) {
+	ids := make([]string, 0, len(list))
+	for _, m := range list {
+		ids = append(ids, m.ID)
+		e.addrs.Store(m.ID, m.RPC)
+	}
+	e.tracker.Observe(ids...)
+	e.lender.Moved(e.now(), func(account string) bool { return locate.Home(e.entries(), account).ID == e.id })
+	e.reconfigure()
+}
+
+// entries lists the live entries as the membership knows them.
+func (e *Entry) entries() []locate.Entry {
+	members := e.members.Members()
+	list := make([]locate.Entry, 0, len(members))
+	drained := e.config().Drained()
+	for _, m := range members {
+		list = append(list, locate.Entry{
+			ID: m.ID, Addr: m.Addr, Place: m.Place, Region: m.Region, Leaving: m.Leaving || drained[m.ID],
+		})
+	}
+	return list
+}
+
+// peerAddr finds the address for calls to a live entry.
+func (e *Entry) peerAddr(id string) (string, bool) {
+	for _, m := range e.members.Members() {
+		if m.ID == id {
+			return m.RPC, true
+		}
+	}
+	return "", false
+}
+
+// locate tells a caller which entries to use.
+func (e *Entry) locate(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	query := r.URL.Query()
+	entries := e.entries()
+	region := e.Settings.Region
+	for _, entry := range entries {
+		if place := query.Get("place"); place != "" && entry.Place == place {
+			region = entry.Region
+		}
+	}
+	account := query.Get("account")
+	list, _ := locate.Answer(entries, account, query.Get("service"), query.Get("place"), region, e.now())
+	if a := e.config().Account(account); a != nil && a.Pin != "" {
+		list = pinned(list, entries, a.Pin)
+	}
+	e.writeJSON(w, locateAnswer{Entries: list, Until: e.now().Add(e.keep())})
+}
+
+// pinned puts the entry that an operator chose for the account first.
+func pinned(list, entries []locate.Entry, pin string) []locate.Entry {
+	for _, entry := range entries {
+		if entry.ID != pin || entry.Leaving {
+			continue
+		}
+		first := []locate.Entry{entry}
+		for _, other := range list {
+			if other.ID != pin {
+				first = append(first, other)
+			}
+		}
+		return first
+	}
+	return list
+}
+
+// runReaper takes entries that are gone out of the set that must acknowledge a
+// configuration: those that left, those whose address refuses connections or
+// belongs to another entry by now, and those that the instance list dropped.
+// An entry that merely does not answer stays.
+func (e *Entry) runReaper(ctx context.Context) error {
+	listed := e.now()
+	for sleepUntil(ctx, e.now().Add(reapPeriod), e.now()) {
+		missing := e.tracker.Pending(e.version())
+		for _, id := range missing {
+			switch e.members.Status(id) {
+			case member.Left:
+				e.tracker.Remove(id)
+			case member.Dead, member.Absent:
+				if e.refusesConnections(ctx, id) {
+					e.tracker.Remove(id)
+				}
+			}
+		}
+		if len(missing) > 0 && e.now().After(listed) {
+			listed = e.now().Add(listPeriod)
+			e.readList(ctx)
+		}
+	}
+	return nil
+}
+
+func (e *Entry) refusesConnections(ctx context.Context, id string) bool {
+	addr, ok := e.addrs.Load(id)
+	if !ok {
+		return false
+	}
+	d := net.Dialer{Timeout: reapTimeout}
+	conn, err := d.DialContext(ctx, "tcp", addr.(string))
+	if err == nil {
+		_ = conn.Close()
+		return false
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
+// readList tells the tracker which entries the instance list still has. The
+// identity of an entry begins with the name of its instance.
+func (e *Entry) readList(ctx context.Context) {
+	list, err := e.Platform.Instances(ctx)
+	if err != nil {
+		return
+	}
+	names := map[string]bool{}
+	for _, i := range list {
+		names[i.ID] = true
+	}
+	var ids []string
+	e.addrs.Range(func(id, _ any) bool {
+		if cut := strings.LastIndexByte(id.(string), '-'); cut > 0 && names[id.(string)[:cut]] {
+			ids = append(ids, id.(string))
+		}
+		return true
+	})
+	e.tracker.Listed(ids)
+}
--- /dev/null
+++ b/process/entry/operators.go
@@ -0,0 +1,200 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/julienschmidt/httprouter"
+
+	"github.com/eelgrassdock/eelgrassdock/connection/peer"
+	"github.com/eelgrassdock/eelgrassdock/process/operator"
+	"github.com/eelgrassdock/eelgrassdock/request/refusal"
+	"github.com/eelgrassdock/eelgrassdock/version/config"
+)
+
+type (
+	// Question is the body of POST /v1/operator.
+	Question struct {
+		Text string `json:"text"`
+	}
+
+	// Line is one line of the answer to POST /v1/operator: progress, and last
+	// the answer or an error.
+	Line struct {
+		Progress string           `json:"progress,omitempty"`
+		Answer   *operator.Answer `json:"answer,omitempty"`
+		Error    string           `json:"error,omitempty"`
+	}
+
+	// operatorCalls are the calls of other entries for operators.
+	operatorCalls struct{ e *Entry }
+
+	// query is a query that is passed between entries as JSON, because gob
+	// refuses the pointers that its grammar leaves empty.
+	query struct{ JSON []byte }
+)
+
+func (e *Entry) operatorRoutes(router *httprouter.Router) {
+	router.POST("/v1/operator", e.operate)
+}
+
+// operate runs one statement of the operators' language. The answer is a
+// stream of JSON lines.
+func (e *Entry) operate(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	c, err := e.authenticate(r)
+	if err == nil && !c.account.Operator {
+		err = refusal.New(refusal.Forbidden, refusal.NotRun, "account is not an operator's")
+	}
+	if err != nil {
+		e.refuse(w, err)
+		return
+	}
+	var q Question
+	if err := json.NewDecoder(io.LimitReader(r.Body, maxBody)).Decode(&q); err != nil {
+		e.refuse(w, refusal.New(refusal.BadRequest, refusal.NotRun, "body must be {\"text\": \"...\"}: "+err.Error()))
+		return
+	}
+	w.Header().Set("Content-Type", "application/x-ndjson")
+	control := http.NewResponseController(w)
+	line := func(l Line) {
+		if err := json.NewEncoder(w).Encode(l); err == nil {
+			_ = control.Flush()
+		}
+	}
+	who := c.account.ID + "/" + c.caller
+	answer, err := e.operators.Run(r.Context(), who, q.Text, func(text string) { line(Line{Progress: text}) })
+	if err != nil {
+		line(Line{Error: err.Error()})
+		return
+	}
+	line(Line{Answer: &answer})
+}
+
+func (e *Entry) newOperators() {
+	e.operators = &operator.Desk{
+		Sources: operator.Sources{
+			Entry: e.id, Streams: e.showStreams, Endpoints: e.showEndpoints, Accounts: e.showAccounts,
+			Entries: e.showEntries, Services: e.showServices, Versions: e.showVersions, Pending: e.showPending,
+			Leases: e.showLeases, Routes: e.showRoutes, Limits: e.showLimits,
+		},
+		Entries: func() []string {
+			var ids []string
+			for _, m := range e.members.Members() {
+				ids = append(ids, m.ID)
+			}
+			return ids
+		},
+		Ask:      e.askTable,
+		Document: func() *config.Document { return &e.config().Document },
+		Edit:     e.edit,
+		Overlay:  e.editOverlay,
+		Cancel:   e.cancelAt,
+		Pending:  e.tracker.Pending, Unsettled: e.unsettled,
+		Rebase: true, Log: e.Log, Now: e.Now,
+	}
+}
+
+// edit changes the configuration on top of the version in force here.
+func (e *Entry) edit(ctx context.Context, who string, change func(*config.Document) error) (int64, error) {
+	version, err := e.holder.Change(ctx, e.version(), change, who)
+	var conflict *config.ConflictError
+	if errors.As(err, &conflict) {
+		return 0, errors.Mark(err, operator.ErrConflict)
+	}
+	return version, err
+}
+
+// editOverlay keeps pins and drained entries in the configuration.
+func (e *Entry) editOverlay(ctx context.Context, who string, change func(*operator.Overlay) error) (int64, error) {
+	return e.edit(ctx, who, func(doc *config.Document) error {
+		var o operator.Overlay
+		for _, a := range doc.Accounts {
+			if a.Pin != "" {
+				o.Pins = append(o.Pins, operator.Pin{Account: a.ID, Entry: a.Pin})
+			}
+		}
+		for _, entry := range doc.Entries {
+			if entry.Drain {
+				o.Drained = append(o.Drained, entry.ID)
+			}
+		}
+		if err := change(&o); err != nil {
+			return err
+		}
+		applyOverlay(doc, o)
+		return nil
+	})
+}
+
+func applyOverlay(doc *config.Document, o operator.Overlay) {
+	pins := map[string]string{}
+	for _, p := range o.Pins {
+		pins[p.Account] = p.Entry
+	}
+	accounts := make([]config.Account, len(doc.Accounts))
+	for i, a := range doc.Accounts {
+		a.Pin = pins[a.ID]
+		accounts[i] = a
+	}
+	doc.Accounts = accounts
+	doc.Entries = nil
+	for _, id := range o.Drained {
+		doc.Entries = append(doc.Entries, config.Entry{ID: id, Drain: true})
+	}
+}
+
+// askTable asks another entry for its rows.
+func (e *Entry) askTable(ctx context.Context, id string, q operator.Query) (operator.Table, error) {
+	var table operator.Table
+	addr, ok := e.peerAddr(id)
+	if !ok {
+		return table, fmt.Errorf("entry %s: %w", id, peer.ErrUnreachable)
+	}
+	data, err := json.Marshal(q)
+	if err != nil {
+		return table, fmt.Errorf("encode query: %w", err)
+	}
+	err = e.peers.Call(ctx, addr, "Operator.Ask", query{JSON: data}, &table)
+	return table, err
+}
+
+// Ask answers a query from this entry's own relations.
+func (c *operatorCalls) Ask(args query, reply *operator.Table) error {
+	var q operator.Query
+	if err := json.Unmarshal(args.JSON, &q); err != nil {
+		return fmt.Errorf("decode query: %w", err)
+	}
+	table, err := c.e.operators.Sources.Answer(q)
+	*reply = table
+	return err
+}
+
+// cancelAt ends a stream on an entry.
+func (e *Entry) cancelAt(ctx context.Context, id, stream string) (bool, error) {
+	if id == e.id {
+		return e.streams.cancel(stream), nil
+	}
+	addr, ok := e.peerAddr(id)
+	if !ok {
+		return false, fmt.Errorf("entry %s: %w", id, peer.ErrUnreachable)
+	}
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	var found bool
+	err := e.peers.Call(ctx, addr, "Operator.Cancel", stream, &found)
+	return found, err
+}
+
+// Cancel ends a stream on this entry.
+func (c *operatorCalls) Cancel(stream string, reply *bool) error {
+	*reply = c.e.streams.cancel(stream)
+	return nil
+}
+
+// age gives the time since a moment, for tables.
+func (e *Entry) age(since time.Time) operator.Value { return operator.DurationOf(e.now().Sub(since)) }
--- /dev/null
+++ b/process/entry/shares.go
@@ -0,0 +1,92 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/eelgrassdock/eelgrassdock/connection/engine"
+	"github.com/eelgrassdock/eelgrassdock/connection/peer"
+	"github.com/eelgrassdock/eelgrassdock/process/locate"
+	"github.com/eelgrassdock/eelgrassdock/process/share"
+)
+
+const (
+	renewPeriod = 250 * time.Millisecond // period at which shares that are due are renewed
+	sweepPeriod = 2 * time.Second        // period at which unused loans are dropped
+)
+
+func (e *Entry) newShares() {
+	e.lender = &share.Owner{
+		NotBefore: e.now().Add(share.LongTerm + share.Margin),
+		Violation: func(s string) { e.violation("share", s) },
+	}
+	e.borrower = &share.Borrower{
+		Entry: e.id, Live: func() int { return len(e.entries()) }, Borrow: e.borrow,
+		Go:        func(task func()) { e.wg.Go(task) },
+		Violation: func(s string) { e.violation("share", s) },
+	}
+}
+
+// borrow asks the owner of an account for a share of its limit.
+func (e *Entry) borrow(ctx context.Context, account string, ask share.Ask) (share.Share, error) {
+	home := locate.Home(e.entries(), account)
+	if home.ID == e.id {
+		return e.lender.Lend(ask, e.now())
+	}
+	addr, ok := e.peerAddr(home.ID)
+	if !ok {
+		return share.Share{}, fmt.Errorf("owner of account %s: %w", account, peer.ErrUnreachable)
+	}
+	var s share.Share
+	err := e.peers.Call(ctx, addr, "Share.Borrow", ask, &s)
+	return s, err
+}
+
+func (e *Entry) runShares(ctx context.Context) error {
+	renew, sweep := time.NewTicker(renewPeriod), time.NewTicker(sweepPeriod)
+	defer renew.Stop()
+	defer sweep.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			e.borrower.Close()
+			return nil
+		case <-renew.C:
+			e.borrower.Renew(e.now())
+		case <-sweep.C:
+			e.lender.Sweep(e.now())
+		}
+	}
+}
+
+// acquire admits a request within the limits of its account.
+func (e *Entry) acquire(c call, tokens int64) (share.Grant, error) {
+	return e.borrower.Acquire(c.account.ID, c.caller, share.Limit(c.account.Limit), tokens, c.arrived)
+}
+
+func (e *Entry) releaseGrant(g share.Grant) { e.borrower.Release(g, e.now()) }
+
+// estimateTokens gives the tokens that a request is expected to use.
+func (e *Entry) estimateTokens(c call, req CompletionRequest) int64 {
+	estimate := e.lengths.Predict(req.Model, c.account.ID, req.Max)
+	return int64(engine.Tokens(req.Prompt)) + int64(estimate.Mean(0))
+}
+
+// accountWeight gives the share of an account in a queue.
+func (e *Entry) accountWeight(account string) float64 {
+	if a := e.config().Account(account); a != nil {
+		return float64(1 + a.Rank)
+	}
+	return 1
+}
+
+// shareCalls are the calls of other entries about limits.
+type shareCalls struct{ e *Entry }
+
+// Borrow lends a share of an account that this entry owns.
+func (c *shareCalls) Borrow(args share.Ask, reply *share.Share) error {
+	s, err := c.e.lender.Lend(args, c.e.now())
+	*reply = s
+	return err
+}
--- a/process/entry/stop.go
+++ b/process/entry/stop.go
@@ -42,7 +42,7 @@
 	}
 	limit := e.stopLimit()
 	e.stopping.Store(true)
-	e.leave()
+	e.members.Drain()
 	begun := e.now()
 	e.Log.WithFields(logrus.Fields{"entry": e.id, "active": e.streams.active(), "limit": limit}).Info("graceful stop begun")
 	e.waitUntil(begun.Add(e.keep()), limit)
--- a/version/config/delta.go
+++ b/version/config/delta.go
@@ -25,6 +25,7 @@
 		Accounts  Changes[Account]  `json:"accounts,omitzero"`
 		Services  Changes[Service]  `json:"services,omitzero"`
 		Endpoints Changes[Endpoint] `json:"endpoints,omitzero"`
+		Entries   Changes[Entry]    `json:"entries,omitzero"`
 		// Secrets replaces the list if it is not empty.
 		Secrets []string `json:"secrets,omitempty"`
 	}
@@ -43,20 +44,21 @@
 func (a Account) id() string  { return a.ID }
 func (s Service) id() string  { return s.ID }
 func (e Endpoint) id() string { return e.ID }
+func (e Entry) id() string    { return e.ID }
 
 // IsZero reports that nothing changes.
 func (c Changes[T]) IsZero() bool { return len(c.Put) == 0 && len(c.Drop) == 0 }
 
 // IsZero reports that the delta changes nothing but the version.
 func (d Delta) IsZero() bool {
-	return d.Accounts.IsZero() && d.Services.IsZero() && d.Endpoints.IsZero() && len(d.Secrets) == 0
+	return d.Accounts.IsZero() && d.Services.IsZero() && d.Endpoints.IsZero() && d.Entries.IsZero() && len(d.Secrets) == 0
 }
 
 // Canonical gives the form in which documents are stored and compared: lists
 // sorted by ID, empty lists nil. It copies the top-level lists only.
 func Canonical(doc Document) Document {
 	doc.Accounts, doc.Services = sorted(doc.Accounts), sorted(doc.Services)
-	doc.Endpoints = sorted(doc.Endpoints)
+	doc.Endpoints, doc.Entries = sorted(doc.Endpoints), sorted(doc.Entries)
 	if len(doc.Secrets) == 0 {
 		doc.Secrets = nil
 	}
@@ -93,6 +95,7 @@
 		Accounts:  diff(old.Accounts, new.Accounts),
 		Services:  diff(old.Services, new.Services),
 		Endpoints: diff(old.Endpoints, new.Endpoints),
+		Entries:   diff(old.Entries, new.Entries),
 	}
 	if !slices.Equal(old.Secrets, new.Secrets) {
 		d.Secrets = new.Secrets
@@ -128,6 +131,7 @@
 	doc.Accounts = apply(doc.Accounts, d.Accounts)
 	doc.Services = apply(doc.Services, d.Services)
 	doc.Endpoints = apply(doc.Endpoints, d.Endpoints)
+	doc.Entries = apply(doc.Entries, d.Entries)
 	if len(d.Secrets) > 0 {
 		doc.Secrets = d.Secrets
 	}
--- a/version/config/document.go
+++ b/version/config/document.go
@@ -20,6 +20,8 @@
 		Accounts  []Account  `json:"accounts" validate:"dive"`
 		Services  []Service  `json:"services" validate:"dive"`
 		Endpoints []Endpoint `json:"endpoints" validate:"dive"`
+		// Entries holds what operators ordered of single entries.
+		Entries []Entry `json:"entries,omitempty" validate:"dive"`
 		// Secrets seal resume tokens. The first seals, all verify; each is at
 		// least 32 hex digits.
 		Secrets []string `json:"secrets" validate:"min=1,dive,hexadecimal,min=32"`
@@ -34,6 +36,10 @@
 		Services []string `json:"services,omitempty"`
 		// Rank orders work: higher goes first. A low rank still makes progress.
 		Rank int `json:"rank,omitempty" validate:"gte=0,lte=9"`
+		// Operator accounts may use the operators' language.
+		Operator bool `json:"operator,omitempty"`
+		// Pin is the entry that callers are sent to first; empty for none.
+		Pin string `json:"pin,omitempty" validate:"max=128"`
 		// Limit holds across all entries; a zero field means no limit.
 		Limit Limit `json:"limit,omitzero"`
 	}
@@ -78,6 +84,13 @@
 		Idempotent bool   `json:"idempotent,omitempty"`
 	}
 
+	// Entry is an order that concerns one entry.
+	Entry struct {
+		ID string `json:"id" validate:"required,max=128,printascii"`
+		// Drain keeps the entry out of the answers to callers.
+		Drain bool `json:"drain,omitempty"`
+	}
+
 	// Endpoint is one engine replica or one replica of a plain service.
 	Endpoint struct {
 		ID      string `json:"id" validate:"required,max=64,printascii"`
--- a/version/config/index.go
+++ b/version/config/index.go
@@ -10,6 +10,7 @@
 	services  map[string]*Service
 	endpoints map[string]*Endpoint
 	groups    map[string][]*Endpoint
+	drained   map[string]bool
 }
 
 // NewIndex indexes a document that Check found no fault with.
@@ -17,6 +18,10 @@
 	x := &Index{
 		Document: doc, accounts: map[string]*Account{}, keys: map[string]*Account{},
 		services: map[string]*Service{}, endpoints: map[string]*Endpoint{}, groups: map[string][]*Endpoint{},
+		drained: map[string]bool{},
+	}
+	for _, e := range doc.Entries {
+		x.drained[e.ID] = e.Drain
 	}
 	for i := range doc.Accounts {
 		account := &doc.Accounts[i]
@@ -51,6 +56,10 @@
 // Endpoints lists the endpoints of a service. The slice must not be changed.
 func (x *Index) Endpoints(service string) []*Endpoint { return x.groups[service] }
 
+// Drained tells which entries are to get no new callers. The map must not be
+// changed.
+func (x *Index) Drained() map[string]bool { return x.drained }
+
 // Allows tells whether the account may call the service.
 func (a *Account) Allows(service string) bool {
 	return len(a.Services) == 0 || slices.Contains(a.Services, service)
