placement: compare policies and expect following work

Cause: the first policy preempts more than the baselines: it expects memory to shrink as work ends, although new work follows, and its price for another region outweighs large differences in load. Change: internal/compare with eleven loads; predicted memory never falls below what is in use; peers are taken to have favoured the same endpoints since the report. The first version stays as previous.

--- /dev/null
+++ b/internal/compare/load.go
@@ -0,0 +1,169 @@
+package compare
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/eelgrassdock/eelgrassdock/standin/model"
+)
+
+const (
+	accounts  = 40
+	maxTokens = 32_768
+	prefixLen = 256 // prompt tokens for each prefix hash
+)
+
+type (
+	// Load describes an arrival trace and the fleet that serves it.
+	Load struct {
+		Name    string
+		Share   float64 // offered memory as a share of the engines' memory
+		Entries int
+		Lag     time.Duration // age of a report when it arrives
+		Burst   bool          // three times the rate for 3 s of every 20 s
+		Tail    bool          // lengths from a few to tens of thousands of tokens
+		Shared  bool          // most prompts begin with one of 30 common prefixes
+		Large   bool          // one account sends 60 % of the requests
+		Lost    bool          // one engine is lost in the middle
+	}
+
+	// arrival is one request of a trace.
+	arrival struct {
+		at      time.Duration
+		account int
+		work    model.Work
+	}
+
+	// account is how one account's requests are distributed.
+	account struct {
+		weight         float64
+		median, spread float64 // of the lengths
+	}
+)
+
+// Loads are the default loads.
+var Loads = []Load{
+	{Name: "steady 70%", Share: 0.7},
+	{Name: "steady 90%", Share: 0.9},
+	{Name: "steady 110%", Share: 1.1},
+	{Name: "90%, 2 entries", Share: 0.9, Entries: 2},
+	{Name: "90%, 20 entries", Share: 0.9, Entries: 20},
+	{Name: "90%, reports 5 s late", Share: 0.9, Lag: 5 * time.Second},
+	{Name: "burst", Share: 0.7, Burst: true},
+	{Name: "long tail", Share: 0.85, Tail: true},
+	{Name: "shared prefixes", Share: 0.9, Shared: true},
+	{Name: "large account", Share: 0.9, Large: true},
+	{Name: "engine lost", Share: 0.8, Lost: true},
+}
+
+func newAccounts(l Load, r *rand.Rand) []account {
+	list := make([]account, accounts)
+	for i := range list {
+		list[i] = account{
+			weight: 1 / float64(i+3),
+			median: 120 * math.Exp2(2.5*r.Float64()), spread: 0.5 + 0.4*r.Float64(),
+		}
+		if l.Tail {
+			list[i].median, list[i].spread = 30*math.Exp2(4*r.Float64()), 1.6
+		}
+	}
+	if l.Large {
+		rest := 0.0
+		for _, a := range list[1:] {
+			rest += a.weight
+		}
+		list[0].weight = rest * 1.5
+	}
+	return list
+}
+
+func (a *account) length(r *rand.Rand) int {
+	return min(max(int(a.median*math.Exp(a.spread*r.NormFloat64())), 4), maxTokens)
+}
+
+// source draws requests without their times.
+type source struct {
+	load     Load
+	rand     *rand.Rand
+	accounts []account
+	sums     []float64
+}
+
+func newSource(l Load, seed uint64) *source {
+	r := rand.New(rand.NewPCG(seed, 0x74726163))
+	s := &source{load: l, rand: r, accounts: newAccounts(l, r)}
+	sum := 0.0
+	for _, a := range s.accounts {
+		sum += a.weight
+		s.sums = append(s.sums, sum)
+	}
+	return s
+}
+
+func (s *source) draw() arrival {
+	r := s.rand
+	x := r.Float64() * s.sums[len(s.sums)-1]
+	i, _ := slices.BinarySearch(s.sums, x)
+	prompt := min(max(int64(350*math.Exp(0.8*r.NormFloat64())), 16), 6000)
+	w := model.Work{Prompt: prompt, Max: maxTokens, Length: s.accounts[i].length(r)}
+	if s.load.Shared && r.Float64() < 0.7 {
+		common := r.IntN(30)
+		blocks := 2 + common%7
+		w.Prompt += int64(blocks * prefixLen)
+		for b := range blocks {
+			w.Prefix = append(w.Prefix, uint64(common*100+b+1))
+		}
+	}
+	return arrival{account: i, work: w}
+}
+
+// trace draws the arrivals of one run.
+func trace(l Load, o *Options, seed uint64) []arrival {
+	s := newSource(l, seed)
+	rate := arrivalRate(l, o.Engine, seed) * float64(o.Engines)
+	span := o.Warm + o.Window
+	var list []arrival
+	for at := 0.0; ; {
+		now := rate
+		if l.Burst && math.Mod(at, 20) > 17 {
+			now *= 3
+		}
+		at += s.rand.ExpFloat64() / now
+		if at >= span.Seconds() {
+			return list
+		}
+		a := s.draw()
+		a.at = time.Duration(at * float64(time.Second))
+		list = append(list, a)
+	}
+}
+
+// arrivalRate gives the requests per second and engine at which the memory in
+// use is the load's share of the memory. It is measured: one engine is kept at
+// that share, or at most at 90 %, by submitting work whenever it is below, and
+// the submissions are counted.
+func arrivalRate(l Load, cfg model.Config, seed uint64) float64 {
+	const (
+		warm   = 200 * time.Second
+		window = 3000 * time.Second
+	)
+	share := min(l.Share, 0.9)
+	s := newSource(l, seed)
+	e := model.New(cfg)
+	all, counted := 0, 0
+	for now := time.Duration(0); now < warm+window; {
+		if r := e.Report(); float64(r.Used) < share*float64(r.Total) {
+			w := s.draw().work
+			w.Gen = strconv.Itoa(all)
+			if all++; e.Submit(w) && now >= warm {
+				counted++
+			}
+		}
+		_, took := e.Step()
+		now += took
+	}
+	return float64(counted) / window.Seconds() * l.Share / share
+}
--- a/process/placement/account.go
+++ b/process/placement/account.go
@@ -48,7 +48,9 @@
 		// Work of others: the report less own work at its time.
 		others     float64
 		othersRuns int
-		sinceCount int // own generations placed since the report
+		sent       float64 // prompt tokens placed in all
+		sentSince  float64 // of these, since the report
+		sinceCount int     // own generations placed since the report
 
 		history history
 
@@ -72,9 +74,9 @@
 	}
 
 	sample struct {
-		at    time.Time
-		used  float64
-		count int
+		at         time.Time
+		used, sent float64
+		count      int
 	}
 
 	// history remembers own work, as it was just before some of its changes.
@@ -119,11 +121,11 @@
 	return l
 }
 
-func (h *history) record(at time.Time, used float64, count int) {
-	if h.n > 0 && at.Sub(h.ring[(h.n-1)%sampleCount].at) < sampleInterval {
+func (h *history) record(s sample) {
+	if h.n > 0 && s.at.Sub(h.ring[(h.n-1)%sampleCount].at) < sampleInterval {
 		return
 	}
-	h.ring[h.n%sampleCount] = sample{at, used, count}
+	h.ring[h.n%sampleCount] = s
 	h.n++
 }
 
@@ -140,12 +142,17 @@
 	return found
 }
 
+func (e *endpoint) sample(now time.Time) sample {
+	return sample{at: now, used: e.used, sent: e.sent, count: e.count}
+}
+
 // take installs a report.
 func (e *endpoint) take(r Report, now time.Time) {
-	own := e.history.lookup(r.At, sample{now, e.used, e.count})
+	own := e.history.lookup(r.At, e.sample(now))
 	e.report, e.received = r, now
 	e.others = max(float64(r.Used)-own.used, 0)
 	e.othersRuns = max(r.Running+r.Waiting-own.count, 0)
+	e.sentSince = e.sent - own.sent
 	e.sinceCount = max(e.count-own.count, 0)
 }
 
@@ -158,7 +165,7 @@
 
 // change adjusts own work of an endpoint and of the whole scheduler.
 func (s *Scheduler) change(e *endpoint, count int, used float64, ahead *load, sign float64) {
-	e.history.record(s.now, e.used, e.count)
+	e.history.record(e.sample(s.now))
 	e.count += count
 	e.used += used
 	e.ahead.add(ahead, sign)
@@ -192,6 +199,8 @@
 	r.prompt = max(float64(req.Prompt)-cached, 1)
 	r.plan()
 	s.change(ep, 1, r.prompt, &r.ahead, 1)
+	ep.sent += r.prompt
+	ep.sentSince += r.prompt
 	ep.sinceCount++
 	ep.drain(s.now, s.FillTime)
 	ep.fill += r.prompt
@@ -223,7 +232,6 @@
 		return
 	}
 	grown := float64(n - r.done)
-	s.move(r.ep, (n-r.done)*bytesPerToken)
 	r.done = n
 	var delta load
 	if n >= r.refresh {
@@ -253,7 +261,7 @@
 	if r == nil {
 		return "", false
 	}
-	s.move(r.ep, max(n-r.done, 0)*bytesPerToken)
+	s.move(r.ep, max(n, r.done)*bytesPerToken)
 	s.change(r.ep, -1, -(r.prompt + float64(r.done)), &r.ahead, -1)
 	account = r.account
 	r.active, r.ep, r.account = false, nil, ""
--- a/process/placement/choose.go
+++ b/process/placement/choose.go
@@ -10,14 +10,14 @@
 	gapTarget = 0.071 // seconds between tokens
 
 	patience     = 20.0 // seconds of waiting after which any risk is taken
-	calmBudget   = 0.02 // risk that is taken without waiting
+	calmBudget   = 0.15 // risk that is taken without waiting
 	gapHeadroom  = 0.9  // share of the gap target at which the risk begins
-	preemptCost  = 2.0  // cost of a certain preemption, in seconds of stall
+	preemptCost  = 4.0  // cost of a certain preemption, in seconds of stall
 	queueSeconds = 0.2  // stall for each generation that waits in the engine
 	queueMax     = 5.0
 
-	farSeconds    = 0.03 // latency and inconvenience of another region
-	farPerMB      = 0.3  // cost of a megabyte between regions
+	farSeconds    = 0.01 // latency and inconvenience of another region
+	farPerMB      = 0.1  // cost of a megabyte between regions
 	remoteSeconds = 0.001
 
 	minPeerTokens = 64 // prompt size assumed before any was seen
@@ -39,6 +39,7 @@
 		peerRate  float64           // requests per second and endpoint from peers
 		peerSize  float64
 		meanShare float64 // mean share of memory in use
+		meanSent  float64 // mean of what was sent to an endpoint since its report
 		budget    float64
 	}
 )
@@ -47,6 +48,10 @@
 // within the budget. wait is true if there are endpoints, but none within it.
 func (s *Scheduler) choose(req *Request, estimate *length.Estimate) (best *endpoint, wait bool) {
 	s.match(req)
+	judge := s.judge
+	if s.Policy == Previous {
+		judge = s.judgeBefore
+	}
 	o := s.look(req, estimate)
 	s.scratch = s.scratch[:0]
 	lowest := math.Inf(1)
@@ -55,7 +60,7 @@
 			continue
 		}
 		wait = true
-		risk, cost := s.judge(e, req, &o)
+		risk, cost := judge(e, req, &o)
 		if risk > o.budget {
 			continue
 		}
@@ -105,16 +110,22 @@
 		o.peerRate = s.flow.rateAt(s.now, 5) * float64(s.peers-1) / float64(n)
 	}
 	o.peerSize = max(s.flow.tokens, minPeerTokens)
-	var used, total float64
+	var used, total, sent float64
 	for _, e := range s.list {
 		used += e.others + e.used
+		sent += e.sentSince
 		total += e.total()
 	}
 	if total > 0 {
 		o.meanShare = used / total
+		o.meanSent = sent / float64(len(s.list))
 	}
 	waited := max(s.now.Sub(req.Arrived).Seconds(), 0)
-	o.budget = s.Weights.Stall * (calmBudget + (waited/patience)*(waited/patience))
+	calm := calmBudget
+	if s.Policy == Previous {
+		calm = previousCalm
+	}
+	o.budget = s.Weights.Stall * (calm + (waited/patience)*(waited/patience))
 	return o
 }
 
@@ -123,24 +134,26 @@
 	w := &s.Weights
 	age := min(max(s.now.Sub(e.report.At).Seconds(), 0), 30)
 	total := max(e.total(), 1)
-	now := e.others + e.used
 	arrivals := o.peerRate * age
-	// Peers prefer the emptier endpoints, as this entry does.
-	lean := min(max((o.meanShare-now/total)*5, -1), 1)
-	peers := arrivals * lean * o.peerSize
+	// Peers see the same reports and follow the same rule, so they are taken to
+	// have favoured the endpoints that this entry has favoured since the report.
+	peers := float64(s.peers-1) * (e.sentSince - o.meanSent)
 	spread := arrivals * o.peerSize * o.peerSize
+	now := max(e.others+peers, 0) + e.used
 
 	uncached := max(o.prompt-s.matched(e, req), 1)
 	z := math.Inf(1)
 	for h := range o.ahead.mean {
-		mean := e.others*o.growth[h] + e.ahead.mean[h] + o.ahead.mean[h] + peers
+		// Work that ends is followed by other work, so that memory is not expected
+		// to shrink below what is in use now.
+		mean := max((e.others+peers)*o.growth[h]+e.ahead.mean[h]+o.ahead.mean[h], now+uncached)
 		variance := float64(e.othersRuns)*o.spread[h] + e.ahead.variance[h] + o.ahead.variance[h] + spread
 		z = min(z, (total-mean)/math.Sqrt(max(variance, 1)))
 	}
 	full := math.Erfc(z/math.Sqrt2) / 2
 
-	runs := float64(e.othersRuns+e.count) + 1 + arrivals*lean
-	step := s.step.predict(runs, now+o.prompt+peers)
+	runs := float64(e.othersRuns+e.count) + 1
+	step := s.step.predict(runs, now+uncached)
 	over := min(max(step/(gapTarget*gapHeadroom)-1, 0)*4, 1)
 	risk = w.Preempt*full + w.Gap*over
 
