--- a/process/share/borrower.go
+++ b/process/share/borrower.go
@@ -72,7 +72,17 @@
 func (b *Borrower) Acquire(account, caller string, limit Limit, tokens int64, now time.Time) (Grant, error) {
 	s := &b.shards[shardOf(account)]
 	s.mu.Lock()
-	defer s.mu.Unlock()
+	grant, task, err := b.acquire(s, account, caller, limit, max(tokens, 0), now)
+	s.mu.Unlock()
+	b.start(task)
+	return grant, err
+}
+
+// acquire admits a request with the shard locked. The task, if any, is to be
+// started when the shard is unlocked.
+func (b *Borrower) acquire(
+	s *borrowerShard, account, caller string, limit Limit, tokens int64, now time.Time,
+) (_ Grant, task func(), _ error) {
 	u := s.accounts[account]
 	if u == nil {
 		if s.accounts == nil {
@@ -82,22 +92,21 @@
 		s.accounts[account] = u
 	}
 	u.advance(limit, now)
-	tokens = max(tokens, 0)
 	if limit.Tokens > 0 && tokens > limit.Tokens {
-		return Grant{}, refuse(refusal.TokenLimit, time.Time{}, "request exceeds the account's tokens in flight")
+		return Grant{}, nil, refuse(refusal.TokenLimit, time.Time{}, "request exceeds the account's tokens in flight")
 	}
 	c := u.caller(caller, now)
 	r := room{Limit: limit, live: b.live, valid: u.valid(now)}
 	if reason := u.admit(c, &r, tokens, now); reason != "" {
 		u.refused(c, reason, tokens, now)
-		b.ask(s, account, u, now)
-		return Grant{}, refuse(reason, u.retry(reason, limit, now), "account limit reached at this entry")
+		task = b.ask(s, account, u, now)
+		return Grant{}, task, refuse(reason, u.retry(reason, limit, now), "account limit reached at this entry")
 	}
 	u.add(c, tokens)
 	if !r.valid || u.low(now) || !now.Before(u.renew) {
-		b.ask(s, account, u, now)
+		task = b.ask(s, account, u, now)
 	}
-	return Grant{Account: account, Caller: caller, Tokens: tokens, record: &record{}}, nil
+	return Grant{Account: account, Caller: caller, Tokens: tokens, record: &record{}}, task, nil
 }
 
 func refuse(reason refusal.Reason, at time.Time, detail string) error {
@@ -135,6 +144,7 @@
 // Renew renews the shares that are due and drops the state of accounts without
 // work. It is to be called every 250 ms or so.
 func (b *Borrower) Renew(now time.Time) {
+	var tasks []func()
 	for i := range b.shards {
 		s := &b.shards[i]
 		s.mu.Lock()
@@ -144,25 +154,33 @@
 				continue
 			}
 			u.forget(now)
-			if !now.Before(u.renew) && (u.active > 0 || now.Before(u.seen.Add(ShortTerm))) {
-				u.advance(u.limit, now)
-				b.ask(s, account, u, now)
+			if u.active == 0 && !u.told {
+				continue
+			}
+			u.advance(u.limit, now)
+			if !now.Before(u.renew) || !u.wants() || u.lavish(now) {
+				if task := b.ask(s, account, u, now); task != nil {
+					tasks = append(tasks, task)
+				}
 			}
 		}
 		s.mu.Unlock()
 	}
+	for _, task := range tasks {
+		b.start(task)
+	}
 }
 
-// ask starts to ask the owner, unless the account has no limits or was asked
-// for a moment ago. The shard is locked.
-func (b *Borrower) ask(s *borrowerShard, account string, u *used, now time.Time) {
+// ask gives the task that asks the owner, or nil if the account has no limits
+// or was asked for a moment ago. The shard is locked.
+func (b *Borrower) ask(s *borrowerShard, account string, u *used, now time.Time) func() {
 	soon := now.Before(u.hold) || now.Before(u.asked.Add(urgent))
 	if b.Borrow == nil || u.limit == (Limit{}) || b.closed.Load() || soon {
-		return
+		return nil
 	}
 	if u.cancel != nil {
 		if now.Before(u.asked.Add(overdue)) {
-			return
+			return nil
 		}
 		u.cancel()
 		u.failures++
@@ -170,21 +188,27 @@
 	ask := u.ask(b.Entry, account, now)
 	ctx, cancel := context.WithCancel(context.Background())
 	u.cancel = cancel
-	task := func() {
+	return func() {
 		share, err := b.Borrow(ctx, account, ask)
 		cancel()
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		u.answer(ask, share, err, now)
 	}
-	if b.Go != nil {
+}
+
+func (b *Borrower) start(task func()) {
+	switch {
+	case task == nil:
+	case b.Go != nil:
 		b.Go(task)
-		return
+	default:
+		b.tasks.Go(task)
 	}
-	b.tasks.Go(task)
 }
 
-// Close stops asking and waits for what was asked.
+// Close stops asking and waits for what was asked. It is called after the last
+// Acquire and Renew.
 func (b *Borrower) Close() {
 	b.closed.Store(true)
 	for i := range b.shards {
--- a/process/share/owner.go
+++ b/process/share/owner.go
@@ -28,10 +28,11 @@
 		shards [shards]ownerShard
 	}
 
-	// move is a change of owners that still matters.
+	// move is a change of owners. It is kept for a minute, by when the bucket of
+	// a usual account has filled again.
 	move struct {
-		until time.Time
-		kept  func(account string) bool
+		at   time.Time
+		kept func(account string) bool
 	}
 
 	ownerShard struct {
@@ -78,8 +79,8 @@
 // their former owner have passed their deadlines.
 func (o *Owner) Moved(now time.Time, kept func(account string) bool) {
 	o.movesM.Lock()
-	o.moves = slices.DeleteFunc(o.moves, func(m move) bool { return !m.until.After(now) })
-	o.moves = append(o.moves, move{until: now.Add(LongTerm + Margin), kept: kept})
+	o.moves = slices.DeleteFunc(o.moves, func(m move) bool { return now.Sub(m.at) > Linger })
+	o.moves = append(o.moves, move{at: now, kept: kept})
 	o.movesM.Unlock()
 	for i := range o.shards {
 		s := &o.shards[i]
@@ -133,23 +134,25 @@
 	if now.Before(a.notBefore) {
 		return Share{Account: ask.Account, Renew: a.notBefore}, nil
 	}
+	if ask.Want == (Amount{}) {
+		return Share{Account: ask.Account, Renew: now.Add(shortRenew)}, nil
+	}
 	return o.lend(a, l, ask.Account, now), nil
 }
 
-// open makes the state of an account. After a change of owner the bucket starts
-// empty, since the former owner may have lent all of it.
+// open makes the state of an account. Its bucket is filled from the last change
+// of owner only, since the former owner may have lent all there was.
 func (o *Owner) open(ask Ask, now time.Time) *owned {
-	a := &owned{limit: ask.Limit, notBefore: o.NotBefore, filled: now}
+	a := &owned{limit: ask.Limit, notBefore: o.NotBefore}
 	o.movesM.Lock()
 	defer o.movesM.Unlock()
 	for _, m := range o.moves {
-		if m.until.After(now) && m.until.After(a.notBefore) && !m.kept(ask.Account) {
-			a.notBefore = m.until
+		if until := m.at.Add(LongTerm + Margin); until.After(a.notBefore) && !m.kept(ask.Account) {
+			a.notBefore = until
 		}
 	}
-	if !now.Before(a.notBefore) {
-		a.level = a.limit.burst()
-	}
+	a.filled = a.notBefore.Add(-LongTerm - Margin)
+	a.fill(now)
 	return a
 }
 
@@ -162,7 +165,9 @@
 	return nil
 }
 
-// report takes over what the borrower says.
+// report takes over what the borrower says. The share that it has in hand is
+// the only one that it may use from now on, since it has one ask under way at a
+// time and ignores answers to those it has given up.
 func (a *owned) report(l *loan, ask Ask, now time.Time) {
 	a.fill(now)
 	a.limit = ask.Limit
@@ -172,7 +177,10 @@
 	l.seq, l.asked = ask.Seq, now
 	l.used, l.want, l.need = ask.Used, ask.Want, ask.Need
 	l.got = max(l.got-max(ask.Back, 0)+max(ask.Spent, 0), 0)
-	if ask.Have != 0 && ask.Have == l.last.id {
+	switch ask.Have {
+	case 0:
+		l.last, l.former = hold{}, hold{}
+	case l.last.id:
 		l.former = hold{}
 	}
 }
--- a/process/share/portion.go
+++ b/process/share/portion.go
@@ -92,7 +92,7 @@
 
 // fresh tells whether what the borrower wants still counts.
 func (l *loan) fresh(now time.Time) bool {
-	return now.Before(l.asked.Add(LongTerm))
+	return now.Before(l.asked.Add(ShortTerm)) || l.last.lives(now)
 }
 
 // lent adds up the outstanding shares of the account.
--- a/process/share/share.go
+++ b/process/share/share.go
@@ -24,7 +24,8 @@
 //     the account): its floor, 1/(live entries) of the limit, but at least one
 //     request, and
 //   - for each entry whose share lapsed while it was cut off: the part of the
-//     share that it put to use after its last report.
+//     share that it put to use after its last report to the present owner, and,
+//     after Linger without a report, all its work.
 //
 // The starts in any time t may exceed Burst + Rate*t by the same floors (of
 // Burst and Rate). Starts from a floor are reported at the next contact and
@@ -86,7 +87,7 @@
 		Entry   string // includes the incarnation
 		Account string
 		Seq     uint64  // grows with each ask
-		Have    uint64  // ID of the share in hand
+		Have    uint64  // ID of the share in hand; 0 if there is none
 		Limit   Limit   // as the borrower's configuration has it
 		Used    Amount  // in flight
 		Want    Amount  // in flight and starts, for the next second or two
@@ -96,7 +97,8 @@
 	}
 
 	// Share is a part of an account's limit. An ID of 0 means that nothing is
-	// lent before Renew, because the owner is new.
+	// lent, because nothing is wanted, or because the owner is new and does not
+	// lend before Renew.
 	Share struct {
 		Account string
 		ID      uint64
--- a/process/share/used.go
+++ b/process/share/used.go
@@ -41,6 +41,7 @@
 
 		seq      uint64
 		asked    time.Time
+		told     bool      // the owner may still count work or a share
 		renew    time.Time // when to ask again although nothing is refused
 		hold     time.Time // not to ask before
 		failures int
@@ -235,6 +236,16 @@
 	}
 }
 
+// lavish tells whether most of a large share has no use here any more.
+func (u *used) lavish(now time.Time) bool {
+	if now.Sub(u.asked) < shortRenew {
+		return false
+	}
+	active, tokens := max(u.old.active, u.now.active), max(u.old.tokens, u.now.tokens)
+	return 4*active < u.share.Active && u.share.Active > int64(u.limit.Active)/4 ||
+		4*tokens < u.share.Tokens && u.share.Tokens > u.limit.Tokens/4
+}
+
 // low tells whether the starts in hand will soon be used up.
 func (u *used) low(now time.Time) bool {
 	return u.limit.Rate > 0 && u.valid(now) && u.starts < float64(max(u.old.starts, u.now.starts))/2
@@ -249,12 +260,21 @@
 	return later(at, u.hold)
 }
 
+// wants tells whether the account has had work in the last two periods.
+func (u *used) wants() bool {
+	return u.active > 0 || u.now.starts > 0 || u.old.starts > 0 || u.now.active > 0 || u.old.active > 0
+}
+
 // ask says what the account uses and wants: the most of the last two periods,
-// what was refused, and a quarter more to grow.
+// what was refused, and some more to grow. Without work the share is given back:
+// it is dropped here, so the owner may lend it again at once.
 func (u *used) ask(entry, account string, now time.Time) Ask {
 	refused := max(u.old.refused, u.now.refused)
 	missing := max(u.old.missing, u.now.missing)
 	starts := float64(max(u.old.starts, u.now.starts))
+	if !u.wants() {
+		u.share = Share{}
+	}
 	a := Ask{
 		Entry: entry, Account: account, Have: u.share.ID, Limit: u.limit,
 		Used: Amount{Active: u.active, Tokens: u.tokens},
@@ -262,6 +282,9 @@
 	}
 	if active := max(u.old.active, u.now.active) + refused; active > 0 {
 		a.Want.Active = active + active/4 + 1
+		if refused > 0 {
+			a.Want.Active += active / 4
+		}
 	}
 	if tokens := max(u.old.tokens, u.now.tokens) + missing; tokens > 0 {
 		a.Want.Tokens = tokens + max(tokens/4, a.Need)
@@ -277,6 +300,7 @@
 	u.seq = max(u.seq+1, uint64(max(now.UnixNano(), 0)))
 	a.Seq = u.seq
 	u.spent, u.asked = 0, now
+	u.told = u.told || u.wants()
 	return a
 }
 
@@ -294,9 +318,12 @@
 		return
 	}
 	u.failures = 0
+	u.told = ask.Want != (Amount{})
 	if share.ID == 0 {
 		u.renew = share.Renew
-		u.hold = asked.Add(shortRenew)
+		if ask.Want != (Amount{}) {
+			u.hold = asked.Add(shortRenew)
+		}
 		return
 	}
 	if share.ID <= u.share.ID {
