queue: add tests for starvation, crowding out and bounded state

Cause: the queue had no tests. Change: tests for shares by weight and caller, ranks, large items, endless new callers, idle state, expiry and randomised use; benchmarks.

--- /dev/null
+++ b/process/queue/queue_test.go
@@ -0,0 +1,278 @@
+package queue
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// TestMain fixes the seed of the randomised runs unless one is given.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		if err := f.Value.Set("11"); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// ExampleQueue shows two callers of one account; the first has pushed more.
+func ExampleQueue() {
+	var q Queue
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	for _, caller := range []string{"ann", "ann", "ann", "bob"} {
+		_ = q.Push(&Item{Account: "acme", Caller: caller, Arrived: now})
+	}
+	q.Next(now, func(it *Item) bool {
+		fmt.Println(it.Caller)
+		return true
+	})
+	// Output:
+	// ann
+	// bob
+	// ann
+	// ann
+}
+
+func one(dst **Item) func(*Item) bool {
+	*dst = nil
+	return func(it *Item) bool {
+		if *dst != nil {
+			return false
+		}
+		*dst = it
+		return true
+	}
+}
+
+// next takes exactly one item.
+func next(q *Queue, now time.Time) *Item {
+	var it *Item
+	q.Next(now, one(&it))
+	return it
+}
+
+// A caller or account with a long backlog must not crowd out the others, and
+// the shares of backlogged accounts must follow their weights.
+func TestSharesFollowWeights(t *testing.T) {
+	q := &Queue{Weight: func(account string) float64 { return map[string]float64{"heavy": 3}[account] }}
+	push := func(account, caller string, n int, cost float64) {
+		for range n {
+			require.NoError(t, q.Push(&Item{Account: account, Caller: caller, Arrived: epoch, Cost: cost}))
+		}
+	}
+	push("light", "flood", 900, 1)
+	push("light", "modest", 100, 4)
+	push("heavy", "a", 900, 2)
+	cost, modest := map[string]float64{}, 0.0
+	for range 400 {
+		it := next(q, epoch)
+		cost[it.Account] += it.Cost
+		if it.Caller == "modest" {
+			modest += it.Cost
+		}
+	}
+	require.InDelta(t, 3, cost["heavy"]/cost["light"], 0.15)
+	require.InDelta(t, 0.5, modest/cost["light"], 0.05)
+	push("light", "new", 1, 1)
+	for i := 0; next(q, epoch).Caller != "new"; i++ {
+		require.Less(t, i, 8, "a new caller waits for one round only")
+	}
+}
+
+// A higher rank goes first, but a low rank must make progress under a steady
+// overload of the highest.
+func TestLowRankProgresses(t *testing.T) {
+	q, done := &Queue{}, 0
+	now := epoch
+	for range 100 {
+		require.NoError(t, q.Push(&Item{Account: "low", Caller: "a", Rank: 0, Arrived: now}))
+	}
+	for i := range 10_000 {
+		now = now.Add(20 * time.Millisecond)
+		require.NoError(t, q.Push(&Item{Account: "high", Caller: "a", Rank: MaxRank, Arrived: now}))
+		it := next(q, now)
+		if it.Account == "low" {
+			done++
+			require.GreaterOrEqual(t, now.Sub(epoch), MaxRank*DefaultAge)
+		}
+		if i%2 == 0 && it.Account == "high" {
+			require.NoError(t, q.Push(&Item{Account: "high", Caller: "b", Rank: MaxRank, Arrived: now}))
+		}
+	}
+	require.Equal(t, 100, done)
+}
+
+// An item that does not fit must not be passed without end by smaller ones,
+// nor by an endless row of new callers.
+func TestLargeItemIsNotStarved(t *testing.T) {
+	q, passed := &Queue{}, 0
+	large := &Item{Account: "a", Caller: "large", Arrived: epoch, Cost: 10}
+	require.NoError(t, q.Push(large))
+	for i := range 1000 {
+		require.NoError(t, q.Push(&Item{Account: "a", Caller: fmt.Sprint(i), Arrived: epoch.Add(time.Duration(i)), Cost: 1}))
+		room := 2.0
+		n := q.Next(epoch, func(it *Item) bool {
+			if it.Cost > room {
+				return false
+			}
+			room -= it.Cost
+			return true
+		})
+		if passed += n; n == 0 {
+			break // nothing else gets in, so there will be room
+		}
+	}
+	require.Equal(t, MaxPass, passed)
+	require.Equal(t, large, next(q, epoch))
+}
+
+// A caller that has got much must still progress while new callers keep coming.
+func TestEndlessNewCallers(t *testing.T) {
+	q, now, served := &Queue{}, epoch, 0
+	require.NoError(t, q.Push(&Item{Account: "a", Caller: "old", Rank: MaxRank, Arrived: now, Cost: 1e6}))
+	require.NoError(t, q.Push(&Item{Account: "a", Caller: "old", Rank: MaxRank, Arrived: now, Cost: 1}))
+	require.NoError(t, q.Push(&Item{Account: "a", Caller: "x", Rank: MaxRank, Arrived: now}))
+	require.Equal(t, "old", next(q, now).Caller)
+	for i := range 2000 {
+		now = now.Add(100 * time.Millisecond)
+		for k := range 2 {
+			require.NoError(t, q.Push(&Item{Account: "a", Caller: fmt.Sprint(i, k), Rank: MaxRank, Arrived: now}))
+		}
+		if next(q, now).Caller == "old" {
+			served++
+		}
+	}
+	require.Equal(t, 1, served)
+}
+
+// Accounts and callers without work must not be remembered without bound while
+// others wait.
+func TestIdleFlowsAreBounded(t *testing.T) {
+	q := &Queue{}
+	for range 6000 {
+		require.NoError(t, q.Push(&Item{Account: "b", Arrived: epoch, Cost: 1}))
+	}
+	for i := range 5000 {
+		require.NoError(t, q.Push(&Item{Account: fmt.Sprint(i), Arrived: epoch, Cost: 1e6}))
+		for next(q, epoch).Account == "b" {
+		}
+	}
+	require.Greater(t, len(q.levels[0].flows), maxIdle/4)
+	require.LessOrEqual(t, len(q.levels[0].flows), maxIdle+2)
+}
+
+// Work whose deadline has passed must be given back once and never be offered,
+// and the queue must refuse work beyond its limit.
+func TestExpireRemoveAndLimit(t *testing.T) {
+	q := &Queue{Max: 3}
+	a := &Item{Account: "x", Arrived: epoch, Deadline: epoch.Add(time.Second)}
+	b := &Item{Account: "x", Arrived: epoch, Deadline: epoch.Add(2 * time.Second)}
+	c := &Item{Account: "y", Arrived: epoch}
+	for _, it := range []*Item{a, b, c} {
+		require.NoError(t, q.Push(it))
+	}
+	require.ErrorIs(t, q.Push(&Item{}), ErrFull)
+	require.Equal(t, c, next(q, epoch.Add(3*time.Second)))
+	require.Equal(t, []*Item{a}, q.Expire(epoch.Add(time.Second)))
+	require.True(t, q.Remove(b))
+	require.False(t, q.Remove(b))
+	require.Zero(t, q.Len())
+	require.Empty(t, q.Accounts())
+}
+
+// Whatever happens, items must be neither lost nor given out twice, items of
+// one caller and rank must keep their order, and the state must shrink with
+// the work.
+func TestItemsAreKept(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q, now, seq := &Queue{Max: 200}, epoch, 0
+		in := map[*Item]bool{}
+		last := map[string]int{}
+		out := func(it *Item) {
+			require.True(t, in[it], "given out twice")
+			delete(in, it)
+		}
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
+			it := &Item{
+				Account: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "account"), Caller: rapid.SampledFrom([]string{"x", "y"}).Draw(t, "caller"),
+				Arrived: now, Cost: rapid.Float64Range(0, 9).Draw(t, "cost"), Value: seq,
+			}
+			it.Rank = int(it.Account[0] - 'a')
+			seq++
+			if rapid.Bool().Draw(t, "mortal") {
+				it.Deadline = now.Add(time.Duration(rapid.IntRange(0, 9000).Draw(t, "life")) * time.Millisecond)
+			}
+			require.NoError(t, q.Push(it))
+			in[it] = true
+			for _, it := range q.Expire(now) {
+				out(it)
+			}
+			if rapid.IntRange(0, 4).Draw(t, "cancel") == 0 && q.Remove(it) {
+				out(it)
+			}
+			for range rapid.IntRange(0, 2).Draw(t, "take") {
+				if it := next(q, now); it != nil {
+					out(it)
+					key := it.Account + it.Caller
+					require.GreaterOrEqual(t, it.Value.(int), last[key], "out of order")
+					last[key] = it.Value.(int)
+				}
+			}
+			require.Equal(t, len(in), q.Len())
+		}
+		for next(q, now) != nil || len(q.Expire(now.Add(time.Hour))) > 0 {
+		}
+		for i := range q.levels {
+			require.Empty(t, q.levels[i].flows)
+		}
+		require.Zero(t, q.late.Len()+q.promotes.Len()+q.deadlines.Len()+len(q.counts))
+	})
+}
+
+func BenchmarkPushNext(b *testing.B) {
+	for _, waiting := range []int{10, 1000, 9000} {
+		b.Run(fmt.Sprintf("waiting=%d", waiting), func(b *testing.B) {
+			q := &Queue{}
+			item := func(i int) *Item {
+				return &Item{
+					Account: fmt.Sprint("account-", i%300), Caller: fmt.Sprint("caller-", i%900), Rank: i % 3,
+					Arrived: epoch.Add(time.Duration(i) * time.Microsecond), Deadline: epoch.Add(time.Hour), Cost: float64(1 + i%50),
+				}
+			}
+			for i := range waiting {
+				_ = q.Push(item(i))
+			}
+			items := make([]*Item, b.N)
+			for i := range items {
+				items[i] = item(waiting + i)
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i, it := range items {
+				_ = q.Push(it)
+				next(q, epoch.Add(time.Duration(i)*time.Microsecond))
+			}
+		})
+	}
+}
+
+func BenchmarkNothingFits(b *testing.B) {
+	q := &Queue{}
+	for i := range 9000 {
+		_ = q.Push(&Item{Account: fmt.Sprint(i % 300), Caller: fmt.Sprint(i), Arrived: epoch, Cost: float64(9000 - i)})
+	}
+	b.ReportAllocs()
+	for range b.N {
+		q.Next(epoch, func(*Item) bool { return false })
+	}
+}
