share: assert the bounds at admission, test the use of the rate

Cause: the bound on what an entry without a share may use was kept by construction only, and the use of the rate was not measured. Change: Acquire checks the work in flight against the share or the floor; an owner ignores negative amounts; a test of the rate under uneven demand.

--- a/process/share/borrower.go
+++ b/process/share/borrower.go
@@ -96,13 +96,19 @@
 		return Grant{}, nil, refuse(refusal.TokenLimit, time.Time{}, "request exceeds the account's tokens in flight")
 	}
 	c := u.caller(caller, now)
-	r := room{Limit: limit, live: b.live, valid: u.valid(now)}
+	r := room{Limit: limit, valid: u.valid(now)}
+	if !r.valid {
+		r.live = b.live()
+	}
 	if reason := u.admit(c, &r, tokens, now); reason != "" {
 		u.refused(c, reason, tokens, now)
 		task = b.ask(s, account, u, now)
 		return Grant{}, task, refuse(reason, u.retry(reason, limit, now), "account limit reached at this entry")
 	}
 	u.add(c, tokens)
+	if !u.within(&r) {
+		violate(b.Violation, fmt.Sprintf("account %s: %d active, %d tokens exceed share %+v", account, u.active, u.tokens, u.share))
+	}
 	if !r.valid || u.low(now) || !now.Before(u.renew) {
 		task = b.ask(s, account, u, now)
 	}
--- a/process/share/owner.go
+++ b/process/share/owner.go
@@ -175,7 +175,7 @@
 	a.level = min(a.level+max(ask.Back, 0), burst)
 	a.level = max(a.level-max(ask.Spent, 0), -burst)
 	l.seq, l.asked = ask.Seq, now
-	l.used, l.want, l.need = ask.Used, ask.Want, ask.Need
+	l.used, l.want, l.need = ask.Used.clamp(), ask.Want.clamp(), ask.Need
 	l.got = max(l.got-max(ask.Back, 0)+max(ask.Spent, 0), 0)
 	switch ask.Have {
 	case 0:
@@ -185,6 +185,11 @@
 	}
 }
 
+// clamp replaces negative amounts, which no correct borrower sends.
+func (x Amount) clamp() Amount {
+	return Amount{Starts: max(x.Starts, 0), Active: max(x.Active, 0), Tokens: max(x.Tokens, 0)}
+}
+
 // fill adds the starts of the time that has passed.
 func (a *owned) fill(now time.Time) {
 	if d := now.Sub(a.filled); d > 0 {
--- a/process/share/share_test.go
+++ b/process/share/share_test.go
@@ -65,6 +65,7 @@
 		delay  time.Duration
 		nodes  [entries]*node
 		tasks  []func()
+		asks   int
 		starts float64
 		floors float64
 		since  time.Time // when the owner began
@@ -98,6 +99,7 @@
 				return Share{}, errLink
 			}
 			n.heard = w.now
+			w.asks++
 			share, err := w.owner.Lend(ask, w.now)
 			w.now = w.now.Add(w.delay)
 			if n.lose {
--- a/process/share/used.go
+++ b/process/share/used.go
@@ -70,8 +70,8 @@
 	// room is what the account may have now.
 	room struct {
 		Limit
-		live  func() int
 		valid bool // the share is valid; else the floor counts
+		live  int  // entries among which the floor is divided
 	}
 )
 
@@ -144,7 +144,7 @@
 		if u.active == 0 {
 			return true
 		}
-		capacity = limit / int64(r.live())
+		capacity = limit / int64(r.live)
 	}
 	if inUse+size > capacity {
 		return false
@@ -192,7 +192,7 @@
 		u.starts--
 		return true
 	}
-	live := float64(r.live())
+	live := float64(r.live)
 	every, burst := rate.Limit(r.Rate/live), max(int(r.burst()/live), 1)
 	if u.floor == nil {
 		u.floor = rate.NewLimiter(every, burst)
@@ -225,6 +225,16 @@
 	u.now.tokens = max(u.now.tokens, u.tokens)
 }
 
+// within tells whether the work in flight is inside the share or, without one,
+// inside the floor that the package comment states.
+func (u *used) within(r *room) bool {
+	if r.valid {
+		return u.starts >= 0 && (r.Active <= 0 || u.active <= u.share.Active) && (r.Tokens <= 0 || u.tokens <= u.share.Tokens)
+	}
+	return u.active == 1 || (r.Active <= 0 || u.active <= int64(r.Active/r.live)) &&
+		(r.Tokens <= 0 || u.tokens <= r.Tokens/int64(r.live))
+}
+
 func (u *used) refused(c *caller, reason refusal.Reason, tokens int64, now time.Time) {
 	c.waits = now.Add(waiting)
 	if w := u.waiter; w == nil || !now.Before(w.waits) || c.active < w.active || c.active == w.active && c.starts < w.starts {
