claim: test failures of entries, owners and the store

One of them hung: a claim without deadline waited for as long as the owner could not read its segments.

--- /dev/null
+++ b/request/claim/claim_test.go
@@ -0,0 +1,354 @@
+package claim
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/eelgrassdock/eelgrassdock/process/lease"
+	"github.com/eelgrassdock/eelgrassdock/process/platform"
+	"github.com/eelgrassdock/eelgrassdock/request/refusal"
+)
+
+func setup(t *testing.T, n int) *world {
+	w := newWorld(t, n)
+	t.Cleanup(w.close)
+	return w
+}
+
+func is(t *testing.T, e *refusal.Error, reason refusal.Reason, outcome refusal.Outcome) {
+	t.Helper()
+	require.NotNil(t, e)
+	require.Equal(t, reason, e.Reason, e.Detail)
+	require.Equal(t, outcome, e.Outcome, e.Detail)
+}
+
+func (w *world) claim(holder string, nonce uint64, key string) Claim {
+	return Claim{Holder: holder, Nonce: nonce, Account: "a", Hash: HashKey("a", key), Expiry: w.clock().Add(Expiry)}
+}
+
+// Guards against two dispatches when a caller sends a key to two entries at
+// once, for both forms of key.
+func TestSameKeyAtTwoEntriesAtOnce(t *testing.T) {
+	for _, instance := range []string{"", "e0"} {
+		w := setup(t, 2)
+		key, started, proceed := w.key(instance), make(chan struct{}), make(chan struct{})
+		answers := make(chan Result, 3)
+		ask := func(e *entry, run func() error) {
+			r, err := e.request(Request{Account: "a", Key: key, Fingerprint: "f"}, run)
+			require.Nil(t, err)
+			answers <- r
+		}
+		go ask(w.entries[0], func() error { close(started); <-proceed; return nil })
+		<-started
+		for _, e := range w.entries {
+			go ask(e, func() error { return nil })
+		}
+		close(proceed)
+		for range 3 {
+			require.Equal(t, key, string((<-answers).Body))
+		}
+		require.Equal(t, 1, w.count(key))
+	}
+}
+
+// Guards against a second dispatch, and against a false "not run", when the
+// entry that took the key is gone.
+func TestRetryAfterTheFirstEntryDied(t *testing.T) {
+	w := setup(t, 3)
+	first, second := w.entries[1], w.entries[2]
+	bound, claimed, untouched := w.key("e1"), w.key(""), w.key("")
+	for _, key := range []string{bound, claimed} {
+		_, err := first.do(key, nil)
+		require.Nil(t, err)
+	}
+	idle := w.key("") // claimed, and rejected by the endpoint
+	_, err := first.do(idle, refusal.New(refusal.Rejected, refusal.NotRun, ""))
+	is(t, err, refusal.Rejected, refusal.NotRun)
+	w.kill(first)
+	for _, key := range []string{bound, claimed, idle} {
+		_, err := second.do(key, nil)
+		is(t, err, refusal.KeyTaken, refusal.Unknown)
+	}
+	_, err = second.do(untouched, nil)
+	require.Nil(t, err)
+	require.Equal(t, []int{1, 1, 0, 1}, []int{w.count(bound), w.count(claimed), w.count(idle), w.count(untouched)})
+}
+
+// Guards against a bound key that runs after another entry was told "not run",
+// and against an endless wait for a call that does not end.
+func TestBoundKeyIsBarredOrAwaited(t *testing.T) {
+	w := setup(t, 2)
+	key := w.key("e0")
+	_, err := w.entries[1].do(key, nil)
+	is(t, err, refusal.KeyBarred, refusal.NotRun)
+	_, err = w.entries[0].do(key, nil)
+	is(t, err, refusal.KeyBarred, refusal.NotRun)
+	require.Zero(t, w.count(key))
+
+	key = w.key("e0")
+	_, err = w.entries[0].request(Request{Account: "a", Key: key, Fingerprint: "f"}, func() error {
+		r := Request{Account: "a", Key: key, Fingerprint: "f", Deadline: w.clock().Add(time.Millisecond)}
+		_, err := w.entries[1].request(r, nil)
+		is(t, err, refusal.KeyTaken, refusal.Unknown)
+		return nil
+	})
+	require.Nil(t, err)
+}
+
+// Guards against writes of an owner that was paused, and resumes after a
+// successor has read the segments.
+func TestPausedOwnerCannotWrite(t *testing.T) {
+	w := setup(t, 2)
+	ctx := context.Background()
+	old := w.entries[0].owner
+	_, err := old.Take(ctx, w.claim("x", 1, "k1"))
+	require.NoError(t, err)
+	w.hold(true)
+	_, err = old.Take(ctx, w.claim("x", 2, "k2"))
+	is(t, refusal.From(err), refusal.Store, refusal.NotRun)
+	w.hold(false)
+	w.own(w.entries[1])
+	g, err := w.entries[1].owner.Take(ctx, w.claim("y", 1, "k1"))
+	require.NoError(t, err)
+	require.Equal(t, Grant{Holder: "x", Nonce: 1}, g)
+	_, err = w.entries[1].owner.Take(ctx, w.claim("y", 2, "k2"))
+	require.NoError(t, err)
+	w.arrive() // the writes of the old owner reach the store only now
+	_, err = old.Take(ctx, w.claim("x", 3, "k2"))
+	require.ErrorIs(t, err, ErrNotOwner)
+	_, err = old.Take(ctx, w.claim("x", 3, "k3"))
+	require.ErrorIs(t, err, ErrNotOwner)
+	w.own(w.entries[0])
+	g, err = old.Take(ctx, w.claim("x", 3, "k2"))
+	require.NoError(t, err)
+	require.Equal(t, Grant{Holder: "y", Nonce: 2}, g)
+}
+
+// Guards against a dispatch by an entry that was paused after the grant until
+// its claim, or the request's deadline, had passed.
+func TestPausedHolderDoesNotDispatch(t *testing.T) {
+	for _, pause := range []time.Duration{2 * time.Second, 2 * time.Hour} {
+		w := setup(t, 2)
+		e, key := w.entries[1], w.key("")
+		e.granted = func() { w.advance(pause) }
+		r := Request{Account: "a", Key: key, Fingerprint: "f"}
+		if pause < Expiry {
+			r.Deadline = w.clock().Add(time.Second)
+		}
+		_, err := e.request(r, nil)
+		is(t, err, refusal.Deadline, refusal.NotRun)
+		require.Zero(t, w.count(key))
+	}
+}
+
+// Guards against durable claims that are believed without the store, against
+// bound keys that need it, and against a false "not run" for known claims.
+func TestStoreDown(t *testing.T) {
+	w := setup(t, 3)
+	done := w.key("")
+	_, err := w.entries[1].do(done, nil)
+	require.Nil(t, err)
+	w.memory.Break(platform.Faults{Down: true})
+	_, err = w.entries[2].do(done, nil)
+	require.Nil(t, err)
+	key, bound := w.key(""), w.key("e1")
+	_, err = w.entries[1].do(key, nil)
+	is(t, err, refusal.Store, refusal.NotRun)
+	_, err = w.entries[1].do(bound, nil)
+	require.Nil(t, err)
+	w.own(w.entries[2]) // cannot read the segments
+	fresh := Request{Account: "a", Key: key, Fingerprint: "f", Deadline: w.clock().Add(30 * time.Millisecond)}
+	_, err = w.entries[0].request(fresh, nil)
+	is(t, err, refusal.Store, refusal.Unknown)
+	w.memory.Break(platform.Faults{})
+	_, err = w.entries[0].do(key, nil)
+	require.Nil(t, err)
+	require.Equal(t, []int{1, 1, 1}, []int{w.count(done), w.count(key), w.count(bound)})
+}
+
+// Guards against a dispatch after "not run" when a slow store writes the claim
+// only after the deadline.
+func TestStoreSlow(t *testing.T) {
+	w := setup(t, 2)
+	_, err := w.entries[1].do(w.key(""), nil) // the shard is loaded
+	require.Nil(t, err)
+	w.memory.Break(platform.Faults{Slow: 100})
+	key := w.key("")
+	r := Request{Account: "a", Key: key, Fingerprint: "f", Deadline: w.clock().Add(10 * time.Millisecond)}
+	_, err = w.entries[1].request(r, nil)
+	require.NotNil(t, err)
+	require.Equal(t, refusal.NotRun, err.Outcome)
+	require.Zero(t, w.count(key))
+	w.memory.Break(platform.Faults{})
+	_, err = w.entries[1].do(key, nil)
+	require.Nil(t, err)
+	require.Equal(t, 1, w.count(key))
+}
+
+// Guards against concluding from a lost answer that a claim was not written.
+func TestAnswerLostAfterTheWrite(t *testing.T) {
+	w := setup(t, 3)
+	w.memory.Break(platform.Faults{Lose: 1})
+	for range 5 {
+		key := w.key("")
+		_, err := w.entries[1].do(key, nil)
+		require.Nil(t, err)
+		_, err = w.entries[2].do(key, nil)
+		require.Nil(t, err)
+		require.Equal(t, 1, w.count(key))
+	}
+}
+
+// Guards against a claim that was refused as not run, turns up later, and runs
+// or blocks its own holder.
+func TestClaimTurnsUpAfterRefusal(t *testing.T) {
+	w := setup(t, 3)
+	lost, own := w.key(""), w.key("")
+	for _, key := range []string{lost, own} {
+		w.hold(true)
+		_, err := w.entries[1].do(key, nil)
+		is(t, err, refusal.Store, refusal.NotRun)
+		w.hold(false)
+		w.arrive()
+		_, err = w.entries[1].do(w.key(""), nil) // finds the late write
+		require.Nil(t, err)
+	}
+	_, err := w.entries[2].do(lost, nil)
+	is(t, err, refusal.KeyBarred, refusal.NotRun)
+	_, err = w.entries[1].do(lost, nil)
+	is(t, err, refusal.KeyBarred, refusal.NotRun)
+	_, err = w.entries[1].do(own, nil)
+	require.Nil(t, err)
+	require.Equal(t, []int{0, 1}, []int{w.count(lost), w.count(own)})
+}
+
+// Guards against claims lost at a change of owner, segments that grow without
+// bound, and expired segments that stay.
+func TestSegmentsAreReadBackAndExpire(t *testing.T) {
+	w := setup(t, 2)
+	ctx := context.Background()
+	const claims = 1500
+	done := make(chan error, claims)
+	for i := range claims {
+		go func() {
+			_, err := w.entries[0].owner.Take(ctx, w.claim("x", 1, fmt.Sprint(i)))
+			done <- err
+		}()
+	}
+	for range claims {
+		require.NoError(t, <-done)
+	}
+	rows, err := w.memory.Platform().List(ctx, prefix(0), "", 1000)
+	require.NoError(t, err)
+	require.Greater(t, len(rows), 3)
+	for _, row := range rows {
+		require.LessOrEqual(t, len(row.Value), maxSegment)
+	}
+	w.own(w.entries[1])
+	for i := range claims {
+		g, err := w.entries[1].owner.Take(ctx, w.claim("y", 1, fmt.Sprint(i)))
+		require.NoError(t, err)
+		require.Equal(t, "x", g.Holder)
+	}
+	w.advance(Expiry + 2*retention)
+	for _, s := range w.entries[1].owner.all() {
+		s.expire(ctx)
+	}
+	rows, err = w.memory.Platform().List(ctx, prefix(0), "", 1000)
+	require.NoError(t, err)
+	require.Len(t, rows, 1) // the epoch
+}
+
+// Guards against keys that run again once they are forgotten, and against the
+// result of another request.
+func TestExpiredAndReusedKeys(t *testing.T) {
+	w := setup(t, 2)
+	for _, instance := range []string{"", "e0", "e1"} {
+		key := w.key(instance)
+		_, err := w.entries[0].do(key, nil)
+		require.True(t, (err == nil) == (instance != "e1"))
+		_, err = w.entries[0].request(Request{Account: "a", Key: key, Fingerprint: "g"}, nil)
+		if instance != "e1" {
+			is(t, err, refusal.KeyReused, refusal.NotRun)
+		}
+		_, err = w.entries[0].request(Request{Account: "b", Key: key, Fingerprint: "g"}, func() error { return nil })
+		require.True(t, (err == nil) == (instance != "e1"))
+		w.advance(Expiry)
+		for _, e := range w.entries {
+			_, err = e.do(key, nil)
+			is(t, err, refusal.KeyExpired, refusal.Unknown)
+		}
+	}
+	_, err := w.entries[0].do("", nil)
+	is(t, err, refusal.NoKey, refusal.NotRun)
+}
+
+// Guards against results that exhaust memory, and against a key that is
+// forgotten with its result.
+func TestLargeResultIsDroppedButRemembered(t *testing.T) {
+	l := &Ledger{Budget: ledgerShards * 100}
+	for i, size := range []int{50, 60, maxResult + 1} {
+		key := ParseKey(strings.Repeat("k", 1+i))
+		a, _ := l.Begin(context.Background(), "a", key, "f")
+		a.Start()
+		a.Finish(Result{Body: make([]byte, size)}, nil)
+		_, reply := l.Begin(context.Background(), "a", key, "f")
+		require.Equal(t, Done, reply.State)
+		if size > 100 {
+			_, err := reply.unpack()
+			is(t, refusal.From(err), refusal.KeyTaken, refusal.Run)
+		}
+	}
+}
+
+// Guards against an attempt without end when run panics.
+func TestPanicLeavesTheKeyUnknown(t *testing.T) {
+	w := setup(t, 1)
+	key := w.key("")
+	require.Panics(t, func() {
+		_, _ = w.entries[0].request(Request{Account: "a", Key: key, Fingerprint: "f"}, func() error { panic("fault") })
+	})
+	_, err := w.entries[0].do(key, nil)
+	is(t, err, refusal.Internal, refusal.Unknown)
+}
+
+// Guards against a release that frees a claim which was used, or is repeated
+// late, and against a key that stays blocked after one.
+func TestRelease(t *testing.T) {
+	w := setup(t, 3)
+	ctx, idle, ran := context.Background(), w.key(""), w.key("")
+	_, err := w.entries[1].do(idle, refusal.New(refusal.Rejected, refusal.NotRun, ""))
+	is(t, err, refusal.Rejected, refusal.NotRun)
+	_, err = w.entries[1].do(ran, nil)
+	require.Nil(t, err)
+	for _, key := range []string{idle, ran} {
+		require.NoError(t, w.entries[1].guard.Release(ctx, "a", key))
+		w.own(w.entries[0])
+		_, err = w.entries[2].do(key, nil)
+		require.Nil(t, err)
+		require.Equal(t, 1, w.count(key))
+	}
+	require.NoError(t, w.entries[0].owner.Release(ctx, w.claim("e1", 1, idle)))
+	_, err = w.entries[1].do(idle, nil)
+	require.Nil(t, err)
+	require.Equal(t, 1, w.count(idle))
+}
+
+// Guards against a lease that is mistaken for that of a claim shard.
+func TestForeignDutiesAreIgnored(t *testing.T) {
+	var o Owner
+	o.Gained(lease.Lease{Duty: "orders", Fence: 1})
+	o.Gained(lease.Lease{Duty: Duty(Shards), Fence: 1})
+	require.Empty(t, o.all())
+}
+
+func ExampleParseKey() {
+	key := ParseKey("entry-7.01931f5c-5a00-7000-8000-000000000000")
+	fmt.Println(key.Instance, key.Minted.UTC().Format(time.DateTime))
+	// Output: entry-7 2024-11-12 07:52:46
+}
--- a/request/claim/shard.go
+++ b/request/claim/shard.go
@@ -14,6 +14,10 @@
 	"github.com/eelgrassdock/eelgrassdock/request/refusal"
 )
 
+const (
+	loadWait = 3 * time.Second // longest wait of a claim for the segments to be read
+)
+
 type (
 	// shard is one claim shard at its owner. One write is in flight at a time;
 	// claims that arrive meanwhile go into the next one.
@@ -103,11 +107,22 @@
 	close(o.done)
 }
 
-// submit answers at once what is known, and queues what has to be written.
-func (s *shard) submit(ctx context.Context, c Claim, release bool) (Grant, error) {
+// await waits until the segments have been read.
+func (s *shard) await(ctx context.Context) bool {
+	timer := time.NewTimer(loadWait)
+	defer timer.Stop()
 	select {
 	case <-s.loaded:
+		return true
 	case <-ctx.Done():
+	case <-timer.C:
+	}
+	return false
+}
+
+// submit answers at once what is known, and queues what has to be written.
+func (s *shard) submit(ctx context.Context, c Claim, release bool) (Grant, error) {
+	if !s.await(ctx) {
 		return Grant{}, refusal.New(refusal.Store, refusal.Unknown, "the claims of the shard are still being read")
 	}
 	s.mu.Lock()
