--- a/request/claim/shard.go
+++ b/request/claim/shard.go
@@ -14,6 +14,10 @@
 	"github.com/eelgrassdock/eelgrassdock/request/refusal"
 )
 
+const (
+	loadWait = 3 * time.Second // longest wait of a claim for the segments to be read
+)
+
 type (
 	// shard is one claim shard at its owner. One write is in flight at a time;
 	// claims that arrive meanwhile go into the next one.
@@ -74,6 +78,21 @@
 
 func (s *shard) notOwner() error { return fmt.Errorf("claim shard %d: %w", s.number, ErrNotOwner) }
 
+// start runs a task of the shard. A fault in it stops the shard, so that claims
+// fail instead of waiting; the panic is raised again when the owner ends.
+func (s *shard) start(task func()) {
+	s.owner.wg.Go(func() {
+		completed := false
+		defer func() {
+			if !completed {
+				s.stop()
+			}
+		}()
+		task()
+		completed = true
+	})
+}
+
 // stop ends the shard. Its orders fail as ErrNotOwner.
 func (s *shard) stop() {
 	s.mu.Lock()
@@ -103,11 +122,22 @@
 	close(o.done)
 }
 
-// submit answers at once what is known, and queues what has to be written.
-func (s *shard) submit(ctx context.Context, c Claim, release bool) (Grant, error) {
+// await waits until the segments have been read.
+func (s *shard) await(ctx context.Context) bool {
+	timer := time.NewTimer(loadWait)
+	defer timer.Stop()
 	select {
 	case <-s.loaded:
+		return true
 	case <-ctx.Done():
+	case <-timer.C:
+	}
+	return false
+}
+
+// submit answers at once what is known, and queues what has to be written.
+func (s *shard) submit(ctx context.Context, c Claim, release bool) (Grant, error) {
+	if !s.await(ctx) {
 		return Grant{}, refusal.New(refusal.Store, refusal.Unknown, "the claims of the shard are still being read")
 	}
 	s.mu.Lock()
@@ -123,7 +153,7 @@
 	s.queue = append(s.queue, o)
 	if !s.flushing {
 		s.flushing = true
-		s.owner.wg.Go(s.flush)
+		s.start(s.flush)
 	}
 	s.mu.Unlock()
 	select {
@@ -171,7 +201,7 @@
 		s.flushing = false
 		return nil, false
 	}
-	if s.open.size() >= maxSegment-2*lineBytes {
+	if s.open.size() >= maxSegment-spareBytes {
 		s.seal()
 	}
 	b := &batch{base: s.open.clone()}
