--- a/process/member/member.go
+++ b/process/member/member.go
@@ -301,7 +301,10 @@
 	}
 	n.mu.Lock()
 	n.start(now)
-	n.payload = payload[:min(len(payload), MaxPayload)]
+	if n.payload = payload; len(payload) > MaxPayload {
+		n.payload = nil
+		counts.Add("payload_too_large", 1)
+	}
 	n.wake(now)
 	work(now)
 	out, dirty := n.out, n.dirty
@@ -355,8 +358,10 @@
 // no chance to refute here. After a long gap others probably suspect this
 // node, so it raises its incarnation before it is told.
 func (n *Node) wake(now time.Time) {
-	gap := now.Sub(n.last)
-	if gap <= 0 {
+	// The monotonic clock stands still while a machine is suspended, the wall
+	// clock does not.
+	gap := max(now.Sub(n.last), now.Round(0).Sub(n.last.Round(0)))
+	if now.Sub(n.last) <= 0 {
 		return
 	}
 	n.last = now
--- a/process/member/member_test.go
+++ b/process/member/member_test.go
@@ -298,3 +298,21 @@
 		})
 	}
 }
+
+// BenchmarkHeal reports the time until halves agree after a partition of three
+// minutes, and the deaths declared wrongly after it ended.
+func BenchmarkHeal(b *testing.B) {
+	for _, n := range []int{7, 50, 500} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			w := settled(b, n, 11)
+			w.cut = func(from, to *host) bool { return from.i%2 != to.i%2 }
+			w.run(3 * time.Minute)
+			w.cut = nil
+			before := w.total()
+			took := w.until(5*time.Minute, w.agree)
+			b.ReportMetric(took.Seconds(), "s-agree")
+			b.ReportMetric(float64(w.total().Deaths-before.Deaths), "falsedeaths")
+			b.ReportMetric(float64(w.total().Bytes-before.Bytes)/float64(n)/took.Seconds(), "B/s")
+		})
+	}
+}
--- a/process/member/run.go
+++ b/process/member/run.go
@@ -74,6 +74,9 @@
 // Run drives the node until ctx ends. If Send is nil, it opens a UDP socket at
 // Self.Probe and serves it.
 func (n *Node) Run(ctx context.Context) error {
+	if !rowOf(n.Self, Alive).valid() {
+		return errors.Newf("member %q needs an ID and IP addresses with ports, each short", n.Self.ID)
+	}
 	var wg conc.WaitGroup
 	defer wg.Wait()
 	ctx, cancel := context.WithCancel(ctx)
--- a/process/member/wire.go
+++ b/process/member/wire.go
@@ -17,6 +17,7 @@
 const (
 	maxDatagram = 1200    // fits the smallest common path MTU
 	maxName     = 128     // bytes of an ID, place or region
+	maxAddr     = 64      // bytes of an address, which an IPv6 zone could exceed
 	maxRows     = 256     // rows in one datagram
 	maxInc      = 1 << 62 // leaves room to refute
 	bucketCount = 32      // one bit each in a mask
@@ -179,7 +180,7 @@
 
 func validAddr(s string) bool {
 	_, err := netip.ParseAddrPort(s)
-	return err == nil
+	return err == nil && len(s) <= maxAddr
 }
 
 func encodeDigest(buckets *[bucketCount]uint64) []byte {
--- a/version/config/follow.go
+++ b/version/config/follow.go
@@ -28,6 +28,7 @@
 	if h.turn() {
 		h.poll(ctx)
 	}
+	h.askPending()
 	if h.current.Load() == nil {
 		h.begin(ctx)
 		return
@@ -37,6 +38,35 @@
 	}
 }
 
+// askPending asks some of the entries that have not acknowledged the newest
+// version made here.
+func (h *Holder) askPending() {
+	now := h.now()
+	h.mu.Lock()
+	made := h.made
+	due := made > 0 && !now.Before(h.askFrom)
+	if due {
+		h.askFrom = now.Add(askPause)
+	}
+	if now.After(h.askUntil) {
+		h.made = 0
+	}
+	h.mu.Unlock()
+	if !due || h.Pending == nil || h.Ask == nil {
+		return
+	}
+	ids := h.Pending(made)
+	h.mu.Lock()
+	h.random.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+	if len(ids) == 0 && h.made == made {
+		h.made = 0
+	}
+	h.mu.Unlock()
+	for _, id := range ids[:min(len(ids), askAtOnce)] {
+		h.Ask(id)
+	}
+}
+
 // turn tells, with a chance that makes all entries together read the head at
 // the intended rate, whether to read it now. Without a version, it is always
 // this entry's turn. A stale entry may be cut off from those whose turn it is
--- a/version/config/holder.go
+++ b/version/config/holder.go
@@ -24,7 +24,10 @@
 	lonelyRate = 1.0 / 32        // least chance of a read per tick while stale
 	sourceWait = time.Second     // wait for a peer that has a new version, before reading the store
 	callLimit  = 3 * time.Second // of one fetch or store read
-	keepRecent = keepDeltas      // deltas that are kept for peers
+	askPause   = time.Second     // before entries are asked for an acknowledgement, and between
+	askLimit   = time.Minute     // later ones come with the membership payload
+	askAtOnce  = 20
+	keepRecent = keepDeltas // deltas that are kept for peers
 )
 
 type (
@@ -49,8 +52,13 @@
 		// Tell sends Payload to one entry at once: the acknowledgement to the
 		// entry where a change was made.
 		Tell func(id string)
-		// Acked gets what other entries acknowledge, such as Tracker.Ack.
+		// Acked gets what this and other entries acknowledge, such as Tracker.Ack.
 		Acked func(id string, version int64)
+		// Pending names the entries that lack a version, such as Tracker's
+		// Pending; Ask makes one entry send its payload. After a change made
+		// here, entries whose acknowledgement got lost are asked for it.
+		Pending func(version int64) []string
+		Ask     func(id string)
 		// Installed gets each version that comes into force.
 		Installed func(*Index)
 		// Now is the clock, time.Now if nil; Seed seeds the jitter.
@@ -74,6 +82,9 @@
 		source   string // peer that has a version that this entry lacks
 		fallback time.Time
 		nextRoll time.Time
+		made     int64 // newest version made here that some entry may lack
+		askFrom  time.Time
+		askUntil time.Time
 	}
 
 	// report is the payload: evidence, and the version in force at the sender.
@@ -260,6 +271,9 @@
 	}
 	h.merge(Evidence{Version: d.Version, At: began}, markOf(d.Nonce))
 	h.put(doc, []Delta{d})
+	h.mu.Lock()
+	h.made, h.askFrom, h.askUntil = d.Version, began.Add(askPause), began.Add(askLimit)
+	h.mu.Unlock()
 	return d.Version, nil
 }
 
@@ -306,6 +320,9 @@
 		h.violated(fmt.Sprintf("version went from %d to %d", old.Document.Version, doc.Version))
 	}
 	origins := h.record(doc, nonce, deltas)
+	if h.Acked != nil {
+		h.Acked(h.Store.Origin, doc.Version)
+	}
 	if h.Installed != nil {
 		h.Installed(x)
 	}
--- a/version/config/tracker.go
+++ b/version/config/tracker.go
@@ -11,6 +11,10 @@
 // was replaced, or until the list of instances drops it. An entry that is only
 // suspected stays: it may be serving callers with an old version.
 type Tracker struct {
+	// Gone tells that an entry deregistered or was replaced, such as a member
+	// of status Left. It is called under a lock; nil means never.
+	Gone func(id string) bool
+
 	mu      sync.Mutex
 	acked   map[string]int64
 	listed  map[string]bool // seen in the list of instances
@@ -97,7 +101,11 @@
 func (t *Tracker) pending(version int64) []string {
 	var ids []string
 	for id, have := range t.acked {
-		if have < version {
+		switch {
+		case have >= version:
+		case t.Gone != nil && t.Gone(id):
+			delete(t.acked, id)
+		default:
 			ids = append(ids, id)
 		}
 	}
