--- a/process/member/member.go
+++ b/process/member/member.go
@@ -144,6 +144,7 @@
 		Member
 		status   Status
 		deadline time.Time // of a suspicion
+		asked    int       // times that this node itself asked the suspect
 		since    time.Time // of death
 		spot     int       // index in live or dead
 	}
@@ -300,7 +301,10 @@
 	}
 	n.mu.Lock()
 	n.start(now)
-	n.payload = payload[:min(len(payload), MaxPayload)]
+	if n.payload = payload; len(payload) > MaxPayload {
+		n.payload = nil
+		counts.Add("payload_too_large", 1)
+	}
 	n.wake(now)
 	work(now)
 	out, dirty := n.out, n.dirty
@@ -354,8 +358,10 @@
 // no chance to refute here. After a long gap others probably suspect this
 // node, so it raises its incarnation before it is told.
 func (n *Node) wake(now time.Time) {
-	gap := now.Sub(n.last)
-	if gap <= 0 {
+	// The monotonic clock stands still while a machine is suspended, the wall
+	// clock does not.
+	gap := max(now.Sub(n.last), now.Round(0).Sub(n.last.Round(0)))
+	if now.Sub(n.last) <= 0 {
 		return
 	}
 	n.last = now
@@ -365,7 +371,7 @@
 	counts.Add("stalls", 1)
 	clear(n.probes)
 	for _, e := range n.suspects {
-		e.deadline = now.Add(n.suspicion())
+		e.deadline, e.asked = now.Add(n.suspicion()), 0
 	}
 	if gap > pauseLimit && !n.gone {
 		n.raise(n.Self.Incarnation)
