order: wait for the effect of an order before a different one

A repeated order could be answered while its unanswered first copy was still under way and then undo a newer order. A report older than the last order could revert a role under streams. Change: a different order waits Lag after the last one, and OrderTimeout more if any copy was unanswered; ages count from when the report was asked for. A successor waits Lag on fenced endpoints and OrderTimeout more on others. An endpoint that disappears keeps its state while an order may be under way.

--- /dev/null
+++ b/version/order/bench_test.go
@@ -0,0 +1,105 @@
+package order
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/eelgrassdock/eelgrassdock/connection/engine"
+)
+
+const replicas = 5200
+
+func manyEndpoints(n int) []Desired {
+	desired := make([]Desired, n)
+	for i := range desired {
+		desired[i] = Desired{
+			Endpoint: fmt.Sprintf("e%04d", i), Addr: fmt.Sprintf("127.0.0.1:%d", i), Service: "s",
+			Models: []string{"a"}, Fenced: true,
+		}
+	}
+	return desired
+}
+
+// BenchmarkRound is a round in which no endpoint is due; there are four each
+// second.
+func BenchmarkRound(b *testing.B) {
+	w := newWorld(manyEndpoints(replicas)...)
+	w.take("A", 1000*hour)
+	r := w.reconciler("A")
+	w.run(2*step, r)
+	b.ReportAllocs()
+	for b.Loop() {
+		r.round(b.Context(), func(func()) {})
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/replicas, "ns/endpoint")
+}
+
+// BenchmarkVisit is one look at a settled endpoint, without the network.
+func BenchmarkVisit(b *testing.B) {
+	w := newWorld(manyEndpoints(1)...)
+	w.take("A", 1000*hour)
+	r := w.reconciler("A")
+	w.run(5*time.Second, r)
+	e := r.list[0]
+	b.ReportAllocs()
+	for b.Loop() {
+		r.visit(b.Context(), e)
+	}
+}
+
+// BenchmarkVisitHTTP is the same over HTTP on loopback. It contains the work of
+// the stand-in for the engine, so it is an upper bound.
+func BenchmarkVisitHTTP(b *testing.B) {
+	w := newWorld(manyEndpoints(1)...)
+	w.take("A", 1000*hour)
+	r := w.reconciler("A")
+	w.run(5*time.Second, r)
+	e := r.list[0]
+	server := httptest.NewServer(http.HandlerFunc(func(out http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(out).Encode(e.status.Observed)
+	}))
+	defer server.Close()
+	conn := engine.Conn{Addr: server.Listener.Addr().String(), HTTP: server.Client()}
+	r.Observe = func(ctx context.Context, _ Desired) (engine.Report, error) { return conn.Load(ctx) }
+	b.ReportAllocs()
+	for b.Loop() {
+		r.visit(b.Context(), e)
+	}
+	require.True(b, e.status.Settled)
+}
+
+// BenchmarkMessages counts the messages per endpoint and minute in simulated
+// time: settled, during a drain of all, and during the load of a second model
+// on all, where eight load at once and each load takes 30 s.
+func BenchmarkMessages(b *testing.B) {
+	for b.Loop() {
+		w := newWorld(manyEndpoints(replicas)...)
+		w.take("A", 1000*hour)
+		r := w.reconciler("A")
+		r.spread = vary
+		w.run(time.Minute, r)
+		rate := func(name string, d time.Duration) {
+			before := w.messages
+			w.run(d, r)
+			b.ReportMetric(float64(w.messages-before)/replicas/d.Minutes(), name)
+		}
+		rate("steady-msg/min", 10*time.Minute)
+		for i := range w.desired {
+			w.desired[i].Drain = true
+		}
+		rate("drain-msg/min", time.Minute)
+		for i := range w.desired {
+			w.desired[i].Drain = false
+			w.desired[i].Models = []string{"a", "b"}
+			w.engines[w.desired[i].Endpoint].loadTime = 30 * time.Second
+		}
+		rate("load-msg/min", 10*time.Minute)
+	}
+}
--- a/version/order/loop.go
+++ b/version/order/loop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -100,11 +101,11 @@
 		r.loads.forget(id)
 		// Kept while an order may be in flight, so that none can cross it if the
 		// endpoint comes back.
-		if e.drop(now, or(r.OrderTimeout, defaultOrderTimeout)) {
+		if e.drop(now) {
 			byID[id] = e
 		}
 	}
-	r.byID, r.list, r.last = byID, list, desired
+	r.byID, r.list, r.last = byID, list, slices.Clone(desired)
 }
 
 // changed compares with the last states, which is cheaper than to visit each
@@ -145,11 +146,11 @@
 
 // drop marks an endpoint as no longer desired and tells whether an order to
 // it may be in flight.
-func (e *endpoint) drop(now time.Time, timeout time.Duration) bool {
+func (e *endpoint) drop(now time.Time) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.gone = true
-	return e.visiting || now.Before(e.sent.at.Add(timeout))
+	return e.visiting || now.Before(e.sent.open)
 }
 
 func (e *endpoint) failing() bool {
@@ -192,8 +193,8 @@
 	}
 }
 
-// spread varies an interval by a tenth, so that endpoints that were due at
-// once do not stay so.
-func spread(d time.Duration) time.Duration {
+// vary changes an interval by up to a tenth, so that endpoints that were due
+// at once do not stay so.
+func vary(d time.Duration) time.Duration {
 	return d - d/10 + rand.N(d/5+1)
 }
--- a/version/order/order.go
+++ b/version/order/order.go
@@ -4,8 +4,9 @@
 // them it repeats: observe the endpoint, compare with the desired state, send
 // one order if they differ, observe again. An order is always the whole state,
 // so it can be repeated, and a lost answer is harmless. At most one order is
-// in flight to an endpoint. If an order was not answered, a different one
-// follows only after OrderTimeout, when the first can no longer take effect.
+// in flight to an endpoint. A different order follows only when the report
+// must show the effect of the last one: Lag after it, and if it was not
+// answered OrderTimeout later, when it can no longer take effect.
 //
 // Work in flight is not broken. A model is unloaded after new work for it has
 // stopped and its streams have ended; a role changes after the endpoint has
@@ -18,7 +19,7 @@
 // paused therefore sends nothing when it wakes. An order that a holder sent
 // just before a pause may still arrive: endpoints that are fenced refuse it by
 // its fencing token, which a successor raises with its first order; for the
-// others a successor waits OrderTimeout before its first order.
+// others a successor waits OrderTimeout longer before its first order.
 package order
 
 import (
@@ -99,10 +100,11 @@
 		failed atomic.Int64 // visits in progress to endpoints that fail
 		full   atomic.Bool  // an endpoint was due but too many visits were in progress
 
-		once  sync.Once
-		wake  chan struct{}
-		loads loads
-		retry func() backoff.BackOff // replaced in tests
+		once   sync.Once
+		wake   chan struct{}
+		loads  loads
+		retry  func() backoff.BackOff            // replaced in tests
+		spread func(time.Duration) time.Duration // replaced in tests
 	}
 
 	// endpoint is what is known of one endpoint. One visit at a time works on
@@ -121,10 +123,13 @@
 		highest  atomic.Int64 // token of the last order
 	}
 
-	// sent is the last order to an endpoint under the current token.
+	// sent is the last order to an endpoint under the current token. Until open,
+	// an unanswered order can still take effect; it has the same content, since
+	// a different one is sent only after that.
 	sent struct {
 		order    engine.Order
 		at       time.Time
+		open     time.Time
 		boot     string
 		answered bool
 	}
@@ -212,6 +217,9 @@
 		if r.retry == nil {
 			r.retry = newRetry
 		}
+		if r.spread == nil {
+			r.spread = vary
+		}
 	})
 }
 
--- a/version/order/plan.go
+++ b/version/order/plan.go
@@ -16,6 +16,7 @@
 		report  engine.Report
 		fence   int64
 		now     time.Time
+		asked   time.Time // when the report was asked for
 		tenure  time.Time // when the token was first seen
 		sent    sent
 		r       *Reconciler
@@ -55,21 +56,27 @@
 	return sorted(v.desired.Models)
 }
 
-// idle tells whether the endpoint gets no new work and has none. A report may
-// be Lag old, and an order takes effect up to OrderTimeout after it was sent
-// unless it was answered, so a report soon after an order proves nothing.
+// idle tells whether the endpoint gets no new work and has none.
 func (v *view) idle() bool {
-	since := v.tenure.Add(or(v.r.OrderTimeout, defaultOrderTimeout))
-	if !v.sent.at.IsZero() {
-		since = v.sent.at
-		if !v.sent.answered {
-			since = since.Add(or(v.r.OrderTimeout, defaultOrderTimeout))
+	return v.fresh() && v.report.Leaving && v.report.Running+v.report.Waiting == 0 && v.streams(v.report.Models) == 0
+}
+
+// fresh tells whether the report shows the effect of all earlier orders. A
+// report may be Lag old, and an order takes effect up to OrderTimeout after it
+// was sent unless it was answered, so a report soon after an order may show
+// the state before it: an endpoint that was idle in its last drain, or a role
+// that it no longer has.
+func (v *view) fresh() bool {
+	since := v.tenure
+	if !v.desired.Fenced {
+		since = since.Add(or(v.r.OrderTimeout, defaultOrderTimeout))
+	}
+	for _, t := range []time.Time{v.sent.at, v.sent.open} {
+		if since.Before(t) {
+			since = t
 		}
 	}
-	if v.now.Before(since.Add(or(v.r.Lag, defaultLag))) {
-		return false
-	}
-	return v.report.Leaving && v.report.Running+v.report.Waiting == 0 && v.streams(v.report.Models) == 0
+	return !v.asked.Before(since.Add(or(v.r.Lag, defaultLag)))
 }
 
 func (v *view) streams(models []string) int {
@@ -122,22 +129,19 @@
 // endpoint is drained, since nothing else proves that no stream will start
 // between the look and the unload.
 func (v *view) blocked(model string, idle bool, p *plan) string {
-	if n := v.streams([]string{model}); n > 0 {
-		if v.r.Closed == nil {
-			p.order.Drain = true
-		}
-		return fmt.Sprintf("%d streams of model %s", n, model)
-	}
+	streams := v.streams([]string{model})
+	closed := idle || !slices.Contains(v.report.Models, model) ||
+		(v.r.Closed != nil && v.r.Closed(v.desired.Endpoint, model))
 	switch {
-	case idle, !slices.Contains(v.report.Models, model):
+	case streams == 0 && closed:
 		return ""
 	case v.r.Closed == nil:
 		p.order.Drain = true
 		return "drain before unloading model " + model
-	case !v.r.Closed(v.desired.Endpoint, model):
-		return "entries still use model " + model
+	case streams > 0:
+		return fmt.Sprintf("%d streams of model %s", streams, model)
 	default:
-		return ""
+		return "entries still use model " + model
 	}
 }
 
@@ -170,26 +174,25 @@
 }
 
 // due tells whether the order may be sent now, and else what it waits for.
+// Only a repetition can do without a fresh report.
 func (v *view) due(p *plan) bool {
-	timeout := or(v.r.OrderTimeout, defaultOrderTimeout)
-	if !v.desired.Fenced && v.now.Before(v.tenure.Add(timeout)) {
-		p.waits = append(p.waits, "last order of the previous holder")
-		return false
-	}
-	if v.sent.at.IsZero() {
-		return true
-	}
-	same := sameOrder(v.sent.order, p.order)
+	first := v.sent.at.IsZero()
+	same := !first && sameOrder(v.sent.order, p.order)
 	switch {
-	case !v.sent.answered && !same && v.now.Before(v.sent.at.Add(timeout)):
-		p.waits = append(p.waits, "end of an unanswered order")
-		return false
-	case v.sent.answered && same && v.sent.boot == v.report.Boot && v.now.Before(v.sent.at.Add(v.patience(p.order))):
-		p.waits = append(p.waits, v.lacking(p.order)...)
-		return false
-	default:
+	case same:
+		if v.sent.answered && v.sent.boot == v.report.Boot && v.now.Before(v.sent.at.Add(v.patience(p.order))) {
+			p.waits = append(p.waits, v.lacking(p.order)...)
+			return false
+		}
 		return true
+	case v.fresh():
+		return true
+	case first:
+		p.waits = append(p.waits, "last order of the previous holder")
+	default:
+		p.waits = append(p.waits, "effect of the last order")
 	}
+	return false
 }
 
 // patience is the time that an accepted order has to take effect.
--- a/version/order/visit.go
+++ b/version/order/visit.go
@@ -21,12 +21,11 @@
 // visit observes one endpoint, sends it an order if its state differs, and
 // reads the state back.
 func (r *Reconciler) visit(ctx context.Context, e *endpoint) {
-	report, err := r.observe(ctx, e)
+	v, err := r.observe(ctx, e)
 	if err != nil {
 		r.fail(e, err)
 		return
 	}
-	v := r.view(e, report)
 	p := v.plan()
 	if !p.send {
 		r.finish(e, v, p)
@@ -39,12 +38,11 @@
 		return
 	}
 	// Whatever the answer was, only the endpoint knows what took effect.
-	report, lost := r.observe(ctx, e)
+	v, lost := r.observe(ctx, e)
 	if lost != nil {
 		r.fail(e, errors.CombineErrors(err, lost))
 		return
 	}
-	v = r.view(e, report)
 	if err != nil && v.differs(p.order) {
 		r.fail(e, err)
 		return
@@ -52,33 +50,30 @@
 	r.finish(e, v, v.plan())
 }
 
-func (r *Reconciler) observe(ctx context.Context, e *endpoint) (engine.Report, error) {
-	d, _ := e.snapshot()
+// observe reads an endpoint's report.
+func (r *Reconciler) observe(ctx context.Context, e *endpoint) (*view, error) {
+	d := e.wanted()
 	ctx, cancel := context.WithTimeout(ctx, or(r.ObserveTimeout, defaultObserveTimeout))
 	defer cancel()
 	counters.Add("reports", 1)
+	asked := r.now()
 	report, err := r.Observe(ctx, d)
 	if err != nil {
-		return report, fmt.Errorf("observe endpoint: %w", err)
+		return nil, fmt.Errorf("observe endpoint: %w", err)
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.status.Observed, e.status.Seen = report, r.now()
-	return report, nil
+	return &view{
+		desired: d, report: report, fence: r.fence.Load(), now: r.now(), asked: asked,
+		tenure: time.Unix(0, r.tenure.Load()), sent: e.sent, r: r,
+	}, nil
 }
 
-func (e *endpoint) snapshot() (Desired, sent) {
+func (e *endpoint) wanted() Desired {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.desired, e.sent
-}
-
-func (r *Reconciler) view(e *endpoint, report engine.Report) *view {
-	d, last := e.snapshot()
-	return &view{
-		desired: d, report: report, fence: r.fence.Load(), now: r.now(),
-		tenure: time.Unix(0, r.tenure.Load()), sent: last, r: r,
-	}
+	return e.desired
 }
 
 // send sends an order if the lease leaves time for it and the desired state
@@ -101,7 +96,7 @@
 	e.highest.Store(o.Fence)
 	counters.Add("orders", 1)
 	err := r.Send(ctx, v.desired, o)
-	e.answered(err)
+	e.answered(err, now.Add(or(r.OrderTimeout, defaultOrderTimeout)))
 	r.logOrder(v.desired, o, err)
 	if err != nil {
 		return fmt.Errorf("send order: %w", err)
@@ -117,16 +112,21 @@
 	if e.gone || !e.desired.equal(v.desired) {
 		return false
 	}
-	e.sent = sent{order: o, at: now, boot: v.report.Boot}
+	e.sent = sent{order: o, at: now, open: e.sent.open, boot: v.report.Boot}
 	e.status.Sent = now
 	e.status.Orders++
 	return true
 }
 
-func (e *endpoint) answered(err error) {
+// answered notes the answer. Without one, the order can take effect until
+// open.
+func (e *endpoint) answered(err error, open time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.sent.answered = err == nil
+	if err != nil {
+		e.sent.open = open
+	}
 }
 
 // holds asserts the invariants at the last moment before an order. It repeats
@@ -179,7 +179,7 @@
 	default:
 		e.wait = min(e.wait*3/2, steady)
 	}
-	e.next = now.Add(spread(e.wait))
+	e.next = now.Add(r.spread(e.wait))
 }
 
 // fail notes an error. The endpoint is retried after a growing, jittered
