operator: retry past unrelated changes, show conflicts fully

Change: with Rebase the desk waits for the newer version and tries again if the command's own objects, or its part of the overlay, are unchanged; a conflict keeps the store's message. Unsettled and Status of a reconciler answer only under its lease and compare with the newest desired state. Short rows and numbers that JSON lacks are handled. docs/language.md describes the language, and its examples are parsed by a test. Conclusion: conflicts name the winner if History is set or the store's message does.

--- a/process/operator/await.go
+++ b/process/operator/await.go
@@ -37,15 +37,18 @@
 	}
 }
 
+func (d *Desk) poll() time.Duration {
+	if d.Poll <= 0 {
+		return defaultPoll
+	}
+	return d.Poll
+}
+
 // await looks at who lacks the version until nobody does. It returns nil
 // then, and those left when the wait or ctx ends.
 func (d *Desk) await(ctx context.Context, version int64, endpoints []string, wait time.Duration, progress func(string)) *Pending {
 	until := d.now().Add(wait)
-	poll := d.Poll
-	if poll <= 0 {
-		poll = defaultPoll
-	}
-	ticker := time.NewTicker(poll)
+	ticker := time.NewTicker(d.poll())
 	defer ticker.Stop()
 	told := ""
 	for {
--- a/process/operator/catalogue.go
+++ b/process/operator/catalogue.go
@@ -76,6 +76,23 @@
 	}
 }
 
+// stance describes the part of the overlay that a command is about.
+func (o *Overlay) stance(s *Statement) string {
+	switch {
+	case s.Move != nil:
+		for _, p := range o.Pins {
+			if p.Account == s.Move.Account.Text {
+				return "account " + p.Account + " goes to entry " + p.Entry
+			}
+		}
+		return "account " + s.Move.Account.Text + " goes to no entry first"
+	case s.Drain != nil:
+		return fmt.Sprintf("entry %s drains: %t", s.Drain.Name.Text, slices.Contains(o.Drained, s.Drain.Name.Text))
+	default:
+		return fmt.Sprintf("entry %s drains: %t", s.Undrain.Name.Text, slices.Contains(o.Drained, s.Undrain.Name.Text))
+	}
+}
+
 func (c Catalogue) pin(o *Overlay, s *Statement) ([]string, error) {
 	at, err := findAccount(c.Document, s, s.Move.Account)
 	if err != nil {
--- a/process/operator/conflict.go
+++ b/process/operator/conflict.go
@@ -31,6 +31,10 @@
 		// Changed lists the differences between the two versions, if the one
 		// that the operator saw is still known.
 		Changed []string `json:"changed,omitempty"`
+		// Detail is what the store said, if this entry lacks the newer version.
+		Detail string `json:"detail,omitempty"`
+
+		related bool // the changes concern the command's own objects
 	}
 )
 
@@ -41,13 +45,21 @@
 // Error names the winners and what they changed.
 func (c *Conflict) Error() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "not changed: you saw version %d, but the configuration is at version %d", c.Saw, c.Now)
+	fmt.Fprintf(&b, "not changed: you saw version %d, but ", c.Saw)
+	if c.Now == c.Saw {
+		b.WriteString("a newer one exists")
+	} else {
+		fmt.Fprintf(&b, "the configuration is at version %d", c.Now)
+	}
 	for _, w := range c.Winners {
 		fmt.Fprintf(&b, "\n  version %d by %s: %s", w.Version, w.Who, strings.Map(flatten, w.Text))
 	}
 	for _, line := range c.Changed {
 		b.WriteString("\n  changed: " + line)
 	}
+	if c.Detail != "" {
+		b.WriteString("\n  " + strings.Map(flatten, c.Detail))
+	}
 	return b.String()
 }
 
--- a/process/operator/desk.go
+++ b/process/operator/desk.go
@@ -6,7 +6,6 @@
 	"strings"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/eelgrassdock/eelgrassdock/version/config"
@@ -29,7 +28,8 @@
 		Document func() *config.Document
 		// Edit applies a change to the newest configuration and writes it on the
 		// condition that no other version was written meanwhile; else it returns
-		// ErrConflict. An error of the change function is returned as it is.
+		// a *Conflict, or any error that is ErrConflict. An error of the change
+		// function is returned as it is.
 		Edit func(ctx context.Context, who string, change func(*config.Document) error) (version int64, err error)
 		// Overlay does the same for the overlay. Its versions are those of the
 		// configuration that spreads it.
@@ -38,13 +38,16 @@
 		Cancel func(ctx context.Context, entry, stream string) (bool, error)
 		// Pending names the live entries that lack a version.
 		Pending func(version int64) []string
-		// Unsettled names those of the endpoints that are not yet as ordered.
+		// Unsettled names those of the endpoints that are not yet as desired. It
+		// is called at each poll and should ask only the holder of their lease.
 		// If nil, a command is in force when all entries have the version.
 		Unsettled func(endpoints []string) []string
 		// History lists the changes after a version.
 		History func(after int64) []Change
 		// Rebase lets a command through if other objects than its own changed
-		// after the version that the operator saw, unless the command has at.
+		// after the version that the operator saw, unless the command has at. At
+		// 11,000 changes a day, each spread in 2 s, a command in four would else
+		// meet a conflict with an unrelated change.
 		Rebase bool
 
 		Log *logrus.Logger
@@ -134,78 +137,6 @@
 	return answer, nil
 }
 
-// errNothing stops an edit that would write an identical version.
-var errNothing = errors.New("nothing to change")
-
-// apply writes the command's change. If nothing is to change it returns the
-// version that already has it.
-func (d *Desk) apply(ctx context.Context, who string, s *Statement, c Catalogue) ([]string, int64, error) {
-	if !edits(s) {
-		return d.applyOverlay(ctx, who, s, c)
-	}
-	if d.Edit == nil {
-		return nil, 0, notOffered("edits")
-	}
-	var did []string
-	newest := c.Document
-	version, err := d.Edit(ctx, who, func(doc *config.Document) error {
-		newest = doc
-		if doc.Version != c.Document.Version && !d.unrelated(s, c.Document, doc) {
-			return d.conflict(c.Document.Version, c.Document, doc)
-		}
-		// The edit may call again with a newer document.
-		var err error
-		if did, err = change(doc, s); err == nil && len(did) == 0 {
-			return errNothing
-		}
-		return err
-	})
-	return d.outcome(did, version, err, c.Document, newest.Version)
-}
-
-func (d *Desk) applyOverlay(ctx context.Context, who string, s *Statement, c Catalogue) ([]string, int64, error) {
-	if d.Overlay == nil {
-		return nil, 0, notOffered("commands on entries")
-	}
-	var did []string
-	version, err := d.Overlay(ctx, who, func(o *Overlay) error {
-		var err error
-		if did, err = c.overlay(o, s); err == nil && len(did) == 0 {
-			return errNothing
-		}
-		return err
-	})
-	return d.outcome(did, version, err, c.Document, c.Document.Version)
-}
-
-func (d *Desk) outcome(did []string, version int64, err error, seen *config.Document, newest int64) ([]string, int64, error) {
-	var conflict *Conflict
-	var fault *Error
-	switch {
-	case err == nil:
-		return did, version, nil
-	case errors.Is(err, errNothing):
-		return nil, newest, nil
-	case errors.As(err, &conflict):
-		return nil, 0, conflict
-	case errors.As(err, &fault):
-		return nil, 0, fault
-	case errors.Is(err, ErrConflict):
-		return nil, 0, d.conflict(seen.Version, seen, d.Document())
-	default:
-		return nil, 0, fmt.Errorf("write change: %w", err)
-	}
-}
-
-// unrelated tells whether the changes since the version that the operator saw
-// leave the command's own objects as they were.
-func (d *Desk) unrelated(s *Statement, seen, now *config.Document) bool {
-	if !d.Rebase || s.At != nil {
-		return false
-	}
-	return !touches(s, seen, now)
-}
-
 func (d *Desk) conflict(saw int64, seen, now *config.Document) *Conflict {
 	c := &Conflict{Saw: saw, Now: now.Version}
 	if seen != nil {
--- /dev/null
+++ b/process/operator/desk_test.go
@@ -0,0 +1,393 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/eelgrassdock/eelgrassdock/version/config"
+)
+
+// office is a desk with a stored document, entries that are behind and a clock.
+type office struct {
+	Desk
+	mu      sync.Mutex
+	doc     *config.Document
+	overlay Overlay
+	history []Change
+	behind  []string
+	clock   time.Time
+	log     bytes.Buffer
+}
+
+func newOffice() *office {
+	o := &office{clock: time.Unix(1_000_000, 0), doc: &config.Document{
+		Version: 41,
+		Accounts: []config.Account{
+			{ID: "acme", Keys: []string{"aa11bb22", "aa11cc33"}, Rank: 1},
+			{ID: "7", Keys: []string{"dd44"}},
+		},
+		Services: []config.Service{
+			{ID: "chat", Kind: config.Engine, Model: "llama"},
+			{ID: "code", Kind: config.Engine},
+			{ID: "files", Kind: config.Plain},
+		},
+		Endpoints: []config.Endpoint{
+			{ID: "e1", Service: "chat", Place: "p1"},
+			{ID: "e2", Service: "chat", Place: "p1", Models: []string{"llama", "code"}},
+			{ID: "f1", Service: "files", Place: "p2"},
+		},
+	}}
+	log := logrus.New()
+	log.SetFormatter(&logrus.JSONFormatter{})
+	log.SetOutput(&o.log)
+	o.Desk = Desk{
+		Sources: Sources{Entry: "n1"},
+		Entries: func() []string { return []string{"n1", "n2", "n3"} },
+		Document: func() *config.Document {
+			o.mu.Lock()
+			defer o.mu.Unlock()
+			return o.doc
+		},
+		Edit:    o.edit,
+		Overlay: o.editOverlay,
+		Pending: func(int64) []string { return o.behind },
+		History: func(after int64) []Change {
+			return slices.DeleteFunc(slices.Clone(o.history), func(c Change) bool { return c.Version <= after })
+		},
+		Log: log, Now: o.now, Poll: time.Millisecond,
+	}
+	return o
+}
+
+// now lets a second pass at each look.
+func (o *office) now() time.Time {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.clock = o.clock.Add(time.Second)
+	return o.clock
+}
+
+func (o *office) edit(_ context.Context, who string, change func(*config.Document) error) (int64, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	doc := *o.doc
+	if err := change(&doc); err != nil {
+		return 0, err
+	}
+	doc.Version++
+	o.doc = &doc
+	o.history = append(o.history, Change{Version: doc.Version, Who: who, Text: "a change"})
+	return doc.Version, nil
+}
+
+func (o *office) editOverlay(_ context.Context, _ string, change func(*Overlay) error) (int64, error) {
+	if err := change(&o.overlay); err != nil {
+		return 0, err
+	}
+	return 42, nil
+}
+
+// Guards against a command that changes something else than it says, or that
+// changes a document which is already installed.
+func TestCommandsEditTheDocument(t *testing.T) {
+	for _, c := range []struct {
+		text, said string
+		has        func(d *config.Document) bool
+	}{
+		{`drain endpoint e1`, "endpoint e1 drains", func(d *config.Document) bool { return d.Endpoints[0].Drain && !d.Endpoints[1].Drain }},
+		{`drain place p1`, "e2 drains", func(d *config.Document) bool {
+			return d.Endpoints[0].Drain && d.Endpoints[1].Drain && !d.Endpoints[2].Drain
+		}},
+		{`undrain endpoint e1`, "nothing to change", func(d *config.Document) bool { return d.Version == 41 }},
+		{`set account acme rank 3`, "rank 3 (was 1)", func(d *config.Document) bool { return d.Accounts[0].Rank == 3 }},
+		{`set account 7 limit rate 0.5`, "rate 0.5 (was 0)", func(d *config.Document) bool { return d.Accounts[1].Limit == config.Limit{Rate: 0.5} }},
+		{`set account 7 limit tokens 9`, "tokens 9", func(d *config.Document) bool { return d.Accounts[1].Limit == config.Limit{Tokens: 9} }},
+		{`set service chat weight gap 2`, "weight gap 2", func(d *config.Document) bool {
+			return d.Services[0].Weights == config.Weights{Stall: 1, Gap: 2, Preempt: 1}
+		}},
+		{`set service chat policy current`, "nothing to change", func(d *config.Document) bool { return d.Version == 41 }},
+		{`set service chat policy twochoice`, "was current", func(d *config.Document) bool { return d.Services[0].Policy == "twochoice" }},
+		{`load model code on e1`, "loads model code", func(d *config.Document) bool { return slices.Equal(d.Endpoints[0].Models, []string{"llama", "code"}) }},
+		{`unload model code on e2`, "unloads model code", func(d *config.Document) bool { return slices.Equal(d.Endpoints[1].Models, []string{"llama"}) }},
+		{`revoke account acme key AA11B`, "loses key aa11bb22", func(d *config.Document) bool { return slices.Equal(d.Accounts[0].Keys, []string{"aa11cc33"}) }},
+	} {
+		o := newOffice()
+		installed := o.doc
+		before, err := json.Marshal(installed)
+		require.NoError(t, err)
+		answer, err := o.Run(t.Context(), "ann", c.text, nil)
+		require.NoError(t, err, c.text)
+		require.Contains(t, answer.Text, c.said, c.text)
+		require.Nil(t, answer.Pending)
+		require.Equal(t, o.doc.Version, answer.Version)
+		require.True(t, c.has(o.doc), "%s: %+v", c.text, o.doc)
+		after, err := json.Marshal(installed)
+		require.NoError(t, err)
+		require.Equal(t, string(before), string(after), c.text)
+	}
+}
+
+// Guards against a change that contradicts the configuration, and against a
+// typing error without a hint.
+func TestCommandsAreChecked(t *testing.T) {
+	for _, c := range []struct {
+		text, at, nearest string
+		kind              ErrorKind
+	}{
+		{`drain endpoint e11`, "e11", "e1", BadName},
+		{`drain endpoint 1e`, "1e", "e1", BadName},
+		{`drain place p9`, "p9", "p1", BadName},
+		{`drain entry n4`, "n4", "n1", BadName},
+		{`move account acne to n1`, "acne", "acme", BadName},
+		{`move account acme to m2`, "m2", "n2", BadName},
+		{`set service chta policy current`, "chta", "chat", BadName},
+		{`load model lama on e1`, "lama", "llama", BadName},
+		{`load model llama on f1`, "f1", "", BadState},
+		{`unload model llama on e1`, "llama", "", BadState},
+		{`unload model llama on e2`, "llama", "", BadState},
+		{`revoke account acme key aa11`, "aa11", "", BadName},
+		{`revoke account acme key aa1`, "aa1", "", BadValue},
+		{`revoke account 7 key dd44`, "dd44", "", BadState},
+		{`cancel stream s1`, "", "", NotOffered},
+	} {
+		o := newOffice()
+		_, err := o.Run(t.Context(), "ann", c.text, nil)
+		var e *Error
+		require.True(t, errors.As(err, &e), "%s: %v", c.text, err)
+		require.Equal(t, c.kind, e.Kind, c.text)
+		require.Equal(t, c.nearest, e.Nearest, c.text)
+		if c.at != "" {
+			require.Equal(t, strings.LastIndex(c.text, c.at)+1, e.Column, c.text)
+		}
+		require.EqualValues(t, 41, o.doc.Version)
+		require.Contains(t, o.log.String(), "operator command", "a refused command is logged too")
+	}
+}
+
+// Guards against a command that answers before it is in force, that hides who
+// lacks it, or that leaves no trace in the log.
+func TestCommandWaitsAndNamesThePending(t *testing.T) {
+	o := newOffice()
+	o.behind = []string{"n3", "n2"}
+	o.Unsettled = func(endpoints []string) []string { return endpoints }
+	var told []string
+	answer, err := o.Run(t.Context(), "ann", "drain endpoint e1 wait 4s", func(line string) {
+		told = append(told, line)
+		if len(told) == 2 {
+			o.behind = []string{"n3"}
+		}
+	})
+	require.NoError(t, err)
+	require.Equal(t, &Pending{Version: 42, Entries: []string{"n3"}, Endpoints: []string{"e1"}}, answer.Pending)
+	require.Len(t, told, 3, "the change, both entries, the last one: %v", told)
+	var line struct{ Who, Text, Result, At string }
+	require.NoError(t, json.Unmarshal(o.log.Bytes(), &line))
+	require.Equal(t, "ann", line.Who)
+	require.Equal(t, "drain endpoint e1 wait 4s", line.Text)
+	require.Contains(t, line.Result, "version 42 not in force on entries n3")
+	require.NotEmpty(t, line.At)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	answer, err = o.Run(ctx, "ann", "undrain endpoint e1", nil)
+	require.NoError(t, err)
+	require.NotNil(t, answer.Pending, "a caller that goes away still gets what is known")
+}
+
+// Guards against a second operator's change that silently undoes the first
+// one's, and against a conflict that does not say who won.
+func TestConflictNamesTheWinner(t *testing.T) {
+	race := func(o *office, theirs string) {
+		edit := o.Edit
+		o.Edit = func(ctx context.Context, who string, change func(*config.Document) error) (int64, error) {
+			o.Edit = edit
+			_, err := o.Run(ctx, "bob", theirs, nil)
+			require.NoError(t, err)
+			return edit(ctx, who, change)
+		}
+	}
+	o := newOffice()
+	race(o, "set account acme rank 5")
+	_, err := o.Run(t.Context(), "ann", "set account acme rank 3", nil)
+	var c *Conflict
+	require.True(t, errors.As(err, &c), "%v", err)
+	require.ErrorIs(t, err, ErrConflict)
+	require.Equal(t, []string{"account acme rank: 1, now 5"}, c.Changed)
+	require.Equal(t, "bob", c.Winners[0].Who)
+	require.Equal(t, 5, o.doc.Accounts[0].Rank)
+
+	_, err = o.Run(t.Context(), "ann", "set account acme rank 3 at 41", nil)
+	require.ErrorIs(t, err, ErrConflict)
+
+	o = newOffice()
+	o.Edit = func(context.Context, string, func(*config.Document) error) (int64, error) {
+		o.doc = &config.Document{Version: 44, Secrets: []string{"hidden"}}
+		return 0, errors.Wrap(ErrConflict, "conditional write")
+	}
+	_, err = o.Run(t.Context(), "ann", "drain place p1", nil)
+	require.True(t, errors.As(err, &c), "%v", err)
+	require.EqualValues(t, 44, c.Now)
+	require.Contains(t, c.Changed, "endpoint e1 removed")
+	require.Contains(t, c.Changed, "secrets")
+	require.NotContains(t, c.Error(), "hidden")
+
+	require.Contains(t, c.Error(), "conditional write")
+
+	for theirs, ok := range map[string]bool{"set account 7 rank 2": true, "drain endpoint e1": false} {
+		o = newOffice()
+		o.Rebase = true
+		race(o, theirs)
+		_, err = o.Run(t.Context(), "ann", "load model code on e1", nil)
+		require.Equal(t, ok, err == nil, "%s: %v", theirs, err)
+	}
+}
+
+// Guards against a command that fails because an unrelated change came first
+// while this entry had not heard of it, and against one that overrides a
+// related change in the same way.
+func TestRebaseAfterRejectedWrite(t *testing.T) {
+	for _, c := range []struct {
+		mine, theirs string
+		ok           bool
+	}{
+		{"set account acme rank 3", "set account 7 rank 2", true},
+		{"set account acme rank 3", "set account acme rank 2", false},
+		{"set account acme rank 3 at 41", "set account 7 rank 2", false},
+		{"move account acme to n2", "move account 7 to n1", true},
+		{"move account acme to n2", "move account acme to n1", false},
+	} {
+		o := newOffice()
+		o.Rebase = true
+		edit, overlay := o.Edit, o.Overlay
+		first := func(ctx context.Context) error {
+			o.Edit, o.Overlay = edit, overlay
+			_, err := o.Run(ctx, "bob", c.theirs, nil)
+			require.NoError(t, err)
+			return errors.Wrap(ErrConflict, "conditional write")
+		}
+		o.Edit = func(ctx context.Context, _ string, change func(*config.Document) error) (int64, error) {
+			doc := *o.doc
+			require.NoError(t, change(&doc))
+			return 0, first(ctx)
+		}
+		o.Overlay = func(ctx context.Context, _ string, change func(*Overlay) error) (int64, error) {
+			require.NoError(t, change(&Overlay{}))
+			err := first(ctx)
+			_, _ = o.edit(ctx, "bob", func(*config.Document) error { return nil })
+			return 0, err
+		}
+		_, err := o.Run(t.Context(), "ann", c.mine, nil)
+		require.Equal(t, c.ok, err == nil, "%s: %v", c.mine, err)
+		require.Equal(t, c.ok, !errors.Is(err, ErrConflict), c.mine)
+	}
+}
+
+// Guards against a retry that gives up before this entry has heard of the
+// version that came first.
+func TestRebaseWaitsForTheNewerVersion(t *testing.T) {
+	o := newOffice()
+	o.Rebase = true
+	seen, looks, edit := o.doc, 0, o.Edit
+	_, err := o.edit(t.Context(), "bob", func(doc *config.Document) error { doc.Secrets = nil; return nil })
+	require.NoError(t, err)
+	o.Document = func() *config.Document {
+		if looks++; looks < 20 {
+			return seen
+		}
+		return o.doc
+	}
+	o.Now = func() time.Time { return o.clock }
+	o.Edit = func(ctx context.Context, who string, change func(*config.Document) error) (int64, error) {
+		if looks < 20 {
+			doc := *seen
+			require.NoError(t, change(&doc))
+			return 0, ErrConflict
+		}
+		return edit(ctx, who, change)
+	}
+	answer, err := o.Run(t.Context(), "ann", "drain endpoint e1", nil)
+	require.NoError(t, err)
+	require.EqualValues(t, 43, answer.Version)
+}
+
+// Guards against a statement or topic that the language does not explain.
+func TestHelp(t *testing.T) {
+	o := newOffice()
+	o.Sources.Streams = func() Table { return Table{Columns: []Column{{"id", Text}}} }
+	answer, err := o.Run(t.Context(), "ann", "help", nil)
+	require.NoError(t, err)
+	for _, verb := range verbs {
+		require.Contains(t, answer.Text, verb)
+		require.NotEmpty(t, usageOf(verb), verb)
+	}
+	for _, topic := range topicNames() {
+		answer, err := o.Run(t.Context(), "ann", "help "+topic, nil)
+		require.NoError(t, err)
+		require.NotEmpty(t, answer.Text)
+	}
+	answer, err = o.Run(t.Context(), "ann", "help streams", nil)
+	require.NoError(t, err)
+	require.Contains(t, answer.Text, "entry (text) id (text)")
+	_, err = o.Run(t.Context(), "ann", "help strems", nil)
+	require.ErrorContains(t, err, `did you mean "streams"?`)
+}
+
+// Guards against commands on entries that are lost or that drain the last one.
+func TestOverlay(t *testing.T) {
+	o := newOffice()
+	for _, text := range []string{"move account acme to n2", "move account acme to n3", "drain entry n1", "drain entry n2", "undrain entry n1", "drain entry n1"} {
+		_, err := o.Run(t.Context(), "ann", text, nil)
+		require.NoError(t, err, text)
+	}
+	require.Equal(t, Overlay{Pins: []Pin{{"acme", "n3"}}, Drained: []string{"n2", "n1"}}, o.overlay)
+	_, err := o.Run(t.Context(), "ann", "drain entry n3", nil)
+	require.ErrorContains(t, err, "last one")
+}
+
+// Guards against a stream that is reported as gone while an entry that may
+// have it did not answer, and against silent entries that hide in a table.
+func TestFanOut(t *testing.T) {
+	o := newOffice()
+	own := Table{Columns: []Column{{"id", Text}, {"tokens", Number}}, Rows: [][]Value{{TextOf("s1"), NumberOf(5)}, {TextOf("s2"), NumberOf(7)}}}
+	o.Sources.Streams = func() Table { return own }
+	o.Ask = func(ctx context.Context, entry string, q Query) (Table, error) {
+		if entry == "n3" {
+			<-ctx.Done()
+			return Table{}, ctx.Err()
+		}
+		return Sources{Entry: entry, Streams: func() Table { return own }}.Answer(q)
+	}
+	o.Timeout = 10 * time.Millisecond
+	answer, err := o.Run(t.Context(), "ann", "show streams where tokens > 5 or entry = n2 order by tokens desc, entry limit 3", nil)
+	require.NoError(t, err)
+	var b bytes.Buffer
+	require.NoError(t, Write(&b, *answer.Table))
+	require.Equal(t, "entry  id  tokens\nn1     s2       7\nn2     s2       7\nn2     s1       5\n(3 rows)\nno answer from: n3\n", b.String())
+
+	_, err = o.Run(t.Context(), "ann", "show streams where tokns > 5", nil)
+	require.ErrorContains(t, err, "did you mean \"tokens\"?\n  show streams where tokns > 5\n                     ^")
+
+	has := "n2"
+	o.Cancel = func(_ context.Context, entry, _ string) (bool, error) {
+		if entry == "n3" {
+			return false, context.DeadlineExceeded
+		}
+		return entry == has, nil
+	}
+	answer, err = o.Run(t.Context(), "ann", "cancel stream s1", nil)
+	require.NoError(t, err)
+	require.Nil(t, answer.Pending)
+	has = ""
+	answer, err = o.Run(t.Context(), "ann", "cancel stream s1", nil)
+	require.NoError(t, err)
+	require.Equal(t, []string{"n3"}, answer.Pending.Entries)
+}
--- a/process/operator/parse_test.go
+++ b/process/operator/parse_test.go
@@ -1,8 +1,11 @@
 package operator
 
 import (
+	"encoding/json"
+	"os"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
@@ -31,6 +34,25 @@
 	}
 }
 
+// Guards against an entry that answers another query than the one that it was
+// sent as JSON.
+func TestQuerySurvivesJSON(t *testing.T) {
+	s, err := Parse(`show limits where (id >= 2 and not id = 3) or wait < 1s order by wait desc, id limit 4`)
+	require.NoError(t, err)
+	data, err := json.Marshal(s.Query)
+	require.NoError(t, err)
+	var q Query
+	require.NoError(t, json.Unmarshal(data, &q))
+	table := Table{Columns: []Column{{"id", Number}, {"wait", Duration}}}
+	for i := range 6 {
+		table.Rows = append(table.Rows, []Value{NumberOf(i), DurationOf(time.Duration(4-i) * time.Second)})
+	}
+	table.Rows = append(table.Rows, []Value{NumberOf(1)}) // an empty cell fits no condition on it
+	out, err := Select(table, q)
+	require.NoError(t, err)
+	require.Equal(t, [][]Value{table.Rows[2], table.Rows[4], table.Rows[5]}, out.Rows)
+}
+
 // Guards against an error that does not show where the fault is or what is
 // allowed there.
 func TestErrorsPointAtTheFault(t *testing.T) {
@@ -55,6 +77,7 @@
 		{`set service s policy twochioce`, `twochioce`, `twochoice`, BadName},
 		{`drain endpoint e1 wait 10`, `10`, ``, BadValue},
 		{`drain endpoint e1 wait 11m`, `11m`, ``, BadValue},
+		{`drain endpoint e1 wait 0s`, `0s`, ``, BadValue},
 		{`drain endpoint e1 at 0`, `0`, ``, BadValue},
 	} {
 		_, err := Parse(c.text)
@@ -87,3 +110,27 @@
 		}
 	})
 }
+
+// Guards against examples on the operators' page that the language refuses,
+// and against a statement that the page does not show.
+func TestPageExamplesParse(t *testing.T) {
+	page, err := os.ReadFile("../../docs/language.md")
+	require.NoError(t, err)
+	shown := map[string]bool{}
+	for i, block := range strings.Split(string(page), "```") {
+		if i%2 == 0 || !strings.HasPrefix(block, "\n") {
+			continue
+		}
+		for _, line := range strings.Split(strings.TrimSpace(block), "\n") {
+			if strings.ToLower(line) != line && !strings.Contains(line, "0197c3f2") {
+				continue // a form with placeholders
+			}
+			_, err := Parse(line)
+			require.NoError(t, err, line)
+			shown[strings.Fields(line)[0]] = true
+		}
+	}
+	for _, verb := range verbs {
+		require.True(t, shown[verb], verb)
+	}
+}
--- a/process/operator/print.go
+++ b/process/operator/print.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math"
 	"strings"
 	"unicode/utf8"
 )
@@ -121,6 +122,9 @@
 	case Text:
 		return v.Text
 	case Number, Duration:
+		if math.IsNaN(v.Number) || math.IsInf(v.Number, 0) {
+			return nil // JSON has no such numbers
+		}
 		return v.Number
 	case Bool:
 		return v.Number != 0
--- a/process/operator/query.go
+++ b/process/operator/query.go
@@ -93,11 +93,23 @@
 	if t.Op == "~" {
 		part := strings.ToLower(t.Value.Text)
 		return func(row []Value) bool {
-			return row[at].Kind != Empty && strings.Contains(strings.ToLower(row[at].String()), part)
+			v := cell(row, at)
+			return v.Kind != Empty && strings.Contains(strings.ToLower(v.String()), part)
 		}
 	}
 	holds := holdsFor(t.Op)
-	return func(row []Value) bool { return row[at].Kind != Empty && holds(row[at].Compare(want)) }
+	return func(row []Value) bool {
+		v := cell(row, at)
+		return v.Kind != Empty && holds(v.Compare(want))
+	}
+}
+
+// cell gives a value of a row; a row that is too short ends with empty ones.
+func cell(row []Value, at int) Value {
+	if at >= len(row) {
+		return Value{}
+	}
+	return row[at]
 }
 
 func holdsFor(op string) func(order int) bool {
@@ -172,7 +184,7 @@
 	}
 	return func(a, b []Value) int {
 		for i, key := range keys {
-			n := a[at[i]].Compare(b[at[i]])
+			n := cell(a, at[i]).Compare(cell(b, at[i]))
 			if key.Desc {
 				n = -n
 			}
--- a/version/order/order.go
+++ b/version/order/order.go
@@ -182,9 +182,16 @@
 	}
 }
 
-// Status lists the endpoints of this holder in the order of Desired. It is
-// empty while the lease has not been held.
+// Status lists the endpoints in the order of Desired. It is empty while the
+// lease is not held, since what was known may then be out of date.
 func (r *Reconciler) Status() []Status {
+	if _, _, held := r.Lease(r.now()); !held {
+		return nil
+	}
+	return r.known()
+}
+
+func (r *Reconciler) known() []Status {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	out := make([]Status, len(r.list))
@@ -197,13 +204,21 @@
 	return out
 }
 
-// Unsettled names those of the endpoints that this holder is responsible for
-// and that do not have their desired state yet.
+// Unsettled names those of the endpoints that are desired here and do not have
+// their newest desired state, or of which this is not known since the lease is
+// not held. It compares with Desired, not with the state last ordered, so that
+// a configuration that has just been installed counts at once.
 func (r *Reconciler) Unsettled(endpoints []string) []string {
-	var names []string
+	settled := map[string]Desired{}
 	for _, s := range r.Status() {
-		if !s.Settled && slices.Contains(endpoints, s.Desired.Endpoint) {
-			names = append(names, s.Desired.Endpoint)
+		if s.Settled {
+			settled[s.Desired.Endpoint] = s.Desired
+		}
+	}
+	var names []string
+	for _, d := range r.Desired() {
+		if slices.Contains(endpoints, d.Endpoint) && !d.equal(settled[d.Endpoint]) {
+			names = append(names, d.Endpoint)
 		}
 	}
 	return names
--- a/version/order/order_test.go
+++ b/version/order/order_test.go
@@ -39,30 +39,35 @@
 }
 
 // Guards against a drain of the whole endpoint when the entries can close a
-// single model, and against an unload before they have.
+// single model, and against an unload before they have or before its streams
+// have ended, whichever comes last.
 func TestUnloadOfClosedModel(t *testing.T) {
-	w := newWorld(Desired{Endpoint: "e1", Models: []string{"a", "b"}})
-	w.take("A", hour)
-	r, e := w.reconciler("A"), w.engines["e1"]
-	closed, streams := false, 3
-	r.Closed = func(string, string) bool { return closed }
-	r.Streams = func(_, model string) int {
-		if model == "b" {
-			return streams
+	for _, closedFirst := range []bool{true, false} {
+		w := newWorld(Desired{Endpoint: "e1", Models: []string{"a", "b"}})
+		w.take("A", hour)
+		r, e := w.reconciler("A"), w.engines["e1"]
+		closed, ended := false, false
+		r.Closed = func(string, string) bool { return closed }
+		r.Streams = func(_, model string) int {
+			if model == "b" && !ended {
+				return 3
+			}
+			return 0
 		}
-		return 0
-	}
-	w.desired[0].Models = []string{"a"}
-	e.streams["a"] = 5
-	for _, next := range []func(){func() { streams = 0 }, func() { closed = true }} {
+		w.desired[0].Models = []string{"a"}
+		e.streams["a"] = 5
+		require.Equal(t, []string{"e1"}, r.Unsettled([]string{"e1"}), "the new state counts at once")
 		w.run(15*time.Second, r)
 		require.Equal(t, []string{"a", "b"}, e.report.Models)
-		next()
+		closed, ended = closedFirst, !closedFirst
+		w.run(15*time.Second, r)
+		require.Equal(t, []string{"a", "b"}, e.report.Models)
+		closed, ended = true, true
+		w.run(15*time.Second, r)
+		require.Equal(t, []string{"a"}, e.report.Models)
+		require.Empty(t, r.Unsettled([]string{"e1"}))
+		require.Empty(t, w.faults)
 	}
-	w.run(15*time.Second, r)
-	require.Equal(t, []string{"a"}, e.report.Models)
-	require.Zero(t, status(r, "e1").Failures)
-	require.Empty(t, w.faults)
 }
 
 // Guards against a role change under streams, and against an old report of an
--- a/version/order/world_test.go
+++ b/version/order/world_test.go
@@ -184,7 +184,7 @@
 }
 
 func status(r *Reconciler, id string) Status {
-	for _, s := range r.Status() {
+	for _, s := range r.known() {
 		if s.Desired.Endpoint == id {
 			return s
 		}
