--- a/process/operator/ask.go
+++ b/process/operator/ask.go
@@ -30,7 +30,7 @@
 	}
 	var mu sync.Mutex
 	tables := []Table{own}
-	missing := d.each(ctx, func(ctx context.Context, entry string) error {
+	missing := d.each(ctx, d.entries(), func(ctx context.Context, entry string) error {
 		if entry == d.Sources.Entry {
 			return nil
 		}
@@ -50,9 +50,9 @@
 	return Answer{Table: &out}, locate(err, s.Text)
 }
 
-// each calls f for all entries, some at once, and names those that failed or
+// each calls f for the entries, some at once, and names those that failed or
 // did not answer in time.
-func (d *Desk) each(ctx context.Context, f func(ctx context.Context, entry string) error) []string {
+func (d *Desk) each(ctx context.Context, entries []string, f func(ctx context.Context, entry string) error) []string {
 	timeout := d.Timeout
 	if timeout <= 0 {
 		timeout = defaultTimeout
@@ -62,7 +62,7 @@
 	var mu sync.Mutex
 	var missing []string
 	p := pool.New().WithMaxGoroutines(maxAsk)
-	for _, entry := range d.entries() {
+	for _, entry := range entries {
 		p.Go(func() {
 			ctx, cancel := context.WithTimeout(ctx, timeout)
 			defer cancel()
@@ -79,35 +79,46 @@
 	return missing
 }
 
-// cancel ends a stream on whichever entry has it. Entries that did not answer
-// may have it, so it is reported as pending on them if nobody else had it.
-func (d *Desk) cancel(ctx context.Context, s *Statement) (Answer, error) {
+// cancel ends a stream on whichever entry has it. An entry that does not
+// answer may have it, so it is asked again until the wait ends.
+func (d *Desk) cancel(ctx context.Context, s *Statement, progress func(string)) (Answer, error) {
 	if d.Cancel == nil {
 		return Answer{}, notOffered("cancel")
 	}
 	stream := s.Cancel.Stream
-	if s.Wait != nil {
-		var stop context.CancelFunc
-		ctx, stop = context.WithTimeout(ctx, d.waitOf(s))
-		defer stop()
+	until := d.now().Add(d.waitOf(s))
+	for left := d.entries(); ; {
+		found, missing := d.cancelOn(ctx, left, stream.Text)
+		switch {
+		case found != "":
+			return Answer{Text: "stream " + stream.Text + " cancelled on entry " + found}, nil
+		case len(missing) == 0:
+			return Answer{}, errorAt(BadName, s.Text, stream.Pos.Offset, "no stream is named %q", stream.Text)
+		}
+		p := &Pending{Entries: missing}
+		if len(missing) != len(left) {
+			progress(p.String())
+		}
+		left = missing
+		if !d.now().Before(until) || !d.pause(ctx) {
+			return Answer{Text: "stream " + stream.Text + " not found on the entries that answered", Pending: p}, nil
+		}
 	}
+}
+
+// cancelOn asks some entries to end a stream. It names one that had it and
+// those that did not answer.
+func (d *Desk) cancelOn(ctx context.Context, entries []string, stream string) (string, []string) {
 	var mu sync.Mutex
-	var found []string
-	missing := d.each(ctx, func(ctx context.Context, entry string) error {
-		ok, err := d.Cancel(ctx, entry, stream.Text)
+	found := ""
+	missing := d.each(ctx, entries, func(ctx context.Context, entry string) error {
+		ok, err := d.Cancel(ctx, entry, stream)
 		if ok && err == nil {
 			mu.Lock()
 			defer mu.Unlock()
-			found = append(found, entry)
+			found = entry
 		}
 		return err
 	})
-	switch {
-	case len(found) > 0:
-		return Answer{Text: "stream " + stream.Text + " cancelled on entry " + found[0]}, nil
-	case len(missing) > 0:
-		return Answer{Text: "stream " + stream.Text + " not found on the entries that answered", Pending: &Pending{Entries: missing}}, nil
-	default:
-		return Answer{}, errorAt(BadName, s.Text, stream.Pos.Offset, "no stream is named %q", stream.Text)
-	}
+	return found, missing
 }
--- a/process/operator/await.go
+++ b/process/operator/await.go
@@ -37,19 +37,26 @@
 	}
 }
 
-func (d *Desk) poll() time.Duration {
-	if d.Poll <= 0 {
-		return defaultPoll
+// pause lets the time between two looks pass. It is false if ctx ended.
+func (d *Desk) pause(ctx context.Context) bool {
+	poll := d.Poll
+	if poll <= 0 {
+		poll = defaultPoll
+	}
+	timer := time.NewTimer(poll)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
 	}
-	return d.Poll
 }
 
 // await looks at who lacks the version until nobody does. It returns nil
 // then, and those left when the wait or ctx ends.
 func (d *Desk) await(ctx context.Context, version int64, endpoints []string, wait time.Duration, progress func(string)) *Pending {
 	until := d.now().Add(wait)
-	ticker := time.NewTicker(d.poll())
-	defer ticker.Stop()
 	told := ""
 	for {
 		p := d.lacking(version, endpoints)
@@ -60,13 +67,8 @@
 			told = text
 			progress(text)
 		}
-		if !d.now().Before(until) {
-			return p
-		}
-		select {
-		case <-ctx.Done():
+		if !d.now().Before(until) || !d.pause(ctx) {
 			return p
-		case <-ticker.C:
 		}
 	}
 }
--- a/process/operator/desk.go
+++ b/process/operator/desk.go
@@ -34,7 +34,8 @@
 		// Overlay does the same for the overlay. Its versions are those of the
 		// configuration that spreads it.
 		Overlay func(ctx context.Context, who string, change func(*Overlay) error) (version int64, err error)
-		// Cancel ends a stream on one entry and tells whether it was there.
+		// Cancel ends a stream on one entry and tells whether it was there. It
+		// returns when ctx ends.
 		Cancel func(ctx context.Context, entry, stream string) (bool, error)
 		// Pending names the live entries that lack a version.
 		Pending func(version int64) []string
@@ -111,7 +112,7 @@
 // command runs a command up to the time when it is in force or its wait ends.
 func (d *Desk) command(ctx context.Context, who string, s *Statement, progress func(string)) (Answer, error) {
 	if s.Cancel != nil {
-		return d.cancel(ctx, s)
+		return d.cancel(ctx, s, progress)
 	}
 	if d.Document == nil {
 		return Answer{}, notOffered("commands")
--- a/process/operator/desk_test.go
+++ b/process/operator/desk_test.go
@@ -390,4 +390,22 @@
 	answer, err = o.Run(t.Context(), "ann", "cancel stream s1", nil)
 	require.NoError(t, err)
 	require.Equal(t, []string{"n3"}, answer.Pending.Entries)
+
+	asked := 0
+	o.Cancel = func(_ context.Context, entry, _ string) (bool, error) {
+		if entry != "n3" {
+			return false, nil
+		}
+		if asked++; asked < 3 {
+			return false, context.DeadlineExceeded
+		}
+		return true, nil
+	}
+	answer, err = o.Run(t.Context(), "ann", "cancel stream s1 wait 1m", nil)
+	require.NoError(t, err)
+	require.Nil(t, answer.Pending)
+	require.Contains(t, answer.Text, "entry n3")
+	o.Cancel = func(context.Context, string, string) (bool, error) { return false, nil }
+	_, err = o.Run(t.Context(), "ann", "cancel stream s1", nil)
+	require.ErrorContains(t, err, "no stream is named")
 }
--- a/process/operator/edit.go
+++ b/process/operator/edit.go
@@ -129,17 +129,10 @@
 // last attempt was rejected for.
 func (e *edit) catchUp(ctx context.Context) bool {
 	until := e.d.now().Add(maxBehind)
-	ticker := time.NewTicker(e.d.poll())
-	defer ticker.Stop()
 	for e.d.Document().Version <= e.newest {
-		if !e.d.now().Before(until) {
+		if !e.d.now().Before(until) || !e.d.pause(ctx) {
 			return false
 		}
-		select {
-		case <-ctx.Done():
-			return false
-		case <-ticker.C:
-		}
 	}
 	e.newest = e.d.Document().Version
 	return true
--- a/version/order/bench_test.go
+++ b/version/order/bench_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -54,6 +56,23 @@
 	}
 }
 
+// counted counts the bytes of a connection in both directions.
+type counted struct {
+	net.Conn
+	n *int64
+}
+
+func (c counted) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	atomic.AddInt64(c.n, int64(n))
+	return n, err
+}
+
+func (c counted) Write(b []byte) (int, error) {
+	atomic.AddInt64(c.n, int64(len(b)))
+	return c.Conn.Write(b)
+}
+
 // BenchmarkVisitHTTP is the same over HTTP on loopback. It contains the work of
 // the stand-in for the engine, so it is an upper bound.
 func BenchmarkVisitHTTP(b *testing.B) {
@@ -66,13 +85,20 @@
 		_ = json.NewEncoder(out).Encode(e.status.Observed)
 	}))
 	defer server.Close()
-	conn := engine.Conn{Addr: server.Listener.Addr().String(), HTTP: server.Client()}
+	var bytes int64
+	client := &http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+		conn, err := new(net.Dialer).DialContext(ctx, network, addr)
+		return counted{conn, &bytes}, err
+	}}}
+	defer client.CloseIdleConnections()
+	conn := engine.Conn{Addr: server.Listener.Addr().String(), HTTP: client}
 	r.Observe = func(ctx context.Context, _ Desired) (engine.Report, error) { return conn.Load(ctx) }
 	b.ReportAllocs()
 	for b.Loop() {
 		r.visit(b.Context(), e)
 	}
 	require.True(b, e.status.Settled)
+	b.ReportMetric(float64(atomic.LoadInt64(&bytes))/float64(b.N), "B/visit")
 }
 
 // BenchmarkMessages counts the messages per endpoint and minute in simulated
