--- a/process/operator/await.go
+++ b/process/operator/await.go
@@ -37,16 +37,26 @@
 	}
 }
 
-// await looks at who lacks the version until nobody does. It returns nil
-// then, and those left when the wait or ctx ends.
-func (d *Desk) await(ctx context.Context, version int64, endpoints []string, wait time.Duration, progress func(string)) *Pending {
-	until := d.now().Add(wait)
+// pause lets the time between two looks pass. It is false if ctx ended.
+func (d *Desk) pause(ctx context.Context) bool {
 	poll := d.Poll
 	if poll <= 0 {
 		poll = defaultPoll
 	}
-	ticker := time.NewTicker(poll)
-	defer ticker.Stop()
+	timer := time.NewTimer(poll)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// await looks at who lacks the version until nobody does. It returns nil
+// then, and those left when the wait or ctx ends.
+func (d *Desk) await(ctx context.Context, version int64, endpoints []string, wait time.Duration, progress func(string)) *Pending {
+	until := d.now().Add(wait)
 	told := ""
 	for {
 		p := d.lacking(version, endpoints)
@@ -57,13 +67,8 @@
 			told = text
 			progress(text)
 		}
-		if !d.now().Before(until) {
-			return p
-		}
-		select {
-		case <-ctx.Done():
+		if !d.now().Before(until) || !d.pause(ctx) {
 			return p
-		case <-ticker.C:
 		}
 	}
 }
