placement: infer other entries' growth per generation, add tests

Cause: the growth of other entries' work was inferred from the ratio of own memory to prompts; for a prompt of 10 tokens and little own work it was thirteenfold, and half-empty engines were taken as full. Change: it is inferred from the share of generations that still run. The weight of the length prior is one observation, because its long tail raised short means. Work is not sent after its deadline.

--- a/process/length/length.go
+++ b/process/length/length.go
@@ -27,7 +27,7 @@
 	capSum      = unit * 256 // sum at which the counters are halved
 	halfLife    = 10 * time.Minute
 	accountBias = 12 // observations at which account and service weigh the same
-	serviceBias = 4  // observations at which service and prior weigh the same
+	serviceBias = 1  // observations at which service and prior weigh the same
 
 	defaultPairs = 1 << 16
 	maxServices  = 1 << 10
--- a/process/placement/account.go
+++ b/process/placement/account.go
@@ -26,9 +26,10 @@
 var horizonTokens = [horizons]int{8, 16, 64, 128}
 
 type (
-	// load is memory in tokens, expected at each horizon, with variance.
+	// load is memory in tokens, expected at each horizon, with variance, and the
+	// number of generations that are expected to run then.
 	load struct {
-		mean, variance [horizons]float64
+		mean, variance, alive [horizons]float64
 	}
 
 	// endpoint has first what judge reads, so that it lies close together.
@@ -59,7 +60,6 @@
 		Endpoint
 		report     Report
 		received   time.Time
-		gone       bool    // no longer listed
 		sent       float64 // prompt tokens placed in all
 		sinceCount int     // own generations placed since the report
 
@@ -94,8 +94,8 @@
 		n    int
 	}
 
-	// mix is the sum of all own work, from which the growth of other entries'
-	// work is inferred.
+	// mix is the sum of all own work, from which it is inferred how other
+	// entries' work goes on.
 	mix struct {
 		count int
 		used  float64
@@ -114,6 +114,7 @@
 	for h := range l.mean {
 		l.mean[h] += sign * o.mean[h]
 		l.variance[h] += sign * o.variance[h]
+		l.alive[h] += sign * o.alive[h]
 	}
 }
 
@@ -125,6 +126,7 @@
 	e.Survivals(done, ahead[:], survival[:])
 	for h, alive := range survival {
 		size := context + float64(ahead[h])
+		l.alive[h] = alive
 		l.mean[h] = size * alive
 		l.variance[h] = size * size * alive * (1 - alive)
 	}
--- a/process/placement/bench_test.go
+++ b/process/placement/bench_test.go
@@ -9,13 +9,19 @@
 
 var start = time.Unix(1_700_000_000, 0)
 
-// fleet makes a scheduler with n endpoints that run the work of other entries.
-func fleet(n int, policy Policy) *Scheduler {
-	s := &Scheduler{Policy: policy, Service: "s", Region: "r0", Seed: 1}
-	var list []Endpoint
+func endpoints(n int) (list []Endpoint) {
 	for i := range n {
 		list = append(list, Endpoint{ID: fmt.Sprintf("e%03d", i), Region: fmt.Sprintf("r%d", i%3), Tokens: 100_000})
 	}
+	return list
+}
+
+// fleet makes a scheduler with n endpoints that run the work of other entries.
+func fleet(n int, policy Policy) *Scheduler { return seededFleet(n, policy, 1) }
+
+func seededFleet(n int, policy Policy, seed uint64) *Scheduler {
+	s := &Scheduler{Policy: policy, Service: "s", Region: "r0", Seed: seed}
+	list := endpoints(n)
 	s.SetEndpoints(list)
 	s.SetPeers(7)
 	for i, e := range list {
--- a/process/placement/choose.go
+++ b/process/placement/choose.go
@@ -49,12 +49,11 @@
 	// outlook is what doesn't depend on the endpoint.
 	outlook struct {
 		ahead    load
-		now      int64   // Unix nanoseconds
-		prompt   float64 // tokens
-		size     float64 // prompt tokens that count for the risk
-		far      float64 // cost of another region
-		growth   [horizons]float64
-		spread   [horizons]float64 // variance for each generation of others
+		now      int64             // Unix nanoseconds
+		prompt   float64           // tokens
+		size     float64           // prompt tokens that count for the risk
+		far      float64           // cost of another region
+		alive    [horizons]float64 // share of others' generations that still run
 		peerRate float64           // requests per second and endpoint from peers
 		peerVar  float64           // variance of memory that they add per second
 		mirror   float64           // peers without this entry, times mirrorShare
@@ -62,7 +61,8 @@
 		fillTime float64           // seconds for one prompt token
 		budget   float64
 
-		meanShare, peerSize float64 // used by previous only
+		meanShare, peerSize float64 // this and the following for previous only
+		growth, spread      [horizons]float64
 	}
 )
 
@@ -143,20 +143,15 @@
 	s.lookAtPeers(o)
 }
 
-// lookAtOthers infers how the work of other entries grows from own work. The
-// request itself stands in while there is little of that.
+// lookAtOthers infers from own work how many of other entries' generations
+// still run at each horizon. The request itself stands in while there is little
+// own work.
 func (s *Scheduler) lookAtOthers(o *outlook) {
-	weight := float64(mixPrior)
-	if s.Policy == Previous {
-		weight = 0
+	for h := range o.alive {
+		o.alive[h] = min(max((s.mix.ahead.alive[h]+mixPrior*o.ahead.alive[h])/(float64(s.mix.count)+mixPrior), 0), 1)
 	}
-	used, count := s.mix.used+weight*o.prompt, float64(s.mix.count)+weight
-	for h := range o.growth {
-		o.growth[h] = 1
-		if used > 0 && count > 0 {
-			o.growth[h] = max((s.mix.ahead.mean[h]+weight*o.ahead.mean[h])/used, 0)
-			o.spread[h] = max((s.mix.ahead.variance[h]+weight*o.ahead.variance[h])/count, 0)
-		}
+	if s.Policy == Previous {
+		s.lookBefore(o)
 	}
 }
 
@@ -198,32 +193,37 @@
 	now := others + e.used
 	uncached := max(o.prompt-s.matched(e), 1)
 
-	// The lowest distance to full memory, in standard deviations, squared with
-	// its sign kept, which saves three square roots.
+	// The lowest distance to full memory in standard deviations. Signed squares
+	// are compared by cross multiplication, which saves roots and divisions.
 	spread := o.peerVar * age
+	perRun := 1 / max(e.othersRuns, 1)
 	floor := now + min(uncached, o.size)
-	lowest := math.Inf(1)
+	square, over := math.Inf(1), 1.0
 	for h := range o.ahead.mean {
 		// Work that ends is followed by other work, so that memory is not expected
 		// to shrink below what is in use now.
-		mean := max(others*o.growth[h]+e.ahead.mean[h]+o.ahead.mean[h], floor)
-		variance := e.othersRuns*o.spread[h] + e.ahead.variance[h] + o.ahead.variance[h] + spread
+		grown := others + e.othersRuns*float64(s.ahead[h])
+		mean := max(grown*o.alive[h]+e.ahead.mean[h]+o.ahead.mean[h], floor)
+		variance := grown*grown*perRun*o.alive[h]*(1-o.alive[h]) + e.ahead.variance[h] + o.ahead.variance[h] + spread
+		variance = max(variance, 1)
 		room := e.total - mean
-		lowest = min(lowest, room*math.Abs(room)/max(variance, 1))
+		if room *= math.Abs(room); room*over < square*variance {
+			square, over = room, variance
+		}
 	}
 	full := 0.0
-	if lowest < tailRange*tailRange {
-		full = tail(math.Copysign(math.Sqrt(math.Abs(lowest)), lowest))
+	if square < tailRange*tailRange*over {
+		full = tail(math.Copysign(math.Sqrt(math.Abs(square)/over), square))
 	}
 
 	runs := e.othersRuns + float64(e.count) + 1
 	step := s.step.predict(runs, now+uncached)
-	over := min(max(step/(gapTarget*gapHeadroom)-1, 0)*gapSlope, 1)
-	risk = w.Preempt*full + w.Gap*over
+	slow := min(max(step*(1/(gapTarget*gapHeadroom))-1, 0)*gapSlope, 1)
+	risk = w.Preempt*full + w.Gap*slow
 
 	filling := (e.pending(o.now, o.fillTime) + uncached) * o.fillTime
-	burst := max(step+filling-gapTarget, 0) / gapTarget
-	cost = w.Stall*(e.queue+filling+step) + w.Gap*(stepCost*step/gapTarget+burstCost*burst*runs/100) +
+	burst := max((step+filling)*(1/gapTarget)-1, 0)
+	cost = w.Stall*(e.queue+filling+step) + w.Gap*(stepCost/gapTarget*step+burstCost/100*burst*runs) +
 		w.Preempt*preemptCost*full
 	switch {
 	case e.far:
--- a/process/placement/placement.go
+++ b/process/placement/placement.go
@@ -78,15 +78,15 @@
 
 	// Request is a generation to be placed.
 	Request struct {
-		ID       uint64
+		ID       uint64 // not used by the decision
 		Account  string
 		Prompt   int      // tokens
 		Prefix   []uint64 // hashes of the prompt's prefixes, one each PrefixTokens
 		Max      int      // most tokens to produce; zero for no limit
-		Rank     int
+		Rank     int      // not used by the decision; the queue and the engine use it
 		Arrived  time.Time
-		Deadline time.Time
-		Exclude  []string // endpoints that have failed this request
+		Deadline time.Time // the request is not sent from then on; zero for none
+		Exclude  []string  // endpoints that have failed this request
 	}
 
 	// Ticket is the reservation of a placed generation.
@@ -173,9 +173,8 @@
 		s.list = append(s.list, ep)
 		s.sentSince += ep.sentSince
 	}
-	for id, ep := range s.byID {
+	for id := range s.byID {
 		if !listed[id] {
-			ep.gone = true
 			delete(s.byID, id)
 		}
 	}
@@ -241,6 +240,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.advance(now)
+	if !req.Deadline.IsZero() && !s.now.Before(req.Deadline) {
+		return Decision{Wait: true}
+	}
 	var ep *endpoint
 	var wait bool
 	switch s.Policy {
--- /dev/null
+++ b/process/placement/placement_test.go
@@ -0,0 +1,277 @@
+package placement
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func request(prompt int, arrived time.Time) Request {
+	return Request{Account: "a", Prompt: prompt, Max: 4000, Arrived: arrived}
+}
+
+// Guards against own work counted twice: once by the entry and once by a report
+// that shows it, whether the report was made before or after.
+func TestOwnWorkIsCountedOnce(t *testing.T) {
+	s := fleet(1, Current)
+	now := start
+	for range 10 {
+		now = now.Add(time.Second)
+		d := s.Place(request(1000, now), now)
+		s.Progress(d.Ticket, 100, now)
+	}
+	e := s.list[0]
+	for _, test := range []struct {
+		name  string
+		at    time.Time
+		used  int64
+		count int
+	}{
+		{"before the last five", start.Add(5500 * time.Millisecond), 50_000 + 5*1100, 65},
+		{"after all", now.Add(500 * time.Millisecond), 50_000 + 10*1100, 70},
+	} {
+		s.Report("e000", Report{At: test.at, Running: test.count, Used: test.used, Total: 100_000}, now.Add(time.Second))
+		if e.others != 50_000 || e.othersRuns != 60 || e.used != 11_000 {
+			t.Errorf("%s: others %.0f in %.0f generations, own %.0f", test.name, e.others, e.othersRuns, e.used)
+		}
+	}
+}
+
+// Guards against reservations that are released twice, never, or by a stale
+// ticket whose slot has been reused.
+func TestReleaseExactlyOnce(t *testing.T) {
+	s := fleet(2, Current)
+	var violations []string
+	s.Violation = func(what string) { violations = append(violations, what) }
+	first := s.Place(request(100, start), start)
+	s.Done(first.Ticket, 5, true, start)
+	second := s.Place(request(100, start), start)
+	s.Done(first.Ticket, 5, true, start)
+	s.Progress(first.Ticket, 9, start)
+	if len(violations) != 2 {
+		t.Errorf("violations: %v", violations)
+	}
+	s.Done(second.Ticket, 5, true, start)
+	for _, e := range s.list {
+		if e.count != 0 || e.used != 0 || e.ahead != (load{}) {
+			t.Errorf("%s keeps %d generations with %.0f tokens", e.ID, e.count, e.used)
+		}
+	}
+}
+
+// Guards against several entries with the same reports choosing one engine.
+func TestNoHerding(t *testing.T) {
+	chosen := map[string]int{}
+	for entry := range 20 {
+		s := seededFleet(20, Current, uint64(entry))
+		s.SetPeers(20)
+		for _, e := range s.list {
+			s.Report(e.ID, Report{At: start, Running: 60, Used: 60_000, Total: 100_000}, start)
+		}
+		for range 10 {
+			chosen[s.Place(request(500, start), start).Endpoint]++
+		}
+	}
+	for id, n := range chosen {
+		if n > 25 {
+			t.Errorf("%s got %d of 200 requests", id, n)
+		}
+	}
+}
+
+// Guards against work that is passed by other work for ever: a request larger
+// than any engine will ever have room for is sent after the patience.
+func TestNoStarvation(t *testing.T) {
+	s := fleet(3, Current)
+	req := request(90_000, start)
+	if d := s.Place(req, start); !d.Wait {
+		t.Fatalf("decision %+v", d)
+	}
+	if d := s.Place(req, start.Add(patience*time.Second)); d.Endpoint == "" {
+		t.Fatalf("decision %+v after the patience", d)
+	}
+	// In an overload, large requests have the same chance as small ones.
+	large, small := request(6000, start), request(100, start)
+	now := start.Add(sizeSeconds * time.Second)
+	s.Report("e000", Report{At: now, Running: 80, Used: 90_500, Total: 100_000}, now)
+	s.Suspect("e001", now.Add(time.Hour))
+	s.Suspect("e002", now.Add(time.Hour))
+	s.flow.tokens = 100
+	if a, b := s.Place(large, now), s.Place(small, now); a.Wait && !b.Wait {
+		t.Error("small request passes a large one that has waited as long")
+	}
+}
+
+// Guards against small prompts held by half-empty engines: growth was once
+// inferred from the ratio to the prompt, which was thirteenfold.
+func TestSmallPrompts(t *testing.T) {
+	s := fleet(5, Current)
+	for range 20 {
+		if d := s.Place(request(10, start), start); d.Endpoint == "" {
+			t.Fatalf("decision %+v", d)
+		}
+	}
+}
+
+// Guards against new work for endpoints that are leaving, drained, suspected or
+// excluded, with every policy.
+func TestUnusableEndpoints(t *testing.T) {
+	for _, p := range []Policy{Current, Previous, RoundRobin, LeastConn, TwoChoice} {
+		s := fleet(5, p)
+		list := endpoints(5)
+		list[0].Drain = true
+		s.SetEndpoints(list)
+		s.Report("e001", Report{At: start, Total: 100_000, Leaving: true}, start)
+		s.Suspect("e002", start.Add(time.Minute))
+		for range 10 { // more would be held for the peers' share of the memory
+			req := request(500, start)
+			req.Exclude = []string{"e003"}
+			if d := s.Place(req, start); d.Endpoint != "e004" {
+				t.Errorf("%s: decision %+v", p, d)
+			}
+		}
+		s.Suspect("e004", start.Add(time.Minute))
+		req := request(10, start)
+		req.Exclude = []string{"e003"}
+		if d := s.Place(req, start); !d.None || d.Wait {
+			t.Errorf("%s: decision %+v without a usable endpoint", p, d)
+		}
+	}
+}
+
+// Guards against a late report replacing a newer one: the endpoint left after it.
+func TestLateReport(t *testing.T) {
+	s := fleet(1, Current)
+	later := start.Add(2 * time.Second)
+	s.Report("e000", Report{At: later, Total: 100_000, Leaving: true}, later)
+	s.Report("e000", Report{At: start.Add(time.Second), Total: 100_000}, later.Add(time.Second))
+	if d := s.Place(request(10, later), later); !d.None {
+		t.Errorf("decision %+v after a late report", d)
+	}
+	restarted := later.Add(staleAfter)
+	s.Report("e000", Report{At: start, Total: 100_000}, restarted)
+	if d := s.Place(request(10, later), restarted); d.Endpoint == "" {
+		t.Errorf("decision %+v after a restart with an earlier clock", d)
+	}
+}
+
+// Guards against wrong beliefs about a prefix cache that never heal.
+func TestPrefixBeliefs(t *testing.T) {
+	s := fleet(2, Current)
+	req := Request{Prompt: 2000, Prefix: []uint64{1, 2, 3}}
+	believed := func(i int) float64 {
+		s.match(&req)
+		return s.matched(s.list[i])
+	}
+	s.Cache("e000", []CacheEvent{{Seq: 1, Prefix: 1}, {Seq: 2, Prefix: 2}})
+	if got := believed(0); got != 512 {
+		t.Errorf("%.0f tokens believed cached", got)
+	}
+	s.Cache("e000", []CacheEvent{{Seq: 9, Prefix: 7}}) // a gap
+	if got := believed(0); got != 256 {
+		t.Errorf("%.0f tokens believed cached after a gap", got)
+	}
+	s.Cache("e000", []CacheEvent{{Seq: 10, Prefix: 1}, {Seq: 11, Prefix: 1, Gone: true}})
+	if got := believed(0); got != 0 {
+		t.Errorf("%.0f tokens believed cached after an eviction", got)
+	}
+	s.Cache("e001", []CacheEvent{{Seq: 5, Prefix: 1}, {Seq: 1, Prefix: 9}}) // a restart
+	if got := believed(1); got != 0 {
+		t.Errorf("%.0f tokens believed cached after a restart", got)
+	}
+}
+
+// Guards against work that is sent although nobody waits for it any more.
+func TestDeadline(t *testing.T) {
+	s := fleet(2, RoundRobin)
+	req := request(10, start)
+	req.Deadline = start.Add(time.Second)
+	if d := s.Place(req, req.Deadline); !d.Wait {
+		t.Errorf("decision %+v at the deadline", d)
+	}
+}
+
+// Guards against bytes between regions that are not counted, or counted for work
+// inside the region.
+func TestBytes(t *testing.T) {
+	s := fleet(3, RoundRobin) // e000 is in the entry's region
+	for range 3 {
+		d := s.Place(request(100, start), start)
+		s.Done(d.Ticket, 10, true, start)
+	}
+	if got, want := s.Bytes(), int64(2*(100*bytesPerPrompt+10*bytesPerToken)); got != want {
+		t.Errorf("%d bytes, want %d", got, want)
+	}
+}
+
+// Guards against accounts that become negative, reservations that leak, and
+// decisions for unusable endpoints, in any order of calls.
+func TestRandomCalls(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := fleet(4, rapid.SampledFrom([]Policy{Current, Previous, LeastConn, TwoChoice}).Draw(t, "policy"))
+		s.Violation = func(what string) { t.Fatal(what) }
+		now := start
+		var open []Ticket
+		leaving := map[string]bool{}
+		for range rapid.IntRange(1, 200).Draw(t, "calls") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
+			id := fmt.Sprintf("e%03d", rapid.IntRange(0, 3).Draw(t, "endpoint"))
+			switch rapid.IntRange(0, 5).Draw(t, "call") {
+			case 0, 1:
+				d := s.Place(request(rapid.IntRange(1, 5000).Draw(t, "prompt"), start), now)
+				if leaving[d.Endpoint] || (d.Endpoint == "") == (d.Wait == d.None) {
+					t.Fatalf("decision %+v", d)
+				}
+				if d.Endpoint != "" {
+					open = append(open, d.Ticket)
+				}
+			case 2, 3:
+				if len(open) == 0 {
+					continue
+				}
+				i, n := rapid.IntRange(0, len(open)-1).Draw(t, "ticket"), rapid.IntRange(0, 9000).Draw(t, "n")
+				s.Progress(open[i], n, now)
+				if n%3 == 0 {
+					s.Done(open[i], n, n%2 == 0, now)
+					open = slices.Delete(open, i, i+1)
+				}
+			case 4:
+				at := now.Add(-time.Duration(rapid.IntRange(-1000, 9000).Draw(t, "age")) * time.Millisecond)
+				s.Report(id, Report{
+					At: at, Running: rapid.IntRange(0, 100).Draw(t, "running"),
+					Used: rapid.Int64Range(0, 100_000).Draw(t, "used"), Total: 100_000, StepTime: 30 * time.Millisecond,
+				}, now)
+			case 5:
+				gone := rapid.IntRange(0, 3).Draw(t, "gone")
+				list := endpoints(4)
+				list[gone].Drain = true
+				leaving = map[string]bool{list[gone].ID: true}
+				s.SetEndpoints(list)
+			}
+		}
+		for _, ticket := range open {
+			s.Done(ticket, 1, true, now)
+		}
+		for _, e := range s.list {
+			if e.count != 0 || e.used != 0 || e.others < 0 {
+				t.Fatalf("%s ends with %d generations, %f tokens", e.ID, e.count, e.used)
+			}
+		}
+	})
+}
+
+// Guards against allocation in the steady state.
+func TestPlaceDoesNotAllocate(t *testing.T) {
+	s := fleet(20, Current)
+	req := request(100, start)
+	if n := testing.AllocsPerRun(1000, func() {
+		d := s.Place(req, start)
+		s.Progress(d.Ticket, 50, start)
+		s.Done(d.Ticket, 60, true, start)
+	}); n > 0 {
+		t.Errorf("%.1f allocations", n)
+	}
+}
--- a/process/placement/previous.go
+++ b/process/placement/previous.go
@@ -24,6 +24,17 @@
 	return used / max(total, 1)
 }
 
+// lookBefore infers the growth of other entries' work from that of own memory.
+func (s *Scheduler) lookBefore(o *outlook) {
+	for h := range o.growth {
+		o.growth[h] = 1
+		if s.mix.count > 0 && s.mix.used > 0 {
+			o.growth[h] = max(s.mix.ahead.mean[h]/s.mix.used, 0)
+			o.spread[h] = max(s.mix.ahead.variance[h]/float64(s.mix.count), 0)
+		}
+	}
+}
+
 // judgeBefore is the rule of the previous version. It expects the memory of an
 // endpoint to shrink as its work ends, although new work follows, and weighs
 // another region like a large difference in load.
--- a/process/placement/step.go
+++ b/process/placement/step.go
@@ -24,7 +24,7 @@
 func (m *stepModel) init() { m.coef = stepGuess }
 
 func (m *stepModel) predict(runs, used float64) float64 {
-	return m.coef[0] + m.coef[1]*runs/100 + m.coef[2]*used/100_000
+	return m.coef[0] + m.coef[1]*(runs*(1.0/100)) + m.coef[2]*(used*(1.0/100_000))
 }
 
 func (m *stepModel) learn(runs, used, seconds float64) {
