--- a/process/share/owner.go
+++ b/process/share/owner.go
@@ -270,6 +270,18 @@
 	}
 }
 
+// Lent gives the sum of the outstanding shares of the account, for operators.
+// Starts are not outstanding once lent and are left out.
+func (o *Owner) Lent(account string, now time.Time) Amount {
+	s := &o.shards[shardOf(account)]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if a := s.accounts[account]; a != nil {
+		return a.lent(now)
+	}
+	return Amount{}
+}
+
 // Accounts gives the number of accounts with state.
 func (o *Owner) Accounts() int {
 	n := 0
