share: test that a caller leaves free slots to one that waits

Cause: a planted fault that let a caller with much work retake slots while another waits was not found, because the reserve hid it. Change: the test frees five slots at once, so that only the rule under test keeps them for the caller that waits. Conclusion: both rules for callers have a test.

--- a/process/share/share_test.go
+++ b/process/share/share_test.go
@@ -386,10 +386,12 @@
 	require.True(t, refusal.From(err).RetryAt.After(now))
 	for _, g := range grants[:5] {
 		b.Release(g, now)
-		require.Error(t, take("greedy"), "retakes the slot although the other waits")
+	}
+	require.Error(t, take("greedy"), "retakes a slot although the other waits")
+	for range 5 {
 		require.NoError(t, take("other"))
-		require.Error(t, take("other"), "all slots are taken")
 	}
+	require.Error(t, take("other"), "all slots are taken")
 	for _, g := range grants[5:16] {
 		b.Release(g, now)
 	}
