entry: count each retry once

Cause: retry.Policy.Next counts a repeat, and the entry counted it again. Change: the entry no longer counts. Conclusion: the counters of the expvar map retries are the repeats.

--- a/process/entry/call.go
+++ b/process/entry/call.go
@@ -132,7 +132,6 @@
 			return claim.Result{}, err
 		}
 		exclude = append(exclude, endpoint.ID)
-		refusal.CountRetry(fault.Reason)
 		if !sleepUntil(ctx, at, e.now()) {
 			return claim.Result{}, err
 		}
--- a/process/entry/job.go
+++ b/process/entry/job.go
@@ -92,7 +92,6 @@
 		j.attempt++
 		j.after = 0
 		j.out.reset()
-		refusal.CountRetry(fault.Reason)
 		if !sleepUntil(ctx, at, j.e.now()) {
 			return j.outcome(ctx, err)
 		}
