entry: close the race between a stop and a new request, pass headers on

Cause: reading the stop showed that a request could pass the check for a stopping entry before it was counted, and that a stream without tokens did not notice the limit of a stop. Calls to services lost most headers. Change: requests are counted first and checked then; the context of every request ends at the limit; all end-to-end headers are passed on, with the account and the caller's public name; an operator's cancel ends the generation at once; endpoints that the instance list calls leaving get no new work. Conclusion: a stop waits for every request that it let in.

--- a/process/entry/call.go
+++ b/process/entry/call.go
@@ -11,14 +11,25 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/julienschmidt/httprouter"
 
+	"github.com/eelgrassdock/eelgrassdock/connection/engine"
 	"github.com/eelgrassdock/eelgrassdock/connection/service"
 	"github.com/eelgrassdock/eelgrassdock/request/claim"
 	"github.com/eelgrassdock/eelgrassdock/request/refusal"
 	"github.com/eelgrassdock/eelgrassdock/version/config"
 )
 
-// passedHeaders are the headers of a call and of its answer that are passed on.
-var passedHeaders = []string{"Accept", "Accept-Language", "Content-Type", "Content-Language", "Location"}
+// ownHeaders are between a caller and an entry, or between two ends of a
+// connection (RFC 9110, section 7.6.1), and are not passed on.
+var ownHeaders = []string{
+	"Authorization", KeyHeader, CallerHeader, DeadlineHeader, refusal.Header, engine.NotRunHeader,
+	service.KeyHeader, accountHeader, "Content-Length", "Host",
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+const (
+	accountHeader = "X-Account" // tells a service which account calls
+)
 
 // callService passes a call on to a replica of a plain service.
 func (e *Entry) callService(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
@@ -52,12 +63,18 @@
 		return
 	}
 	defer e.releaseGrant(grant)
-	ctx, act, end := e.begin(r.Context(), c, "call", s.ID)
+	ctx, act, end, err := e.begin(r.Context(), c, "call", s.ID)
+	if err != nil {
+		e.refuse(w, err)
+		return
+	}
 	defer end()
 	out := service.Call{
 		Method: r.Method, Path: p.ByName("path"), Header: passHeader(r.Header), Body: body,
 		Key: r.Header.Get(KeyHeader), Deadline: c.deadline,
 	}
+	out.Header.Set(accountHeader, c.account.ID)
+	out.Header.Set(CallerHeader, publicName(c.caller))
 	if r.URL.RawQuery != "" {
 		out.Path += "?" + r.URL.RawQuery
 	}
@@ -138,17 +155,16 @@
 	}
 }
 
+// passHeader copies the headers that are passed on.
 func passHeader(from http.Header) http.Header {
-	to := http.Header{}
-	for _, name := range passedHeaders {
-		if values := from[name]; len(values) > 0 {
-			to[name] = values
+	to := from.Clone()
+	for _, field := range from.Values("Connection") {
+		for name := range strings.SplitSeq(field, ",") {
+			to.Del(strings.TrimSpace(name))
 		}
 	}
-	for name, values := range from {
-		if strings.HasPrefix(name, "X-App-") {
-			to[name] = values
-		}
+	for _, name := range ownHeaders {
+		to.Del(name)
 	}
 	return to
 }
--- a/process/entry/completion.go
+++ b/process/entry/completion.go
@@ -70,7 +70,11 @@
 		return
 	}
 	defer e.releaseGrant(grant)
-	ctx, act, end := e.begin(r.Context(), c, "stream", service.ID)
+	ctx, act, end, err := e.begin(r.Context(), c, "stream", service.ID)
+	if err != nil {
+		e.refuse(w, err)
+		return
+	}
 	defer end()
 	j := &job{e: e, call: c, req: req, service: service, act: act}
 	if req.Stream {
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -68,11 +68,12 @@
 	background context.Context
 	cancel     context.CancelFunc
 
-	stopping atomic.Bool   // no longer in locate answers
-	refusing atomic.Bool   // takes no new requests
-	killed   atomic.Bool   // ends without goodbye
-	ready    atomic.Bool   // has joined
-	expired  chan struct{} // closed when the longest graceful stop has passed
+	stopping atomic.Bool     // no longer in locate answers
+	refusing atomic.Bool     // takes no new requests
+	killed   atomic.Bool     // ends without goodbye
+	ready    atomic.Bool     // has joined
+	serving  context.Context // ends when the longest graceful stop has passed
+	expire   context.CancelFunc
 
 	server       *http.Server
 	peerListener net.Listener
@@ -80,7 +81,8 @@
 	present      atomic.Pointer[[]member.Member] // as of the last change
 	holder       *config.Holder
 	tracker      config.Tracker
-	counted      atomic.Int64 // version for which the registered entries were read
+	leaving      atomic.Pointer[map[string]bool] // addresses that the instance list calls leaving
+	counted      atomic.Int64                    // version for which the registered entries were read
 	leases       *lease.Keeper
 	owner        *claim.Owner
 	ledger       *claim.Ledger
@@ -106,7 +108,7 @@
 
 func (e *Entry) prepare() {
 	e.id = e.Settings.Name + "-" + uuid.NewString()[:8]
-	e.expired = make(chan struct{})
+	e.serving, e.expire = context.WithCancel(context.Background())
 	if e.Log == nil {
 		e.Log = logrus.New()
 	}
--- a/process/entry/http.go
+++ b/process/entry/http.go
@@ -116,24 +116,31 @@
 	if s.Strict && e.stale() {
 		return nil, refusal.New(refusal.Stale, refusal.NotRun, "configuration may be out of date")
 	}
-	if e.refusing.Load() {
-		return nil, refusal.New(refusal.Stopping, refusal.NotRun, "entry is stopping; use another entry")
-	}
 	return s, nil
 }
 
-// begin registers a request in flight. The context ends at the deadline.
-func (e *Entry) begin(ctx context.Context, c call, kind, service string) (context.Context, *activity, func()) {
+// begin registers a request in flight. The context ends at the deadline, when
+// an operator cancels the request, and when the limit of a graceful stop has
+// passed. A stop waits for every request that begin let through: it refuses
+// first and counts then, and begin counts first and looks for a refusal then.
+func (e *Entry) begin(ctx context.Context, c call, kind, service string) (context.Context, *activity, func(), error) {
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
 	a := &activity{
 		ID: uuid.NewString(), Kind: kind, Account: c.account.ID, Caller: c.caller,
 		Service: service, Begun: c.arrived, cancel: cancel,
 	}
 	e.streams.add(a)
-	return ctx, a, func() {
+	unwatch := context.AfterFunc(e.serving, cancel)
+	end := func() {
+		unwatch()
 		cancel()
 		e.streams.remove(a)
 	}
+	if e.refusing.Load() {
+		end()
+		return ctx, a, end, refusal.New(refusal.Stopping, refusal.NotRun, "entry is stopping; use another entry")
+	}
+	return ctx, a, end, nil
 }
 
 func (e *Entry) health(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
--- a/process/entry/job.go
+++ b/process/entry/job.go
@@ -119,6 +119,8 @@
 		return nil
 	case j.e.isExpired():
 		return refusal.New(refusal.Stopping, refusal.Unknown, "entry has stopped; resume at another entry")
+	case j.act.canceled.Load():
+		return refusal.New(refusal.Canceled, refusal.Unknown, "an operator cancelled the stream")
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return refusal.New(refusal.Deadline, refusal.Unknown, "deadline passed")
 	case ctx.Err() != nil:
@@ -317,12 +319,14 @@
 // after a while and only if nobody reads it then.
 func (j *job) abandon(ctx context.Context, conn *engine.Conn, err error) {
 	reason := refusal.From(err).Reason
-	if reason == refusal.Stopping {
-		return
+	if reason == refusal.Stopping || j.e.isExpired() {
+		return // the caller goes on reading through another entry
 	}
 	cancel, at := conn.Cancel, j.e.now()
 	hungUp := errors.Is(ctx.Err(), context.Canceled) || reason == refusal.Canceled
-	if hungUp || j.out.delivered() {
+	if j.act.canceled.Load() {
+		hungUp = false
+	} else if hungUp || j.out.delivered() {
 		cancel, at = conn.CancelIdle, at.Add(hangupGrace)
 	}
 	generation := j.generation
--- a/process/entry/members.go
+++ b/process/entry/members.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -15,6 +16,8 @@
 
 	"github.com/eelgrassdock/eelgrassdock/process/locate"
 	"github.com/eelgrassdock/eelgrassdock/process/member"
+	"github.com/eelgrassdock/eelgrassdock/process/platform"
+	"github.com/eelgrassdock/eelgrassdock/version/config"
 )
 
 const (
@@ -50,6 +53,7 @@
 	if err != nil && listErr != nil {
 		return nil, fmt.Errorf("read instance list: %w", listErr)
 	}
+	e.noteLeaving(list)
 	for _, i := range list {
 		if i.Peer != "" && i.Peer != e.Settings.Peer {
 			seeds = append(seeds, member.Member{ID: i.ID, Addr: i.Addr, Probe: i.Peer, RPC: i.Peer, Place: i.Place, Region: i.Region})
@@ -58,6 +62,28 @@
 	return seeds, nil
 }
 
+// noteLeaving remembers which addresses the instance list calls leaving. The
+// list lags, so it only adds to what endpoints say of themselves.
+func (e *Entry) noteLeaving(list []platform.Instance) {
+	leaving := map[string]bool{}
+	for _, i := range list {
+		if i.Leaving {
+			leaving[i.Addr] = true
+		}
+	}
+	old := e.leaving.Swap(&leaving)
+	if old == nil && len(leaving) == 0 || old != nil && maps.Equal(*old, leaving) {
+		return
+	}
+	e.reconfigure()
+}
+
+// drains tells whether an endpoint is to get no new work.
+func (e *Entry) drains(endpoint *config.Endpoint) bool {
+	leaving := e.leaving.Load()
+	return endpoint.Drain || leaving != nil && (*leaving)[endpoint.Addr]
+}
+
 func (e *Entry) membersChanged(list []member.Member) {
 	ids := make([]string, 0, len(list))
 	gone := e.present.Swap(&list)
@@ -189,6 +215,7 @@
 	if err != nil {
 		return
 	}
+	e.noteLeaving(list)
 	names := map[string]bool{}
 	for _, i := range list {
 		names[i.ID] = true
--- a/process/entry/registry.go
+++ b/process/entry/registry.go
@@ -19,14 +19,14 @@
 		Endpoint atomic.Pointer[string]
 		Tokens   atomic.Int64
 		Begun    time.Time
+		canceled atomic.Bool // by an operator
 		cancel   func()
 	}
 
 	// registry holds the requests in flight, in shards.
 	registry struct {
-		expireOnce sync.Once
-		n          atomic.Int64
-		shards     [registryShards]struct {
+		n      atomic.Int64
+		shards [registryShards]struct {
 			mu   sync.Mutex
 			list map[string]*activity
 		}
@@ -92,6 +92,7 @@
 	if a == nil {
 		return false
 	}
+	a.canceled.Store(true)
 	a.cancel()
 	return true
 }
--- a/process/entry/watch.go
+++ b/process/entry/watch.go
@@ -42,7 +42,7 @@
 	var endpoints []placement.Endpoint
 	for _, endpoint := range chosen {
 		endpoints = append(endpoints, placement.Endpoint{
-			ID: endpoint.ID, Place: endpoint.Place, Region: endpoint.Region, Tokens: endpoint.Tokens, Drain: endpoint.Drain,
+			ID: endpoint.ID, Place: endpoint.Place, Region: endpoint.Region, Tokens: endpoint.Tokens, Drain: d.e.drains(endpoint),
 		})
 	}
 	d.sched.SetEndpoints(endpoints)
@@ -181,7 +181,7 @@
 	best, rank := (*config.Endpoint)(nil), 0
 	for _, w := range e.desk(s.ID).watches() {
 		endpoint := e.config().Endpoint(w.endpoint.ID)
-		if endpoint == nil || endpoint.Drain || w.leaving.Load() {
+		if endpoint == nil || e.drains(endpoint) || w.leaving.Load() {
 			continue
 		}
 		score := rand.IntN(100) + 1
