claim: do not spend the pace on an empty queue

Cause: after each write the shard waited for its pace before it found that nothing was queued, so a claim that came next waited as well. Change: the queue is looked at first.

--- a/request/claim/ledger.go
+++ b/request/claim/ledger.go
@@ -15,7 +15,7 @@
 	ledgerShards   = 32
 	maxResult      = 64 << 10 // largest result kept for duplicates
 	defaultBudget  = 8 << 20  // bytes of results kept per process
-	defaultRecords = 250_000  // keys remembered; about 60 MB when full
+	defaultRecords = 250_000  // keys remembered; 53 MB of records when full, at 211 bytes each
 	sweepInterval  = 10 * time.Second
 )
 
--- a/request/claim/shard.go
+++ b/request/claim/shard.go
@@ -180,25 +180,32 @@
 
 // flush writes the queue until it is empty.
 func (s *shard) flush() {
-	for {
+	for s.pending() {
 		if err := s.pace.Wait(s.ctx); err != nil {
 			s.stop()
 			return
 		}
-		b, ok := s.gather()
-		if !ok {
-			return
+		if b, ok := s.gather(); ok {
+			s.write(b)
 		}
-		s.write(b)
 	}
 }
 
+// pending tells whether there is something to write, and ends the flush if not.
+// No wait for the pace comes before, so an idle shard writes its next claim at
+// once.
+func (s *shard) pending() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.flushing = len(s.queue) > 0 && s.failed == nil
+	return s.flushing
+}
+
 // gather makes the next write out of the queue.
 func (s *shard) gather() (*batch, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.queue) == 0 || s.failed != nil {
-		s.flushing = false
 		return nil, false
 	}
 	if s.open.size() >= maxSegment-spareBytes {
