--- a/request/claim/claim_test.go
+++ b/request/claim/claim_test.go
@@ -1,7 +1,10 @@
 package claim
 
 import (
+	"bytes"
 	"context"
+	"encoding/gob"
+	"errors"
 	"fmt"
 	"strings"
 	"testing"
@@ -401,6 +404,23 @@
 	require.Empty(t, o.all())
 }
 
+// Guards against refusals that lose their reason or outcome in net/rpc.
+func TestMessagesSurviveGob(t *testing.T) {
+	sent := fold(Grant{}, storeRefusal("down"))
+	reply := Reply{State: Done, Result: &Result{Status: 200, Body: []byte("b")}, Refusal: sent.Refusal}
+	var buffer bytes.Buffer
+	e, d := gob.NewEncoder(&buffer), gob.NewDecoder(&buffer)
+	require.NoError(t, errors.Join(e.Encode(sent), e.Encode(reply), e.Encode(Claim{Hash: Hash{1}}), e.Encode(Query{Key: "k"})))
+	var got struct {
+		Grant
+		Reply
+		Claim
+		Query
+	}
+	require.NoError(t, errors.Join(d.Decode(&got.Grant), d.Decode(&got.Reply), d.Decode(&got.Claim), d.Decode(&got.Query)))
+	require.Equal(t, []any{sent, reply, Hash{1}, "k"}, []any{got.Grant, got.Reply, got.Hash, got.Key})
+}
+
 func ExampleParseKey() {
 	key := ParseKey("entry-7.01931f5c-5a00-7000-8000-000000000000")
 	fmt.Println(key.Instance, key.Minted.UTC().Format(time.DateTime))
