claim: say 'not run' only while no other entry can own the shard

Cause: an owner whose lease was over and that could not reach the store refused as not run, although a successor may have granted and run the key; the randomised run allowed this by a condition of its own. Change: such an owner refuses with an unknown outcome; whether the lease is held is asked at the moment of the refusal. The condition in the randomised run is gone, so every 'not run' is compared with what ran. Conclusion: in an outage longer than a lease, own keys are answered unknown; bound keys are not affected.

--- a/process/entry/claims.go
+++ b/process/entry/claims.go
@@ -19,6 +19,10 @@
 	e.ledger = &claim.Ledger{Now: e.Now, Violation: func(s string) { e.violation("at most once", s) }}
 	e.owner = &claim.Owner{
 		Platform: e.Platform, Holder: e.id, Now: e.Now, Log: e.Log,
+		Holds: func(duty string, now time.Time) bool {
+			_, ok := e.leases.Check(duty, now)
+			return ok
+		},
 		Violation: func(s string) { e.violation("claim", s) },
 	}
 	e.guard = &claim.Guard{
--- a/request/claim/claim.go
+++ b/request/claim/claim.go
@@ -42,11 +42,10 @@
 // not be. While the store is down, an owner goes on answering for the claims
 // that it knows, so a repeated request learns of the first one. If no owner can
 // be reached, or its claims are still being read, an earlier request under the
-// same key may have run, and the outcome is unknown. One case remains in which
-// "not run" does not hold for earlier requests under the key: an owner that has
-// lost its lease and cannot reach the store does not know what a successor
-// granted. Refusing with an unknown outcome there would do so in every outage
-// longer than a lease.
+// same key may have run, and the outcome is unknown. The same holds for an owner
+// whose lease is over and that cannot reach the store: it does not know what a
+// successor granted. So in an outage longer than a lease, requests under keys
+// that need a claim are refused as unknown, and those under bound keys run.
 package claim
 
 import (
--- a/request/claim/claim_test.go
+++ b/request/claim/claim_test.go
@@ -406,7 +406,7 @@
 
 // Guards against refusals that lose their reason or outcome in net/rpc.
 func TestMessagesSurviveGob(t *testing.T) {
-	sent := fold(Grant{}, storeRefusal("down"))
+	sent := fold(Grant{}, refusal.New(refusal.Store, refusal.NotRun, "down"))
 	reply := Reply{State: Done, Result: &Result{Status: 200, Body: []byte("b")}, Refusal: sent.Refusal}
 	var buffer bytes.Buffer
 	e, d := gob.NewEncoder(&buffer), gob.NewDecoder(&buffer)
--- a/request/claim/owner.go
+++ b/request/claim/owner.go
@@ -32,6 +32,11 @@
 		Holder string
 		Shards int              // Shards if zero
 		Now    func() time.Time // time.Now if nil
+		// Holds tells whether this entry holds the lease of a duty now, such as
+		// lease.Keeper.Check does. Without the lease there may be a successor
+		// that granted the key, so a refusal is not "not run". If nil, a lease
+		// counts as held from Gained to Lost.
+		Holds func(duty string, now time.Time) bool
 		// Pace is the most writes a second for each shard, 20 if zero. It is
 		// halved when the store limits, and recovers with each write.
 		Pace float64
--- a/request/claim/random_test.go
+++ b/request/claim/random_test.go
@@ -72,19 +72,12 @@
 func (w *world) route(e *entry) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.owner, w.stale = e, true
-}
-
-// astray tells whether an owner without the latest claims may have been asked.
-func (w *world) astray() bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.stale
+	w.owner = e
 }
 
 // check sends one request and compares its answer with what ran.
 func (w *world) check(t *rapid.T, e *entry, key string, outcome *refusal.Error, gate chan struct{}) {
-	before, stale := w.count(key), w.astray()
+	before := w.count(key)
 	var mine bool
 	r := Request{Account: "a", Key: key, Fingerprint: "f", Deadline: w.clock().Add(300 * time.Millisecond)}
 	_, err := e.request(r, func() error {
@@ -100,10 +93,7 @@
 	if n := w.count(key); n > 1 {
 		t.Errorf("key %s ran %d times", key, n)
 	}
-	// An owner that cannot reach the store does not know of a successor, so its
-	// "not run" is only about the request that it refuses.
-	uninformed := err != nil && err.Reason == refusal.Store && (stale || w.astray())
-	wrong := mine || before > 0 && !uninformed
+	wrong := mine || before > 0
 	if err != nil && err.Outcome == refusal.NotRun && wrong && !w.gone(e) {
 		t.Errorf("key %s ran, but %s says not run", key, err)
 	}
--- a/request/claim/shard.go
+++ b/request/claim/shard.go
@@ -72,7 +72,20 @@
 
 func isNotOwner(err error) bool { return errors.Is(err, ErrNotOwner) }
 
-func storeRefusal(detail string) *refusal.Error {
+// refuse makes the refusal for a claim that could not be written. It says "not
+// run" only while no other entry can own the shard.
+func (s *shard) refuse(detail string) *refusal.Error {
+	s.mu.Lock()
+	lapsed := s.lapsed
+	s.mu.Unlock()
+	return s.refusal(lapsed, detail)
+}
+
+func (s *shard) refusal(lapsed bool, detail string) *refusal.Error {
+	holds := s.owner.Holds == nil || s.owner.Holds(Duty(s.number), s.owner.Now())
+	if lapsed || !holds {
+		return refusal.New(refusal.Store, refusal.Unknown, "the lease of the claim shard is over: "+detail)
+	}
 	return refusal.New(refusal.Store, refusal.NotRun, detail)
 }
 
@@ -160,7 +173,7 @@
 	case <-o.done:
 		return o.grant, o.err
 	case <-ctx.Done():
-		return Grant{}, storeRefusal("the claim was not written in time")
+		return Grant{}, s.refuse("the claim was not written in time")
 	}
 }
 
@@ -217,7 +230,7 @@
 		if o.ctx.Err() == nil {
 			b.orders = append(b.orders, o)
 		} else {
-			o.end(Grant{}, storeRefusal("the caller left before the claim was written"))
+			o.end(Grant{}, s.refusal(s.lapsed, "the caller left before the claim was written"))
 		}
 	}
 	s.queue = nil
--- a/request/claim/world_test.go
+++ b/request/claim/world_test.go
@@ -35,7 +35,7 @@
 		late    [][]platform.Op // commits that are held back
 		delay   bool            // hold commits back and lose their answers
 		owner   *entry
-		stale   bool // claims go to an entry that may have a successor
+		lessee  *entry // holds the lease; claims may go to another entry
 		fence   int64
 		runs    map[string]int
 		entries []*entry
@@ -95,7 +95,7 @@
 	p := w.memory.Platform()
 	p.Commit = w.commit
 	e := &entry{world: w, id: id}
-	e.owner = &Owner{Platform: p, Holder: id, Shards: 1, Now: w.clock, Pace: 1e6, Violation: violation}
+	e.owner = &Owner{Platform: p, Holder: id, Shards: 1, Now: w.clock, Pace: 1e6, Violation: violation, Holds: e.holds}
 	e.guard = &Guard{
 		Ledger: &Ledger{Now: w.clock, Violation: violation}, Instance: id, Now: w.clock, Shards: 1,
 		Patience: 50 * time.Millisecond, Ask: w.ask, TakeRemote: e.take,
@@ -140,11 +140,18 @@
 	w.mu.Lock()
 	w.fence++
 	fence := w.fence
+	w.lessee = e
 	w.mu.Unlock()
 	e.owner.Gained(lease.Lease{Duty: Duty(0), Holder: e.id, Fence: fence})
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.owner, w.stale = e, false
+	w.owner = e
+}
+
+func (e *entry) holds(string, time.Time) bool {
+	e.world.mu.Lock()
+	defer e.world.mu.Unlock()
+	return e.world.lessee == e
 }
 
 func (w *world) holder() *entry {
--- a/request/claim/write.go
+++ b/request/claim/write.go
@@ -99,7 +99,7 @@
 		// A stopped shard may have a successor that knows more.
 		err = s.notOwner()
 	case err != nil:
-		err = storeRefusal(err.Error())
+		err = s.refuse(err.Error())
 	}
 	for i, o := range b.orders {
 		if err != nil {
