member: answer only probes with a death notice

Cause: two nodes that held each other for dead answered each other's notice with a notice as long as neither refuted; a trial without refutation did not end within 60 s. Change: only a probe, which a timer causes, gets the notice. Tests for a pause with a probe under way, late gossip after tombstones aged, a missed row and a start from old evidence.

--- a/process/member/member_test.go
+++ b/process/member/member_test.go
@@ -65,10 +65,12 @@
 	h := w.nodes[4]
 	before := h.Self.Incarnation
 	suspicions := h.Stats().Suspicions
+	// A probe is under way when the pause begins, and nothing waits when it ends.
+	w.cut = func(_, to *host) bool { return to == h }
+	w.run(600 * time.Millisecond)
 	h.wake = w.now.Add(30 * time.Second)
 	w.run(20 * time.Second)
 	require.Equal(t, member.Dead, w.nodes[0].Status(h.Self.ID))
-	w.cut = func(_, to *host) bool { return to == h }
 	w.run(10*time.Second + 3*member.Tick)
 	require.Len(t, h.Members(), 25)
 	require.Greater(t, h.Self.Incarnation, before, "refutes before it is told")
@@ -146,19 +148,33 @@
 	h.Drain()
 	w.run(3 * time.Second)
 	require.True(t, w.nodes[0].Members()[5].Leaving)
+	old := late
 	h.Leave()
 	w.run(time.Second)
 	require.Equal(t, member.Left, w.nodes[0].Status(h.Self.ID))
 	h.down = true
 	require.GreaterOrEqual(t, w.until(2*time.Second, w.agree), time.Duration(0))
 	w.run(2 * time.Minute)
-	for _, data := range late {
+	for _, data := range old {
 		w.nodes[0].Receive(data, h.Self.Probe)
 	}
+	require.NotEqual(t, member.Alive, w.nodes[0].Status(h.Self.ID))
 	w.run(10 * time.Second)
 	require.True(t, w.agree())
 }
 
+// Guards against a row that gossip missed for good.
+func TestMissedRowIsRepaired(t *testing.T) {
+	w := settled(t, 6, 9)
+	w.cut = func(_, to *host) bool { return to.i == 5 }
+	w.nodes[1].Drain()
+	w.run(3 * time.Second)
+	w.cut = nil
+	leaving := func() bool { return w.nodes[5].Members()[1].Leaving }
+	require.False(t, leaving())
+	require.GreaterOrEqual(t, w.until(time.Minute, leaving), time.Duration(0))
+}
+
 // Guards against a payload that reaches some members late or never.
 func TestPayloadSpreads(t *testing.T) {
 	w := settled(t, 50, 8)
--- a/process/member/probe.go
+++ b/process/member/probe.go
@@ -186,18 +186,21 @@
 }
 
 // checkSender asks a sender for its row if it is unknown or newer than what is
-// known, and tells it if it is held for dead.
+// known, and tells a prober if it is held for dead. Only datagrams that a timer
+// causes get such an answer: two nodes that hold each other for dead would
+// otherwise answer each other without end.
 func (n *Node) checkSender(d *datagram, from string) {
 	e := n.rows[d.From]
 	switch {
 	case e == nil || d.Inc > e.Incarnation:
-		if d.Kind != kindGossip || e != nil {
+		if d.Kind != kindGossip {
 			n.post(from, &datagram{Kind: kindGossip, Want: true})
 		}
-	case e.status == Dead && d.Kind != kindAck:
+	case d.Kind != kindPing:
+	case e.status == Dead:
 		n.post(from, &datagram{Kind: kindGossip, encoded: raws(rowOf(e.Member, Dead))})
 		n.post(from, &datagram{Kind: kindDigest, Digest: encodeDigest(&n.buckets)})
-	case d.Inc < e.Incarnation && d.Kind != kindAck:
+	case d.Inc < e.Incarnation:
 		// A process that restarted with a clock behind its predecessor's.
 		n.post(from, &datagram{Kind: kindGossip, encoded: raws(rowOf(e.Member, e.status))})
 	}
--- a/process/member/sim_test.go
+++ b/process/member/sim_test.go
@@ -112,12 +112,12 @@
 		w.after(h.wake.Sub(w.now), func() { w.step(h) })
 		return
 	}
+	h.Step(w.now) // before it reads what waits in the socket's buffer
 	held := h.held
 	h.held = nil
 	for _, run := range held {
 		run()
 	}
-	h.Step(w.now)
 	w.after(member.Tick, func() { w.step(h) })
 }
 
--- a/version/config/config_test.go
+++ b/version/config/config_test.go
@@ -334,16 +334,22 @@
 	_, err := a.Change(ctx, 0, replace(document(3)), "ann")
 	require.NoError(t, err)
 	m.Break(platform.Faults{Down: true})
-	b := &config.Holder{Store: &config.Store{Platform: m.Platform()}, Now: clock, Fetch: func(_ context.Context, peer string, after int64) ([]config.Delta, error) {
+	fetch := func(_ context.Context, peer string, after int64) ([]config.Delta, error) {
 		if peer != "a" {
 			return nil, errors.New("wrong peer")
 		}
 		return a.Deltas(after)
-	}}
+	}
+	b := &config.Holder{Store: &config.Store{Platform: m.Platform()}, Now: clock, Fetch: fetch}
 	b.Step(ctx)
 	require.Nil(t, b.Current())
 	b.OnPayload("a", a.Payload())
 	b.Step(ctx)
 	require.Equal(t, a.Current().Document, b.Current().Document)
 	require.True(t, slices.Equal(a.Payload(), b.Payload()))
+	now = now.Add(config.StaleAfter + time.Millisecond)
+	late := &config.Holder{Store: b.Store, Now: clock, Fetch: fetch}
+	late.OnPayload("a", a.Payload())
+	late.Step(ctx)
+	require.Nil(t, late.Current(), "the peer's evidence is too old to start from")
 }
