member: allow calls before Run opened the socket

Cause: Leave or Tell before Run called a nil Send, and Run set Send while others could read it. Change: Send is read and set under the lock; datagrams before that are dropped.

--- a/process/member/member.go
+++ b/process/member/member.go
@@ -93,7 +93,8 @@
 		// Seeds lists members that may exist, such as the instance list. Run
 		// calls it at the start and once a minute; nil means none.
 		Seeds func(ctx context.Context) ([]Member, error)
-		// Send carries one datagram to a Probe address.
+		// Send carries one datagram to a Probe address; if nil, Run opens a UDP
+		// socket at Self.Probe.
 		Send func(addr string, data []byte) error
 		// Now gives the time; time.Now if nil.
 		Now func() time.Time
@@ -307,14 +308,17 @@
 	}
 	n.wake(now)
 	work(now)
-	out, dirty := n.out, n.dirty
+	out, dirty, send := n.out, n.dirty, n.Send
 	n.out, n.dirty = nil, false
 	if dirty {
 		n.publish()
 	}
 	n.mu.Unlock()
 	for _, p := range out {
-		if err := n.Send(p.addr, p.data); err != nil {
+		if send == nil { // before Run opened the socket
+			break
+		}
+		if err := send(p.addr, p.data); err != nil {
 			counts.Add("send_failed", 1)
 		}
 	}
--- a/process/member/member_test.go
+++ b/process/member/member_test.go
@@ -270,6 +270,10 @@
 	var wg conc.WaitGroup
 	var list []member.Member
 	var nodes []*member.Node
+	// A node without Send opens its own socket; a call before that is harmless.
+	own := &member.Node{Self: member.Member{ID: "own", Probe: "127.0.0.1:0"}}
+	own.Leave()
+	wg.Go(func() { _ = own.Run(ctx) })
 	for i := range 3 {
 		socket, err := member.ListenUDP("127.0.0.1:0")
 		require.NoError(t, err)
--- a/process/member/run.go
+++ b/process/member/run.go
@@ -87,7 +87,9 @@
 			return err
 		}
 		defer func() { _ = socket.Close() }()
+		n.mu.Lock()
 		n.Send = socket.Send
+		n.mu.Unlock()
 		wg.Go(func() { _ = socket.Serve(n.Receive) })
 	}
 	wg.Go(func() { n.seedLoop(ctx) })
