entry: ask for lost acknowledgements

Cause: an acknowledgement that got lost left a change pending until the next datagram between the two entries. Figures: go test -race of entry, cmd, version and member passes. Conclusion: none of the promises changes; pending ends sooner.

--- a/process/entry/version.go
+++ b/process/entry/version.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/eelgrassdock/eelgrassdock/connection/peer"
+	"github.com/eelgrassdock/eelgrassdock/process/member"
 	"github.com/eelgrassdock/eelgrassdock/process/platform"
 	"github.com/eelgrassdock/eelgrassdock/version/config"
 )
@@ -18,11 +19,13 @@
 var empty = config.NewIndex(config.Document{})
 
 func (e *Entry) newConfig() {
+	e.tracker.Gone = func(id string) bool { return e.members.Status(id) == member.Left }
 	e.holder = &config.Holder{
 		Store: &config.Store{Platform: e.Platform, Now: e.Now, Origin: e.id},
 		Fetch: e.fetchDeltas, Live: func() int { return len(e.members.Members()) },
 		Nudge: func() { e.members.Nudge() }, Tell: func(id string) { e.members.Tell(id) },
-		Acked: e.tracker.Ack, Installed: e.installed, Now: e.Now,
+		Ask:   func(id string) { e.members.Ask(id) },
+		Acked: e.tracker.Ack, Pending: e.tracker.Pending, Installed: e.installed, Now: e.Now,
 		Seed: hashID(e.id), Violation: func(s string) { e.violation("configuration", s) },
 	}
 }
