entry: read registrations in pages

Cause: one list of registrations asked for 2,000 rows and counted as 21 reads; 100 entries that started at once ran into the store's limit. Change: pages of 99 rows.

--- a/process/entry/register.go
+++ b/process/entry/register.go
@@ -16,7 +16,7 @@
 	registerPrefix = "entry/"        // rows of the table, one for each entry
 	registerRetry  = time.Second     // between attempts to register while the store is down
 	registerWait   = 3 * time.Second // the start of an entry waits this long for its registration
-	maxEntries     = 2000            // rows read in one list
+	pageRows       = 99              // rows of one list; 100 would count as a second read
 	unread         = "entries whose registration could not be read"
 )
 
@@ -84,19 +84,24 @@
 
 // registered lists the entries that have a row.
 func (e *Entry) registered(ctx context.Context) ([]member.Member, error) {
-	rows, err := e.Platform.List(ctx, registerPrefix, "", maxEntries)
-	if err != nil {
-		return nil, fmt.Errorf("read registrations: %w", err)
-	}
-	list := make([]member.Member, 0, len(rows))
-	for _, row := range rows {
-		var m member.Member
-		if err := json.Unmarshal(row.Value, &m); err != nil {
-			return nil, fmt.Errorf("decode registration %s: %w", row.Key, err)
+	var list []member.Member
+	for after := ""; ; {
+		rows, err := e.Platform.List(ctx, registerPrefix, after, pageRows)
+		if err != nil {
+			return nil, fmt.Errorf("read registrations: %w", err)
+		}
+		for _, row := range rows {
+			var m member.Member
+			if err := json.Unmarshal(row.Value, &m); err != nil {
+				return nil, fmt.Errorf("decode registration %s: %w", row.Key, err)
+			}
+			list = append(list, m)
+			after = row.Key
+		}
+		if len(rows) < pageRows {
+			return list, nil
 		}
-		list = append(list, m)
 	}
-	return list, nil
 }
 
 // readRegistered adds the registered entries to those that must acknowledge.
