placement: compute shares of the outlook once

Cause: Place among 100 endpoints is at its goal of 5 µs. Change: factors that don't depend on the endpoint move out of the loop.

--- a/process/placement/choose.go
+++ b/process/placement/choose.go
@@ -61,6 +61,8 @@
 		size     float64           // prompt tokens that count for the risk
 		far      float64           // cost of another region
 		alive    [horizons]float64 // share of others' generations that still run
+		doubt    [horizons]float64 // variance of that, for each generation
+		tokens   [horizons]float64 // the horizons
 		peerRate float64           // requests per second and endpoint from peers
 		peerVar  float64           // variance of memory that they add per second
 		mirror   float64           // peers without this entry, times mirrorShare
@@ -161,6 +163,9 @@
 	for h := range o.alive {
 		o.alive[h] = min(max((s.mix.ahead.alive[h]+mixPrior*o.ahead.alive[h])/(float64(s.mix.count)+mixPrior), 0), 1)
 	}
+	for h, alive := range o.alive {
+		o.tokens[h], o.doubt[h] = float64(s.ahead[h]), alive*(1-alive)
+	}
 	if s.Policy == Previous {
 		s.lookBefore(o)
 	}
@@ -217,9 +222,9 @@
 	for h := range o.ahead.mean {
 		// Work that ends is followed by other work, so that memory is not expected
 		// to shrink below what is in use now.
-		grown := others + e.othersRuns*float64(s.ahead[h])
+		grown := others + e.othersRuns*o.tokens[h]
 		mean := max(grown*o.alive[h]+e.ahead.mean[h]+o.ahead.mean[h], floor)
-		variance := grown*grown*perRun*o.alive[h]*(1-o.alive[h]) + e.ahead.variance[h] + o.ahead.variance[h] + spread
+		variance := grown*grown*perRun*o.doubt[h] + e.ahead.variance[h] + o.ahead.variance[h] + spread
 		variance = max(variance, 1)
 		room := e.total - mean
 		if room *= math.Abs(room); room*over < square*variance {
