load, entry: compare policies from the command line, count requests

Cause: the comparison could be run only as a test, and an operator saw refusals but not requests, tokens, waits or bytes between regions.

--- a/cmd/eelgrassdock/tools.go
+++ b/cmd/eelgrassdock/tools.go
@@ -14,6 +14,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/eelgrassdock/eelgrassdock/internal/compare"
 	"github.com/eelgrassdock/eelgrassdock/internal/demo"
 	"github.com/eelgrassdock/eelgrassdock/internal/load"
 	"github.com/eelgrassdock/eelgrassdock/process/entry"
@@ -40,6 +41,9 @@
 		Seed     uint64        `default:"1" help:"Seed."`
 		Max      int           `default:"400" help:"Longest answer in tokens."`
 		Pause    time.Duration `default:"50ms" help:"Mean pause of a caller between requests."`
+		Compare  bool          `help:"Compare placement policies on simulated engines under a manual clock and print a table."`
+		Loads    string        `help:"With --compare: only loads whose name contains this."`
+		Seeds    int           `default:"3" help:"With --compare: number of seeds."`
 	}
 
 	demoCommand struct {
@@ -121,6 +125,9 @@
 }
 
 func (c *loadCommand) Run(std streams) error {
+	if c.Compare {
+		return c.compare(std)
+	}
 	l := &load.Runner{
 		Entries: c.Entries, Model: c.Model, Plain: c.Plain, Runs: c.Runs, Place: c.Place,
 		Seed: c.Seed, Max: c.Max, Pause: c.Pause,
@@ -140,6 +147,26 @@
 	return verdict(std, l.Run(ctx))
 }
 
+// compare runs the policies on the same arrival traces.
+func (c *loadCommand) compare(std streams) error {
+	var o compare.Options
+	for _, l := range compare.Loads {
+		if strings.Contains(l.Name, c.Loads) {
+			o.Loads = append(o.Loads, l)
+		}
+	}
+	if len(o.Loads) == 0 {
+		return errors.Newf("no load has a name with %q", c.Loads)
+	}
+	for i := range c.Seeds {
+		o.Seeds = append(o.Seeds, c.Seed+uint64(i))
+	}
+	if err := compare.Run(std.out, o); err != nil {
+		return fmt.Errorf("compare policies: %w", err)
+	}
+	return nil
+}
+
 func parseAccount(text string) (load.Account, error) {
 	parts := strings.Split(text, ":")
 	a := load.Account{Callers: 1}
--- a/process/entry/call.go
+++ b/process/entry/call.go
@@ -79,6 +79,7 @@
 		out.Path += "?" + r.URL.RawQuery
 	}
 	result, err := e.answer(ctx, c, s, route, out, act)
+	countEnd(s.ID, err)
 	if err != nil {
 		e.refuse(w, err)
 		return
--- a/process/entry/completion.go
+++ b/process/entry/completion.go
@@ -91,7 +91,13 @@
 	j.out = out
 	err := j.resumeFrom(last)
 	if err == nil {
+		from := j.after
 		err = j.run(ctx)
+		delivered.Add(int64(j.after - from))
+	}
+	countEnd(j.service.ID, err)
+	if j.resumed {
+		resumed.Add(1)
 	}
 	if err != nil {
 		j.e.finishStream(w, out, err)
@@ -102,10 +108,13 @@
 func (j *job) whole(ctx context.Context, w http.ResponseWriter) {
 	out := &wholeWriter{}
 	j.out = out
-	if err := j.run(ctx); err != nil {
+	err := j.run(ctx)
+	countEnd(j.service.ID, err)
+	if err != nil {
 		j.e.refuse(w, err)
 		return
 	}
+	delivered.Add(int64(out.n))
 	j.e.writeJSON(w, Completion{
 		ID: j.generation, Object: "text_completion", Model: j.service.ID,
 		Choices: []Choice{{Text: out.text.String(), Finish: "stop"}}, Usage: &Usage{Completion: out.n},
--- a/process/entry/desk.go
+++ b/process/entry/desk.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -70,6 +71,7 @@
 	d.queue.Weight = e.accountWeight
 	actual, loaded := e.desks.LoadOrStore(service, d)
 	if !loaded {
+		regions.Set(service, expvar.Func(func() any { return d.sched.Bytes() }))
 		d.configure(e.config())
 		e.wg.Go(func() { d.run(e.background) })
 	}
@@ -100,6 +102,7 @@
 		return nil, err
 	}
 	if decision.Wait {
+		held.Add(1)
 		select {
 		case decision = <-w.ready:
 		case <-ctx.Done():
--- a/process/entry/job.go
+++ b/process/entry/job.go
@@ -210,6 +210,7 @@
 			return err
 		}
 		refusal.CountRetry(refusal.Broken)
+		reread.Add(1)
 		if reader, err = j.reconnect(ctx, conn, last); err != nil {
 			return err
 		}
