entry: simplify the choice of a cancellation

Cause: the linter found an assignment without effect. Change: one condition decides between the two cancellations. Conclusion: behaviour is as before.

--- a/process/entry/job.go
+++ b/process/entry/job.go
@@ -325,9 +325,7 @@
 	}
 	cancel, at := conn.Cancel, j.e.now()
 	hungUp := errors.Is(ctx.Err(), context.Canceled) || reason == refusal.Canceled
-	if j.act.canceled.Load() {
-		hungUp = false
-	} else if hungUp || j.out.delivered() {
+	if (hungUp || j.out.delivered()) && !j.act.canceled.Load() {
 		cancel, at = conn.CancelIdle, at.Add(hangupGrace)
 	}
 	generation := j.generation
