--- a/process/entry/claims.go
+++ b/process/entry/claims.go
@@ -48,7 +48,7 @@
 	if !ok {
 		return reply, fmt.Errorf("entry %s: %w", instance, peer.ErrUnreachable)
 	}
-	err := e.peers.Call(ctx, addr, "Claim.Outcome", q, &reply)
+	err := e.callPeer(ctx, addr, "Claim.Outcome", q, &reply)
 	return reply, err
 }
 
@@ -65,7 +65,7 @@
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	var grant claim.Grant
-	if err := e.peers.Call(ctx, addr, "Claim.Take", c, &grant); err != nil {
+	if err := e.callPeer(ctx, addr, "Claim.Take", c, &grant); err != nil {
 		return grant, fmt.Errorf("take claim: %w", err)
 	}
 	switch {
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -52,6 +52,9 @@
 	Now func() time.Time
 	// Dial connects to endpoints; nil means TCP.
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+	// Reaches tells whether messages to the address of another entry are sent;
+	// nil means always. Failure tests cut links with it.
+	Reaches func(addr string) bool
 	// Violation is called when a promise is seen broken; nil means that it is
 	// counted and logged only.
 	Violation func(rule, detail string)
@@ -77,12 +80,14 @@
 
 	server       *http.Server
 	peerListener net.Listener
+	socket       *member.Socket
 	members      *member.Node
 	present      atomic.Pointer[[]member.Member] // as of the last change
 	holder       *config.Holder
 	tracker      config.Tracker
 	leaving      atomic.Pointer[map[string]bool] // addresses that the instance list calls leaving
-	counted      atomic.Int64                    // version for which the registered entries were read
+	written      atomic.Int64                    // last version that was written by this entry
+	counted      atomic.Int64                    // version after which the registered entries were read
 	leases       *lease.Keeper
 	owner        *claim.Owner
 	ledger       *claim.Ledger
@@ -169,6 +174,9 @@
 	if e.peerListener != nil {
 		_ = e.peerListener.Close()
 	}
+	if e.socket != nil {
+		_ = e.socket.Close()
+	}
 	e.peers.Close()
 	e.wg.Wait()
 	e.http.CloseIdleConnections()
--- a/process/entry/join.go
+++ b/process/entry/join.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/eelgrassdock/eelgrassdock/connection/peer"
+	"github.com/eelgrassdock/eelgrassdock/process/member"
 	"github.com/eelgrassdock/eelgrassdock/process/platform"
 )
 
@@ -70,6 +71,11 @@
 	}
 	e.peerListener = l
 	e.wg.Go(func() { _ = peer.Serve(l, server) })
+	if e.socket, err = member.ListenUDP(e.Settings.Peer); err != nil {
+		return fmt.Errorf("listen for membership: %w", err)
+	}
+	e.members.Send = e.sendDatagram
+	e.wg.Go(func() { _ = e.socket.Serve(e.members.Receive) })
 	e.startRegistration()
 	e.task("membership", e.members.Run)
 	e.task("configuration", e.holder.Run)
@@ -86,6 +92,23 @@
 	return nil
 }
 
+func (e *Entry) reaches(addr string) bool { return e.Reaches == nil || e.Reaches(addr) }
+
+func (e *Entry) sendDatagram(addr string, data []byte) error {
+	if !e.reaches(addr) {
+		return nil // lost on the way
+	}
+	return e.socket.Send(addr, data)
+}
+
+// callPeer calls a method of another entry.
+func (e *Entry) callPeer(ctx context.Context, addr, method string, args, reply any) error {
+	if !e.reaches(addr) {
+		return fmt.Errorf("call %s of %s: %w", method, addr, peer.ErrLost)
+	}
+	return e.peers.Call(ctx, addr, method, args, reply)
+}
+
 // task runs a part of the entry until the entry ends.
 func (e *Entry) task(name string, run func(context.Context) error) {
 	e.wg.Go(func() {
--- a/process/entry/operators.go
+++ b/process/entry/operators.go
@@ -200,7 +200,7 @@
 	if err != nil {
 		return table, fmt.Errorf("encode query: %w", err)
 	}
-	err = e.peers.Call(ctx, addr, "Operator.Ask", TableQuery{JSON: data}, &table)
+	err = e.callPeer(ctx, addr, "Operator.Ask", TableQuery{JSON: data}, &table)
 	return table, err
 }
 
@@ -227,7 +227,7 @@
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	var found bool
-	err := e.peers.Call(ctx, addr, "Operator.Cancel", stream, &found)
+	err := e.callPeer(ctx, addr, "Operator.Cancel", stream, &found)
 	return found, err
 }
 
--- a/process/entry/orders.go
+++ b/process/entry/orders.go
@@ -106,7 +106,7 @@
 	ctx, cancel := context.WithTimeout(e.background, peerTimeout)
 	defer cancel()
 	var list []string
-	if err := e.peers.Call(ctx, addr, "Operator.Unsettled", OrderQuery{Duty: duty, Endpoints: ids}, &list); err != nil {
+	if err := e.callPeer(ctx, addr, "Operator.Unsettled", OrderQuery{Duty: duty, Endpoints: ids}, &list); err != nil {
 		return ids
 	}
 	return list
--- a/process/entry/register.go
+++ b/process/entry/register.go
@@ -117,11 +117,11 @@
 	return nil
 }
 
-// pending names the entries that lack a version. A version counts as pending
-// until the registered entries were read after it was written.
+// pending names the entries that lack a version. A version that was written
+// here counts as pending until the registered entries were read afterwards.
 func (e *Entry) pending(version int64) []string {
 	list := e.tracker.Pending(version)
-	if version > e.counted.Load() {
+	if wanted := e.written.Load(); version >= wanted && wanted > e.counted.Load() {
 		list = append(list, unread)
 	}
 	return list
@@ -130,6 +130,7 @@
 // count reads the registered entries after version was written, and tries
 // again until it succeeds.
 func (e *Entry) count(version int64) {
+	e.written.Store(max(e.written.Load(), version))
 	e.wg.Go(func() {
 		for {
 			err := e.readRegistered(e.background)
--- a/process/entry/shares.go
+++ b/process/entry/shares.go
@@ -39,7 +39,7 @@
 		return share.Share{}, fmt.Errorf("owner of account %s: %w", account, peer.ErrUnreachable)
 	}
 	var s share.Share
-	err := e.peers.Call(ctx, addr, "Share.Borrow", ask, &s)
+	err := e.callPeer(ctx, addr, "Share.Borrow", ask, &s)
 	return s, err
 }
 
--- a/process/entry/version.go
+++ b/process/entry/version.go
@@ -83,7 +83,7 @@
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	var deltas []config.Delta
-	err := e.peers.Call(ctx, addr, "Config.Fetch", after, &deltas)
+	err := e.callPeer(ctx, addr, "Config.Fetch", after, &deltas)
 	return deltas, err
 }
 
