standin: add faults and counts for failure tests

Cause: tests need an engine that closes connections before the first frame, a service that redirects, and the numbers of generations begun and canceled and of requests for work that reached a back end. Change: EngineFaults.Close, ServiceFaults.Redirect, Engine.Counts, Backend.Requests. Conclusion: used by the tests of process/entry.

--- a/internal/system/system.go
+++ b/internal/system/system.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -77,6 +78,7 @@
 		Engine  *standin.Engine
 		Service *standin.Service
 		server  *http.Server
+		work    atomic.Int64 // requests for work, also those it rejected
 		stop    context.CancelFunc
 	}
 )
@@ -140,7 +142,14 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
-	b := &Backend{ID: id, Addr: l.Addr().String(), server: &http.Server{Handler: handler}}
+	b := &Backend{ID: id, Addr: l.Addr().String()}
+	b.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case "/generate", "/orders", "/stock":
+			b.work.Add(1)
+		}
+		handler.ServeHTTP(w, r)
+	})}
 	s.wg.Go(func() { _ = b.server.Serve(l) })
 	s.Back = append(s.Back, b)
 	return b, nil
@@ -297,6 +306,9 @@
 	return list
 }
 
+// Requests counts the requests for work that came, also those it rejected.
+func (b *Backend) Requests() int64 { return b.work.Load() }
+
 // Kill ends a back end as a crash does.
 func (b *Backend) Kill() {
 	b.stop()
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -49,6 +49,9 @@
 		reports []dated  // in order of time
 		fault   EngineFaults
 		order   engine.Order
+
+		begun    int // generations accepted
+		canceled int // generations canceled before their end
 	}
 
 	// EngineFaults sets how an Engine misbehaves.
@@ -59,6 +62,7 @@
 		Repeat  bool `json:"repeat"`  // sends each frame twice
 		Reorder bool `json:"reorder"` // leaves tokens out
 		Foreign bool `json:"foreign"` // sends frames of another generation
+		Close   bool `json:"close"`   // ends each connection before the first frame
 		Cut     int  `json:"cut"`     // closes each connection after this many frames
 	}
 
@@ -228,6 +232,7 @@
 	}
 	g := newGeneration(req.Prompt)
 	e.gens[req.Gen] = g
+	e.begun++
 	select {
 	case e.kick <- struct{}{}:
 	default:
@@ -261,7 +266,9 @@
 	}
 	delete(e.gens, p.ByName("gen"))
 	e.model.Cancel(p.ByName("gen"))
-	g.end("canceled")
+	if g.end("canceled") {
+		e.canceled++
+	}
 	w.WriteHeader(http.StatusNoContent)
 }
 
@@ -324,6 +331,13 @@
 	return e.model.Report().Preempted
 }
 
+// Counts gives the numbers of generations that were accepted and canceled.
+func (e *Engine) Counts() (begun, canceled int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.begun, e.canceled
+}
+
 func (e *Engine) obey(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 	var order engine.Order
 	if err := json.NewDecoder(io.LimitReader(r.Body, maxRequest)).Decode(&order); err != nil {
@@ -379,6 +393,8 @@
 	fault := e.fault
 	e.mu.Unlock()
 	switch {
+	case fault.Close:
+		panic(http.ErrAbortHandler)
 	case fault.Cut > 0 && sent > 0 && sent%fault.Cut == 0:
 		panic(http.ErrAbortHandler)
 	case fault.Garbage:
--- a/standin/generation.go
+++ b/standin/generation.go
@@ -26,15 +26,17 @@
 	g.signal()
 }
 
-// end marks the output as complete, or as cut short for a reason.
-func (g *generation) end(reason string) {
+// end marks the output as complete, or as cut short for a reason. It is false
+// if the output had ended before.
+func (g *generation) end(reason string) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.ended {
-		return
+		return false
 	}
 	g.ended, g.reason = true, reason
 	g.signal()
+	return true
 }
 
 func (g *generation) signal() {
--- a/standin/service.go
+++ b/standin/service.go
@@ -20,19 +20,18 @@
 	// Delay gives the time that a request takes; nil means none.
 	Delay func() time.Duration
 
-	mu      sync.Mutex
-	leaving bool
-	reject  bool
-	hang    bool
-	runs    map[string]int
+	mu    sync.Mutex
+	fault ServiceFaults
+	runs  map[string]int
 }
 
 type (
 	// ServiceFaults sets how a Service misbehaves.
 	ServiceFaults struct {
-		Leaving bool `json:"leaving"` // reports that it is leaving and rejects new work
-		Reject  bool `json:"reject"`  // rejects every call before executing it
-		Hang    bool `json:"hang"`    // executes calls and closes the connection without an answer
+		Leaving  bool `json:"leaving"`  // reports that it is leaving and rejects new work
+		Reject   bool `json:"reject"`   // rejects every call before executing it
+		Hang     bool `json:"hang"`     // executes calls and closes the connection without an answer
+		Redirect bool `json:"redirect"` // executes calls and answers with a redirect
 	}
 
 	// Receipt is the answer to a call that ran.
@@ -48,7 +47,7 @@
 func (s *Service) Break(f ServiceFaults) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.leaving, s.reject, s.hang = f.Leaving, f.Reject, f.Hang
+	s.fault = f
 }
 
 // Runs gives how often each key ran.
@@ -68,7 +67,7 @@
 	router.GET("/health", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		_ = json.NewEncoder(w).Encode(map[string]bool{"leaving": s.leaving})
+		_ = json.NewEncoder(w).Encode(map[string]bool{"leaving": s.fault.Leaving})
 	})
 	router.GET("/runs", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
 		_ = json.NewEncoder(w).Encode(s.Runs())
@@ -92,7 +91,7 @@
 		return
 	}
 	s.mu.Lock()
-	if s.leaving || s.reject {
+	if s.fault.Leaving || s.fault.Reject {
 		s.mu.Unlock()
 		w.Header().Set("X-Not-Run", "true")
 		http.Error(w, "rejected before execution", http.StatusServiceUnavailable)
@@ -105,14 +104,18 @@
 	s.runs[key]++
 	s.runs[BodyKey+string(body)]++
 	receipt := Receipt{Key: key, Path: r.URL.Path, Echo: string(body), Runs: s.runs[key]}
-	hang := s.hang
+	fault := s.fault
 	s.mu.Unlock()
 	if s.Delay != nil {
 		time.Sleep(s.Delay())
 	}
-	if hang {
+	if fault.Hang {
 		panic(http.ErrAbortHandler)
 	}
+	if fault.Redirect {
+		http.Redirect(w, r, "/stock", http.StatusSeeOther)
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(receipt)
 }
