peer: end calls to a peer that reads nothing at their deadline

Cause: net/rpc writes a call on the caller's goroutine. While the peer read nothing the write blocked past the call's deadline, and every later call to the peer waited behind it. Calls made after Close opened new connections that nobody closed. Change: the end of the context closes the connection, also during the write; a closed pool refuses calls as unreachable.

--- a/connection/peer/peer.go
+++ b/connection/peer/peer.go
@@ -34,6 +34,7 @@
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
 
 	mu      sync.Mutex
+	closed  bool
 	clients map[string]*rpc.Client
 }
 
@@ -45,10 +46,12 @@
 	if err != nil {
 		return fmt.Errorf("connect to peer %s: %w", addr, errors.Mark(err, ErrUnreachable))
 	}
+	// The end of ctx closes the connection, which also ends a write to a peer
+	// that reads nothing.
+	defer context.AfterFunc(ctx, func() { p.drop(addr, client) })()
 	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
 	select {
 	case <-ctx.Done():
-		p.drop(addr, client)
 		return fmt.Errorf("call %s of peer %s: %w", method, addr, errors.Mark(ctx.Err(), ErrLost))
 	case <-call.Done:
 	}
@@ -60,10 +63,11 @@
 	return fmt.Errorf("call %s of peer %s: %w", method, addr, errors.Mark(call.Error, ErrLost))
 }
 
-// Close closes all connections.
+// Close closes all connections. Later calls fail as unreachable.
 func (p *Pool) Close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.closed = true
 	for addr, client := range p.clients {
 		_ = client.Close()
 		delete(p.clients, addr)
@@ -72,8 +76,11 @@
 
 func (p *Pool) client(ctx context.Context, addr string) (*rpc.Client, error) {
 	p.mu.Lock()
-	client := p.clients[addr]
+	client, closed := p.clients[addr], p.closed
 	p.mu.Unlock()
+	if closed {
+		return nil, net.ErrClosed
+	}
 	if client != nil {
 		return client, nil
 	}
@@ -86,6 +93,10 @@
 	client = rpc.NewClient(conn)
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.closed {
+		_ = client.Close()
+		return nil, net.ErrClosed
+	}
 	if other := p.clients[addr]; other != nil {
 		_ = client.Close()
 		return other, nil
