client: keep the resume position and the doubt of earlier attempts

If the connection broke before the next token and the engine died, an entry took the caller as one without tokens and ran a second generation, whose later tokens the client passed on. A refusal "not run" of the last attempt was given to the caller although an earlier attempt may have run. The client followed redirects of services with a second request. Change: the open event renews the seal only; "not run" becomes "unknown" after an attempt that may have run; redirects are answers.

--- a/client/client.go
+++ b/client/client.go
@@ -82,10 +82,13 @@
 }
 
 func (c *Client) client() *http.Client {
+	var h http.Client
 	if c.HTTP != nil {
-		return c.HTTP
+		h = *c.HTTP
 	}
-	return http.DefaultClient
+	// A redirect is the service's answer to a call.
+	h.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &h
 }
 
 // Locate gives the entries to use for a service, best first. The answer is
--- a/client/stream.go
+++ b/client/stream.go
@@ -53,6 +53,7 @@
 		prompt  Prompt
 		id      string // ID of the last event
 		n       int    // number of the last token
+		maybe   bool   // an earlier attempt may have run
 		done    bool
 		stopped bool // the reader wants no more
 		yield   func(Token, error) bool
@@ -81,6 +82,9 @@
 			r.n = n
 		}
 		if err := r.run(ctx); err != nil && !r.stopped {
+			if fault := refusal.From(err); r.maybe && fault.Outcome == refusal.NotRun {
+				err = refusal.New(fault.Reason, refusal.Unknown, "an earlier attempt may have run: "+fault.Detail)
+			}
 			yield(Token{N: r.n, ID: r.id}, err)
 		}
 	}
@@ -97,6 +101,7 @@
 				return nil
 			}
 			r.c.failed(entry.Addr, r.prompt.Service)
+			r.maybe = r.maybe || r.id != "" || refusal.From(err).Outcome != refusal.NotRun
 		}
 		if ctx.Err() != nil {
 			return refusal.New(refusal.Deadline, refusal.Unknown, "deadline passed or canceled: "+err.Error())
@@ -180,7 +185,12 @@
 func (r *reading) event(event sse.Event) error {
 	switch event.Type {
 	case "open":
-		r.id = event.LastEventID
+		sealed, _, err := resume.Split(event.LastEventID)
+		if err != nil {
+			return refusal.New(refusal.Garbage, refusal.Unknown, err.Error())
+		}
+		// A resumption from an earlier position would let another generation follow.
+		r.id = resume.Join(sealed, r.n)
 		return nil
 	case "moved":
 		return errMoved
