engine: bound the wait for an answer to Generate and Resume

Cause: over a link that neither delivers nor breaks, a resumption waited for the header until the request's deadline, 15 min by default. Change: Conn.Patience bounds the wait; the outcome is unknown. Conclusion: TestLinkStalls in process/entry failed before and passes now.

--- a/connection/engine/engine.go
+++ b/connection/engine/engine.go
@@ -19,6 +19,9 @@
 	"net/http/httptrace"
 	"net/url"
 	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
 
 	"github.com/eelgrassdock/eelgrassdock/request/refusal"
 	"github.com/eelgrassdock/eelgrassdock/request/stream"
@@ -77,12 +80,30 @@
 	}
 
 	// Conn speaks to one engine. Addr is its IP address and port.
+	// Patience is how long Generate and Resume wait for the engine to accept;
+	// zero means until the context ends.
 	Conn struct {
-		Addr string
-		HTTP *http.Client
+		Addr     string
+		HTTP     *http.Client
+		Patience time.Duration
+	}
+
+	// cancelBody ends the request with its answer.
+	cancelBody struct {
+		io.ReadCloser
+		cancel context.CancelFunc
 	}
 )
 
+// errPatience ends a request that the engine did not accept in time.
+var errPatience = fmt.Errorf("engine did not answer in time: %w", context.DeadlineExceeded)
+
+// Close ends the connection.
+func (b cancelBody) Close() error {
+	b.cancel()
+	return b.ReadCloser.Close()
+}
+
 // Generate starts a generation. An error is a *refusal.Error.
 func (c *Conn) Generate(ctx context.Context, req Request) (*Reader, error) {
 	body, err := json.Marshal(req)
@@ -185,22 +206,31 @@
 }
 
 func (c *Conn) open(ctx context.Context, method, path string, body []byte, check stream.Check) (*Reader, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	if c.Patience > 0 {
+		defer time.AfterFunc(c.Patience, func() { cancel(errPatience) }).Stop()
+	}
 	var sent bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { sent = true },
 	})
 	res, err := c.do(ctx, method, path, body)
 	if err != nil {
+		if errors.Is(context.Cause(ctx), errPatience) {
+			err = errPatience
+		}
+		cancel(nil)
 		return nil, refusal.Failed(err, sent)
 	}
+	answer := cancelBody{ReadCloser: res.Body, cancel: func() { cancel(nil) }}
 	if res.StatusCode != http.StatusOK {
-		defer res.Body.Close()
+		defer func() { _ = answer.Close() }()
 		return nil, statusError(res)
 	}
 	if check.Boot == "" {
 		check.Boot = res.Header.Get(BootHeader)
 	}
-	return newReader(res.Body, check), nil
+	return newReader(answer, check), nil
 }
 
 func statusError(res *http.Response) error {
