entry: keep the promises when engines, links, replicas and entries fail

Cause, each seen in a failing test or trial: - The open event of a resumed stream named position 0. A caller that came back with it could be given a second generation (TestResumeTwice). - A generation that was lost before its first token was refused instead of run elsewhere, after 8 s of attempts at an address that refuses connections (TestEngineDies). - An engine that closed each connection before a token was read in a loop without wait or end (TestEngineFaults, "closes early"). - A stream whose engine was silent was cut off at the stop limit. - A refusal "not run" of a later attempt hid that an earlier one may have run (TestAllReplicasFail); a deadline that passed in the queue was "maybe" (TestDeadlineBeforeDispatch). - The choice of a replica weighed the region most and the exclusion least, so that a rejected call was repeated at the same replica (TestReplicaOtherRegion). - The first requests for a service at an entry found a desk without endpoints and were refused (seen in TestLimitsTwoEntries). - Redirects of services were followed with a second request (TestRedirect). - The router redirected or answered unknown paths and methods itself, an encoded ? or # in a path changed the call, and a long user made a token that could not be read back (TestBadInput). - Handlers of a closed server started tasks while the end of the entry waited for them (data race in TestEntryEnds). Change: see the named tests. Entry.Stall sets the silence after which a stream is read over a new connection.

--- a/internal/system/system.go
+++ b/internal/system/system.go
@@ -12,6 +12,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -195,16 +196,26 @@
 }
 
 // StartEntry starts entry number i, or a successor of it, and waits until it
-// is ready.
+// is ready. A port that was free may be taken by another connection before the
+// entry listens on it; then it starts on another one.
 func (s *System) StartEntry(ctx context.Context, i int) (*Node, error) {
+	for {
+		n, err := s.startEntry(ctx, i)
+		if err == nil || !n.Ended() || !errors.Is(n.Err, syscall.EADDRINUSE) {
+			return n, err
+		}
+	}
+}
+
+func (s *System) startEntry(ctx context.Context, i int) (*Node, error) {
 	place := s.Places[i%len(s.Places)]
 	addr, err := freeAddr()
 	if err != nil {
-		return nil, err
+		return &Node{}, err
 	}
 	peer, err := freeAddr()
 	if err != nil {
-		return nil, err
+		return &Node{}, err
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	n := &Node{Stop: cancel, Done: make(chan struct{}), Entry: &entry.Entry{
@@ -225,7 +236,7 @@
 	s.nodes = append(s.nodes, n)
 	s.mu.Unlock()
 	s.publishInstances()
-	return n, waitReady(ctx, addr)
+	return n, n.waitReady(ctx)
 }
 
 // Nodes lists the entries that were started, also those that have ended.
@@ -267,9 +278,9 @@
 	return l.Addr().String(), nil
 }
 
-func waitReady(ctx context.Context, addr string) error {
-	until := time.Now().Add(startTime)
-	for time.Now().Before(until) && ctx.Err() == nil {
+func (n *Node) waitReady(ctx context.Context) error {
+	addr, until := n.Entry.Addr(), time.Now().Add(startTime)
+	for time.Now().Before(until) && ctx.Err() == nil && !n.Ended() {
 		res, err := http.Get("http://" + addr + "/v1/health")
 		if err == nil {
 			var h entry.Health
@@ -281,6 +292,9 @@
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
+	if n.Ended() {
+		return fmt.Errorf("entry %s ended: %w", addr, n.Err)
+	}
 	return errors.Newf("entry %s was not ready in %s", addr, startTime)
 }
 
--- a/process/entry/call.go
+++ b/process/entry/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"net/url"
 	"path"
 	"strconv"
 	"strings"
@@ -55,7 +56,7 @@
 	ctx, act, end := e.begin(r.Context(), c, "call", s.ID)
 	defer end()
 	out := service.Call{
-		Method: r.Method, Path: p.ByName("path"), Header: passHeader(r.Header), Body: body,
+		Method: r.Method, Path: (&url.URL{Path: p.ByName("path")}).EscapedPath(), Header: passHeader(r.Header), Body: body,
 		Key: r.Header.Get(KeyHeader), Deadline: c.deadline,
 	}
 	if r.URL.RawQuery != "" {
@@ -109,11 +110,14 @@
 // attempts makes the call at one replica after the other, for as long as a
 // failed attempt may be repeated.
 func (e *Entry) attempts(ctx context.Context, s *config.Service, out service.Call, act *activity, idempotent bool) (claim.Result, error) {
-	var exclude []string
+	var (
+		exclude []string
+		maybe   bool // an attempt may have run
+	)
 	for attempt := 0; ; attempt++ {
 		endpoint, err := e.replica(s, exclude)
 		if err != nil {
-			return claim.Result{}, err
+			return claim.Result{}, doubt(err, maybe)
 		}
 		act.Endpoint.Store(&endpoint.ID)
 		conn := &service.Conn{Addr: endpoint.Addr, HTTP: e.http}
@@ -126,18 +130,30 @@
 		if !idempotent && fault.Outcome != refusal.NotRun {
 			return claim.Result{}, err
 		}
+		maybe = maybe || fault.Outcome != refusal.NotRun
 		e.replicaFailed(s.ID, endpoint.ID)
 		at, ok := e.nextAttempt(s.ID, fault, idempotent, attempt, out.Deadline)
 		if !ok || ctx.Err() != nil {
-			return claim.Result{}, err
+			return claim.Result{}, doubt(err, maybe)
 		}
 		exclude = append(exclude, endpoint.ID)
 		if !sleepUntil(ctx, at, e.now()) {
-			return claim.Result{}, err
+			return claim.Result{}, doubt(err, maybe)
 		}
 	}
 }
 
+// doubt takes "not run" out of an error if an earlier attempt may have run.
+func doubt(err error, maybe bool) error {
+	fault := refusal.From(err)
+	if !maybe || fault.Outcome != refusal.NotRun {
+		return err
+	}
+	doubtful := *fault
+	doubtful.Outcome = refusal.Unknown
+	return &doubtful
+}
+
 func passHeader(from http.Header) http.Header {
 	to := http.Header{}
 	for _, name := range passedHeaders {
--- /dev/null
+++ b/process/entry/call_test.go
@@ -0,0 +1,405 @@
+package entry_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/sourcegraph/conc"
+	"github.com/stretchr/testify/require"
+
+	"github.com/eelgrassdock/eelgrassdock/internal/system"
+	"github.com/eelgrassdock/eelgrassdock/process/entry"
+	"github.com/eelgrassdock/eelgrassdock/process/platform"
+	"github.com/eelgrassdock/eelgrassdock/request/refusal"
+	"github.com/eelgrassdock/eelgrassdock/standin"
+	"github.com/eelgrassdock/eelgrassdock/standin/model"
+	"github.com/eelgrassdock/eelgrassdock/version/config"
+)
+
+const orders = "/v1/services/orders/orders"
+
+// plains lists the replicas of the plain service.
+func plains(s *system.System) (list []*standin.Service) {
+	for _, b := range s.Back {
+		if b.Service != nil {
+			list = append(list, b.Service)
+		}
+	}
+	return list
+}
+
+// TestOneKeyTwoEntries guards against a call that runs twice because two
+// entries get it at the same time.
+func TestOneKeyTwoEntries(t *testing.T) {
+	t.Parallel()
+	s := start(t, &system.System{Entries: 2, Plains: 2})
+	for _, p := range plains(s) {
+		p.Delay = func() time.Duration { return 50 * time.Millisecond }
+	}
+	for name, key := range map[string]string{
+		"own": "own-1", "bound": s.Nodes()[0].Entry.ID() + "." + uuid.Must(uuid.NewV7()).String(),
+	} {
+		var wg conc.WaitGroup
+		var answered atomic.Int64
+		for i := range 4 {
+			wg.Go(func() {
+				status, _, text := post(t, s.Nodes()[i%2].Entry.Addr(), http.MethodPost, orders, name, "Idempotency-Key", key, "X-Caller", "a")
+				if status == http.StatusOK {
+					answered.Add(1)
+				} else if refusal.Parse([]byte(text)).Outcome == refusal.NotRun {
+					require.Equal(t, "bound", name, text)
+				}
+			})
+		}
+		wg.Wait()
+		// A bound key may have been barred by a question that came first.
+		require.Equal(t, answered.Load() > 0, runs(s, name) == 1)
+		require.LessOrEqual(t, runs(s, name), 1)
+	}
+}
+
+// TestRetryAfterKill guards against a second run of a call whose entry died,
+// and against a "not run" of a call that ran there.
+func TestRetryAfterKill(t *testing.T) {
+	for _, kind := range []string{"", "own"} {
+		t.Run("key "+kind, func(t *testing.T) {
+			t.Parallel()
+			s := start(t, &system.System{Entries: 2, Plains: 1})
+			began := make(chan struct{}, 8)
+			plains(s)[0].Delay = func() time.Duration {
+				began <- struct{}{}
+				return 300 * time.Millisecond
+			}
+			go func() {
+				<-began
+				for _, n := range s.Nodes() {
+					if n.Entry.Active() > 0 {
+						n.Entry.Kill()
+						n.Stop()
+						return
+					}
+				}
+			}()
+			_, err := caller(t, s).Call(context.Background(), order(kind, "body"))
+			require.Error(t, err, "the result died with the entry")
+			honest(t, s, "body", err)
+			require.Equal(t, refusal.Unknown, refusal.From(err).Outcome)
+		})
+	}
+}
+
+// TestStoreFaults guards against false "not run" and second runs of calls under
+// own keys while the store fails, and against bound keys that need the store.
+func TestStoreFaults(t *testing.T) {
+	for name, tt := range map[string]struct {
+		faults platform.Faults
+		works  bool
+	}{
+		"down": {platform.Faults{Down: true}, false},
+		"slow": {platform.Faults{Slow: 100}, true},
+		"lost": {platform.Faults{Lose: 0.5}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := start(t, &system.System{Entries: 2, Plains: 1})
+			_, err := caller(t, s).Call(context.Background(), order("warm", "warm"))
+			require.NoError(t, err)
+			s.Memory.Break(tt.faults)
+			var wg conc.WaitGroup
+			for i := range 8 {
+				wg.Go(func() {
+					body := fmt.Sprint("body-", i)
+					call := order("own-"+body, body)
+					call.Deadline = time.Now().Add(1500 * time.Millisecond)
+					_, err := caller(t, s, i%2).Call(context.Background(), call)
+					honest(t, s, body, err)
+					if tt.works {
+						require.NoError(t, err)
+					} else {
+						require.Error(t, err)
+						require.Zero(t, runs(s, body))
+					}
+					call = order("", "bound "+body)
+					_, err = caller(t, s, i%2).Call(context.Background(), call)
+					require.NoError(t, err, "a bound key needs no store")
+					honest(t, s, "bound "+body, err)
+				})
+			}
+			wg.Wait()
+		})
+	}
+}
+
+// TestServiceFaults guards against repeated or falsely judged calls when a
+// replica hangs up, rejects or is gone, while the other one works.
+func TestServiceFaults(t *testing.T) {
+	for name, tt := range map[string]struct {
+		fault  standin.ServiceFaults
+		kill   bool
+		always bool // every call is answered
+	}{
+		"rejects":   {fault: standin.ServiceFaults{Reject: true}, always: true},
+		"leaves":    {fault: standin.ServiceFaults{Leaving: true}, always: true},
+		"hangs up":  {fault: standin.ServiceFaults{Hang: true}},
+		"is killed": {kill: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := start(t, &system.System{Entries: 1, Plains: 2})
+			plains(s)[0].Break(tt.fault)
+			if tt.kill {
+				s.Back[0].Kill()
+			}
+			c := caller(t, s)
+			for i := range 12 {
+				body := fmt.Sprint("body-", i)
+				call := order([]string{"", "own-" + body}[i%2], body)
+				call.Deadline = time.Now().Add(time.Second)
+				_, err := c.Call(context.Background(), call)
+				if tt.always {
+					require.NoError(t, err)
+				}
+				honest(t, s, body, err)
+				status, _, text := post(t, s.Addrs()[0], http.MethodGet, "/v1/services/orders/stock", "")
+				require.Equal(t, http.StatusOK, status, text)
+			}
+		})
+	}
+}
+
+// TestReplicaOtherRegion guards against repeating a call at the replica that
+// has just rejected it, only because the other one is in another region.
+func TestReplicaOtherRegion(t *testing.T) {
+	t.Parallel()
+	s := start(t, &system.System{Entries: 1, Plains: 2, Edit: func(doc *config.Document) {
+		doc.Endpoints[1].Region = "tatra"
+	}})
+	plains(s)[0].Break(standin.ServiceFaults{Reject: true})
+	status, _, text := post(t, s.Addrs()[0], http.MethodPost, orders, "x", "Idempotency-Key", "k")
+	require.Equal(t, http.StatusOK, status, text)
+}
+
+// TestAllReplicasFail guards against "not run" of a call whose earlier attempt
+// may have run.
+func TestAllReplicasFail(t *testing.T) {
+	t.Parallel()
+	s := start(t, &system.System{Entries: 1, Plains: 2, Engines: 2})
+	plains(s)[0].Break(standin.ServiceFaults{Hang: true})
+	plains(s)[1].Break(standin.ServiceFaults{Reject: true})
+	s.Back[0].Engine.Break(standin.EngineFaults{Garbage: true})
+	s.Back[1].Engine.Break(standin.EngineFaults{Leaving: true})
+	for range 6 {
+		for path, body := range map[string]string{
+			"/v1/services/orders/stock": "", "/v1/completions": `{"model":"guide","prompt":"` + long + `"}`,
+		} {
+			method := http.MethodPost
+			if body == "" {
+				method = http.MethodGet
+			}
+			before, ran := generations(s), runs(s, "")
+			status, _, text := post(t, s.Addrs()[0], method, path, body)
+			require.NotEqual(t, http.StatusOK, status)
+			if generations(s) > before || runs(s, "") > ran {
+				require.Equal(t, refusal.Unknown, refusal.Parse([]byte(text)).Outcome, text)
+			}
+		}
+	}
+}
+
+// TestLeaving guards against new work at an endpoint 3 s after it was drained
+// or said that it leaves.
+func TestLeaving(t *testing.T) {
+	t.Parallel()
+	s := start(t, &system.System{Entries: 2, Engines: 2, Plains: 2})
+	ask := func(i int) {
+		whole(t, caller(t, s), guide(fmt.Sprint("length=3 ", i)), -1, nil)
+		_, err := caller(t, s).Call(context.Background(), order("", fmt.Sprint("body-", i)))
+		require.NoError(t, err)
+	}
+	for i := range 8 {
+		ask(i)
+	}
+	s.Back[0].Engine.Break(standin.EngineFaults{Leaving: true})
+	s.Back[2].Service.Break(standin.ServiceFaults{Leaving: true})
+	time.Sleep(3 * time.Second)
+	engine, service := s.Back[0].Requests(), s.Back[2].Requests()
+	for i := range 16 {
+		ask(100 + i)
+	}
+	require.Equal(t, engine, s.Back[0].Requests(), "the leaving engine was asked")
+	require.Equal(t, service, s.Back[2].Requests(), "the leaving replica was asked")
+}
+
+// TestDeadlineBeforeDispatch guards against an unknown outcome of a request
+// that waited for an engine until its deadline.
+func TestDeadlineBeforeDispatch(t *testing.T) {
+	t.Parallel()
+	s := start(t, &system.System{Entries: 1, Engines: 1, Config: model.Config{Memory: 4000}})
+	s.Back[0].Engine.Break(standin.EngineFaults{Stall: true})
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	for i := range 60 {
+		wg.Go(func() {
+			p := guide(fmt.Sprintf("length=2000 %d", i))
+			p.Max = 2000
+			for _, err := range caller(t, s).Complete(ctx, p) {
+				require.Error(t, err)
+			}
+		})
+	}
+	begun := -1
+	require.Eventually(t, func() bool {
+		before := begun
+		begun = generations(s)
+		return s.Nodes()[0].Entry.Active() == 60 && begun == before
+	}, 5*time.Second, 300*time.Millisecond)
+	require.Less(t, begun, 60, "some requests must wait")
+	for _, deadline := range []time.Duration{-time.Second, 200 * time.Millisecond} {
+		_, _, text := post(t, s.Addrs()[0], http.MethodPost, "/v1/completions", `{"model":"guide","prompt":"length=2000 last","max_tokens":2000}`,
+			"X-Deadline", time.Now().Add(deadline).Format(time.RFC3339Nano))
+		fault := refusal.Parse([]byte(text))
+		require.Equal(t, refusal.Deadline, fault.Reason)
+		require.Equal(t, refusal.NotRun, fault.Outcome)
+		require.Equal(t, begun, generations(s))
+	}
+}
+
+// TestStale guards against new work for a strict service at an entry that may
+// have missed a configuration, and against its refusal to serve the others.
+func TestStale(t *testing.T) {
+	t.Parallel()
+	var ahead atomic.Int64
+	s := start(t, &system.System{Entries: 1, Engines: 1, Plains: 1, Edit: func(doc *config.Document) {
+		doc.Services[0].Strict = true
+	}, Prepare: func(_ int, e *entry.Entry) {
+		e.Now = func() time.Time { return time.Now().Add(time.Duration(ahead.Load())) }
+	}})
+	s.Memory.Break(platform.Faults{Down: true})
+	ahead.Store(int64(10 * time.Second))
+	status, header, text := post(t, s.Addrs()[0], http.MethodPost, "/v1/completions", `{"model":"guide","prompt":"x"}`)
+	require.Equal(t, http.StatusServiceUnavailable, status)
+	require.Equal(t, "stale", header.Get(refusal.Header))
+	require.Equal(t, refusal.NotRun, refusal.Parse([]byte(text)).Outcome)
+	status, _, text = post(t, s.Addrs()[0], http.MethodGet, "/v1/services/orders/stock", "")
+	require.Equal(t, http.StatusOK, status, text)
+}
+
+// TestBadInput guards against input that is served, half served or refused
+// without saying that it has not run.
+func TestBadInput(t *testing.T) {
+	t.Parallel()
+	s := start(t, &system.System{Entries: 1, Engines: 1, Plains: 1})
+	const completions, good = "/v1/completions", `{"model":"guide","prompt":"x"}`
+	huge := strings.Repeat("x", 1<<20+1)
+	for _, tt := range []struct {
+		name, method, path, body, reason string
+		header                           []string
+	}{
+		{"oversized prompt", "POST", completions, `{"prompt":"` + huge + `"}`, "bad_request", nil},
+		{"oversized body", "POST", orders, huge, "bad_request", []string{"Idempotency-Key", "k"}},
+		{"malformed JSON", "POST", completions, `{"model":`, "bad_request", nil},
+		{"JSON of another type", "POST", completions, `[1]`, "bad_request", nil},
+		{"no body", "POST", completions, "", "bad_request", nil},
+		{"no prompt", "POST", completions, `{"model":"guide"}`, "bad_request", nil},
+		{"negative length", "POST", completions, `{"model":"guide","prompt":"x","max_tokens":-1}`, "bad_request", nil},
+		{"huge length", "POST", completions, `{"model":"guide","prompt":"x","max_tokens":100000000}`, "bad_request", nil},
+		{"long user", "POST", completions, `{"model":"guide","prompt":"x","user":"` + huge[:200] + `"}`, "bad_request", nil},
+		{"long caller", "POST", completions, good, "bad_request", []string{"X-Caller", strings.Repeat("x", 200)}},
+		{"wrong key", "POST", completions, good, "bad_key", []string{"Authorization", "Bearer no"}},
+		{"no key", "POST", completions, good, "bad_key", []string{"Authorization", ""}},
+		{"other scheme", "POST", completions, good, "bad_key", []string{"Authorization", "Basic a2V5"}},
+		{"unknown model", "POST", completions, `{"model":"none","prompt":"x"}`, "no_service", nil},
+		{"service of another kind", "POST", completions, `{"model":"orders","prompt":"x"}`, "no_service", nil},
+		{"unknown service", "POST", "/v1/services/none/x", "", "no_service", nil},
+		{"engine as service", "POST", "/v1/services/guide/generate", "", "no_service", nil},
+		{"unknown route", "POST", "/v1/services/orders/faults", `{"hang":true}`, "no_service", nil},
+		{"other method", "DELETE", orders, "", "no_service", nil},
+		{"method not served", "GET", completions, "", "no_service", nil},
+		{"unknown method", "OPTIONS", orders, "", "no_service", nil},
+		{"trailing slash", "POST", completions + "/", good, "no_service", nil},
+		{"path in capitals", "POST", "/V1/Completions", good, "no_service", nil},
+		{"dot segments", "POST", "/v1/services/orders/x/../orders", "", "bad_request", nil},
+		{"encoded dot segments", "POST", "/v1/services/orders/x%2F..%2Forders", "", "bad_request", nil},
+		{"encoded query", "POST", orders + "%3Fx", "", "no_service", []string{"Idempotency-Key", "k"}},
+		{"encoded fragment", "POST", orders + "%23x", "", "no_service", []string{"Idempotency-Key", "k"}},
+		{"empty segments", "POST", "/v1/services/orders//orders", "", "bad_request", nil},
+		{"no idempotency key", "POST", orders, "x", "no_key", nil},
+		{"bad deadline", "POST", orders, "x", "bad_request", []string{"X-Deadline", "soon", "Idempotency-Key", "k"}},
+		{"deadline without zone", "POST", completions, good, "bad_request", []string{"X-Deadline", "2030-01-02T15:04:05"}},
+		{"deadline passed", "POST", orders, "x", "deadline", []string{"X-Deadline", "2020-01-02T15:04:05Z", "Idempotency-Key", "k"}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			status, header, text := post(t, s.Addrs()[0], tt.method, tt.path, tt.body, tt.header...)
+			require.GreaterOrEqual(t, status, 400)
+			require.Equal(t, "application/problem+json", header.Get("Content-Type"), text)
+			require.Equal(t, tt.reason, header.Get(refusal.Header), text)
+			require.Equal(t, refusal.NotRun, refusal.Parse([]byte(text)).Outcome)
+		})
+	}
+	require.Zero(t, generations(s))
+	require.Empty(t, plains(s)[0].Runs())
+}
+
+// TestRedirect guards against an entry or a client that follows a service's
+// redirect, which would be a second request.
+func TestRedirect(t *testing.T) {
+	t.Parallel()
+	s := start(t, &system.System{Entries: 1, Plains: 1})
+	plains(s)[0].Break(standin.ServiceFaults{Redirect: true})
+	answer, err := caller(t, s).Call(context.Background(), order("own", "body"))
+	require.NoError(t, err)
+	require.Equal(t, http.StatusSeeOther, answer.Status)
+	require.Equal(t, 1, runs(s, "body"))
+	require.Zero(t, runs(s, ""))
+}
+
+// TestLimitsTwoEntries guards against an account that gets its limit once at
+// each entry.
+func TestLimitsTwoEntries(t *testing.T) {
+	t.Parallel()
+	const limit = 4
+	s := start(t, &system.System{Entries: 2, Plains: 1, Edit: func(doc *config.Document) {
+		doc.Accounts[0].Limit.Active = limit
+	}})
+	for _, addr := range s.Addrs() {
+		// An entry that knows no other one takes the whole limit as its floor.
+		require.Eventually(t, func() bool {
+			_, _, text := post(t, addr, http.MethodGet, "/v1/entries?account=riga&service=orders", "")
+			return strings.Count(text, `"id"`) == 2
+		}, 5*time.Second, 20*time.Millisecond)
+	}
+	var now, most atomic.Int64
+	plains(s)[0].Delay = func() time.Duration {
+		n := now.Add(1)
+		for m := most.Load(); n > m && !most.CompareAndSwap(m, n); m = most.Load() {
+			_ = m
+		}
+		time.Sleep(30 * time.Millisecond)
+		now.Add(-1)
+		return 0
+	}
+	var wg conc.WaitGroup
+	for i := range 16 {
+		wg.Go(func() {
+			for range 20 {
+				status, _, text := post(t, s.Nodes()[i%2].Entry.Addr(), http.MethodGet, "/v1/services/orders/stock", "",
+					"X-Caller", fmt.Sprint("person-", i))
+				if status != http.StatusOK {
+					require.Equal(t, refusal.ActiveLimit, refusal.Parse([]byte(text)).Reason, text)
+					time.Sleep(5 * time.Millisecond)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	require.Positive(t, most.Load())
+	require.LessOrEqual(t, most.Load(), int64(limit))
+}
--- a/process/entry/completion.go
+++ b/process/entry/completion.go
@@ -72,6 +72,7 @@
 	defer e.releaseGrant(grant)
 	ctx, act, end := e.begin(r.Context(), c, "stream", service.ID)
 	defer end()
+	defer context.AfterFunc(e.expiry, act.cancel)()
 	j := &job{e: e, call: c, req: req, service: service, act: act}
 	if req.Stream {
 		j.stream(ctx, w, r.Header.Get("Last-Event-ID"))
@@ -121,6 +122,9 @@
 	if c.caller == "" {
 		c.caller = req.User
 	}
+	if len(c.caller) > maxCallerName {
+		return req, nil, refusal.New(refusal.BadRequest, refusal.NotRun, "user is longer than 128 bytes")
+	}
 	service, err := e.service(*c, req.Model, config.Engine)
 	if err != nil {
 		return req, nil, err
--- a/process/entry/desk.go
+++ b/process/entry/desk.go
@@ -32,6 +32,7 @@
 		queue   queue.Queue
 		next    atomic.Uint64
 		used    atomic.Int64 // Unix ms of the last use
+		start   sync.Once
 
 		mu    sync.Mutex // orders placements, so that waiting work goes first
 		watch map[string]*watch
@@ -56,6 +57,7 @@
 // desk gives the desk of a service.
 func (e *Entry) desk(service string) *desk {
 	if d, ok := e.desks.Load(service); ok {
+		d.(*desk).prepare()
 		return d.(*desk)
 	}
 	d := &desk{e: e, service: service, watch: map[string]*watch{}}
@@ -68,12 +70,19 @@
 		d.sched.Weights = placement.Weights(s.Weights)
 	}
 	d.queue.Weight = e.accountWeight
-	actual, loaded := e.desks.LoadOrStore(service, d)
-	if !loaded {
-		d.configure(e.config())
-		e.wg.Go(func() { d.run(e.background) })
-	}
-	return actual.(*desk)
+	actual, _ := e.desks.LoadOrStore(service, d)
+	d = actual.(*desk)
+	d.prepare()
+	return d
+}
+
+// prepare starts the desk. Requests that come at the same time wait for it:
+// they would find no endpoint before.
+func (d *desk) prepare() {
+	d.start.Do(func() {
+		d.configure(d.e.config())
+		d.e.spawn(func() { d.run(d.e.background) })
+	})
 }
 
 // request describes a job to the scheduler.
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -52,6 +52,9 @@
 	Now func() time.Time
 	// Dial connects to endpoints; nil means TCP.
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+	// Stall is the silence after which a stream is read over a new connection;
+	// 10 s if zero.
+	Stall time.Duration
 	// Violation is called when a promise is seen broken; nil means that it is
 	// counted and logged only.
 	Violation func(rule, detail string)
@@ -65,14 +68,17 @@
 	streams    registry
 	lengths    length.Learner
 	wg         conc.WaitGroup
+	mu         sync.Mutex
+	ended      bool // nothing is spawned any more
 	background context.Context
 	cancel     context.CancelFunc
 
-	stopping atomic.Bool   // no longer in locate answers
-	refusing atomic.Bool   // takes no new requests
-	killed   atomic.Bool   // ends without goodbye
-	ready    atomic.Bool   // has joined
-	expired  chan struct{} // closed when the longest graceful stop has passed
+	stopping atomic.Bool     // no longer in locate answers
+	refusing atomic.Bool     // takes no new requests
+	killed   atomic.Bool     // ends without goodbye
+	ready    atomic.Bool     // has joined
+	expiry   context.Context // ends when the longest graceful stop has passed
+	expire   context.CancelFunc
 
 	server       *http.Server
 	peerListener net.Listener
@@ -105,7 +111,7 @@
 
 func (e *Entry) prepare() {
 	e.id = e.Settings.Name + "-" + uuid.NewString()[:8]
-	e.expired = make(chan struct{})
+	e.expiry, e.expire = context.WithCancel(context.Background())
 	if e.Log == nil {
 		e.Log = logrus.New()
 	}
@@ -115,14 +121,18 @@
 		d := &net.Dialer{Timeout: dialTimeout}
 		dial = d.DialContext
 	}
-	e.http = &http.Client{Transport: &http.Transport{
-		DialContext:         dial,
-		MaxIdleConnsPerHost: 64,
-		IdleConnTimeout:     idleConn,
-		ReadBufferSize:      2 << 10,
-		WriteBufferSize:     2 << 10,
-		DisableCompression:  true,
-	}}
+	e.http = &http.Client{
+		Transport: &http.Transport{
+			DialContext:         dial,
+			MaxIdleConnsPerHost: 64,
+			IdleConnTimeout:     idleConn,
+			ReadBufferSize:      2 << 10,
+			WriteBufferSize:     2 << 10,
+			DisableCompression:  true,
+		},
+		// A redirect is the endpoint's answer: following it would send a second request.
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
 }
 
 // Run serves until ctx ends, then stops gracefully. It returns nil after a
@@ -160,13 +170,31 @@
 	return err
 }
 
+// spawn runs a task in the background unless the entry has ended. Handlers of
+// a closed server may still be running then, and end waits for no task that
+// begins later.
+func (e *Entry) spawn(task func()) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.ended {
+		e.wg.Go(task)
+	}
+}
+
 // end ends the parts of the entry and waits for them.
 func (e *Entry) end() {
 	e.cancel()
+	e.expire()
+	if e.server != nil {
+		_ = e.server.Close()
+	}
 	if e.peerListener != nil {
 		_ = e.peerListener.Close()
 	}
 	e.peers.Close()
+	e.mu.Lock()
+	e.ended = true
+	e.mu.Unlock()
 	e.wg.Wait()
 	e.http.CloseIdleConnections()
 }
--- a/process/entry/event.go
+++ b/process/entry/event.go
@@ -70,9 +70,11 @@
 	o.head = append(o.head, model...)
 	o.head = append(o.head, ",\"choices\":[{\"index\":0,\"text\":"...)
 	// The position is sent before any token, so that the caller can resume
-	// a stream whose first token has not come yet.
+	// a stream whose first token has not come yet. After a resumption it is
+	// that of the last token the caller has: position 0 would allow another
+	// generation to take over.
 	o.buf = append(o.buf[:0], "event: open\n"...)
-	o.buf = o.appendID(o.buf, 0)
+	o.buf = o.appendID(o.buf, o.last)
 	o.buf = append(o.buf, "data: {}\n\n"...)
 	return o.flush()
 }
--- a/process/entry/http.go
+++ b/process/entry/http.go
@@ -40,6 +40,9 @@
 // Handler serves callers and operators.
 func (e *Entry) Handler() http.Handler {
 	router := httprouter.New()
+	// A path that is not exactly one of these is refused with a problem document.
+	router.RedirectTrailingSlash, router.RedirectFixedPath = false, false
+	router.HandleMethodNotAllowed, router.HandleOPTIONS = false, false
 	router.GET("/v1/entries", e.locate)
 	router.POST("/v1/completions", e.complete)
 	router.DELETE("/v1/completions/:token", e.cancelStream)
@@ -52,7 +55,7 @@
 	router.Handler(http.MethodGet, "/debug/vars", expvar.Handler())
 	e.operatorRoutes(router)
 	router.NotFound = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		e.refuse(w, refusal.New(refusal.NoService, refusal.NotRun, "no such path: "+r.URL.Path))
+		e.refuse(w, refusal.New(refusal.NoService, refusal.NotRun, "no such path: "+r.Method+" "+r.URL.Path))
 	})
 	router.PanicHandler = func(w http.ResponseWriter, r *http.Request, v any) {
 		if v == http.ErrAbortHandler {
--- a/process/entry/job.go
+++ b/process/entry/job.go
@@ -22,8 +22,10 @@
 const (
 	tokenLife     = time.Hour              // a resume token is accepted for this long after its deadline
 	hangupGrace   = 5 * time.Second        // a caller that hung up may resume before its generation is cancelled
-	stallTimeout  = 10 * time.Second       // a stream that is silent for this long is read over a new connection
+	defaultStall  = 10 * time.Second       // a stream that is silent for this long is read over a new connection
+	maxVain       = 6                      // connections in a row that an engine may close without a token
 	reconnectTime = 8 * time.Second        // how long a lost connection to an engine is tried again
+	refusedTime   = time.Second            // the same, while the engine's address refuses connections
 	reconnectWait = 100 * time.Millisecond // mean wait before the first new try
 	cancelTimeout = 2 * time.Second        // time for an engine to accept a cancellation
 )
@@ -43,6 +45,7 @@
 	after      int // number of the last token that the caller has
 	token      resume.Token
 	resumed    bool
+	maybe      bool     // a generation of this job may have run
 	exclude    []string // endpoints that failed this job
 	attempt    int
 }
@@ -63,7 +66,7 @@
 	if token.Service != j.service.ID {
 		return refusal.New(refusal.BadToken, refusal.NotRun, "token belongs to service \""+token.Service+"\"")
 	}
-	j.token, j.after, j.resumed = token, n, true
+	j.token, j.after, j.resumed, j.maybe = token, n, true, true
 	j.out.continueAfter(n)
 	return nil
 }
@@ -84,10 +87,14 @@
 		if ctx.Err() != nil || !j.mayRestart(err) {
 			return j.outcome(ctx, err)
 		}
-		fault := refusal.From(err)
-		at, ok := j.e.nextAttempt(j.service.ID, fault, true, j.attempt, j.call.deadline)
+		fault := *refusal.From(err)
+		if fault.Reason == refusal.GenerationLost {
+			// Nothing was delivered, so the loss is a failed attempt like others.
+			fault.Reason = refusal.Broken
+		}
+		at, ok := j.e.nextAttempt(j.service.ID, &fault, true, j.attempt, j.call.deadline)
 		if !ok {
-			return err
+			return j.outcome(ctx, err)
 		}
 		j.attempt++
 		j.after = 0
@@ -112,19 +119,24 @@
 	return false
 }
 
-// outcome replaces an error by the reason for which the context ended.
+// outcome replaces an error by the reason for which the context ended. It says
+// "not run" only if no generation may have run.
 func (j *job) outcome(ctx context.Context, err error) error {
+	ran := refusal.NotRun
+	if j.maybe {
+		ran = refusal.Unknown
+	}
 	switch {
 	case err == nil:
 		return nil
 	case j.e.isExpired():
-		return refusal.New(refusal.Stopping, refusal.Unknown, "entry has stopped; resume at another entry")
+		return refusal.New(refusal.Stopping, ran, "entry has stopped; resume at another entry")
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return refusal.New(refusal.Deadline, refusal.Unknown, "deadline passed")
+		return refusal.New(refusal.Deadline, ran, "deadline passed")
 	case ctx.Err() != nil:
-		return refusal.New(refusal.Canceled, refusal.Unknown, "caller hung up")
+		return refusal.New(refusal.Canceled, ran, "caller hung up")
 	}
-	return err
+	return doubt(err, j.maybe)
 }
 
 // start runs one generation on an endpoint that the service's desk chooses.
@@ -135,12 +147,16 @@
 	}
 	j.act.Endpoint.Store(&s.endpoint.ID)
 	j.generation = uuid.NewString()
-	conn := &engine.Conn{Addr: s.endpoint.Addr, HTTP: j.e.http}
+	conn := j.e.engine(s.endpoint)
 	reader, err := conn.Generate(ctx, engine.Request{
 		Gen: j.generation, Prompt: j.req.Prompt, Max: j.req.Max, Rank: j.call.account.Rank, Model: s.model,
 	})
+	j.maybe = j.maybe || err == nil || refusal.From(err).Outcome != refusal.NotRun
 	if err != nil {
 		s.release(false)
+		if refusal.From(err).Outcome != refusal.NotRun {
+			j.abandon(ctx, conn, j.outcome(ctx, err))
+		}
 		j.failed(s.endpoint.ID, j.outcome(ctx, err))
 		return err
 	}
@@ -156,7 +172,7 @@
 	}
 	s.release(err == nil)
 	if err != nil {
-		j.abandon(ctx, conn, err)
+		j.abandon(ctx, conn, j.outcome(ctx, err))
 		j.failed(s.endpoint.ID, j.outcome(ctx, err))
 	}
 	return err
@@ -170,7 +186,7 @@
 	}
 	j.act.Endpoint.Store(&endpoint.ID)
 	j.generation = j.token.Generation
-	conn := &engine.Conn{Addr: endpoint.Addr, HTTP: j.e.http}
+	conn := j.e.engine(endpoint)
 	reader, err := j.reconnect(ctx, conn, j.after)
 	if err != nil {
 		return err
@@ -181,11 +197,23 @@
 	}
 	err = j.relay(ctx, conn, reader, nil)
 	if err != nil {
-		j.abandon(ctx, conn, err)
+		j.abandon(ctx, conn, j.outcome(ctx, err))
 	}
 	return err
 }
 
+// engine gives the client of an endpoint.
+func (e *Entry) engine(endpoint *config.Endpoint) *engine.Conn {
+	return &engine.Conn{Addr: endpoint.Addr, HTTP: e.http, Patience: e.stall()}
+}
+
+func (e *Entry) stall() time.Duration {
+	if e.Stall > 0 {
+		return e.Stall
+	}
+	return defaultStall
+}
+
 func (j *job) open() error {
 	sealed, err := resume.Sealer{Secrets: j.call.index.Document.Secrets}.Seal(j.token)
 	if err != nil {
@@ -198,15 +226,22 @@
 }
 
 // relay passes tokens from the engine to the caller, over as many connections
-// as it takes.
+// as it takes. An engine that keeps closing connections without a token is
+// given up, so that it does not occupy the entry until the deadline.
 func (j *job) relay(ctx context.Context, conn *engine.Conn, reader *engine.Reader, s *slot) error {
-	for {
+	for vain := 0; ; vain++ {
+		begun, before := j.e.now(), j.after
 		err := j.pump(ctx, reader, s)
 		last := reader.Last()
 		_ = reader.Close()
 		if err == nil || ctx.Err() != nil || j.e.isExpired() || refusal.From(err).Reason != refusal.Broken {
 			return err
 		}
+		if j.after > before || j.e.now().Sub(begun) >= j.e.stall() {
+			vain = 0
+		} else if at := j.e.now().Add(reconnectWait << vain); vain >= maxVain || !sleepUntil(ctx, at, j.e.now()) {
+			return err
+		}
 		refusal.CountRetry(refusal.Broken)
 		if reader, err = j.reconnect(ctx, conn, last); err != nil {
 			return err
@@ -216,7 +251,8 @@
 
 // pump passes tokens on until the generation ends or the connection fails.
 func (j *job) pump(ctx context.Context, reader *engine.Reader, s *slot) error {
-	watch := time.AfterFunc(stallTimeout, func() { _ = reader.Close() })
+	stall := j.e.stall()
+	watch := time.AfterFunc(stall, func() { _ = reader.Close() })
 	defer watch.Stop()
 	stop := context.AfterFunc(ctx, func() { _ = reader.Close() })
 	defer stop()
@@ -225,7 +261,7 @@
 		if err != nil {
 			return err
 		}
-		watch.Reset(stallTimeout)
+		watch.Reset(stall)
 		if f.End {
 			return j.finish(f)
 		}
@@ -260,7 +296,12 @@
 // reconnect reads the generation on after token n. An unreachable engine is
 // tried for a while; one that no longer has the generation ends the job.
 func (j *job) reconnect(ctx context.Context, conn *engine.Conn, n int) (*engine.Reader, error) {
-	until := j.e.now().Add(reconnectTime)
+	// An engine that refuses connections has most likely ended. Until the
+	// caller has a token, running elsewhere costs less than waiting.
+	first, until := j.e.now(), j.e.now().Add(reconnectTime)
+	if j.out.delivered() {
+		first = first.Add(refusedTime)
+	}
 	wait := reconnectWait
 	for {
 		reader, err := conn.Resume(ctx, j.generation, j.token.Boot, n)
@@ -276,6 +317,9 @@
 		if fault.Reason == refusal.GenerationLost || fault.Reason == refusal.Garbage {
 			return nil, err
 		}
+		if refused(err) {
+			until = first
+		}
 		if at.After(until) {
 			return nil, j.unreachable(err)
 		}
@@ -286,11 +330,15 @@
 	}
 }
 
+func refused(err error) bool {
+	return strings.Contains(err.Error(), syscall.ECONNREFUSED.Error())
+}
+
 // unreachable judges an engine that could not be connected to for a while. An
 // address that refuses connections has no process, so its generations are
 // gone; a silent one may be behind a stalled link and can be resumed later.
 func (j *job) unreachable(err error) error {
-	if strings.Contains(err.Error(), syscall.ECONNREFUSED.Error()) {
+	if refused(err) {
 		return refusal.New(refusal.GenerationLost, refusal.Unknown, "engine is gone: "+err.Error())
 	}
 	fault := *refusal.From(err)
@@ -326,7 +374,7 @@
 		cancel, at = conn.CancelIdle, at.Add(hangupGrace)
 	}
 	generation := j.generation
-	j.e.wg.Go(func() {
+	j.e.spawn(func() {
 		if !sleepUntil(j.e.background, at, j.e.now()) {
 			return
 		}
--- a/process/entry/register.go
+++ b/process/entry/register.go
@@ -125,7 +125,7 @@
 // count reads the registered entries after version was written, and tries
 // again until it succeeds.
 func (e *Entry) count(version int64) {
-	e.wg.Go(func() {
+	e.spawn(func() {
 		for {
 			err := e.readRegistered(e.background)
 			if err == nil {
--- a/process/entry/registry.go
+++ b/process/entry/registry.go
@@ -24,9 +24,8 @@
 
 	// registry holds the requests in flight, in shards.
 	registry struct {
-		expireOnce sync.Once
-		n          atomic.Int64
-		shards     [registryShards]struct {
+		n      atomic.Int64
+		shards [registryShards]struct {
 			mu   sync.Mutex
 			list map[string]*activity
 		}
--- a/process/entry/shares.go
+++ b/process/entry/shares.go
@@ -23,7 +23,7 @@
 	}
 	e.borrower = &share.Borrower{
 		Entry: e.id, Live: func() int { return len(e.entries()) }, Borrow: e.borrow,
-		Go:        func(task func()) { e.wg.Go(task) },
+		Go:        func(task func()) { e.spawn(task) },
 		Violation: func(s string) { e.violation("share", s) },
 	}
 }
--- a/process/entry/stop.go
+++ b/process/entry/stop.go
@@ -16,7 +16,7 @@
 // Abort ends a graceful stop early: streams in flight are handed over to other
 // entries, everything else is cut off.
 func (e *Entry) Abort() {
-	e.streams.expireOnce.Do(func() { close(e.expired) })
+	e.expire()
 }
 
 func (e *Entry) stopLimit() time.Time {
@@ -73,11 +73,4 @@
 	}
 }
 
-func (e *Entry) isExpired() bool {
-	select {
-	case <-e.expired:
-		return true
-	default:
-		return false
-	}
-}
+func (e *Entry) isExpired() bool { return e.expiry.Err() != nil }
--- a/process/entry/watch.go
+++ b/process/entry/watch.go
@@ -92,7 +92,7 @@
 		ctx, cancel := context.WithCancel(d.e.background)
 		w := &watch{endpoint: endpoint, stop: cancel}
 		d.watch[id] = w
-		d.e.wg.Go(func() { d.poll(ctx, w) })
+		d.e.spawn(func() { d.poll(ctx, w) })
 	}
 }
 
@@ -178,24 +178,23 @@
 // work, own region first.
 func (e *Entry) replica(s *config.Service, exclude []string) (*config.Endpoint, error) {
 	now := e.now().UnixMilli()
-	best, rank := (*config.Endpoint)(nil), 0
+	best, most := (*config.Endpoint)(nil), 0
 	for _, w := range e.desk(s.ID).watches() {
 		endpoint := e.config().Endpoint(w.endpoint.ID)
 		if endpoint == nil || endpoint.Drain || w.leaving.Load() {
 			continue
 		}
 		score := rand.IntN(100) + 1
-		for _, good := range []bool{
+		for i, good := range []bool{
 			endpoint.Region == e.Settings.Region, !w.down.Load(), now > w.failed.Load(), !slices.Contains(exclude, endpoint.ID),
 		} {
 			// Each condition counts for more than all before it together.
-			score *= 2
 			if good {
-				score += 1000
+				score += 100 << i
 			}
 		}
-		if best == nil || score > rank {
-			best, rank = endpoint, score
+		if score > most {
+			best, most = endpoint, score
 		}
 	}
 	if best == nil {
