--- a/process/entry/completion.go
+++ b/process/entry/completion.go
@@ -134,6 +134,9 @@
 	if c.caller == "" {
 		c.caller = req.User
 	}
+	if len(c.caller) > maxCallerName {
+		return req, nil, refusal.New(refusal.BadRequest, refusal.NotRun, "user is longer than 128 bytes")
+	}
 	service, err := e.service(*c, req.Model, config.Engine)
 	if err != nil {
 		return req, nil, err
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -55,6 +55,9 @@
 	// Reaches tells whether messages to the address of another entry are sent;
 	// nil means always. Failure tests cut links with it.
 	Reaches func(addr string) bool
+	// Stall is the silence after which a stream is read over a new connection;
+	// 10 s if zero.
+	Stall time.Duration
 	// Violation is called when a promise is seen broken; nil means that it is
 	// counted and logged only.
 	Violation func(rule, detail string)
@@ -68,6 +71,8 @@
 	streams    registry
 	lengths    length.Learner
 	wg         conc.WaitGroup
+	mu         sync.Mutex
+	ended      bool // nothing is spawned any more
 	background context.Context
 	cancel     context.CancelFunc
 
@@ -123,14 +128,18 @@
 		d := &net.Dialer{Timeout: dialTimeout}
 		dial = d.DialContext
 	}
-	e.http = &http.Client{Transport: &http.Transport{
-		DialContext:         dial,
-		MaxIdleConnsPerHost: 64,
-		IdleConnTimeout:     idleConn,
-		ReadBufferSize:      2 << 10,
-		WriteBufferSize:     2 << 10,
-		DisableCompression:  true,
-	}}
+	e.http = &http.Client{
+		Transport: &http.Transport{
+			DialContext:         dial,
+			MaxIdleConnsPerHost: 64,
+			IdleConnTimeout:     idleConn,
+			ReadBufferSize:      2 << 10,
+			WriteBufferSize:     2 << 10,
+			DisableCompression:  true,
+		},
+		// A redirect is the endpoint's answer: following it would send a second request.
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
 }
 
 // Run serves until ctx ends, then stops gracefully. It returns nil after a
@@ -168,9 +177,24 @@
 	return err
 }
 
+// spawn runs a task in the background unless the entry has ended. Handlers of
+// a closed server may still be running then, and end waits for no task that
+// begins later.
+func (e *Entry) spawn(task func()) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.ended {
+		e.wg.Go(task)
+	}
+}
+
 // end ends the parts of the entry and waits for them.
 func (e *Entry) end() {
 	e.cancel()
+	e.expire()
+	if e.server != nil {
+		_ = e.server.Close()
+	}
 	if e.peerListener != nil {
 		_ = e.peerListener.Close()
 	}
@@ -178,6 +202,9 @@
 		_ = e.socket.Close()
 	}
 	e.peers.Close()
+	e.mu.Lock()
+	e.ended = true
+	e.mu.Unlock()
 	e.wg.Wait()
 	e.http.CloseIdleConnections()
 }
--- a/process/entry/register.go
+++ b/process/entry/register.go
@@ -131,7 +131,7 @@
 // again until it succeeds.
 func (e *Entry) count(version int64) {
 	e.written.Store(max(e.written.Load(), version))
-	e.wg.Go(func() {
+	e.spawn(func() {
 		for {
 			err := e.readRegistered(e.background)
 			if err == nil {
