cost: measure what an entry adds

Cause: the cost of an entry was not known. Change: tests behind a flag measure latency, processor time and memory of relayed streams, one request, and idle entries; Entry.MemberStats gives the membership's bytes.

--- /dev/null
+++ b/internal/cost/cost_test.go
@@ -0,0 +1,244 @@
+package cost
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var (
+	cost   = flag.Bool("cost", false, "measure and print the cost of an entry")
+	rounds = flag.Int("rounds", 5, "interleaved rounds of each measurement")
+)
+
+// start skips the measurement unless it was asked for.
+func start(t *testing.T, entries, endpoints int, dial func() net.Conn) *rig {
+	if !*cost {
+		t.Skip("measurement; run with -cost")
+	}
+	return newRig(t, entries, endpoints, dial)
+}
+
+func micros(d time.Duration, n int) float64 { return float64(d.Nanoseconds()) / 1e3 / float64(n) }
+
+// TestLatency measures the time that an entry adds to the first and to each token.
+func TestLatency(t *testing.T) {
+	r := start(t, 1, 1, nil)
+	r.engine.pause.Store(int64(2 * time.Millisecond))
+	r.engine.n.Store(300)
+	var first, middle, tail []float64
+	r.delays(t, false)
+	for range 3 * *rounds {
+		first0, ages0 := r.delays(t, true)
+		first1, ages1 := r.delays(t, false)
+		slices.Sort(ages0)
+		slices.Sort(ages1)
+		first = append(first, micros(first1-first0, 1))
+		middle = append(middle, micros(ages1[150]-ages0[150], 1))
+		tail = append(tail, micros(ages1[285]-ages0[285], 1))
+	}
+	fmt.Println("added to first token:", spread(first, "µs"))
+	fmt.Println("added per token, median:", spread(middle, "µs"))
+	fmt.Println("added per token, p95:", spread(tail, "µs"))
+}
+
+// TestRelay measures the processor time per relayed token at a steady rate, and
+// the tokens per second with engines that send without a pause.
+func TestRelay(t *testing.T) {
+	r := start(t, 1, 1, nil)
+	for _, load := range []struct {
+		name            string
+		streams, tokens int
+		pause           time.Duration
+	}{{"40,000 tokens/s", 200, 300, 5 * time.Millisecond}, {"no pause", 64, 10_000, 0}} {
+		r.engine.pause.Store(int64(load.pause))
+		r.engine.n.Store(int64(load.tokens))
+		var values [4][]float64
+		for range *rounds {
+			var used [2]float64
+			for i := range 2 {
+				begun := time.Now()
+				used[i] = micros(cpu(func() { r.drain(t, i == 0, load.streams) }), load.streams*load.tokens)
+				values[i] = append(values[i], float64(load.streams*load.tokens)/time.Since(begun).Seconds())
+			}
+			values[2], values[3] = append(values[2], used[0]), append(values[3], used[1]-used[0])
+		}
+		fmt.Println(load.name, "direct:", spread(values[0], "tokens/s"))
+		fmt.Println(load.name, "through one entry:", spread(values[1], "tokens/s"))
+		fmt.Println(load.name, "engine and reader per token:", spread(values[2], "µs"))
+		fmt.Println(load.name, "entry's part per token:", spread(values[3], "µs"))
+	}
+}
+
+// TestMemory measures heap and stacks for each open stream.
+func TestMemory(t *testing.T) {
+	r := start(t, 1, 1, nil)
+	r.engine.pause.Store(int64(time.Hour))
+	r.engine.n.Store(2)
+	for _, streams := range []int{500, 2000} {
+		var direct, added []float64
+		for range *rounds {
+			a, b := r.held(t, true, streams), r.held(t, false, streams)
+			direct, added = append(direct, a), append(added, b-a)
+		}
+		fmt.Printf("%d streams, engine and reader: %s\n", streams, spread(direct, "KB"))
+		fmt.Printf("%d streams, entry's part: %s\n", streams, spread(added, "KB"))
+	}
+}
+
+// held gives the memory in KB for each of a number of open streams.
+func (r *rig) held(t testing.TB, direct bool, streams int) float64 {
+	before := memory()
+	r.engine.first.Store(0)
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	for i := range streams {
+		wg.Go(func() {
+			res, err := r.open(ctx, direct, i)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer res.Body.Close()
+			if res.StatusCode != http.StatusOK {
+				t.Error(res.Status)
+			}
+			_, _ = io.Copy(io.Discard, res.Body)
+		})
+	}
+	require.Eventually(t, func() bool { return r.engine.first.Load() == int64(streams) }, time.Minute, 10*time.Millisecond)
+	time.Sleep(300 * time.Millisecond) // until the first tokens have been relayed
+	used := memory() - before
+	cancel()
+	wg.Wait()
+	r.client.CloseIdleConnections()
+	// A generation that its caller left is cancelled 5 s later; until then the
+	// entry keeps a goroutine for it.
+	if !direct {
+		time.Sleep(6 * time.Second)
+	}
+	return float64(used) / 1024 / float64(streams)
+}
+
+func memory() int64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc + m.StackInuse)
+}
+
+// TestRequest measures one admitted request of one token, from the handler on,
+// with an engine that is a canned answer on a pipe.
+func TestRequest(t *testing.T) {
+	r := start(t, 1, 1, func() net.Conn {
+		near, far := net.Pipe()
+		go answer(far)
+		return near
+	})
+	handler := r.Nodes()[0].Entry.Handler()
+	const requests = 3000
+	var used, allocated []float64
+	for round := range *rounds + 1 {
+		var m0, m1 runtime.MemStats
+		runtime.ReadMemStats(&m0)
+		d := cpu(func() {
+			for range requests {
+				w := httptest.NewRecorder()
+				req := httptest.NewRequest(http.MethodPost, "/v1/completions", strings.NewReader(`{"model":"guide","prompt":"p","stream":true}`))
+				req.Header.Set("Authorization", "Bearer key-riga")
+				handler.ServeHTTP(w, req)
+				require.Contains(t, w.Body.String(), "[DONE]")
+			}
+		})
+		runtime.ReadMemStats(&m1)
+		if round > 0 {
+			used = append(used, micros(d, requests))
+			allocated = append(allocated, float64(m1.Mallocs-m0.Mallocs)/requests)
+		}
+	}
+	fmt.Println("request of one token:", spread(used, "µs"))
+	fmt.Println("request of one token:", spread(allocated, "allocations"))
+}
+
+// answer is the engine of TestRequest.
+func answer(conn net.Conn) {
+	defer conn.Close()
+	in := bufio.NewReader(conn)
+	for {
+		req, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		body, _ := io.ReadAll(req.Body)
+		out := `{"boot":"b","at":1,"total":1000000000}`
+		if _, rest, ok := bytes.Cut(body, []byte(`"gen":"`)); ok {
+			frame := `data: {"boot":"b","gen":"` + string(rest[:36]) + `","n":1,`
+			out = frame + "\"text\":\" a\"}\n\n" + frame + "\"end\":true}\n\n"
+		} else if req.URL.Path == "/cache" {
+			out = "[]"
+		}
+		if _, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Boot: b\r\nContent-Length: %d\r\n\r\n%s", len(out), out); err != nil {
+			return
+		}
+	}
+}
+
+// TestIdle measures idle entries: the slope over endpoints and over entries.
+// Processor time includes the endpoints' side of the polls.
+func TestIdle(t *testing.T) {
+	if !*cost {
+		t.Skip("measurement; run with -cost")
+	}
+	const window = 10 * time.Second
+	for _, size := range [][2]int{{1, 0}, {1, 8}, {1, 24}, {3, 24}, {6, 24}} {
+		for _, used := range []bool{false, true} {
+			idle(t, size[0], size[1], used, window)
+		}
+	}
+}
+
+// idle prints the cost of entries whose service was used once, or never.
+func idle(t *testing.T, entries, endpoints int, used bool, window time.Duration) {
+	t.Run(fmt.Sprintf("%dx%d", entries, endpoints), func(t *testing.T) {
+		r := newRig(t, entries, endpoints, nil)
+		r.engine.n.Store(1)
+		if used && endpoints > 0 {
+			for _, n := range r.Nodes() {
+				req, _ := http.NewRequest(http.MethodPost, "http://"+n.Entry.Addr()+"/v1/completions", strings.NewReader(`{"model":"guide","prompt":"p"}`))
+				req.Header.Set("Authorization", "Bearer key-riga")
+				res, err := r.client.Do(req)
+				require.NoError(t, err)
+				require.NoError(t, res.Body.Close())
+			}
+		}
+		time.Sleep(3 * time.Second)
+		gossip := func() (n int64) {
+			for _, node := range r.Nodes() {
+				s := node.Entry.MemberStats()
+				n += s.Bytes + s.Received
+			}
+			return n
+		}
+		polls, ep, pf, gs := r.engine.polls.Load(), r.endpoint.Load(), r.platform.Load(), gossip()
+		d := cpu(func() { time.Sleep(window) })
+		per := func(n int64) float64 { return float64(n) / float64(entries) / window.Seconds() }
+		fmt.Printf("%d entries, %2d endpoints, used %-5v per entry: %5.1f polls/s, endpoints %6.0f B/s, platform %5.0f B/s, membership %5.0f B/s, cpu %.2f %% of a core\n",
+			entries, endpoints, used, per(r.engine.polls.Load()-polls), per(r.endpoint.Load()-ep), per(r.platform.Load()-pf), per(gossip()-gs),
+			float64(d)/float64(window)/float64(entries)*100)
+	})
+}
--- /dev/null
+++ b/internal/cost/rig_test.go
@@ -0,0 +1,239 @@
+package cost
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/eelgrassdock/eelgrassdock/connection/engine"
+	"github.com/eelgrassdock/eelgrassdock/internal/system"
+	"github.com/eelgrassdock/eelgrassdock/process/entry"
+	"github.com/eelgrassdock/eelgrassdock/process/platform"
+	"github.com/eelgrassdock/eelgrassdock/version/config"
+)
+
+// paced is an engine that costs little itself: each stream has n tokens, one
+// write each, a pause apart. The text of a token is the time it was sent.
+type paced struct {
+	pause atomic.Int64
+	n     atomic.Int64
+	first atomic.Int64 // streams whose first token was sent
+	polls atomic.Int64
+}
+
+func (p *paced) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch r.URL.Path {
+	case "/load":
+		p.polls.Add(1)
+		_ = json.NewEncoder(w).Encode(engine.Report{
+			Boot: "b0e7a9d2-3c41-4f60-9a55-6c1f0d7e8b21", At: time.Now().UnixMilli(), Total: 1 << 40, Step: 25000, Models: []string{system.Model},
+		})
+	case "/cache":
+		_, _ = io.WriteString(w, "[]\n")
+	case "/generate":
+		p.generate(w, r)
+	case "/order":
+		_, _ = io.Copy(w, r.Body)
+	}
+}
+
+func (p *paced) generate(w http.ResponseWriter, r *http.Request) {
+	var req engine.Request
+	_ = json.NewDecoder(r.Body).Decode(&req)
+	control := http.NewResponseController(w)
+	head := `data: {"boot":"b0e7a9d2-3c41-4f60-9a55-6c1f0d7e8b21","gen":"` + req.Gen + `","n":`
+	buf := make([]byte, 0, 256)
+	pause := time.Duration(p.pause.Load())
+	last := int(p.n.Load())
+	for n := 1; n <= last; n++ {
+		if n > 1 && pause > 0 {
+			select {
+			case <-r.Context().Done():
+				return
+			case <-time.After(pause):
+			}
+		}
+		buf = strconv.AppendInt(append(buf[:0], head...), int64(n), 10)
+		buf = strconv.AppendInt(append(buf, `,"text":" `...), time.Now().UnixNano(), 10)
+		buf = append(buf, "\"}\n\n"...)
+		if _, err := w.Write(buf); err != nil || control.Flush() != nil {
+			return
+		}
+		if n == 1 {
+			p.first.Add(1)
+		}
+	}
+	_, _ = fmt.Fprintf(w, "%s%d,\"end\":true}\n\n", head, last)
+}
+
+// counted counts the bytes of a connection.
+type counted struct {
+	net.Conn
+	n *atomic.Int64
+}
+
+func (c counted) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.n.Add(int64(n))
+	return n, err
+}
+
+func (c counted) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.n.Add(int64(n))
+	return n, err
+}
+
+// rig is a system in front of paced engines.
+type rig struct {
+	*system.System
+	engine             *paced
+	addrs              []string
+	endpoint, platform atomic.Int64 // bytes of the entries
+	client             *http.Client
+}
+
+// newRig starts entries in front of endpoints. If dial is not nil, endpoints are
+// reached with it.
+func newRig(t testing.TB, entries, endpoints int, dial func() net.Conn) *rig {
+	r := &rig{engine: &paced{}, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4096, ReadBufferSize: 2048, WriteBufferSize: 2048}}}
+	for range endpoints {
+		server := httptest.NewServer(r.engine)
+		t.Cleanup(server.Close)
+		r.addrs = append(r.addrs, server.Listener.Addr().String())
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	memory := &platform.Memory{Seed: 1}
+	store := httptest.NewServer(memory.Handler())
+	t.Cleanup(store.Close)
+	count := func(n *atomic.Int64) func(context.Context, string, string) (net.Conn, error) {
+		return func(ctx context.Context, network, addr string) (net.Conn, error) {
+			conn, err := (&net.Dialer{}).DialContext(ctx, network, addr)
+			if err != nil {
+				return nil, err
+			}
+			return counted{conn, n}, nil
+		}
+	}
+	r.System = &system.System{
+		Places: []system.Place{{Name: "p", Region: "r"}}, Entries: entries, Memory: memory, Log: log,
+		Edit: func(doc *config.Document) {
+			for i, addr := range r.addrs {
+				doc.Endpoints = append(doc.Endpoints, config.Endpoint{ID: "e" + strconv.Itoa(i), Service: system.Model, Place: "p", Region: "r", Addr: addr})
+			}
+		},
+		Prepare: func(_ int, e *entry.Entry) {
+			e.Platform = (&platform.Remote{URL: store.URL, HTTP: &http.Client{Transport: &http.Transport{DialContext: count(&r.platform)}}}).Platform()
+			e.Dial = count(&r.endpoint)
+			if dial != nil {
+				e.Dial = func(context.Context, string, string) (net.Conn, error) { return dial(), nil }
+			}
+		},
+	}
+	require.NoError(t, r.Start(context.Background()))
+	t.Cleanup(r.Close)
+	return r
+}
+
+// open starts a stream, directly at an engine or through the entry.
+func (r *rig) open(ctx context.Context, direct bool, i int) (*http.Response, error) {
+	url, body := "http://"+r.Nodes()[0].Entry.Addr()+"/v1/completions", `{"model":"guide","prompt":"p","stream":true,"max_tokens":65536}`
+	if direct {
+		url = "http://" + r.addrs[0] + "/generate"
+		body = fmt.Sprintf(`{"gen":"5b1d3e44-0c7a-4d0e-8f21-%012d","prompt":"p","max":65536,"model":"guide"}`, i)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Authorization", "Bearer key-riga")
+	req.Header.Set("X-Caller", "c"+strconv.Itoa(i))
+	return r.client.Do(req)
+}
+
+// drain reads whole streams at the same time and fails if one is cut short.
+func (r *rig) drain(t testing.TB, direct bool, streams int) {
+	var wg sync.WaitGroup
+	var whole atomic.Int64
+	for i := range streams {
+		wg.Go(func() {
+			res, err := r.open(context.Background(), direct, i)
+			if err != nil {
+				return
+			}
+			defer res.Body.Close()
+			buf, tail := make([]byte, 4096), []byte(nil)
+			for err == nil {
+				var n int
+				if n, err = res.Body.Read(buf); n > 0 {
+					tail = append(tail, buf[max(0, n-24):n]...)
+					tail = append(tail[:0], tail[max(0, len(tail)-24):]...)
+				}
+			}
+			if bytes.Contains(tail, []byte("[DONE]")) || bytes.Contains(tail, []byte(`"end":true`)) {
+				whole.Add(1)
+			}
+		})
+	}
+	wg.Wait()
+	require.EqualValues(t, streams, whole.Load(), "streams cut short")
+}
+
+// delays reads one stream and gives the time to its first token and the age of each token.
+func (r *rig) delays(t testing.TB, direct bool) (first time.Duration, ages []time.Duration) {
+	begun := time.Now()
+	res, err := r.open(context.Background(), direct, 0)
+	require.NoError(t, err)
+	defer res.Body.Close()
+	lines := bufio.NewScanner(res.Body)
+	for lines.Scan() {
+		_, rest, ok := strings.Cut(lines.Text(), `"text":" `)
+		if !ok {
+			continue
+		}
+		digits, _, _ := strings.Cut(rest, `"`)
+		sent, err := strconv.ParseInt(digits, 10, 64)
+		require.NoError(t, err)
+		now := time.Now()
+		if ages = append(ages, now.Sub(time.Unix(0, sent))); len(ages) == 1 {
+			first = now.Sub(begun)
+		}
+	}
+	return first, ages
+}
+
+// cpu gives the processor time that f uses in this process.
+func cpu(f func()) time.Duration {
+	used := func() time.Duration {
+		var u syscall.Rusage
+		_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+		return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+	}
+	before := used()
+	f()
+	return used() - before
+}
+
+// spread formats the median, least and greatest of some values.
+func spread(values []float64, unit string) string {
+	slices.Sort(values)
+	return fmt.Sprintf("%.4g %s (%.4g to %.4g, n=%d)", values[len(values)/2], unit, values[0], values[len(values)-1], len(values))
+}
--- a/process/entry/members.go
+++ b/process/entry/members.go
@@ -193,3 +193,6 @@
 	})
 	e.tracker.Listed(ids)
 }
+
+// MemberStats counts what the membership protocol of this entry sent and received.
+func (e *Entry) MemberStats() member.Stats { return e.members.Stats() }
