entry: move the timers of a stream once a second, copy plain text

Cause: each token moved two timers and encoded its text with encoding/json. Change: the write deadline and the stall timer are moved at most once a second and are a second longer, so that neither fires earlier than before; text without characters to escape is copied.

--- a/process/entry/event.go
+++ b/process/entry/event.go
@@ -11,6 +11,7 @@
 
 const (
 	writeTimeout = 30 * time.Second // a caller that accepts nothing for this long is disconnected
+	timerGrain   = time.Second      // timers of a stream are moved at most this often
 )
 
 type (
@@ -41,7 +42,8 @@
 		head    []byte // event up to the token's text
 		buf     []byte
 		begun   bool
-		last    int // number of the last token that the caller has
+		last    int       // number of the last token that the caller has
+		armed   time.Time // when the write deadline was set
 	}
 )
 
@@ -86,14 +88,10 @@
 }
 
 func (o *eventWriter) token(f stream.Frame, more bool) error {
-	text, err := json.Marshal(f.Text)
-	if err != nil {
-		return err
-	}
 	o.last = f.N
 	o.buf = o.appendID(o.buf, f.N)
 	o.buf = append(o.buf, o.head...)
-	o.buf = append(o.buf, text...)
+	o.buf = appendText(o.buf, f.Text)
 	o.buf = append(o.buf, "}]}\n\n"...)
 	if more {
 		return nil
@@ -122,7 +120,10 @@
 }
 
 func (o *eventWriter) flush() error {
-	_ = o.control.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if now := time.Now(); now.Sub(o.armed) >= timerGrain {
+		o.armed = now
+		_ = o.control.SetWriteDeadline(now.Add(writeTimeout + timerGrain))
+	}
 	_, err := o.w.Write(o.buf)
 	o.buf = o.buf[:0]
 	if err != nil {
@@ -130,3 +131,16 @@
 	}
 	return o.control.Flush()
 }
+
+// appendText appends a JSON string. Text that needs no escape is copied.
+func appendText(b []byte, text string) []byte {
+	for _, c := range []byte(text) {
+		if c < ' ' || c > '~' || c == '"' || c == '\\' || c == '<' || c == '>' || c == '&' {
+			data, _ := json.Marshal(text) // a string always has an encoding
+			return append(b, data...)
+		}
+	}
+	b = append(b, '"')
+	b = append(b, text...)
+	return append(b, '"')
+}
--- a/process/entry/job.go
+++ b/process/entry/job.go
@@ -216,8 +216,9 @@
 
 // pump passes tokens on until the generation ends or the connection fails.
 func (j *job) pump(ctx context.Context, reader *engine.Reader, s *slot) error {
-	watch := time.AfterFunc(stallTimeout, func() { _ = reader.Close() })
+	watch := time.AfterFunc(stallTimeout+timerGrain, func() { _ = reader.Close() })
 	defer watch.Stop()
+	armed := time.Now()
 	stop := context.AfterFunc(ctx, func() { _ = reader.Close() })
 	defer stop()
 	for {
@@ -225,7 +226,10 @@
 		if err != nil {
 			return err
 		}
-		watch.Reset(stallTimeout)
+		if now := time.Now(); now.Sub(armed) >= timerGrain {
+			armed = now
+			watch.Reset(stallTimeout + timerGrain)
+		}
 		if f.End {
 			return j.finish(f)
 		}
