--- a/process/entry/call.go
+++ b/process/entry/call.go
@@ -133,7 +133,7 @@
 		maybe   bool // an attempt may have run
 	)
 	for attempt := 0; ; attempt++ {
-		endpoint, err := e.replica(s, exclude)
+		endpoint, err := e.freshReplica(s, exclude)
 		if err != nil {
 			return claim.Result{}, doubt(err, maybe)
 		}
