locate, entry: send callers of a service to a group of entries

Cause: with 24 services, every entry of 500 would serve all of them and poll 24 endpoints of each: 576 endpoints, at the budget of 24 polls a second one report every 24 s. The load of an entry, which Answer uses to spread large accounts, was never filled in. Change: locate.Group gives each service two in 24 of the entries at that size, and at least four in a region; subsets are cut from the group; the load rides on the membership payload.

--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -68,6 +68,7 @@
 	desks      sync.Map // service ID to *desk
 	retries    sync.Map // service ID to *retry.Policy
 	addrs      sync.Map // entry ID to its address for peers, also of entries that are gone
+	loads      sync.Map // entry ID to its requests in flight
 	streams    registry
 	polling    atomic.Int64 // endpoints that are polled regularly
 	lengths    length.Learner
--- a/process/entry/members.go
+++ b/process/entry/members.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"fmt"
 	"maps"
+	"math"
 	"net"
 	"net/http"
 	"slices"
@@ -23,6 +25,7 @@
 const (
 	reapPeriod  = time.Second      // period of the search for entries that are gone
 	reapTimeout = time.Second      // time for the address of such an entry to refuse a connection
+	loadBytes   = 2                // size of the load in a payload
 	listPeriod  = 10 * time.Second // period of reads of the instance list while an entry is missing
 )
 
@@ -35,10 +38,36 @@
 func (e *Entry) newMembers() *member.Node {
 	return &member.Node{
 		Self: e.self(), Seeds: e.seeds, Changed: e.membersChanged,
-		Payload: e.holder.Payload, OnPayload: e.holder.OnPayload,
+		Payload: e.payload, OnPayload: e.onPayload,
 	}
 }
 
+// payload rides on every datagram between entries: the load of this entry, and
+// what it knows of the configuration.
+func (e *Entry) payload() []byte {
+	load := min(e.streams.active()+1, math.MaxUint16)
+	return append(binary.BigEndian.AppendUint16(nil, uint16(load)), e.holder.Payload()...)
+}
+
+func (e *Entry) onPayload(from string, data []byte) {
+	if len(data) < loadBytes {
+		return
+	}
+	e.loads.Store(from, float64(binary.BigEndian.Uint16(data)))
+	e.holder.OnPayload(from, data[loadBytes:])
+}
+
+// load gives the requests in flight on an entry, as far as it told.
+func (e *Entry) load(id string) float64 {
+	if id == e.id {
+		return float64(e.streams.active() + 1)
+	}
+	if n, ok := e.loads.Load(id); ok {
+		return n.(float64)
+	}
+	return 0
+}
+
 // self describes this entry to others.
 func (e *Entry) self() member.Member {
 	set := e.Settings
@@ -111,6 +140,7 @@
 	for _, m := range members {
 		list = append(list, locate.Entry{
 			ID: m.ID, Addr: m.Addr, Place: m.Place, Region: m.Region, Leaving: m.Leaving || drained[m.ID],
+			Load: e.load(m.ID),
 		})
 	}
 	return list
@@ -137,13 +167,23 @@
 		}
 	}
 	account := query.Get("account")
-	list, _ := locate.Answer(entries, account, query.Get("service"), query.Get("place"), region, e.now())
+	group := e.group(e.config(), entries, query.Get("service"))
+	list, _ := locate.Answer(group, account, query.Get("service"), query.Get("place"), region, e.now())
 	if a := e.config().Account(account); a != nil && a.Pin != "" {
 		list = pinned(list, entries, a.Pin)
 	}
 	e.writeJSON(w, locateAnswer{Entries: list, Until: e.now().Add(e.keep())})
 }
 
+// group gives the entries that serve a service.
+func (e *Entry) group(x *config.Index, entries []locate.Entry, service string) []locate.Entry {
+	part := 1.0
+	if all := len(x.Document.Endpoints); all > 0 {
+		part = float64(len(x.Endpoints(service))) / float64(all)
+	}
+	return locate.Group(entries, service, part)
+}
+
 // pinned puts the entry that an operator chose for the account first.
 func pinned(list, entries []locate.Entry, pin string) []locate.Entry {
 	for _, entry := range entries {
@@ -192,6 +232,7 @@
 	e.tracker.Remove(id)
 	e.deregister(ctx, id)
 	e.addrs.Delete(id)
+	e.loads.Delete(id)
 }
 
 func (e *Entry) refusesConnections(ctx context.Context, id string) bool {
--- a/process/entry/watch.go
+++ b/process/entry/watch.go
@@ -63,8 +63,14 @@
 	for i, endpoint := range all {
 		list[i] = locate.Endpoint{ID: endpoint.ID, Region: endpoint.Region}
 	}
+	// An entry outside of the group counts itself in: it serves callers that
+	// come with an old answer.
+	group := e.group(x, e.entries(), service)
+	if !slices.ContainsFunc(group, func(entry locate.Entry) bool { return entry.ID == e.id }) {
+		group = append(group, locate.Entry{ID: e.id, Region: e.Settings.Region})
+	}
 	var chosen []*config.Endpoint
-	for _, endpoint := range locate.Subset(list, e.entries(), e.id, service, e.Settings.Region, locate.Endpoints) {
+	for _, endpoint := range locate.Subset(list, group, e.id, service, e.Settings.Region, locate.Endpoints) {
 		chosen = append(chosen, x.Endpoint(endpoint.ID))
 	}
 	return chosen
@@ -76,7 +82,7 @@
 	if all == 0 {
 		return 1
 	}
-	return max(1, len(e.entries())*chosen/all)
+	return max(1, len(e.group(x, e.entries(), service))*chosen/all)
 }
 
 func (d *desk) setWatches(endpoints []*config.Endpoint) {
