--- a/internal/system/system.go
+++ b/internal/system/system.go
@@ -139,40 +139,37 @@
 }
 
 func (s *System) serve(id string, handler http.Handler) (*Backend, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	b := &Backend{ID: id, Addr: "127.0.0.1:0"}
+	s.Back = append(s.Back, b)
+	return b, s.listen(b, handler)
+}
+
+// listen serves a back end on its address.
+func (s *System) listen(b *Backend, handler http.Handler) error {
+	l, err := net.Listen("tcp", b.Addr)
 	if err != nil {
-		return nil, fmt.Errorf("listen: %w", err)
+		return fmt.Errorf("listen: %w", err)
 	}
-	b := &Backend{ID: id, Addr: l.Addr().String()}
-	b.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	b.Addr, b.stop = l.Addr().String(), func() {}
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case "/generate", "/orders", "/stock":
 			b.work.Add(1)
 		}
 		handler.ServeHTTP(w, r)
 	})}
-	s.wg.Go(func() { _ = b.server.Serve(l) })
-	s.Back = append(s.Back, b)
-	return b, nil
+	b.server = server
+	s.wg.Go(func() { _ = server.Serve(l) })
+	return nil
 }
 
 func (s *System) startEngine(ctx context.Context, i int) error {
-	cfg := s.Config
-	if cfg == (model.Config{}) {
-		cfg = model.Config{Base: engineStep, Memory: engineMemory}
-	}
-	cfg.Seed = s.Seed + uint64(i)
-	e := &standin.Engine{
-		Model: cfg, Lag: 500 * time.Millisecond,
-		Models: []string{Model}, Fenced: i%2 == 0,
-	}
+	e := s.newEngine(i)
 	b, err := s.serve(fmt.Sprintf("engine-%d", i), e.Handler())
 	if err != nil {
 		return err
 	}
-	ctx, b.stop = context.WithCancel(ctx)
-	b.Engine = e
-	s.wg.Go(func() { _ = e.Run(ctx) })
+	s.runEngine(ctx, b, e)
 	place := s.Places[i%len(s.Places)]
 	s.Document.Endpoints = append(s.Document.Endpoints, config.Endpoint{
 		ID: b.ID, Service: Model, Place: place.Name, Region: place.Region, Addr: b.Addr, Fenced: e.Fenced,
@@ -180,6 +177,33 @@
 	return nil
 }
 
+func (s *System) newEngine(i int) *standin.Engine {
+	cfg := s.Config
+	if cfg == (model.Config{}) {
+		cfg = model.Config{Base: engineStep, Memory: engineMemory}
+	}
+	cfg.Seed = s.Seed + uint64(i)
+	return &standin.Engine{Model: cfg, Lag: 500 * time.Millisecond, Models: []string{Model}, Fenced: i%2 == 0}
+}
+
+func (s *System) runEngine(ctx context.Context, b *Backend, e *standin.Engine) {
+	ctx, b.stop = context.WithCancel(ctx)
+	b.Engine = e
+	s.wg.Go(func() { _ = e.Run(ctx) })
+}
+
+// RestartEngine ends engine i as a crash does and starts it again on the same
+// address, without its generations.
+func (s *System) RestartEngine(ctx context.Context, i int) error {
+	b, e := s.Back[i], s.newEngine(i)
+	b.Kill()
+	if err := s.listen(b, e.Handler()); err != nil {
+		return err
+	}
+	s.runEngine(ctx, b, e)
+	return nil
+}
+
 func (s *System) startPlain(i int) error {
 	service := &standin.Service{}
 	b, err := s.serve(fmt.Sprintf("orders-%d", i), service.Handler())
@@ -187,7 +211,6 @@
 		return err
 	}
 	b.Service = service
-	b.stop = func() {}
 	place := s.Places[i%len(s.Places)]
 	s.Document.Endpoints = append(s.Document.Endpoints, config.Endpoint{
 		ID: b.ID, Service: Plain, Place: place.Name, Region: place.Region, Addr: b.Addr,
@@ -204,6 +227,9 @@
 		if err == nil || !n.Ended() || !errors.Is(n.Err, syscall.EADDRINUSE) {
 			return n, err
 		}
+		s.mu.Lock()
+		s.nodes = slices.DeleteFunc(s.nodes, func(other *Node) bool { return other == n })
+		s.mu.Unlock()
 	}
 }
 
