--- /dev/null
+++ b/client/stream_test.go
@@ -0,0 +1,89 @@
+package client
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"github.com/tmaxmax/go-sse"
+
+	"github.com/eelgrassdock/eelgrassdock/request/refusal"
+)
+
+func sent(id string, n int) string {
+	return fmt.Sprintf("id: %s.%d\ndata: {\"choices\":[{\"text\":\"t\"}]}\n\n", id, n)
+}
+
+// events gives the bytes of a stream to a reading that has n tokens and checks
+// that tokens are passed on once and in order.
+func events(t *testing.T, stream string, n int) (*reading, error) {
+	r := &reading{n: n, id: "s.7"}
+	last := n
+	r.yield = func(token Token, err error) bool {
+		require.NoError(t, err)
+		require.Equal(t, last+1, token.N)
+		last = token.N
+		return true
+	}
+	for event, err := range sse.Read(strings.NewReader(stream), &sse.ReadConfig{MaxEventSize: maxEvent}) {
+		if err != nil {
+			return r, err
+		}
+		if err := r.event(event); err != nil || r.done {
+			return r, err
+		}
+	}
+	return r, nil
+}
+
+// TestEvents guards against tokens that are repeated, skipped or lost when a
+// stream is resumed, and against a position that moves backwards.
+func TestEvents(t *testing.T) {
+	const open, done = "event: open\nid: s.0\ndata: {}\n\n", "data: [DONE]\n\n"
+	for name, tt := range map[string]struct {
+		stream string
+		n      int
+		id     string
+		done   bool
+		reason refusal.Reason
+	}{
+		"whole":      {open + sent("s", 1) + sent("s", 2) + done, 0, "s.2", true, ""},
+		"not begun":  {open, 0, "s.0", false, ""},
+		"resumed":    {open, 7, "s.7", false, ""},
+		"renewed":    {strings.ReplaceAll(open, "s.0", "new.0"), 7, "new.7", false, ""},
+		"repeated":   {open + sent("s", 6) + sent("s", 7) + sent("s", 8), 7, "s.8", false, ""},
+		"gap":        {open + sent("s", 9), 7, "s.7", false, refusal.Garbage},
+		"no id":      {"data: {\"choices\":[{\"text\":\"t\"}]}\n\n", 7, "s.7", false, refusal.Garbage},
+		"bad open":   {"event: open\nid: x\ndata: {}\n\n", 7, "s.7", false, refusal.Garbage},
+		"malformed":  {open + "id: s.8\ndata: {\n\n", 7, "s.7", false, refusal.Garbage},
+		"no choice":  {open + "id: s.8\ndata: {}\n\n", 7, "s.7", false, refusal.Garbage},
+		"lost":       {"event: error\ndata: {\"title\":\"generation_lost\",\"ran\":\"maybe\"}\n\n", 7, "s.7", false, refusal.GenerationLost},
+		"no problem": {"event: error\ndata: ?\n\n", 7, "s.7", false, refusal.Internal},
+	} {
+		r, err := events(t, tt.stream, tt.n)
+		require.Equal(t, tt.id, r.id, name)
+		require.Equal(t, tt.done, r.done, name)
+		if tt.reason == "" {
+			require.NoError(t, err, name)
+			continue
+		}
+		require.Equal(t, tt.reason, refusal.From(err).Reason, name)
+	}
+	_, err := events(t, "event: moved\ndata: {}\n\n", 7)
+	require.True(t, errors.Is(err, errMoved))
+}
+
+// FuzzEvents guards against panics and against tokens out of order, whatever
+// bytes an entry sends.
+func FuzzEvents(f *testing.F) {
+	f.Add([]byte(sent("s", 8)+sent("s", 8)+sent("s", 10)), 7)
+	f.Add([]byte("event: open\nid: \n\nid: a.b.1\ndata: {\"choices\":[{}]}\n\n"), 0)
+	f.Add(bytes.Repeat([]byte("data: x\n"), 40000), 0)
+	f.Fuzz(func(t *testing.T, stream []byte, n int) {
+		r, _ := events(t, string(stream), max(n, 0))
+		require.GreaterOrEqual(t, r.n, max(n, 0))
+	})
+}
--- /dev/null
+++ b/connection/engine/reader_test.go
@@ -0,0 +1,99 @@
+package engine_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/eelgrassdock/eelgrassdock/connection/engine"
+	"github.com/eelgrassdock/eelgrassdock/request/refusal"
+)
+
+// transport answers every request with fixed bytes.
+type transport []byte
+
+func (b transport) RoundTrip(*http.Request) (*http.Response, error) {
+	w := httptest.NewRecorder()
+	_, err := w.Write(b)
+	return w.Result(), err
+}
+
+func frames(n int, end string) (b []byte) {
+	for i := 1; i <= n; i++ {
+		b = fmt.Appendf(b, "data: {\"boot\":\"b\",\"gen\":\"g\",\"n\":%d,\"text\":\"t\"}\n\n", i)
+	}
+	return append(b, end...)
+}
+
+// FuzzReader guards against tokens out of order, frames of another generation
+// and panics, whatever bytes an engine sends.
+func FuzzReader(f *testing.F) {
+	f.Add(frames(3, `data: {"boot":"b","gen":"g","n":3,"end":true}`+"\n\n"))
+	f.Add(frames(2, "data: {\n\n"))
+	f.Add(frames(1, string(make([]byte, 70<<10))))
+	f.Add(append(frames(2, ""), frames(3, ": comment\n\ndata:\n\n")...))
+	f.Add([]byte(`data: {"gen":"other","n":1}` + "\n\n"))
+	f.Add([]byte(`data: {"gen":"g","n":-1}` + "\n" + `data: {"gen":"g","n":2}` + "\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		conn := &engine.Conn{Addr: "engine", HTTP: &http.Client{Transport: transport(data)}}
+		r, err := conn.Resume(context.Background(), "g", "", 0)
+		require.NoError(t, err)
+		defer r.Close()
+		for last := 0; ; last++ {
+			frame, err := r.Next()
+			if err != nil {
+				require.Contains(t, []refusal.Reason{refusal.Broken, refusal.Garbage}, refusal.From(err).Reason)
+				require.Equal(t, refusal.Unknown, refusal.From(err).Outcome)
+				return
+			}
+			require.Equal(t, "g", frame.Gen)
+			if frame.End {
+				return
+			}
+			require.Equal(t, last+1, frame.N)
+			require.Equal(t, frame.N, r.Last())
+		}
+	})
+}
+
+// TestOpen guards against a wrong judgement of an engine that rejects, has
+// lost the generation, speaks nonsense, is silent or is not there.
+func TestOpen(t *testing.T) {
+	hold := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case "/generate/rejected":
+			w.Header().Set(engine.NotRunHeader, "true")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case "/generate/lost":
+			w.WriteHeader(http.StatusGone)
+		case "/generate/failed":
+			w.WriteHeader(http.StatusInternalServerError)
+		case "/generate/silent":
+			<-hold
+		case "/generate/cut":
+			panic(http.ErrAbortHandler)
+		}
+	}))
+	defer server.Close()
+	defer close(hold)
+	for gen, want := range map[string]refusal.Error{
+		"rejected": {Reason: refusal.Rejected, Outcome: refusal.NotRun},
+		"lost":     {Reason: refusal.GenerationLost}, "failed": {Reason: refusal.Garbage},
+		"silent": {Reason: refusal.Timeout}, "cut": {Reason: refusal.Broken},
+		"nobody": {Reason: refusal.Dial, Outcome: refusal.NotRun},
+	} {
+		conn := &engine.Conn{Addr: server.Listener.Addr().String(), HTTP: server.Client(), Patience: 50 * time.Millisecond}
+		if gen == "nobody" {
+			conn.Addr = "127.0.0.1:1"
+		}
+		_, err := conn.Resume(context.Background(), gen, "", 0)
+		require.Equal(t, want.Reason, refusal.From(err).Reason, gen)
+		require.Equal(t, want.Outcome, refusal.From(err).Outcome, gen)
+	}
+}
--- /dev/null
+++ b/request/stream/stream_test.go
@@ -0,0 +1,52 @@
+package stream_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/eelgrassdock/eelgrassdock/request/stream"
+)
+
+// FuzzCheck guards against tokens that pass twice, out of order, after the end
+// or from another generation or boot. Each byte of the input is one frame.
+func FuzzCheck(f *testing.F) {
+	f.Add([]byte{1, 2, 3, 0x83})
+	f.Add([]byte{1, 1, 2, 0x11, 2, 4})
+	f.Add([]byte{1, 0x21, 0x42, 0x82, 1})
+	f.Add([]byte{2, 1, 0xc1, 1})
+	f.Fuzz(func(t *testing.T, input []byte) {
+		c := stream.Check{Gen: "g"}
+		last, ended := 0, false
+		for _, b := range input {
+			frame := stream.Frame{Boot: "b", Gen: "g", N: int(b & 15), End: b&0x80 != 0}
+			if b&0x10 != 0 {
+				frame.Gen = "other"
+			}
+			if b&0x20 != 0 {
+				frame.Boot = "other"
+			}
+			if b&0x40 != 0 {
+				frame.Error = "failed"
+			}
+			boot := c.Boot
+			pass, err := c.Pass(frame)
+			if err != nil {
+				require.ErrorIs(t, err, stream.ErrOrder)
+				require.False(t, pass)
+			}
+			if !pass {
+				continue
+			}
+			require.False(t, ended, "frame after the end")
+			require.Equal(t, "g", frame.Gen)
+			require.True(t, boot == "" || boot == frame.Boot)
+			if ended = frame.End; ended {
+				require.True(t, frame.N == last || frame.Error != "")
+				continue
+			}
+			require.Equal(t, last+1, frame.N)
+			last = frame.N
+		}
+	})
+}
