--- a/connection/engine/reader_test.go
+++ b/connection/engine/reader_test.go
@@ -43,7 +43,7 @@
 		conn := &engine.Conn{Addr: "engine", HTTP: &http.Client{Transport: transport(data)}}
 		r, err := conn.Resume(context.Background(), "g", "", 0)
 		require.NoError(t, err)
-		defer r.Close()
+		defer func() { _ = r.Close() }()
 		for last := 0; ; last++ {
 			frame, err := r.Next()
 			if err != nil {
