--- a/process/member/run.go
+++ b/process/member/run.go
@@ -74,14 +74,18 @@
 // Run drives the node until ctx ends. If Send is nil, it opens a UDP socket at
 // Self.Probe and serves it.
 func (n *Node) Run(ctx context.Context) error {
-	if !rowOf(n.Self, Alive).valid() {
+	// Datagrams may come in before Run, so Self and Send are read under the lock.
+	n.mu.Lock()
+	valid, open := rowOf(n.Self, Alive).valid(), n.Send == nil
+	n.mu.Unlock()
+	if !valid {
 		return errors.Newf("member %q needs an ID and IP addresses with ports, each short", n.Self.ID)
 	}
 	var wg conc.WaitGroup
 	defer wg.Wait()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	if n.Send == nil {
+	if open {
 		socket, err := ListenUDP(n.Self.Probe)
 		if err != nil {
 			return err
