--- a/client/client.go
+++ b/client/client.go
@@ -22,6 +22,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"slices"
 	"sync"
 	"time"
 
@@ -101,7 +102,7 @@
 		return c.order(known.Entries), nil
 	}
 	var err error
-	for _, addr := range c.sources(known) {
+	for _, addr := range c.sources() {
 		var fresh answer
 		if fresh, err = c.ask(ctx, addr, service); err == nil && len(fresh.Entries) > 0 {
 			c.mu.Lock()
@@ -120,13 +121,19 @@
 	return nil, refusal.New(refusal.Dial, refusal.NotRun, fmt.Sprintf("no entry answered which entries to use: %v", err))
 }
 
-// sources lists the addresses to ask, in random order so that a fixed list
+// sources lists the addresses to ask, those of all known entries, in random order so that a fixed list
 // does not send every client to the same entry.
-func (c *Client) sources(known answer) []string {
+func (c *Client) sources() []string {
 	list := append([]string(nil), c.Entries...)
-	for _, e := range known.Entries {
-		list = append(list, e.Addr)
+	c.mu.Lock()
+	for _, known := range c.answers {
+		for _, e := range known.Entries {
+			list = append(list, e.Addr)
+		}
 	}
+	c.mu.Unlock()
+	slices.Sort(list)
+	list = slices.Compact(list)
 	rand.Shuffle(len(list), func(i, k int) { list[i], list[k] = list[k], list[i] })
 	return list
 }
--- a/internal/system/system.go
+++ b/internal/system/system.go
@@ -223,7 +223,15 @@
 // entry listens on it; then it starts on another one.
 func (s *System) StartEntry(ctx context.Context, i int) (*Node, error) {
 	for {
-		n, err := s.startEntry(ctx, i)
+		addr, err := freeAddr()
+		if err != nil {
+			return &Node{}, err
+		}
+		peer, err := freeAddr()
+		if err != nil {
+			return &Node{}, err
+		}
+		n, err := s.startEntry(ctx, i, addr, peer)
 		if err == nil || !n.Ended() || !errors.Is(n.Err, syscall.EADDRINUSE) {
 			return n, err
 		}
@@ -233,16 +241,13 @@
 	}
 }
 
-func (s *System) startEntry(ctx context.Context, i int) (*Node, error) {
+// RestartEntry starts entry number i again on the addresses of one that ended.
+func (s *System) RestartEntry(ctx context.Context, i int, ended *Node) (*Node, error) {
+	return s.startEntry(ctx, i, ended.Entry.Settings.Addr, ended.Entry.Settings.Peer)
+}
+
+func (s *System) startEntry(ctx context.Context, i int, addr, peer string) (*Node, error) {
 	place := s.Places[i%len(s.Places)]
-	addr, err := freeAddr()
-	if err != nil {
-		return &Node{}, err
-	}
-	peer, err := freeAddr()
-	if err != nil {
-		return &Node{}, err
-	}
 	ctx, cancel := context.WithCancel(ctx)
 	n := &Node{Stop: cancel, Done: make(chan struct{}), Entry: &entry.Entry{
 		Settings: entry.Settings{
