engine, entry: smaller buffers per stream

Cause: a stream held buffers of 4 KB for lines and 2 KB each way for its connection, though a slow stream has one frame of 150 bytes at a time. Change: the line buffer begins with 512 bytes and grows while reads fill it; the connection buffers have 1 KB; polls carry no User-Agent.

--- a/connection/engine/engine.go
+++ b/connection/engine/engine.go
@@ -30,10 +30,12 @@
 	// BootHeader names the engine process that answers.
 	BootHeader = "X-Boot"
 
-	maxFrameBytes  = 64 << 10 // longest frame accepted from an engine
-	maxReportBytes = 1 << 20  // longest report accepted from an engine
+	maxReportBytes = 1 << 20 // longest report accepted from an engine
 )
 
+// noUserAgent keeps the header out of requests, most of which are small polls.
+var noUserAgent = []string{""}
+
 type (
 	// Request starts a generation.
 	Request struct {
@@ -181,6 +183,7 @@
 	}
 	// Without GetBody the transport never sends a body a second time.
 	req.GetBody = nil
+	req.Header["User-Agent"] = noUserAgent
 	return c.HTTP.Do(req)
 }
 
--- a/connection/engine/reader.go
+++ b/connection/engine/reader.go
@@ -1,30 +1,30 @@
 package engine
 
 import (
-	"bufio"
 	"bytes"
 	"io"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/eelgrassdock/eelgrassdock/request/refusal"
 	"github.com/eelgrassdock/eelgrassdock/request/stream"
 )
 
-const (
-	readBufferBytes = 4 << 10 // a frame has about 100 bytes; memory per stream matters more
+var (
+	dataField = []byte("data:")
+	frameEnd  = []byte("\n\n")
 )
 
-var dataField = []byte("data:")
-
 // Reader reads the frames of one generation over one connection.
 type Reader struct {
 	body  io.ReadCloser
-	buf   *bufio.Reader
+	lines lines
 	check stream.Check
 	codec frames
 }
 
 func newReader(body io.ReadCloser, check stream.Check) *Reader {
-	return &Reader{body: body, buf: bufio.NewReaderSize(body, readBufferBytes), check: check}
+	return &Reader{body: body, lines: lines{in: body}, check: check}
 }
 
 // Next gives the next frame that the reader does not have yet. Errors are
@@ -57,8 +57,7 @@
 // Buffered tells whether another frame can be read without waiting for the
 // network, so that a relay flushes once for frames that arrived together.
 func (r *Reader) Buffered() bool {
-	data, err := r.buf.Peek(r.buf.Buffered())
-	return err == nil && bytes.Contains(data, []byte("\n\n"))
+	return bytes.Contains(r.lines.unread(), frameEnd)
 }
 
 // Last gives the number of the last token that was read.
@@ -73,20 +72,12 @@
 // line reads one line of at most maxFrameBytes. The result is valid until the
 // next call.
 func (r *Reader) line() ([]byte, error) {
-	line, err := r.buf.ReadSlice('\n')
-	if err == nil {
+	line, err := r.lines.next()
+	switch {
+	case err == nil:
 		return line, nil
+	case errors.Is(err, errLongLine):
+		return nil, refusal.New(refusal.Garbage, refusal.Unknown, "engine sent a frame over 64 KiB")
 	}
-	whole := bytes.Clone(line)
-	for err == bufio.ErrBufferFull {
-		line, err = r.buf.ReadSlice('\n')
-		whole = append(whole, line...)
-		if len(whole) > maxFrameBytes {
-			return nil, refusal.New(refusal.Garbage, refusal.Unknown, "engine sent a frame over 64 KiB")
-		}
-	}
-	if err != nil {
-		return nil, refusal.New(refusal.Broken, refusal.Unknown, "engine stream ended: "+err.Error())
-	}
-	return whole, nil
+	return nil, refusal.New(refusal.Broken, refusal.Unknown, "engine stream ended: "+err.Error())
 }
--- a/internal/cost/cost_test.go
+++ b/internal/cost/cost_test.go
@@ -1,8 +1,6 @@
 package cost
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"flag"
 	"fmt"
@@ -90,18 +88,21 @@
 	r.engine.pause.Store(int64(time.Hour))
 	r.engine.n.Store(2)
 	for _, streams := range []int{500, 2000} {
-		var direct, added []float64
+		var heap, stacks, sum []float64
 		for range *rounds {
-			a, b := r.held(t, true, streams), r.held(t, false, streams)
-			direct, added = append(direct, a), append(added, b-a)
+			heap0, stacks0 := r.held(t, true, streams)
+			heap1, stacks1 := r.held(t, false, streams)
+			heap, stacks = append(heap, heap1-heap0), append(stacks, stacks1-stacks0)
+			sum = append(sum, heap1-heap0+stacks1-stacks0)
 		}
-		fmt.Printf("%d streams, engine and reader: %s\n", streams, spread(direct, "KB"))
-		fmt.Printf("%d streams, entry's part: %s\n", streams, spread(added, "KB"))
+		fmt.Printf("%d streams, entry's heap: %s\n", streams, spread(heap, "KB"))
+		fmt.Printf("%d streams, entry's stacks: %s\n", streams, spread(stacks, "KB"))
+		fmt.Printf("%d streams, entry's part: %s\n", streams, spread(sum, "KB"))
 	}
 }
 
 // held gives the memory in KB for each of a number of open streams.
-func (r *rig) held(t testing.TB, direct bool, streams int) float64 {
+func (r *rig) held(t testing.TB, direct bool, streams int) (heap, stacks float64) {
 	before := memory()
 	r.engine.first.Store(0)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -115,31 +116,32 @@
 			}
 			defer res.Body.Close()
 			if res.StatusCode != http.StatusOK {
-				t.Error(res.Status)
+				text, _ := io.ReadAll(res.Body)
+				t.Errorf("status %d: %s", res.StatusCode, text)
 			}
 			_, _ = io.Copy(io.Discard, res.Body)
 		})
 	}
 	require.Eventually(t, func() bool { return r.engine.first.Load() == int64(streams) }, time.Minute, 10*time.Millisecond)
 	time.Sleep(300 * time.Millisecond) // until the first tokens have been relayed
-	used := memory() - before
+	after := memory()
 	cancel()
 	wg.Wait()
 	r.client.CloseIdleConnections()
-	// A generation that its caller left is cancelled 5 s later; until then the
-	// entry keeps a goroutine for it.
+	time.Sleep(time.Second) // until both ends have closed the connections
 	if !direct {
-		time.Sleep(6 * time.Second)
+		time.Sleep(5 * time.Second) // an entry cancels generations that were left after 5 s
 	}
-	return float64(used) / 1024 / float64(streams)
+	per := func(a, b uint64) float64 { return (float64(b) - float64(a)) / 1024 / float64(streams) }
+	return per(before.HeapAlloc, after.HeapAlloc), per(before.StackInuse, after.StackInuse)
 }
 
-func memory() int64 {
-	runtime.GC()
-	runtime.GC()
-	var m runtime.MemStats
+func memory() (m runtime.MemStats) {
+	for range 4 { // each collection halves stacks that are too large
+		runtime.GC()
+	}
 	runtime.ReadMemStats(&m)
-	return int64(m.HeapAlloc + m.StackInuse)
+	return m
 }
 
 // TestRequest measures one admitted request of one token, from the handler on,
@@ -175,29 +177,6 @@
 	fmt.Println("request of one token:", spread(allocated, "allocations"))
 }
 
-// answer is the engine of TestRequest.
-func answer(conn net.Conn) {
-	defer conn.Close()
-	in := bufio.NewReader(conn)
-	for {
-		req, err := http.ReadRequest(in)
-		if err != nil {
-			return
-		}
-		body, _ := io.ReadAll(req.Body)
-		out := `{"boot":"b","at":1,"total":1000000000}`
-		if _, rest, ok := bytes.Cut(body, []byte(`"gen":"`)); ok {
-			frame := `data: {"boot":"b","gen":"` + string(rest[:36]) + `","n":1,`
-			out = frame + "\"text\":\" a\"}\n\n" + frame + "\"end\":true}\n\n"
-		} else if req.URL.Path == "/cache" {
-			out = "[]"
-		}
-		if _, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Boot: b\r\nContent-Length: %d\r\n\r\n%s", len(out), out); err != nil {
-			return
-		}
-	}
-}
-
 // TestIdle measures idle entries: the slope over endpoints and over entries.
 // Processor time includes the endpoints' side of the polls.
 func TestIdle(t *testing.T) {
--- a/internal/cost/rig.go
+++ b/internal/cost/rig.go
@@ -262,3 +262,26 @@
 	slices.Sort(values)
 	return fmt.Sprintf("%.4g %s (%.4g to %.4g, n=%d)", values[len(values)/2], unit, values[0], values[len(values)-1], len(values))
 }
+
+// answer is an engine on a pipe: a canned answer of one token.
+func answer(conn net.Conn) {
+	defer conn.Close()
+	in := bufio.NewReader(conn)
+	for {
+		req, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		body, _ := io.ReadAll(req.Body)
+		out := `{"boot":"b","at":1,"total":1000000000}`
+		if _, rest, ok := bytes.Cut(body, []byte(`"gen":"`)); ok {
+			frame := `data: {"boot":"b","gen":"` + string(rest[:36]) + `","n":1,`
+			out = frame + "\"text\":\" a\"}\n\n" + frame + "\"end\":true}\n\n"
+		} else if req.URL.Path == "/cache" {
+			out = "[]"
+		}
+		if _, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Boot: b\r\nContent-Length: %d\r\n\r\n%s", len(out), out); err != nil {
+			return
+		}
+	}
+}
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -120,8 +120,8 @@
 		DialContext:         dial,
 		MaxIdleConnsPerHost: 64,
 		IdleConnTimeout:     idleConn,
-		ReadBufferSize:      2 << 10,
-		WriteBufferSize:     2 << 10,
+		ReadBufferSize:      1 << 10,
+		WriteBufferSize:     1 << 10,
 		DisableCompression:  true,
 	}}
 }
