--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -135,8 +135,8 @@
 			DialContext:         dial,
 			MaxIdleConnsPerHost: 64,
 			IdleConnTimeout:     idleConn,
-			ReadBufferSize:      2 << 10,
-			WriteBufferSize:     2 << 10,
+			ReadBufferSize:      1 << 10,
+			WriteBufferSize:     1 << 10,
 			DisableCompression:  true,
 		},
 		// A redirect is the endpoint's answer: following it would send a second request.
