system, client, entry: coinciding random failures, check of the single generation

Change: entries and back ends fail in two independent loops. The entry reports a violation when a generation begins after a token was delivered, and the client refuses tokens of another generation than the first. Requests of the random run end after 8 s, so that the run ends in time.

--- a/client/stream.go
+++ b/client/stream.go
@@ -41,6 +41,7 @@
 	}
 
 	completion struct {
+		ID      string `json:"id"` // the generation
 		Choices []struct {
 			Text   string `json:"text"`
 			Finish string `json:"finish_reason"`
@@ -53,6 +54,7 @@
 		prompt  Prompt
 		id      string // ID of the last event
 		n       int    // number of the last token
+		gen     string // the generation that the tokens are from
 		maybe   bool   // an earlier attempt may have run
 		done    bool
 		stopped bool // the reader wants no more
@@ -208,6 +210,12 @@
 	if part.Choices[0].Finish != "" {
 		return nil
 	}
+	if r.n == 0 || r.gen == "" {
+		r.gen = part.ID
+	}
+	if part.ID != r.gen {
+		return refusal.New(refusal.Garbage, refusal.Unknown, "tokens of generation "+part.ID+" follow those of "+r.gen)
+	}
 	return r.token(event.LastEventID, part.Choices[0].Text)
 }
 
--- a/client/stream_test.go
+++ b/client/stream_test.go
@@ -14,7 +14,7 @@
 )
 
 func sent(id string, n int) string {
-	return fmt.Sprintf("id: %s.%d\ndata: {\"choices\":[{\"text\":\"t\"}]}\n\n", id, n)
+	return fmt.Sprintf("id: %s.%d\ndata: {\"id\":\"gen\",\"choices\":[{\"text\":\"t\"}]}\n\n", id, n)
 }
 
 // events gives the bytes of a stream to a reading that has n tokens and checks
@@ -50,11 +50,14 @@
 		done   bool
 		reason refusal.Reason
 	}{
-		"whole":      {open + sent("s", 1) + sent("s", 2) + done, 0, "s.2", true, ""},
-		"not begun":  {open, 0, "s.0", false, ""},
-		"resumed":    {open, 7, "s.7", false, ""},
-		"renewed":    {strings.ReplaceAll(open, "s.0", "new.0"), 7, "new.7", false, ""},
-		"repeated":   {open + sent("s", 6) + sent("s", 7) + sent("s", 8), 7, "s.8", false, ""},
+		"whole":     {open + sent("s", 1) + sent("s", 2) + done, 0, "s.2", true, ""},
+		"not begun": {open, 0, "s.0", false, ""},
+		"resumed":   {open, 7, "s.7", false, ""},
+		"renewed":   {strings.ReplaceAll(open, "s.0", "new.0"), 7, "new.7", false, ""},
+		"repeated":  {open + sent("s", 6) + sent("s", 7) + sent("s", 8), 7, "s.8", false, ""},
+		"second generation": {
+			sent("s", 8) + "id: s.9\ndata: {\"id\":\"other\",\"choices\":[{\"text\":\"t\"}]}\n\n", 7, "s.8", false, refusal.Garbage,
+		},
 		"gap":        {open + sent("s", 9), 7, "s.7", false, refusal.Garbage},
 		"no id":      {"data: {\"choices\":[{\"text\":\"t\"}]}\n\n", 7, "s.7", false, refusal.Garbage},
 		"bad open":   {"event: open\nid: x\ndata: {}\n\n", 7, "s.7", false, refusal.Garbage},
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -30,7 +30,7 @@
 )
 
 const (
-	requestTime  = 30 * time.Second // deadline of each request
+	requestTime  = 30 * time.Second // time from a request to its deadline
 	checkTime    = 2 * time.Second  // time for a service to say what ran
 	orderWord    = "order "         // begins the body of each call that may run only once
 	medianTokens = 120              // median length of an answer
@@ -60,6 +60,8 @@
 		Name string
 		// Pause is the mean pause of a caller between requests.
 		Pause time.Duration
+		// Patience is the time from a request to its deadline; 30 s if 0.
+		Patience time.Duration
 		// Preemptions reads the engines' count at the end; may be nil.
 		Preemptions func() int64
 
@@ -184,6 +186,13 @@
 	}
 }
 
+func (l *Runner) patience() time.Duration {
+	if l.Patience > 0 {
+		return l.Patience
+	}
+	return requestTime
+}
+
 func (l *Runner) count(f func(r *Report)) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -216,7 +225,7 @@
 		hangUp = random.IntN(want + 1)
 	}
 	l.count(func(r *Report) { r.Requests++ })
-	p := client.Prompt{Service: l.Model, Text: text, Max: limit, Deadline: time.Now().Add(requestTime)}
+	p := client.Prompt{Service: l.Model, Text: text, Max: limit, Deadline: time.Now().Add(l.patience())}
 	n, after, err := l.read(c, p, 0, hangUp)
 	if err == nil && n < want && hangUp >= 0 {
 		l.count(func(r *Report) { r.Resumed++ })
@@ -287,7 +296,7 @@
 	l.count(func(r *Report) { r.Requests++ })
 	answer, err := c.Call(context.Background(), client.Call{
 		Service: l.Plain, Method: http.MethodGet, Path: "/stock?item=" + name, Idempotent: true,
-		Deadline: time.Now().Add(requestTime),
+		Deadline: time.Now().Add(l.patience()),
 	})
 	if err != nil {
 		_ = l.refused(err)
@@ -313,7 +322,7 @@
 	body := orderWord + name
 	call := client.Call{
 		Service: l.Plain, Method: http.MethodPost, Path: "/orders", Body: []byte(body),
-		Deadline: time.Now().Add(requestTime),
+		Deadline: time.Now().Add(l.patience()),
 	}
 	copies := 1
 	if random.IntN(2) == 0 {
--- a/internal/system/system_test.go
+++ b/internal/system/system_test.go
@@ -30,10 +30,9 @@
 // world is a system under load with something that breaks it.
 type world struct {
 	*system.System
-	t      *testing.T
-	random *rand.Rand
-	first  *system.Node
-	wg     conc.WaitGroup
+	t     *testing.T
+	first *system.Node
+	wg    conc.WaitGroup
 }
 
 // TestRandomFailures guards against every broken promise that a caller can see
@@ -49,7 +48,7 @@
 	t.Logf("seed %d", *seed)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	w := &world{t: t, random: rand.New(rand.NewPCG(*seed, 0)), System: &system.System{
+	w := &world{t: t, System: &system.System{
 		Places:  []system.Place{{Name: "riga-1", Region: "baltic"}, {Name: "presov-1", Region: "tatra"}},
 		Entries: 3, Engines: 3, Plains: 2, Seed: *seed, Log: log,
 		Config: model.Config{Base: 4 * time.Millisecond, Memory: 4000},
@@ -67,10 +66,20 @@
 			{ID: "riga", Key: "key-riga", Callers: 24}, {ID: "presov", Key: "key-presov", Callers: 12},
 		},
 		Place: "riga-1", Model: system.Model, Plain: system.Plain, Runs: w.PlainAddrs(),
-		Seed: *seed, Max: 100, Pause: 10 * time.Millisecond, Preemptions: w.Preemptions,
+		Seed: *seed, Max: 100, Pause: 10 * time.Millisecond, Patience: 8 * time.Second, Preemptions: w.Preemptions,
 	}
 	w.first = w.Nodes()[0]
-	w.wg.Go(func() { w.trouble(ctx) })
+	for i, kinds := range [][]func(*rand.Rand){
+		{w.kill, w.stop, w.storeFault}, {w.engineFault, w.engineFault, w.restartEngine, w.serviceFault, w.serviceFault},
+	} {
+		random := rand.New(rand.NewPCG(*seed, uint64(i)))
+		w.wg.Go(func() {
+			for ctx.Err() == nil {
+				kinds[random.IntN(len(kinds))](random)
+				hold(random)
+			}
+		})
+	}
 	report := l.Run(ctx)
 	w.wg.Wait()
 	t.Log(report.Write())
@@ -78,37 +87,11 @@
 	require.Greater(t, report.Answered, int64(200))
 }
 
-// trouble breaks one thing after the other and mends it after a while.
-func (w *world) trouble(ctx context.Context) {
-	for ctx.Err() == nil {
-		wait := time.Duration(100+w.random.IntN(300)) * time.Millisecond
-		switch w.random.IntN(6) {
-		case 0:
-			w.replace(true)
-		case 1:
-			w.replace(false)
-		case 2:
-			w.engineFault(wait)
-		case 3:
-			if err := w.RestartEngine(context.Background(), w.random.IntN(w.Engines)); err != nil {
-				w.t.Errorf("restart engine: %v", err)
-			}
-		case 4:
-			s := w.Back[w.Engines+w.random.IntN(w.Plains)].Service
-			s.Break([]standin.ServiceFaults{{Leaving: true}, {Reject: true}, {Hang: true}}[w.random.IntN(3)])
-			time.Sleep(wait)
-			s.Break(standin.ServiceFaults{})
-		case 5:
-			w.Memory.Break([]platform.Faults{{Down: true}, {Slow: 200}, {Lose: 0.5}}[w.random.IntN(3)])
-			time.Sleep(3 * wait)
-			w.Memory.Break(platform.Faults{})
-		}
-		time.Sleep(wait)
-	}
-}
+// hold lets a fault, or the time after it, last for a while.
+func hold(random *rand.Rand) { time.Sleep(time.Duration(100+random.IntN(300)) * time.Millisecond) }
 
-func (w *world) engineFault(wait time.Duration) {
-	e := w.Back[w.random.IntN(w.Engines)].Engine
+func (w *world) engineFault(random *rand.Rand) {
+	e := w.Back[random.IntN(w.Engines)].Engine
 	e.Break([]standin.EngineFaults{
 		{Leaving: true},
 		{Stall: true},
@@ -119,36 +102,60 @@
 		{Cut: 5},
 		{Close: true},
 		{Repeat: true, Cut: 3},
-	}[w.random.IntN(9)])
-	time.Sleep(wait)
+	}[random.IntN(9)])
+	hold(random)
 	e.Break(standin.EngineFaults{})
 }
 
+func (w *world) restartEngine(random *rand.Rand) {
+	if err := w.RestartEngine(context.Background(), random.IntN(w.Engines)); err != nil {
+		w.t.Errorf("restart engine: %v", err)
+	}
+}
+
+func (w *world) serviceFault(random *rand.Rand) {
+	s := w.Back[w.Engines+random.IntN(w.Plains)].Service
+	s.Break([]standin.ServiceFaults{{Leaving: true}, {Reject: true}, {Hang: true}, {Hang: true}}[random.IntN(4)])
+	hold(random)
+	s.Break(standin.ServiceFaults{})
+}
+
+func (w *world) storeFault(random *rand.Rand) {
+	w.Memory.Break([]platform.Faults{{Down: true}, {Slow: 200}, {Lose: 0.5}}[random.IntN(3)])
+	hold(random)
+	hold(random)
+	w.Memory.Break(platform.Faults{})
+}
+
+func (w *world) kill(random *rand.Rand) { w.replace(random, true) }
+
+func (w *world) stop(random *rand.Rand) { w.replace(random, false) }
+
 // replace kills an entry and restarts it on its address, or stops one while its
 // successor starts on another address. The first one is only killed, so that
 // there is an address that callers can always begin with.
-func (w *world) replace(kill bool) {
+func (w *world) replace(random *rand.Rand, kill bool) {
 	var live []*system.Node
 	for _, n := range w.Nodes() {
 		if !n.Ended() && n != w.first {
 			live = append(live, n)
 		}
 	}
-	old, err := live[w.random.IntN(len(live))], error(nil)
+	old, err := live[random.IntN(len(live))], error(nil)
 	if kill {
-		if w.random.IntN(2) == 0 {
+		if random.IntN(2) == 0 {
 			old = w.first
 		}
 		old.Entry.Kill()
 		old.Stop()
 		<-old.Done
-		n, e := w.RestartEntry(context.Background(), w.random.IntN(w.Entries), old)
+		n, e := w.RestartEntry(context.Background(), random.IntN(w.Entries), old)
 		if err = e; old == w.first {
 			w.first = n
 		}
 	} else {
 		old.Stop()
-		_, err = w.StartEntry(context.Background(), w.random.IntN(w.Entries))
+		_, err = w.StartEntry(context.Background(), random.IntN(w.Entries))
 	}
 	if err != nil {
 		w.t.Errorf("replace entry: %v", err)
--- a/process/entry/job.go
+++ b/process/entry/job.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"strconv"
 	"strings"
 	"syscall"
 	"time"
@@ -141,6 +142,9 @@
 
 // start runs one generation on an endpoint that the service's desk chooses.
 func (j *job) start(ctx context.Context) error {
+	if j.out.delivered() {
+		j.e.violation("single generation", "another generation begun after token "+strconv.Itoa(j.after)+" of "+j.generation)
+	}
 	s, err := j.e.desk(j.service.ID).acquire(ctx, j)
 	if err != nil {
 		return err
