client: take an entry's unknown outcome as final for the key

Cause: a call whose replica hung up was reported by its entry as broken, outcome unknown. Change: a refusal from an entry with an unknown outcome ends a call that is not idempotent; a failed connection to an entry is still followed by a question. Conclusion: TestFinalRefusal.

--- a/client/call.go
+++ b/client/call.go
@@ -56,6 +56,7 @@
 	key   string
 	entry Entry // the entry that the key names
 	maybe bool  // the call may have run under key
+	told  bool  // the last failure was an entry's refusal
 }
 
 func (a *attempt) run(ctx context.Context) (Answer, error) {
@@ -97,7 +98,9 @@
 	if a.call.Idempotent || fault.Reason == refusal.Store {
 		return true
 	}
-	if fault.Outcome == refusal.Unknown && fault.Reason != refusal.Broken && fault.Reason != refusal.Timeout {
+	// What an entry reports of an endpoint is final for the key. Only a failed
+	// connection to an entry is worth another question.
+	if fault.Outcome == refusal.Unknown && (a.told || fault.Reason != refusal.Broken && fault.Reason != refusal.Timeout) {
 		return false
 	}
 	if !a.maybe && a.call.Key == "" {
@@ -148,12 +151,14 @@
 		header.Set("Idempotency-Key", a.key)
 	}
 	path := "/v1/services/" + a.call.Service + a.call.Path
+	a.told = false
 	res, sent, err := a.c.send(ctx, entry, a.call.Method, path, header, a.call.Body)
 	if err != nil {
 		return Answer{}, refusal.Failed(err, sent)
 	}
 	defer res.Body.Close()
 	if res.Header.Get(refusal.Header) != "" {
+		a.told = true
 		return Answer{}, readRefusal(res)
 	}
 	body, err := io.ReadAll(io.LimitReader(res.Body, maxAnswer))
--- a/client/stream_test.go
+++ b/client/stream_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"github.com/tmaxmax/go-sse"
@@ -79,6 +83,27 @@
 	require.True(t, errors.Is(err, errMoved))
 }
 
+// TestFinalRefusal guards against a client that asks until its deadline for a
+// call whose outcome the entry has already reported as unknown.
+func TestFinalRefusal(t *testing.T) {
+	var posts int
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/v1/entries" {
+			_, _ = fmt.Fprintf(w, `{"entries":[{"id":"a","addr":%q}],"until":"2100-01-01T00:00:00Z"}`, r.Host)
+			return
+		}
+		posts++
+		refusal.Write(w, refusal.New(refusal.Broken, refusal.Unknown, "replica closed the connection"), time.Now())
+	}))
+	defer server.Close()
+	c := &Client{Entries: []string{server.Listener.Addr().String()}}
+	for i, key := range []string{"", "own"} {
+		_, err := c.Call(context.Background(), Call{Service: "s", Method: "POST", Path: "/", Key: key, Deadline: time.Now().Add(time.Second)})
+		require.Equal(t, refusal.Unknown, refusal.From(err).Outcome)
+		require.Equal(t, i+1, posts)
+	}
+}
+
 // FuzzEvents guards against panics and against tokens out of order, whatever
 // bytes an entry sends.
 func FuzzEvents(f *testing.F) {
