--- a/client/stream_test.go
+++ b/client/stream_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"github.com/tmaxmax/go-sse"
@@ -14,7 +18,7 @@
 )
 
 func sent(id string, n int) string {
-	return fmt.Sprintf("id: %s.%d\ndata: {\"choices\":[{\"text\":\"t\"}]}\n\n", id, n)
+	return fmt.Sprintf("id: %s.%d\ndata: {\"id\":\"gen\",\"choices\":[{\"text\":\"t\"}]}\n\n", id, n)
 }
 
 // events gives the bytes of a stream to a reading that has n tokens and checks
@@ -50,11 +54,14 @@
 		done   bool
 		reason refusal.Reason
 	}{
-		"whole":      {open + sent("s", 1) + sent("s", 2) + done, 0, "s.2", true, ""},
-		"not begun":  {open, 0, "s.0", false, ""},
-		"resumed":    {open, 7, "s.7", false, ""},
-		"renewed":    {strings.ReplaceAll(open, "s.0", "new.0"), 7, "new.7", false, ""},
-		"repeated":   {open + sent("s", 6) + sent("s", 7) + sent("s", 8), 7, "s.8", false, ""},
+		"whole":     {open + sent("s", 1) + sent("s", 2) + done, 0, "s.2", true, ""},
+		"not begun": {open, 0, "s.0", false, ""},
+		"resumed":   {open, 7, "s.7", false, ""},
+		"renewed":   {strings.ReplaceAll(open, "s.0", "new.0"), 7, "new.7", false, ""},
+		"repeated":  {open + sent("s", 6) + sent("s", 7) + sent("s", 8), 7, "s.8", false, ""},
+		"second generation": {
+			sent("s", 8) + "id: s.9\ndata: {\"id\":\"other\",\"choices\":[{\"text\":\"t\"}]}\n\n", 7, "s.8", false, refusal.Garbage,
+		},
 		"gap":        {open + sent("s", 9), 7, "s.7", false, refusal.Garbage},
 		"no id":      {"data: {\"choices\":[{\"text\":\"t\"}]}\n\n", 7, "s.7", false, refusal.Garbage},
 		"bad open":   {"event: open\nid: x\ndata: {}\n\n", 7, "s.7", false, refusal.Garbage},
@@ -76,6 +83,27 @@
 	require.True(t, errors.Is(err, errMoved))
 }
 
+// TestFinalRefusal guards against a client that asks until its deadline for a
+// call whose outcome the entry has already reported as unknown.
+func TestFinalRefusal(t *testing.T) {
+	var posts int
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/v1/entries" {
+			_, _ = fmt.Fprintf(w, `{"entries":[{"id":"a","addr":%q}],"until":"2100-01-01T00:00:00Z"}`, r.Host)
+			return
+		}
+		posts++
+		refusal.Write(w, refusal.New(refusal.Broken, refusal.Unknown, "replica closed the connection"), time.Now())
+	}))
+	defer server.Close()
+	c := &Client{Entries: []string{server.Listener.Addr().String()}}
+	for i, key := range []string{"", "own"} {
+		_, err := c.Call(context.Background(), Call{Service: "s", Method: "POST", Path: "/", Key: key, Deadline: time.Now().Add(time.Second)})
+		require.Equal(t, refusal.Unknown, refusal.From(err).Outcome)
+		require.Equal(t, i+1, posts)
+	}
+}
+
 // FuzzEvents guards against panics and against tokens out of order, whatever
 // bytes an entry sends.
 func FuzzEvents(f *testing.F) {
