platform, peer, config: make wrapped errors visible to the standard errors.Is

Cause: errors.Mark of cockroachdb/errors hides the mark from the standard library's errors.Is. A program that embeds platform, peer or config and compares with the standard library took a lost answer (ErrUnknown, ErrLost) and an unreachable peer (ErrUnreachable) for other errors. An example of package peer showed it.

Change: these errors are wrapped with two %w, which both packages see. Unit tests run Memory, and Remote against its Handler, through the same cases: rows, objects, conditional commits, outage, rate limit, lost answer.

Conclusion: the sentinel errors of these packages can be compared with either package.

--- a/connection/peer/peer.go
+++ b/connection/peer/peer.go
@@ -43,13 +43,13 @@
 func (p *Pool) Call(ctx context.Context, addr, method string, args, reply any) error {
 	client, err := p.client(ctx, addr)
 	if err != nil {
-		return fmt.Errorf("connect to peer %s: %w", addr, errors.Mark(err, ErrUnreachable))
+		return fmt.Errorf("connect to peer %s: %w: %w", addr, ErrUnreachable, err)
 	}
 	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
 	select {
 	case <-ctx.Done():
 		p.drop(addr, client)
-		return fmt.Errorf("call %s of peer %s: %w", method, addr, errors.Mark(ctx.Err(), ErrLost))
+		return fmt.Errorf("call %s of peer %s: %w: %w", method, addr, ErrLost, ctx.Err())
 	case <-call.Done:
 	}
 	var remote rpc.ServerError
@@ -57,7 +57,7 @@
 		return call.Error
 	}
 	p.drop(addr, client)
-	return fmt.Errorf("call %s of peer %s: %w", method, addr, errors.Mark(call.Error, ErrLost))
+	return fmt.Errorf("call %s of peer %s: %w: %w", method, addr, ErrLost, call.Error)
 }
 
 // Close closes all connections.
--- a/process/platform/remote.go
+++ b/process/platform/remote.go
@@ -9,8 +9,6 @@
 	"net/http"
 	"net/url"
 	"strconv"
-
-	"github.com/cockroachdb/errors"
 )
 
 const (
@@ -83,12 +81,12 @@
 	}
 	res, err := client.Do(req)
 	if err != nil {
-		return fmt.Errorf("call platform %s %s: %w", method, path, errors.Mark(err, lost))
+		return fmt.Errorf("call platform %s %s: %w: %w", method, path, lost, err)
 	}
 	defer res.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes))
 	if err != nil {
-		return fmt.Errorf("read platform answer: %w", errors.Mark(err, lost))
+		return fmt.Errorf("read platform answer: %w: %w", lost, err)
 	}
 	if err := statusError(res.StatusCode, lost); err != nil {
 		return fmt.Errorf("platform %s %s: %w", method, path, err)
--- a/version/config/change.go
+++ b/version/config/change.go
@@ -180,7 +180,7 @@
 		}
 		s.pause(ctx)
 	}
-	return fmt.Errorf("commit configuration %d: %w", d.Version, errors.Mark(err, platform.ErrUnknown))
+	return fmt.Errorf("commit configuration %d: %w: %w", d.Version, platform.ErrUnknown, err)
 }
 
 // settle finds out after a conflict whether an earlier try took effect.
@@ -188,7 +188,7 @@
 	if unsure {
 		row, err := s.Platform.Get(ctx, deltaKey(d.Version))
 		if err != nil {
-			return fmt.Errorf("read back delta %d: %w", d.Version, errors.Mark(err, platform.ErrUnknown))
+			return fmt.Errorf("read back delta %d: %w: %w", d.Version, platform.ErrUnknown, err)
 		}
 		var ref reference
 		if row.Version > 0 && json.Unmarshal(row.Value, &ref) == nil && ref.Nonce == d.Nonce {
