placement: draw long prompts to a quarter of the endpoints

Cause: most gaps above 80 ms come from a long prompt that is computed in a step and delays all generations of that engine. Change: rendezvous by hash of the endpoint's ID chooses a quarter of each region's endpoints, the same at all entries; long prompts are drawn to them and the others away, by the difference to the token-weighted mean prompt, so that prompts that are all alike are drawn nowhere.

--- a/process/placement/account.go
+++ b/process/placement/account.go
@@ -56,6 +56,7 @@
 		closed  bool  // drained or leaving
 		far     bool  // in another region
 		near    bool  // in the entry's place
+		long    bool  // preferred for long prompts
 
 		Endpoint
 		report     Report
@@ -106,6 +107,8 @@
 	flow struct {
 		rate   float64 // requests per second
 		tokens float64 // mean prompt
+		fill   float64 // mean fill, and that of its square
+		square float64
 		at     time.Time
 	}
 )
@@ -226,6 +229,7 @@
 	ep.fill = ep.pending(now, s.FillTime.Seconds()/1000) + r.prompt
 	ep.fillAt = now
 	s.flow.sent(r.prompt, s.now)
+	s.flow.filled(fill(r.prompt, s.FillTime.Seconds()/1000))
 	s.beliefs.placed(ep, req.Prefix)
 	s.move(ep, req.Prompt*bytesPerPrompt)
 	return Ticket(uint64(r.gen)<<32 | uint64(i))
--- a/process/placement/choose.go
+++ b/process/placement/choose.go
@@ -30,6 +30,7 @@
 	preemptCost  = 4.0  // cost of a certain preemption, in seconds of stall
 	stepCost     = 1.0  // cost of a step as long as the gap target
 	burstCost    = 6.0  // the same, of computing a prompt, for 100 generations hit
+	longCost     = 3.0  // cost of a prompt that takes the gap target, in the wrong group of endpoints
 	queueSeconds = 0.2  // stall for each generation that waits in the engine
 	queueMax     = 5.0  // most stall that is expected from them
 	farSeconds   = 0.03 // latency to another region
@@ -69,6 +70,7 @@
 		meanSent float64           // mean of what was sent to an endpoint since its report
 		fillTime float64           // seconds for one prompt token
 		budget   float64
+		typical  float64 // fill of the prompt that a typical prompt token belongs to
 
 		meanShare, peerSize float64 // this and the following for previous only
 		growth, spread      [horizons]float64
@@ -153,6 +155,7 @@
 	}
 	s.lookAtOthers(o)
 	o.fillTime = s.FillTime.Seconds() / 1000
+	o.typical = s.flow.typical(fill(o.prompt, o.fillTime))
 	s.lookAtPeers(o)
 }
 
@@ -251,5 +254,8 @@
 	case !e.near:
 		cost += w.Stall * nearSeconds
 	}
+	if !e.long {
+		cost += w.Gap * longCost * (fill(uncached, o.fillTime) - o.typical)
+	}
 	return risk, cost
 }
--- a/process/placement/placement.go
+++ b/process/placement/placement.go
@@ -14,6 +14,12 @@
 // estimated from what this one sends, and a random choice between near-equal
 // candidates keeps entries that decide on the same reports apart.
 //
+// A step that computes a long prompt delays every generation of its batch. Long
+// prompts are therefore drawn to a quarter of the endpoints of each region and
+// short ones to the others: the former then run fewer generations on the same
+// memory, and fewer of them are delayed. The quarter is chosen by hash, so that
+// all entries agree on it without messages.
+//
 // The risk of sending is the probability that the memory fills plus the excess
 // of the step time over the gap target, each times its weight. Work is sent if
 // the risk is within a budget that grows with the time the work has waited, so
@@ -179,6 +185,7 @@
 			delete(s.byID, id)
 		}
 	}
+	s.chooseLong()
 }
 
 // SetPeers sets how many entries, this one included, share the endpoints.
--- a/process/placement/placement_test.go
+++ b/process/placement/placement_test.go
@@ -275,3 +275,30 @@
 		t.Errorf("%.1f allocations", n)
 	}
 }
+
+// Guards against entries that concentrate long prompts on different endpoints,
+// and against preferences among prompts that are all alike.
+func TestLongPrompts(t *testing.T) {
+	s, other := fleet(20, Current), seededFleet(20, Current, 9)
+	list := endpoints(20)
+	slices.Reverse(list)
+	other.SetEndpoints(list)
+	n := 0
+	for _, e := range s.list {
+		if e.long {
+			n++
+		}
+		if e.long != other.byID[e.ID].long {
+			t.Errorf("%s is preferred by one entry only", e.ID)
+		}
+	}
+	if n != 6 { // 2 of 7, 2 of 7 and 2 of 6
+		t.Errorf("%d endpoints preferred", n)
+	}
+	for i := range 1000 {
+		if got := s.flow.typical(0.3); got < 0.299 || got > 0.301 {
+			t.Fatalf("typical fill %f after %d prompts of 0.3", got, i)
+		}
+		s.flow.filled(0.3)
+	}
+}
