placement: in an overload, take the risk by time of waiting

Change: as the memory of all endpoints fills, the budget starts lower and rises steadily for 30 s and beyond; the stall weight alone no longer raises it there. With a preemption weight of 4 memory stays at 94 %, where the overload is only partly seen, and work still expires.

--- a/process/placement/choose.go
+++ b/process/placement/choose.go
@@ -14,16 +14,17 @@
 	gapSlope    = 4.0   // risk for each gap target beyond that
 
 	calmBudget  = 0.32 // risk that is taken without waiting
-	crowdBudget = 0.06 // the same, in an overload
+	crowdBudget = 0.03 // the same, in an overload
+	crowdGrow   = 0.20 // risk that waiting for the time of crowdSeconds adds in an overload
 	crowdFrom   = 0.93 // share of all memory in use at which the budget begins to fall
 	crowdTo     = 0.97 // and at which an overload is assumed
 	growBudget  = 0.06 // risk that waiting adds at most, short of patience
-	// Above these risks preemptions cost more stall than sending saves. Without
-	// the second, a stall weight of 4 raised preemptions in an overload from 38
-	// to 574 for each 1,000 requests.
+	// Above this risk preemptions cost more stall than sending saves. In an
+	// overload the stall weight alone doesn't raise the budget: a stall weight of
+	// 4 once raised preemptions there from 38 to 574 for each 1,000 requests.
 	uselessRisk  = 0.40
-	crowdUseless = 0.10
 	growSeconds  = 20.0 // the risk grows by the square of the waiting over this
+	crowdSeconds = 30.0
 	sizeSeconds  = 10.0 // waiting after which a request is judged as one of mean size
 	patience     = 60.0 // seconds of waiting after which any risk is taken
 
@@ -188,9 +189,11 @@
 }
 
 // budget gives the risk that is taken for a request that has waited. It falls
-// as the memory of all endpoints fills, and waiting raises it little: in an
-// overload, when everything waits long, sending more would fill the engines and
-// shorten no queue. After patience anything is sent.
+// as the memory of all endpoints fills: in an overload sending more would fill
+// the engines and shorten no queue. There it rises steadily with the waiting
+// instead, so that the entry with the oldest work gets the memory that becomes
+// free; otherwise work expires at entries with more than their share of the
+// requests while others hold almost none. After patience anything is sent.
 func (s *Scheduler) budget(waited float64) float64 {
 	if s.Policy == Previous {
 		return s.Weights.Stall * (previousCalm + waited/previousPatience*waited/previousPatience)
@@ -199,10 +202,10 @@
 		return math.Inf(1)
 	}
 	crowd := min(max((s.poolShare-crowdFrom)/(crowdTo-crowdFrom), 0), 1)
-	calm := calmBudget + crowd*(crowdBudget-calmBudget)
 	grown := min(waited/growSeconds*waited/growSeconds, growBudget)
-	useless := uselessRisk + crowd*(crowdUseless-uselessRisk)
-	return min(s.Weights.Stall*(calm+grown), s.Weights.Preempt*useless)
+	calm := min(s.Weights.Stall*(calmBudget+grown), s.Weights.Preempt*uselessRisk)
+	crowded := min(s.Weights.Stall, s.Weights.Preempt) * (crowdBudget + crowdGrow*waited/crowdSeconds)
+	return calm + crowd*(crowded-calm)
 }
 
 // judge gives the risk and the cost of sending a request to an endpoint.
