placement: add SetRule

Cause: an operator's change of policy or weights reached only schedulers that were made after it. Change: Scheduler.SetRule, safe for concurrent use; the fields Policy and Weights stay the initial values. A change between policies that look ahead differently computes the expectations of running generations again. Tests for it and for reports without a step time.

--- a/process/placement/account.go
+++ b/process/placement/account.go
@@ -258,13 +258,20 @@
 	}
 	grown := float64(n - r.done)
 	r.done = n
-	var delta load
 	if n >= r.refresh {
-		before := r.ahead
-		r.plan(&s.ahead)
-		delta = r.ahead
-		delta.add(&before, -1)
+		s.replan(r, grown)
+		return
 	}
+	s.change(r.ep, 0, grown, &load{}, 1)
+}
+
+// replan computes the expectation again and takes in what the generation has
+// grown.
+func (s *Scheduler) replan(r *reservation, grown float64) {
+	before := r.ahead
+	r.plan(&s.ahead)
+	delta := r.ahead
+	delta.add(&before, -1)
 	s.change(r.ep, 0, grown, &delta, 1)
 }
 
--- a/process/placement/choose.go
+++ b/process/placement/choose.go
@@ -95,7 +95,7 @@
 		used += e.others + e.used
 		total += e.total
 		var risk, cost float64
-		if s.Policy == Previous {
+		if s.policy == Previous {
 			risk, cost = s.judgeBefore(e, &o)
 		} else {
 			risk, cost = s.judge(e, &o)
@@ -118,7 +118,7 @@
 func (s *Scheduler) pick(lowest float64, o *outlook) *endpoint {
 	slack := 0.002
 	switch {
-	case s.peers > 1 && s.Policy == Previous:
+	case s.peers > 1 && s.policy == Previous:
 		slack = previousSlack(o)
 	case s.peers > 1:
 		slack = 0.004 + 0.005*o.peerRate
@@ -143,15 +143,15 @@
 	o.size = o.prompt
 	waited := max(s.now.Sub(req.Arrived).Seconds(), 0)
 	o.budget = s.budget(waited)
-	if s.Policy != Previous {
+	if s.policy != Previous {
 		// Otherwise small requests would pass a large one for ever.
 		fade := min(waited/sizeSeconds, 1)
 		o.size += (min(s.flow.tokens, o.prompt) - o.prompt) * fade
 	}
 	o.ahead = expect(estimate, o.size, 0, &s.ahead)
 	bytes := o.prompt*bytesPerPrompt + estimate.Mean(0)*bytesPerToken
-	o.far = s.Weights.Stall*farSeconds + farPerMB*bytes/1e6
-	if s.Policy == Previous {
+	o.far = s.weights.Stall*farSeconds + farPerMB*bytes/1e6
+	if s.policy == Previous {
 		o.far = previousFar + previousFarPerMB*bytes/1e6
 	}
 	s.lookAtOthers(o)
@@ -170,7 +170,7 @@
 	for h, alive := range o.alive {
 		o.tokens[h], o.doubt[h] = float64(s.ahead[h]), alive*(1-alive)
 	}
-	if s.Policy == Previous {
+	if s.policy == Previous {
 		s.lookBefore(o)
 	}
 }
@@ -183,7 +183,7 @@
 	o.peerVar = o.peerRate * o.peerSize * o.peerSize
 	o.mirror = mirrorShare * others
 	o.meanSent = max(s.sentSince, 0) / n
-	if s.Policy == Previous {
+	if s.policy == Previous {
 		o.meanShare = s.meanShare()
 	}
 }
@@ -195,22 +195,22 @@
 // free; otherwise work expires at entries with more than their share of the
 // requests while others hold almost none. After patience anything is sent.
 func (s *Scheduler) budget(waited float64) float64 {
-	if s.Policy == Previous {
-		return s.Weights.Stall * (previousCalm + waited/previousPatience*waited/previousPatience)
+	if s.policy == Previous {
+		return s.weights.Stall * (previousCalm + waited/previousPatience*waited/previousPatience)
 	}
 	if waited >= patience {
 		return math.Inf(1)
 	}
 	crowd := min(max((s.poolShare-crowdFrom)/(crowdTo-crowdFrom), 0), 1)
 	grown := min(waited/growSeconds*waited/growSeconds, growBudget)
-	calm := min(s.Weights.Stall*(calmBudget+grown), s.Weights.Preempt*uselessRisk)
-	crowded := min(s.Weights.Stall, s.Weights.Preempt) * (crowdBudget + crowdGrow*waited/crowdSeconds)
+	calm := min(s.weights.Stall*(calmBudget+grown), s.weights.Preempt*uselessRisk)
+	crowded := min(s.weights.Stall, s.weights.Preempt) * (crowdBudget + crowdGrow*waited/crowdSeconds)
 	return calm + crowd*(crowded-calm)
 }
 
 // judge gives the risk and the cost of sending a request to an endpoint.
 func (s *Scheduler) judge(e *endpoint, o *outlook) (risk, cost float64) {
-	w := &s.Weights
+	w := &s.weights
 	age := float64(min(max(o.now-e.reportAt, 0), maxAge*1e9)) * 1e-9
 	// Peers see the same reports and follow the same rule, so they are taken to
 	// have favoured the endpoints that this entry has favoured since the report.
--- a/process/placement/placement.go
+++ b/process/placement/placement.go
@@ -110,9 +110,9 @@
 	// Scheduler places the generations of one service at one entry. Exported
 	// fields are set before use. It is safe for concurrent use.
 	Scheduler struct {
-		Policy  Policy // Current if empty
-		Weights Weights
-		Region  string // of the entry
+		Policy  Policy  // Current if empty; SetRule changes it later
+		Weights Weights // likewise
+		Region  string  // of the entry
 		// EntryPlace is the place of the entry.
 		EntryPlace string
 		Seed       uint64
@@ -130,6 +130,8 @@
 		Violation func(string)
 
 		mu        sync.Mutex
+		policy    Policy // in effect, like the weights
+		weights   Weights
 		once      sync.Once
 		rand      *rand.Rand
 		now       time.Time // latest time seen
@@ -188,6 +190,35 @@
 	s.chooseLong()
 }
 
+// SetRule replaces the policy and the weights for the decisions that follow.
+// Generations that run keep their reservations.
+func (s *Scheduler) SetRule(policy Policy, weights Weights) {
+	s.once.Do(s.init)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.setRule(policy, weights)
+}
+
+func (s *Scheduler) setRule(policy Policy, weights Weights) {
+	if weights == (Weights{}) {
+		weights = Weights{Stall: 1, Gap: 1, Preempt: 1}
+	}
+	s.policy, s.weights = policy, weights
+	ahead := horizonTokens
+	if policy == Previous {
+		ahead = previousHorizons
+	}
+	if ahead == s.ahead {
+		return
+	}
+	s.ahead = ahead
+	for i := range s.slots {
+		if r := &s.slots[i]; r.active {
+			s.replan(r, 0)
+		}
+	}
+}
+
 // SetPeers sets how many entries, this one included, share the endpoints.
 func (s *Scheduler) SetPeers(n int) {
 	s.once.Do(s.init)
@@ -253,7 +284,7 @@
 	}
 	var ep *endpoint
 	var wait bool
-	switch s.Policy {
+	switch s.policy {
 	case RoundRobin:
 		ep = s.roundRobin(&req)
 	case LeastConn:
@@ -282,14 +313,8 @@
 	s.beliefs.init()
 	s.peers = 1
 	s.step.init()
-	s.ahead = horizonTokens
-	if s.Policy == Previous {
-		s.ahead = previousHorizons
-	}
+	s.setRule(s.Policy, s.Weights)
 	s.turn = int(s.Seed % 1024)
-	if s.Weights == (Weights{}) {
-		s.Weights = Weights{Stall: 1, Gap: 1, Preempt: 1}
-	}
 	if s.PrefixTokens == 0 {
 		s.PrefixTokens = 256
 	}
--- a/process/placement/placement_test.go
+++ b/process/placement/placement_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/sourcegraph/conc"
 	"pgregory.net/rapid"
 )
 
@@ -302,3 +303,64 @@
 		s.flow.filled(0.3)
 	}
 }
+
+// Guards against a rule that takes effect only before the first decision, and
+// against sums that mix expectations of two policies after a change.
+func TestSetRule(t *testing.T) {
+	s := fleet(2, Current)
+	s.Violation = func(what string) { t.Error(what) }
+	req := request(99_000, start) // fits nowhere
+	if d := s.Place(req, start); !d.Wait {
+		t.Fatalf("decision %+v", d)
+	}
+	var open []Ticket
+	for range 3 {
+		open = append(open, s.Place(request(500, start), start).Ticket)
+	}
+	before := s.mix.ahead
+	s.SetRule(Previous, Weights{})
+	if s.mix.ahead == before {
+		t.Error("expectations are still those of the policy before")
+	}
+	s.SetRule(Current, Weights{Stall: 1, Gap: 1, Preempt: 1})
+	for h, mean := range before.mean {
+		if diff := s.mix.ahead.mean[h] - mean; diff > 0.01 || diff < -0.01 {
+			t.Errorf("expected memory differs by %f after a change back", diff)
+		}
+	}
+	s.SetRule(LeastConn, Weights{})
+	d := s.Place(req, start)
+	if d.Endpoint == "" {
+		t.Fatalf("decision %+v after a change to %s", d, LeastConn)
+	}
+	var wg conc.WaitGroup
+	wg.Go(func() {
+		for i := range 100 {
+			s.SetRule([]Policy{Current, Previous, TwoChoice}[i%3], Weights{Stall: float64(i)})
+		}
+	})
+	for _, ticket := range append(open, d.Ticket) {
+		wg.Go(func() { s.Done(ticket, 10, true, start) })
+	}
+	wg.Wait()
+	if s.mix.count != 0 || s.list[0].ahead != (load{}) || s.list[1].ahead != (load{}) {
+		t.Errorf("%d generations remain", s.mix.count)
+	}
+}
+
+// Guards against reports without a step time that are learned as steps of no
+// time, which would remove the gap from the decision.
+func TestUnknownStepTime(t *testing.T) {
+	s := fleet(1, Current)
+	before := s.step.predict(100, 90_000)
+	if before < 0.03 || before > 0.06 {
+		t.Errorf("%f s expected for a step of 100 generations", before)
+	}
+	for i := range 1000 {
+		at := start.Add(time.Duration(i) * time.Second)
+		s.Report("e000", Report{At: at, Running: 100, Used: 90_000, Total: 100_000}, at)
+	}
+	if got := s.step.predict(100, 90_000); got != before {
+		t.Errorf("%f s after reports without step time, %f before", got, before)
+	}
+}
--- a/process/placement/previous.go
+++ b/process/placement/previous.go
@@ -39,7 +39,7 @@
 // endpoint to shrink as its work ends, although new work follows, and weighs
 // another region like a large difference in load.
 func (s *Scheduler) judgeBefore(e *endpoint, o *outlook) (risk, cost float64) {
-	w := &s.Weights
+	w := &s.weights
 	age := float64(min(max(o.now-e.reportAt, 0), maxAge*1e9)) * 1e-9
 	total := e.total
 	now := e.others + e.used
