placement: serve engines that miss the gap target even when idle

Cause: the excess of the step time over the gap target alone exceeded the budget of risk on an engine whose empty step takes 90 ms, so that work for it waited for a minute, which is beyond most deadlines. Change: the risk begins no lower than at 1.5 times the step of an idle engine. Conclusion: slow engines serve about as many generations as delay an idle step by half.

--- a/process/placement/choose.go
+++ b/process/placement/choose.go
@@ -12,6 +12,7 @@
 	gapTarget   = 0.071 // seconds between tokens
 	gapHeadroom = 0.9   // share of the gap target at which the risk begins
 	gapSlope    = 4.0   // risk for each gap target beyond that
+	idleFactor  = 1.5   // the risk begins no lower than at this many steps of an idle engine
 
 	calmBudget  = 0.32 // risk that is taken without waiting
 	crowdBudget = 0.03 // the same, in an overload
@@ -71,6 +72,7 @@
 		meanSent float64           // mean of what was sent to an endpoint since its report
 		fillTime float64           // seconds for one prompt token
 		budget   float64
+		perStep  float64 // inverse of the step time at which the risk begins
 		typical  float64 // fill of the prompt that a typical prompt token belongs to
 
 		meanShare, peerSize float64 // this and the following for previous only
@@ -156,6 +158,8 @@
 	}
 	s.lookAtOthers(o)
 	o.fillTime = s.FillTime.Seconds() / 1000
+	// Waiting doesn't help where even an idle engine misses the gap target.
+	o.perStep = 1 / max(gapTarget*gapHeadroom, idleFactor*s.step.predict(1, 0))
 	o.typical = s.flow.typical(fill(o.prompt, o.fillTime))
 	s.lookAtPeers(o)
 }
@@ -244,7 +248,7 @@
 
 	runs := e.othersRuns + float64(e.count) + 1
 	step := s.step.predict(runs, now+uncached)
-	slow := min(max(step*(1/(gapTarget*gapHeadroom))-1, 0)*gapSlope, 1)
+	slow := min(max(step*o.perStep-1, 0)*gapSlope, 1)
 	risk = w.Preempt*full + w.Gap*slow
 
 	filling := (e.pending(o.now, o.fillTime) + uncached) * o.fillTime
--- a/process/placement/placement_test.go
+++ b/process/placement/placement_test.go
@@ -364,3 +364,21 @@
 		t.Errorf("%f s after reports without step time, %f before", got, before)
 	}
 }
+
+// Guards against work that is held for ever because the engines miss the gap
+// target even when idle.
+func TestSlowEngines(t *testing.T) {
+	s := fleet(1, Current)
+	at := start
+	for i := range 1000 {
+		at = at.Add(time.Second)
+		n := i % 20
+		s.Report("e000", Report{At: at, Running: n, Used: int64(500 * n), Total: 100_000, StepTime: time.Duration(90+n/4) * time.Millisecond}, at)
+	}
+	s.Report("e000", Report{At: at, Total: 100_000}, at)
+	for range 10 {
+		if d := s.Place(request(100, at), at); d.Endpoint == "" {
+			t.Fatalf("decision %+v", d)
+		}
+	}
+}
