--- a/process/placement/account.go
+++ b/process/placement/account.go
@@ -56,6 +56,7 @@
 		closed  bool  // drained or leaving
 		far     bool  // in another region
 		near    bool  // in the entry's place
+		long    bool  // preferred for long prompts
 
 		Endpoint
 		report     Report
@@ -92,6 +93,7 @@
 	history struct {
 		ring [sampleCount]sample
 		n    int
+		last int64 // Unix nanoseconds of the latest
 	}
 
 	// mix is the sum of all own work, from which it is inferred how other
@@ -106,6 +108,8 @@
 	flow struct {
 		rate   float64 // requests per second
 		tokens float64 // mean prompt
+		fill   float64 // mean fill, and that of its square
+		square float64
 		at     time.Time
 	}
 )
@@ -133,11 +137,14 @@
 	return l
 }
 
-func (h *history) record(s sample) {
-	if h.n > 0 && s.at.Sub(h.ring[(h.n-1)%sampleCount].at) < sampleInterval {
+// remember records own work before a change, unless it was recorded lately.
+func (s *Scheduler) remember(e *endpoint) {
+	h := e.history
+	if h.n > 0 && s.nanos-h.last < int64(sampleInterval) {
 		return
 	}
-	h.ring[h.n%sampleCount] = s
+	h.ring[h.n%sampleCount] = e.sample(s.now)
+	h.last = s.nanos
 	h.n++
 }
 
@@ -184,7 +191,7 @@
 
 // change adjusts own work of an endpoint and of the whole scheduler.
 func (s *Scheduler) change(e *endpoint, count int, used float64, ahead *load, sign float64) {
-	e.history.record(e.sample(s.now))
+	s.remember(e)
 	e.count += count
 	e.used += used
 	e.ahead.add(ahead, sign)
@@ -226,6 +233,7 @@
 	ep.fill = ep.pending(now, s.FillTime.Seconds()/1000) + r.prompt
 	ep.fillAt = now
 	s.flow.sent(r.prompt, s.now)
+	s.flow.filled(fill(r.prompt, s.FillTime.Seconds()/1000))
 	s.beliefs.placed(ep, req.Prefix)
 	s.move(ep, req.Prompt*bytesPerPrompt)
 	return Ticket(uint64(r.gen)<<32 | uint64(i))
@@ -254,13 +262,23 @@
 	}
 	grown := float64(n - r.done)
 	r.done = n
-	var delta load
 	if n >= r.refresh {
-		before := r.ahead
-		r.plan(&s.ahead)
-		delta = r.ahead
-		delta.add(&before, -1)
+		s.replan(r, grown)
+		return
 	}
+	// Most calls come here, one for each token; change would do the same slower.
+	s.remember(r.ep)
+	r.ep.used += grown
+	s.mix.used += grown
+}
+
+// replan computes the expectation again and takes in what the generation has
+// grown.
+func (s *Scheduler) replan(r *reservation, grown float64) {
+	before := r.ahead
+	r.plan(&s.ahead)
+	delta := r.ahead
+	delta.add(&before, -1)
 	s.change(r.ep, 0, grown, &delta, 1)
 }
 
--- a/process/placement/choose.go
+++ b/process/placement/choose.go
@@ -12,24 +12,27 @@
 	gapTarget   = 0.071 // seconds between tokens
 	gapHeadroom = 0.9   // share of the gap target at which the risk begins
 	gapSlope    = 4.0   // risk for each gap target beyond that
+	idleFactor  = 1.5   // the risk begins no lower than at this many steps of an idle engine
 
 	calmBudget  = 0.32 // risk that is taken without waiting
-	crowdBudget = 0.06 // the same, in an overload
+	crowdBudget = 0.03 // the same, in an overload
+	crowdGrow   = 0.20 // risk that waiting for the time of crowdSeconds adds in an overload
 	crowdFrom   = 0.93 // share of all memory in use at which the budget begins to fall
 	crowdTo     = 0.97 // and at which an overload is assumed
 	growBudget  = 0.06 // risk that waiting adds at most, short of patience
-	// Above these risks preemptions cost more stall than sending saves. Without
-	// the second, a stall weight of 4 raised preemptions in an overload from 38
-	// to 574 for each 1,000 requests.
+	// Above this risk preemptions cost more stall than sending saves. In an
+	// overload the stall weight alone doesn't raise the budget: a stall weight of
+	// 4 once raised preemptions there from 38 to 574 for each 1,000 requests.
 	uselessRisk  = 0.40
-	crowdUseless = 0.10
 	growSeconds  = 20.0 // the risk grows by the square of the waiting over this
+	crowdSeconds = 30.0
 	sizeSeconds  = 10.0 // waiting after which a request is judged as one of mean size
 	patience     = 60.0 // seconds of waiting after which any risk is taken
 
 	preemptCost  = 4.0  // cost of a certain preemption, in seconds of stall
 	stepCost     = 1.0  // cost of a step as long as the gap target
 	burstCost    = 6.0  // the same, of computing a prompt, for 100 generations hit
+	longCost     = 3.0  // cost of a prompt that takes the gap target, in the wrong group of endpoints
 	queueSeconds = 0.2  // stall for each generation that waits in the engine
 	queueMax     = 5.0  // most stall that is expected from them
 	farSeconds   = 0.03 // latency to another region
@@ -69,6 +72,8 @@
 		meanSent float64           // mean of what was sent to an endpoint since its report
 		fillTime float64           // seconds for one prompt token
 		budget   float64
+		perStep  float64 // inverse of the step time at which the risk begins
+		typical  float64 // fill of the prompt that a typical prompt token belongs to
 
 		meanShare, peerSize float64 // this and the following for previous only
 		growth, spread      [horizons]float64
@@ -92,7 +97,7 @@
 		used += e.others + e.used
 		total += e.total
 		var risk, cost float64
-		if s.Policy == Previous {
+		if s.policy == Previous {
 			risk, cost = s.judgeBefore(e, &o)
 		} else {
 			risk, cost = s.judge(e, &o)
@@ -115,7 +120,7 @@
 func (s *Scheduler) pick(lowest float64, o *outlook) *endpoint {
 	slack := 0.002
 	switch {
-	case s.peers > 1 && s.Policy == Previous:
+	case s.peers > 1 && s.policy == Previous:
 		slack = previousSlack(o)
 	case s.peers > 1:
 		slack = 0.004 + 0.005*o.peerRate
@@ -140,19 +145,22 @@
 	o.size = o.prompt
 	waited := max(s.now.Sub(req.Arrived).Seconds(), 0)
 	o.budget = s.budget(waited)
-	if s.Policy != Previous {
+	if s.policy != Previous {
 		// Otherwise small requests would pass a large one for ever.
 		fade := min(waited/sizeSeconds, 1)
 		o.size += (min(s.flow.tokens, o.prompt) - o.prompt) * fade
 	}
 	o.ahead = expect(estimate, o.size, 0, &s.ahead)
 	bytes := o.prompt*bytesPerPrompt + estimate.Mean(0)*bytesPerToken
-	o.far = s.Weights.Stall*farSeconds + farPerMB*bytes/1e6
-	if s.Policy == Previous {
+	o.far = s.weights.Stall*farSeconds + farPerMB*bytes/1e6
+	if s.policy == Previous {
 		o.far = previousFar + previousFarPerMB*bytes/1e6
 	}
 	s.lookAtOthers(o)
 	o.fillTime = s.FillTime.Seconds() / 1000
+	// Waiting doesn't help where even an idle engine misses the gap target.
+	o.perStep = 1 / max(gapTarget*gapHeadroom, idleFactor*s.step.predict(1, 0))
+	o.typical = s.flow.typical(fill(o.prompt, o.fillTime))
 	s.lookAtPeers(o)
 }
 
@@ -166,7 +174,7 @@
 	for h, alive := range o.alive {
 		o.tokens[h], o.doubt[h] = float64(s.ahead[h]), alive*(1-alive)
 	}
-	if s.Policy == Previous {
+	if s.policy == Previous {
 		s.lookBefore(o)
 	}
 }
@@ -179,32 +187,34 @@
 	o.peerVar = o.peerRate * o.peerSize * o.peerSize
 	o.mirror = mirrorShare * others
 	o.meanSent = max(s.sentSince, 0) / n
-	if s.Policy == Previous {
+	if s.policy == Previous {
 		o.meanShare = s.meanShare()
 	}
 }
 
 // budget gives the risk that is taken for a request that has waited. It falls
-// as the memory of all endpoints fills, and waiting raises it little: in an
-// overload, when everything waits long, sending more would fill the engines and
-// shorten no queue. After patience anything is sent.
+// as the memory of all endpoints fills: in an overload sending more would fill
+// the engines and shorten no queue. There it rises steadily with the waiting
+// instead, so that the entry with the oldest work gets the memory that becomes
+// free; otherwise work expires at entries with more than their share of the
+// requests while others hold almost none. After patience anything is sent.
 func (s *Scheduler) budget(waited float64) float64 {
-	if s.Policy == Previous {
-		return s.Weights.Stall * (previousCalm + waited/previousPatience*waited/previousPatience)
+	if s.policy == Previous {
+		return s.weights.Stall * (previousCalm + waited/previousPatience*waited/previousPatience)
 	}
 	if waited >= patience {
 		return math.Inf(1)
 	}
 	crowd := min(max((s.poolShare-crowdFrom)/(crowdTo-crowdFrom), 0), 1)
-	calm := calmBudget + crowd*(crowdBudget-calmBudget)
 	grown := min(waited/growSeconds*waited/growSeconds, growBudget)
-	useless := uselessRisk + crowd*(crowdUseless-uselessRisk)
-	return min(s.Weights.Stall*(calm+grown), s.Weights.Preempt*useless)
+	calm := min(s.weights.Stall*(calmBudget+grown), s.weights.Preempt*uselessRisk)
+	crowded := min(s.weights.Stall, s.weights.Preempt) * (crowdBudget + crowdGrow*waited/crowdSeconds)
+	return calm + crowd*(crowded-calm)
 }
 
 // judge gives the risk and the cost of sending a request to an endpoint.
 func (s *Scheduler) judge(e *endpoint, o *outlook) (risk, cost float64) {
-	w := &s.Weights
+	w := &s.weights
 	age := float64(min(max(o.now-e.reportAt, 0), maxAge*1e9)) * 1e-9
 	// Peers see the same reports and follow the same rule, so they are taken to
 	// have favoured the endpoints that this entry has favoured since the report.
@@ -238,7 +248,7 @@
 
 	runs := e.othersRuns + float64(e.count) + 1
 	step := s.step.predict(runs, now+uncached)
-	slow := min(max(step*(1/(gapTarget*gapHeadroom))-1, 0)*gapSlope, 1)
+	slow := min(max(step*o.perStep-1, 0)*gapSlope, 1)
 	risk = w.Preempt*full + w.Gap*slow
 
 	filling := (e.pending(o.now, o.fillTime) + uncached) * o.fillTime
@@ -251,5 +261,8 @@
 	case !e.near:
 		cost += w.Stall * nearSeconds
 	}
+	if !e.long {
+		cost += w.Gap * longCost * (fill(uncached, o.fillTime) - o.typical)
+	}
 	return risk, cost
 }
--- a/process/placement/placement_test.go
+++ b/process/placement/placement_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/sourcegraph/conc"
 	"pgregory.net/rapid"
 )
 
@@ -275,3 +276,109 @@
 		t.Errorf("%.1f allocations", n)
 	}
 }
+
+// Guards against entries that concentrate long prompts on different endpoints,
+// and against preferences among prompts that are all alike.
+func TestLongPrompts(t *testing.T) {
+	s, other := fleet(20, Current), seededFleet(20, Current, 9)
+	list := endpoints(20)
+	slices.Reverse(list)
+	other.SetEndpoints(list)
+	n := 0
+	for _, e := range s.list {
+		if e.long {
+			n++
+		}
+		if e.long != other.byID[e.ID].long {
+			t.Errorf("%s is preferred by one entry only", e.ID)
+		}
+	}
+	if n != 6 { // 2 of 7, 2 of 7 and 2 of 6
+		t.Errorf("%d endpoints preferred", n)
+	}
+	for i := range 1000 {
+		if got := s.flow.typical(0.3); got < 0.299 || got > 0.301 {
+			t.Fatalf("typical fill %f after %d prompts of 0.3", got, i)
+		}
+		s.flow.filled(0.3)
+	}
+}
+
+// Guards against a rule that takes effect only before the first decision, and
+// against sums that mix expectations of two policies after a change.
+func TestSetRule(t *testing.T) {
+	s := fleet(2, Current)
+	s.Violation = func(what string) { t.Error(what) }
+	req := request(99_000, start) // fits nowhere
+	if d := s.Place(req, start); !d.Wait {
+		t.Fatalf("decision %+v", d)
+	}
+	var open []Ticket
+	for range 3 {
+		open = append(open, s.Place(request(500, start), start).Ticket)
+	}
+	before := s.mix.ahead
+	s.SetRule(Previous, Weights{})
+	if s.mix.ahead == before {
+		t.Error("expectations are still those of the policy before")
+	}
+	s.SetRule(Current, Weights{Stall: 1, Gap: 1, Preempt: 1})
+	for h, mean := range before.mean {
+		if diff := s.mix.ahead.mean[h] - mean; diff > 0.01 || diff < -0.01 {
+			t.Errorf("expected memory differs by %f after a change back", diff)
+		}
+	}
+	s.SetRule(LeastConn, Weights{})
+	d := s.Place(req, start)
+	if d.Endpoint == "" {
+		t.Fatalf("decision %+v after a change to %s", d, LeastConn)
+	}
+	var wg conc.WaitGroup
+	wg.Go(func() {
+		for i := range 100 {
+			s.SetRule([]Policy{Current, Previous, TwoChoice}[i%3], Weights{Stall: float64(i)})
+		}
+	})
+	for _, ticket := range append(open, d.Ticket) {
+		wg.Go(func() { s.Done(ticket, 10, true, start) })
+	}
+	wg.Wait()
+	if s.mix.count != 0 || s.list[0].ahead != (load{}) || s.list[1].ahead != (load{}) {
+		t.Errorf("%d generations remain", s.mix.count)
+	}
+}
+
+// Guards against reports without a step time that are learned as steps of no
+// time, which would remove the gap from the decision.
+func TestUnknownStepTime(t *testing.T) {
+	s := fleet(1, Current)
+	before := s.step.predict(100, 90_000)
+	if before < 0.03 || before > 0.06 {
+		t.Errorf("%f s expected for a step of 100 generations", before)
+	}
+	for i := range 1000 {
+		at := start.Add(time.Duration(i) * time.Second)
+		s.Report("e000", Report{At: at, Running: 100, Used: 90_000, Total: 100_000}, at)
+	}
+	if got := s.step.predict(100, 90_000); got != before {
+		t.Errorf("%f s after reports without step time, %f before", got, before)
+	}
+}
+
+// Guards against work that is held for ever because the engines miss the gap
+// target even when idle.
+func TestSlowEngines(t *testing.T) {
+	s := fleet(1, Current)
+	at := start
+	for i := range 1000 {
+		at = at.Add(time.Second)
+		n := i % 20
+		s.Report("e000", Report{At: at, Running: n, Used: int64(500 * n), Total: 100_000, StepTime: time.Duration(90+n/4) * time.Millisecond}, at)
+	}
+	s.Report("e000", Report{At: at, Total: 100_000}, at)
+	for range 10 {
+		if d := s.Place(request(100, at), at); d.Endpoint == "" {
+			t.Fatalf("decision %+v", d)
+		}
+	}
+}
