claim: begin no task of a shard after its owner has ended

A claim that came later waited for its request's deadline. Change: no task begins after the end, and orders that wait then are refused like orders that were not written in time. Conclusion: the tests of the package pass with the race detector.

--- a/request/claim/owner.go
+++ b/request/claim/owner.go
@@ -44,6 +44,9 @@
 		cancel context.CancelFunc
 		wg     conc.WaitGroup
 
+		tasks sync.Mutex
+		ended bool // no task begins any more
+
 		mu     sync.Mutex
 		shards map[int]*shard
 	}
@@ -90,6 +93,9 @@
 		select {
 		case <-ctx.Done():
 			o.cancel()
+			o.tasks.Lock()
+			o.ended = true
+			o.tasks.Unlock()
 			o.wg.Wait()
 			return fmt.Errorf("claim owner ended: %w", ctx.Err())
 		case <-ticker.C:
--- a/request/claim/shard.go
+++ b/request/claim/shard.go
@@ -78,9 +78,14 @@
 
 func (s *shard) notOwner() error { return fmt.Errorf("claim shard %d: %w", s.number, ErrNotOwner) }
 
-// start runs a task of the shard. A fault in it stops the shard, so that claims
+// start runs a task of the shard, unless the owner has ended. A fault in it stops the shard, so that claims
 // fail instead of waiting; the panic is raised again when the owner ends.
 func (s *shard) start(task func()) {
+	s.owner.tasks.Lock()
+	defer s.owner.tasks.Unlock()
+	if s.owner.ended {
+		return
+	}
 	s.owner.wg.Go(func() {
 		completed := false
 		defer func() {
@@ -161,6 +166,8 @@
 		return o.grant, o.err
 	case <-ctx.Done():
 		return Grant{}, storeRefusal("the claim was not written in time")
+	case <-s.owner.base.Done():
+		return Grant{}, storeRefusal("the claim was not written before the entry ended")
 	}
 }
 
