sleep: wait on a timer or a context in one place

Cause: client, operator, config and platform each had the same wait on a timer that a context cuts short.

Change: they call internal/sleep. The pause after a lost answer in config is a named constant. The comments of client.Client say which errors Locate gives and which transport is used by default.

--- a/client/client.go
+++ b/client/client.go
@@ -25,6 +25,7 @@
 	"sync"
 	"time"
 
+	"github.com/eelgrassdock/eelgrassdock/internal/sleep"
 	"github.com/eelgrassdock/eelgrassdock/request/refusal"
 )
 
@@ -51,7 +52,8 @@
 		// Caller tells people on one account apart. It should hold a random part
 		// that colleagues cannot guess.
 		Caller string
-		// HTTP is the transport; a default one if nil.
+		// HTTP makes the requests; http.DefaultClient if nil. Its Timeout would
+		// cut streams off and is best left zero.
 		HTTP *http.Client
 		// Now is the clock; time.Now if nil.
 		Now func() time.Time
@@ -89,7 +91,8 @@
 }
 
 // Locate gives the entries to use for a service, best first. The answer is
-// kept until it expires.
+// kept until it expires, and longer if no entry answers. It fails, with a
+// *refusal.Error of reason Dial and outcome NotRun, only if no entry ever did.
 func (c *Client) Locate(ctx context.Context, service string) ([]Entry, error) {
 	c.mu.Lock()
 	known, ok := c.answers[service]
@@ -182,7 +185,7 @@
 	}
 }
 
-// post sends one request to an entry. Sent tells whether a connection was
+// send sends one request to an entry. Sent tells whether a connection was
 // obtained, so that the entry may have received it.
 func (c *Client) send(ctx context.Context, e Entry, method, path string, header http.Header, body []byte) (res *http.Response, sent bool, err error) {
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
@@ -208,14 +211,7 @@
 	if left := time.Until(until); !until.IsZero() && left > wait {
 		wait = min(left, lastBackoff)
 	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
+	return sleep.For(ctx, wait)
 }
 
 // readRefusal decodes the refusal in an answer.
--- a/process/operator/await.go
+++ b/process/operator/await.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/eelgrassdock/eelgrassdock/internal/sleep"
 	"github.com/eelgrassdock/eelgrassdock/version/config"
 )
 
@@ -43,14 +44,7 @@
 	if poll <= 0 {
 		poll = defaultPoll
 	}
-	timer := time.NewTimer(poll)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
+	return sleep.For(ctx, poll)
 }
 
 // await looks at who lacks the version until nobody does. It returns nil
--- a/process/platform/memory.go
+++ b/process/platform/memory.go
@@ -10,12 +10,12 @@
 	"time"
 
 	"golang.org/x/time/rate"
-)
 
-const (
-	rowsPerRead = 100 // rows that one read of a list covers
+	"github.com/eelgrassdock/eelgrassdock/internal/sleep"
 )
 
+const rowsPerRead = 100 // rows that one read of a list covers
+
 type (
 	// Faults sets how a Memory misbehaves. The zero value is a healthy platform.
 	Faults struct {
@@ -91,14 +91,8 @@
 	m.mu.Lock()
 	slow := m.faults.Slow
 	m.mu.Unlock()
-	if slow > 0 {
-		timer := time.NewTimer(time.Duration(slow) * time.Millisecond)
-		defer timer.Stop()
-		select {
-		case <-ctx.Done():
-			return ErrUnknown
-		case <-timer.C:
-		}
+	if slow > 0 && !sleep.For(ctx, time.Duration(slow)*time.Millisecond) {
+		return ErrUnknown
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/version/config/change.go
+++ b/version/config/change.go
@@ -5,11 +5,11 @@
 	"encoding/json"
 	"fmt"
 	"slices"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 
+	"github.com/eelgrassdock/eelgrassdock/internal/sleep"
 	"github.com/eelgrassdock/eelgrassdock/process/platform"
 )
 
@@ -218,12 +218,7 @@
 		s.Pause(ctx)
 		return
 	}
-	timer := time.NewTimer(50 * time.Millisecond)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
+	sleep.For(ctx, retryPause)
 }
 
 // clean deletes deltas older than the snapshot before the newest. It may fail:
--- a/version/config/store.go
+++ b/version/config/store.go
@@ -23,6 +23,8 @@
 	listRows      = 1000
 	cleanRows     = 200 // deltas deleted in one commit
 	maxTries      = 5   // commits of one change whose answers are lost
+
+	retryPause = 50 * time.Millisecond // after a lost answer, so that a short disturbance passes
 )
 
 type (
