docs, platform, claim, queue: mend comments, split Handler

Cause: package comments used two published methods and the SWIM protocol without naming their source, "back ends" stood for endpoints, and Memory.Handler had 54 lines.

Change: sources are cited, the usual word is used, Handler is split by service, claim wraps with %w as the other packages do, queue clones a map with the standard library, and Platform says which errors a read gives.

Conclusion: no change in behaviour, except that Queue.Accounts of a queue that was never used gives a nil map instead of an empty one.

--- a/cmd/eelgrassdock/main.go
+++ b/cmd/eelgrassdock/main.go
@@ -1,5 +1,5 @@
 // Command eelgrassdock is the serving system in one binary: the entry daemon,
-// its tools, simulated back ends, and a demonstration.
+// its tools, simulated endpoints, and a demonstration.
 //
 // Exit codes: 0 for success, 1 when the command ran and failed, 2 for wrong
 // arguments.
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -1,5 +1,5 @@
 // Package load drives entries through the client package and checks every
-// answer against what the simulated back ends must give.
+// answer against what the simulated endpoints must give.
 //
 // Several callers work under each account. They ask for short and long
 // answers, make calls that are idempotent and calls that are not, send the
--- a/process/locate/locate.go
+++ b/process/locate/locate.go
@@ -1,5 +1,5 @@
 // Package locate chooses entries for callers, owners for keys, and endpoints
-// for entries, by rendezvous hashing.
+// for entries, by rendezvous hashing (Thaler, Ravishankar 1998).
 //
 // Every entry computes the same choice from the same membership, without
 // messages: the score of a key and a candidate is a hash of both, and the
--- a/process/member/member.go
+++ b/process/member/member.go
@@ -1,7 +1,8 @@
 // Package member keeps the list of live entries with a cost per entry that
 // does not grow with their number.
 //
-// Each node probes one member per period, in a shuffled round. A member that
+// The protocol is SWIM (Das, Gupta, Motivala 2002) with digests added. Each node
+// probes one member per period, in a shuffled round. A member that
 // does not acknowledge is probed again directly and through two others; if
 // that fails too, it becomes suspect. A suspect that does not refute within a
 // timeout that grows with the logarithm of the number of members is dead. All
--- a/process/platform/handler.go
+++ b/process/platform/handler.go
@@ -19,6 +19,17 @@
 func (m *Memory) Handler() http.Handler {
 	p := m.Platform()
 	router := httprouter.New()
+	serveTable(router, p)
+	serveObjects(router, p)
+	router.GET("/instances", func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+		list, err := p.Instances(r.Context())
+		answer(w, list, err)
+	})
+	m.serveControls(router)
+	return router
+}
+
+func serveTable(router *httprouter.Router, p Platform) {
 	router.GET("/row", func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 		row, err := p.Get(r.Context(), r.URL.Query().Get("key"))
 		answer(w, row, err)
@@ -39,6 +50,9 @@
 			answer(w, nil, p.Commit(r.Context(), ops))
 		}
 	})
+}
+
+func serveObjects(router *httprouter.Router, p Platform) {
 	router.GET("/object", func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 		data, err := p.GetObject(r.Context(), r.URL.Query().Get("name"))
 		answer(w, data, err)
@@ -49,10 +63,10 @@
 			answer(w, nil, p.PutObject(r.Context(), r.URL.Query().Get("name"), data))
 		}
 	})
-	router.GET("/instances", func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-		list, err := p.Instances(r.Context())
-		answer(w, list, err)
-	})
+}
+
+// serveControls serves what only tests and operators of the stand-in use.
+func (m *Memory) serveControls(router *httprouter.Router) {
 	router.POST("/instances", func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 		var list []Instance
 		if decode(w, r, &list) {
@@ -68,7 +82,6 @@
 	router.GET("/usage", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
 		answer(w, m.Usage(), nil)
 	})
-	return router
 }
 
 func decode(w http.ResponseWriter, r *http.Request, v any) bool {
--- a/process/platform/platform.go
+++ b/process/platform/platform.go
@@ -61,7 +61,9 @@
 	}
 
 	// Platform is the seam. All fields are set before use; Memory.Platform and
-	// Remote.Platform give complete ones.
+	// Remote.Platform give complete ones. Every call ends when ctx does. A read
+	// fails with any of the errors above but ErrConflict; of a read, ErrUnknown
+	// says no more than ErrDown.
 	Platform struct {
 		// Get reads one row. An absent row is not an error: its version is 0.
 		Get func(ctx context.Context, key string) (Row, error)
--- a/process/queue/queue.go
+++ b/process/queue/queue.go
@@ -5,8 +5,8 @@
 // raises an item by one level per Age, up to the highest, so that a low rank
 // still makes progress. Inside a level, accounts share by weight and, inside an
 // account, callers share equally: each has a start tag that grows with the cost
-// of the work it got (start-time fair queueing), and the lowest tag goes first.
-// Items of one caller go in order of arrival.
+// of the work it got, and the lowest tag goes first (start-time fair queueing;
+// Goyal, Vin, Cheng 1996). Items of one caller go in order of arrival.
 //
 // An account or caller that had no work starts at the lowest tag of the others,
 // so that it gets its turn at once and nothing back for the past. An endless row
@@ -20,6 +20,7 @@
 package queue
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -29,7 +30,7 @@
 
 // Defaults and bounds.
 const (
-	DefaultMax = 10_000
+	DefaultMax = 10_000          // items
 	DefaultAge = 5 * time.Second // waiting time that counts as much as one rank
 
 	// MaxRank is the highest rank; ranks outside of 0 to MaxRank are clamped.
@@ -288,9 +289,5 @@
 func (q *Queue) Accounts() map[string]int {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	counts := make(map[string]int, len(q.counts))
-	for account, n := range q.counts {
-		counts[account] = n
-	}
-	return counts
+	return maps.Clone(q.counts)
 }
--- a/request/claim/claim.go
+++ b/request/claim/claim.go
@@ -51,6 +51,7 @@
 import (
 	"crypto/sha256"
 	"encoding/binary"
+	"fmt"
 	"strings"
 	"time"
 
@@ -168,7 +169,7 @@
 func NewKey(instance string) (string, error) {
 	id, err := uuid.NewV7()
 	if err != nil {
-		return "", errors.Wrap(err, "make key")
+		return "", fmt.Errorf("make key: %w", err)
 	}
 	return instance + "." + id.String(), nil
 }
--- a/request/claim/load.go
+++ b/request/claim/load.go
@@ -6,8 +6,6 @@
 	"strconv"
 	"strings"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/eelgrassdock/eelgrassdock/process/platform"
 )
 
@@ -132,7 +130,7 @@
 	defer cancel()
 	rows, err := s.owner.Platform.List(ctx, prefix(s.number), after, pageRows)
 	if err != nil {
-		return nil, errors.Wrap(err, "list claim segments")
+		return nil, fmt.Errorf("list claim segments: %w", err)
 	}
 	return rows, nil
 }
--- a/standin/answer.go
+++ b/standin/answer.go
@@ -1,4 +1,4 @@
-// Package standin holds simulated back ends for tests, demonstrations and
+// Package standin holds simulated endpoints for tests, demonstrations and
 // measurements: a model engine and a plain service, each served over HTTP.
 //
 // The engine's output is a function of the prompt, so that whoever sent the
