--- a/connection/engine/engine.go
+++ b/connection/engine/engine.go
@@ -76,14 +76,17 @@
 		Gone   bool   `json:"gone,omitempty"`
 	}
 
-	// Conn speaks to one engine. Addr is its IP address and port.
+	// Conn speaks to one engine. Addr is its IP address and port. Both fields
+	// are set before use; a Timeout of HTTP would cut streams off.
 	Conn struct {
 		Addr string
 		HTTP *http.Client
 	}
 )
 
-// Generate starts a generation. An error is a *refusal.Error.
+// Generate starts a generation. An error is a *refusal.Error, with outcome
+// NotRun only if no connection was obtained or the engine said so. The stream
+// ends when ctx does, the generation does not.
 func (c *Conn) Generate(ctx context.Context, req Request) (*Reader, error) {
 	body, err := json.Marshal(req)
 	if err != nil {
--- a/connection/service/service.go
+++ b/connection/service/service.go
@@ -31,7 +31,7 @@
 )
 
 type (
-	// Call is one call.
+	// Call is one call. Deadline is set; a zero one has passed.
 	Call struct {
 		Method   string
 		Path     string // with the query
@@ -53,7 +53,8 @@
 		Leaving bool `json:"leaving"`
 	}
 
-	// Conn speaks to one replica. Addr is its IP address and port.
+	// Conn speaks to one replica. Addr is its IP address and port. Both fields
+	// are set before use.
 	Conn struct {
 		Addr string
 		HTTP *http.Client
