service, engine, client: do not follow redirects

Cause: http.Client follows redirects. A call of a plain service that ran and was answered with a redirect was followed by a second request, whose answer was taken for that of the call. With X-Not-Run: true on the second answer, a POST that had run was reported as not run, and so could run again.

Change: a redirect is the answer, in the entry and in the client package (package direct). Conn.HTTP may be nil.

Conclusion: a call of Conn.Do is one request.

--- a/client/client.go
+++ b/client/client.go
@@ -25,6 +25,7 @@
 	"sync"
 	"time"
 
+	"github.com/eelgrassdock/eelgrassdock/internal/direct"
 	"github.com/eelgrassdock/eelgrassdock/internal/sleep"
 	"github.com/eelgrassdock/eelgrassdock/request/refusal"
 )
@@ -84,10 +85,7 @@
 }
 
 func (c *Client) client() *http.Client {
-	if c.HTTP != nil {
-		return c.HTTP
-	}
-	return http.DefaultClient
+	return direct.Client(c.HTTP)
 }
 
 // Locate gives the entries to use for a service, best first. The answer is
--- a/connection/engine/engine.go
+++ b/connection/engine/engine.go
@@ -20,6 +20,7 @@
 	"net/url"
 	"strconv"
 
+	"github.com/eelgrassdock/eelgrassdock/internal/direct"
 	"github.com/eelgrassdock/eelgrassdock/request/refusal"
 	"github.com/eelgrassdock/eelgrassdock/request/stream"
 )
@@ -76,8 +77,8 @@
 		Gone   bool   `json:"gone,omitempty"`
 	}
 
-	// Conn speaks to one engine. Addr is its IP address and port. Both fields
-	// are set before use; a Timeout of HTTP would cut streams off.
+	// Conn speaks to one engine. Addr is its IP address and port; HTTP is
+	// http.DefaultClient if nil. A Timeout of HTTP would cut streams off.
 	Conn struct {
 		Addr string
 		HTTP *http.Client
@@ -184,7 +185,7 @@
 	}
 	// Without GetBody the transport never sends a body a second time.
 	req.GetBody = nil
-	return c.HTTP.Do(req)
+	return direct.Client(c.HTTP).Do(req)
 }
 
 func (c *Conn) open(ctx context.Context, method, path string, body []byte, check stream.Check) (*Reader, error) {
--- a/connection/service/service.go
+++ b/connection/service/service.go
@@ -1,8 +1,8 @@
 // Package service makes calls to plain services and says what is known of each.
 //
 // A call is sent at most once: the body cannot be rewound, so the transport
-// never repeats it. An answer that was read in full is Run, also when its
-// status is an error. A failure before a connection was obtained, or an answer
+// never repeats it, and redirects are not followed. An answer that was read in
+// full is Run, also when its status is an error or a redirect. A failure before a connection was obtained, or an answer
 // with the header X-Not-Run: true, is NotRun. Everything else is Unknown.
 package service
 
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/eelgrassdock/eelgrassdock/connection/engine"
+	"github.com/eelgrassdock/eelgrassdock/internal/direct"
 	"github.com/eelgrassdock/eelgrassdock/request/refusal"
 )
 
@@ -53,8 +54,8 @@
 		Leaving bool `json:"leaving"`
 	}
 
-	// Conn speaks to one replica. Addr is its IP address and port. Both fields
-	// are set before use.
+	// Conn speaks to one replica. Addr is its IP address and port; HTTP is
+	// http.DefaultClient if nil.
 	Conn struct {
 		Addr string
 		HTTP *http.Client
@@ -82,7 +83,7 @@
 	}
 	req.Header.Set(KeyHeader, call.Key)
 	req.Header.Set(DeadlineHeader, call.Deadline.UTC().Format(time.RFC3339Nano))
-	res, err := c.HTTP.Do(req)
+	res, err := direct.Client(c.HTTP).Do(req)
 	if err != nil {
 		return Answer{}, refusal.Failed(err, sent)
 	}
@@ -106,7 +107,7 @@
 	if err != nil {
 		return Health{}, fmt.Errorf("make health request: %w", err)
 	}
-	res, err := c.HTTP.Do(req)
+	res, err := direct.Client(c.HTTP).Do(req)
 	if err != nil {
 		return Health{}, fmt.Errorf("read health: %w", err)
 	}
