--- a/connection/engine/engine.go
+++ b/connection/engine/engine.go
@@ -81,7 +81,8 @@
 		Gone   bool   `json:"gone,omitempty"`
 	}
 
-	// Conn speaks to one engine. Addr is its IP address and port.
+	// Conn speaks to one engine. Addr is its IP address and port; HTTP is
+	// http.DefaultClient if nil. A Timeout of HTTP would cut streams off.
 	// Patience is how long Generate and Resume wait for the engine to accept;
 	// zero means until the context ends.
 	Conn struct {
@@ -106,7 +107,9 @@
 	return b.ReadCloser.Close()
 }
 
-// Generate starts a generation. An error is a *refusal.Error.
+// Generate starts a generation. An error is a *refusal.Error, with outcome
+// NotRun only if no connection was obtained or the engine said so. The stream
+// ends when ctx does, the generation does not.
 func (c *Conn) Generate(ctx context.Context, req Request) (*Reader, error) {
 	body, err := json.Marshal(req)
 	if err != nil {
--- a/connection/service/service_test.go
+++ b/connection/service/service_test.go
@@ -84,9 +84,7 @@
 					case len(tt.answers) == 0:
 						deadline = time.Now().Add(-time.Second)
 					}
-					h := &http.Client{Transport: &http.Transport{}, CheckRedirect: func(*http.Request, []*http.Request) error {
-						return http.ErrUseLastResponse
-					}}
+					h := &http.Client{Transport: &http.Transport{}}
 					defer h.CloseIdleConnections()
 					conn := &service.Conn{Addr: addr, HTTP: h}
 					var err error
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -139,8 +139,6 @@
 			WriteBufferSize:     1 << 10,
 			DisableCompression:  true,
 		},
-		// A redirect is the endpoint's answer: following it would send a second request.
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
 
