port: find ports outside the range of outgoing connections

Cause: a script failed once with 'address already in use': a port that was found free was taken by an outgoing connection before its process bound it.

--- a/cmd/eelgrassdock/script_test.go
+++ b/cmd/eelgrassdock/script_test.go
@@ -1,13 +1,14 @@
 package main
 
 import (
-	"net"
 	"net/http"
 	"os"
 	"testing"
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/eelgrassdock/eelgrassdock/internal/port"
 )
 
 const waitTime = 15 * time.Second // longest wait for a process of a script
@@ -34,10 +35,9 @@
 // setPort sets each named variable to a free address.
 func setPort(ts *testscript.TestScript, _ bool, args []string) {
 	for _, name := range args {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		addr, err := port.Addr()
 		ts.Check(err)
-		ts.Setenv(name, l.Addr().String())
-		ts.Check(l.Close())
+		ts.Setenv(name, addr)
 	}
 }
 
--- a/internal/system/system.go
+++ b/internal/system/system.go
@@ -20,6 +20,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/eelgrassdock/eelgrassdock/internal/load"
+	"github.com/eelgrassdock/eelgrassdock/internal/port"
 	"github.com/eelgrassdock/eelgrassdock/process/entry"
 	"github.com/eelgrassdock/eelgrassdock/process/platform"
 	"github.com/eelgrassdock/eelgrassdock/standin"
@@ -223,11 +224,11 @@
 // entry listens on it; then it starts on another one.
 func (s *System) StartEntry(ctx context.Context, i int) (*Node, error) {
 	for {
-		addr, err := freeAddr()
+		addr, err := port.Addr()
 		if err != nil {
 			return &Node{}, err
 		}
-		peer, err := freeAddr()
+		peer, err := port.Addr()
 		if err != nil {
 			return &Node{}, err
 		}
@@ -299,16 +300,6 @@
 	s.Memory.SetInstances(list)
 }
 
-// freeAddr finds a port that is free at the moment.
-func freeAddr() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", fmt.Errorf("find a free port: %w", err)
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
-}
-
 func (n *Node) waitReady(ctx context.Context) error {
 	addr, until := n.Entry.Addr(), time.Now().Add(startTime)
 	for time.Now().Before(until) && ctx.Err() == nil && !n.Ended() {
