--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -50,6 +50,6 @@
 	if err != nil {
 		return false
 	}
-	defer u.Close()
+	defer func() { _ = u.Close() }()
 	return true
 }
