client, entry: an operator's cancel ends a stream for good

Cause: the client took 'canceled' for a broken connection and resumed, or began anew if no token had come. Change: the client ends the answer when an entry says that it was cancelled. Conclusion: 'cancel stream' does what its name says.

--- a/client/stream.go
+++ b/client/stream.go
@@ -58,7 +58,9 @@
 		maybe   bool   // an earlier attempt may have run
 		done    bool
 		stopped bool // the reader wants no more
-		yield   func(Token, error) bool
+		// canceled tells that an operator ended the stream.
+		canceled bool
+		yield    func(Token, error) bool
 	}
 )
 
@@ -131,6 +133,9 @@
 	if !errors.As(err, &fault) {
 		return true
 	}
+	if r.canceled {
+		return false
+	}
 	switch fault.Reason {
 	case refusal.Dial, refusal.Broken, refusal.Timeout, refusal.Stopping, refusal.Stale, refusal.Overload,
 		refusal.NoEndpoint, refusal.RateLimit, refusal.ActiveLimit, refusal.TokenLimit, refusal.Budget, refusal.Canceled:
@@ -197,7 +202,10 @@
 	case "moved":
 		return errMoved
 	case "error":
-		return refusal.Parse([]byte(event.Data))
+		fault := refusal.Parse([]byte(event.Data))
+		// An entry tells a caller that is still there only of an operator's cancel.
+		r.canceled = fault.Reason == refusal.Canceled
+		return fault
 	}
 	if event.Data == "[DONE]" {
 		r.done = true
--- a/process/entry/operate_test.go
+++ b/process/entry/operate_test.go
@@ -17,9 +17,11 @@
 	"github.com/sourcegraph/conc"
 	"github.com/stretchr/testify/require"
 
+	"github.com/eelgrassdock/eelgrassdock/client"
 	"github.com/eelgrassdock/eelgrassdock/internal/system"
 	"github.com/eelgrassdock/eelgrassdock/process/entry"
 	"github.com/eelgrassdock/eelgrassdock/process/platform"
+	"github.com/eelgrassdock/eelgrassdock/request/refusal"
 )
 
 const operateTime = 20 * time.Second // longest wait for a state in these tests
@@ -194,3 +196,25 @@
 	})
 	require.False(t, strings.Contains(fmt.Sprint(o.ask(0, "show pending")), dead.ID()))
 }
+
+// Guards against a stream that goes on, or begins anew, after an operator
+// cancelled it.
+func TestOperatorCancelsStream(t *testing.T) {
+	o := startOperators(t, 2)
+	o.eventually("two members", func() bool { return len(o.ask(1, "show entries").Answer.Table.Rows) == 2 })
+	c := &client.Client{Entries: []string{o.Nodes()[0].Entry.Addr()}, Key: "key-riga", Account: "riga", Caller: "ann/1"}
+	var n int
+	var last error
+	for token, err := range c.Complete(context.Background(), client.Prompt{Service: system.Model, Text: "length=2000 a long guide"}) {
+		if last = err; err != nil {
+			break
+		}
+		if n = token.N; n == 3 {
+			id := o.cell(1, "show streams where account = riga", "stream")
+			require.Contains(t, o.ask(1, "cancel stream "+id).Answer.Text, "cancelled")
+		}
+	}
+	require.Equal(t, refusal.Canceled, refusal.From(last).Reason)
+	require.Less(t, n, 2000)
+	o.eventually("nothing runs", func() bool { return o.cell(0, "show streams", "stream") == "" })
+}
