entry: prove a drain under load

Cause: a drain by an operator was tested without load only. Change: a test drains an engine and a plain replica while callers work.

--- a/process/entry/desk.go
+++ b/process/entry/desk.go
@@ -118,7 +118,7 @@
 		Account: j.call.account.ID, Caller: j.call.caller, Rank: j.call.account.Rank,
 		Arrived: j.call.arrived, Deadline: j.call.deadline, Cost: float64(w.request.Prompt), Value: w,
 	}
-	decision, err := d.placeOrPush(w, item, now)
+	decision, err := d.admit(w, item, now)
 	if err != nil {
 		return nil, err
 	}
@@ -136,7 +136,7 @@
 	return d.slot(j, decision)
 }
 
-func (d *desk) placeOrPush(w *waiter, item *queue.Item, now time.Time) (placement.Decision, error) {
+func (d *desk) admit(w *waiter, item *queue.Item, now time.Time) (placement.Decision, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.queue.Len() == 0 {
--- a/process/entry/operate_test.go
+++ b/process/entry/operate_test.go
@@ -18,6 +18,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/eelgrassdock/eelgrassdock/client"
+	"github.com/eelgrassdock/eelgrassdock/internal/load"
 	"github.com/eelgrassdock/eelgrassdock/internal/system"
 	"github.com/eelgrassdock/eelgrassdock/process/entry"
 	"github.com/eelgrassdock/eelgrassdock/process/platform"
@@ -40,7 +41,7 @@
 	o := &operators{t: t}
 	var mu sync.Mutex
 	o.System = &system.System{
-		Places: []system.Place{{Name: "riga-1", Region: "north"}}, Entries: entries, Engines: 2, Plains: 1, Seed: 1, Log: log,
+		Places: []system.Place{{Name: "riga-1", Region: "north"}}, Entries: entries, Engines: 2, Plains: 2, Seed: 1, Log: log,
 		Prepare: func(i int, e *entry.Entry) {
 			mu.Lock()
 			defer mu.Unlock()
@@ -218,3 +219,45 @@
 	require.Less(t, n, 2000)
 	o.eventually("nothing runs", func() bool { return o.cell(0, "show streams", "stream") == "" })
 }
+
+// Guards against new work for drained endpoints later than 3 s after the drain
+// was accepted, and against a drain that breaks work in flight.
+func TestDrainUnderLoad(t *testing.T) {
+	o := startOperators(t, 2)
+	ctx, cancel := context.WithTimeout(context.Background(), 6*time.Second)
+	defer cancel()
+	l := &load.Runner{
+		Entries: o.Addrs(), Accounts: system.Accounts, Model: system.Model, Plain: system.Plain, Runs: o.PlainAddrs(),
+		Seed: 1, Pause: 10 * time.Millisecond,
+	}
+	var report load.Report
+	var wg conc.WaitGroup
+	wg.Go(func() { report = l.Run(ctx) })
+	time.Sleep(time.Second)
+	for _, endpoint := range []string{"engine-0", "orders-0"} {
+		a := o.ask(0, "drain endpoint "+endpoint)
+		require.Empty(t, a.Error)
+		require.Nil(t, a.Answer.Pending)
+	}
+	time.Sleep(3 * time.Second)
+	work := func() (n int) {
+		for _, b := range o.Back {
+			switch b.ID {
+			case "engine-0":
+				begun, _ := b.Engine.Counts()
+				n += begun
+			case "orders-0":
+				for _, runs := range b.Service.Runs() {
+					n += runs
+				}
+			}
+		}
+		return n
+	}
+	before := work()
+	require.NotZero(t, before)
+	wg.Wait()
+	require.Equal(t, before, work(), "work begun on a drained endpoint")
+	require.False(t, report.Broken(), report.Write())
+	require.Empty(t, report.Refused, report.Write())
+}
