--- a/process/entry/stop.go
+++ b/process/entry/stop.go
@@ -13,7 +13,7 @@
 	// spreadTime is how long other entries may go on naming this one in their
 	// answers: news spread to 500 entries in 1.1 s (CAPACITY.md).
 	spreadTime = 2 * time.Second
-	stopPoll     = 50 * time.Millisecond
+	stopPoll   = 50 * time.Millisecond
 )
 
 // Abort ends a graceful stop early: streams in flight are handed over to other
