load: compare weights from the command line

Cause: whether the users' two settings change decisions could be seen only through fixed rows of a test.

--- a/cmd/eelgrassdock/tools.go
+++ b/cmd/eelgrassdock/tools.go
@@ -19,6 +19,7 @@
 	"github.com/eelgrassdock/eelgrassdock/internal/load"
 	"github.com/eelgrassdock/eelgrassdock/process/entry"
 	"github.com/eelgrassdock/eelgrassdock/process/operator"
+	"github.com/eelgrassdock/eelgrassdock/process/placement"
 )
 
 type (
@@ -44,6 +45,7 @@
 		Compare  bool          `help:"Compare placement policies on simulated engines under a manual clock and print a table."`
 		Loads    string        `help:"With --compare: only loads whose name contains this."`
 		Seeds    int           `default:"3" help:"With --compare: number of seeds."`
+		Weights  []string      `help:"With --compare: weights STALL/GAP/PREEMPT of the current policy, such as 4/1/1."`
 	}
 
 	demoCommand struct {
@@ -161,6 +163,14 @@
 	for i := range c.Seeds {
 		o.Seeds = append(o.Seeds, c.Seed+uint64(i))
 	}
+	for _, text := range c.Weights {
+		var w placement.Weights
+		if _, err := fmt.Sscanf(text, "%g/%g/%g", &w.Stall, &w.Gap, &w.Preempt); err != nil {
+			return errors.Newf("weights %q must be three numbers such as 4/1/1", text)
+		}
+		o.Weights = append(o.Weights, w)
+		o.Policies = []placement.Policy{placement.Current}
+	}
 	if err := compare.Run(std.out, o); err != nil {
 		return fmt.Errorf("compare policies: %w", err)
 	}
