entry: refuse a prompt that fits into no engine

Cause: a prompt larger than the memory of every engine was held for up to a minute, sent, rejected, and reported as no_endpoint with a time to retry. Change: it is refused as bad_request once the endpoints' memory is known; an endpoint whose memory is too small is left out. Figures: the new row of TestBadInput fails without the change (reason no_endpoint) and passes with it. Conclusion: the caller learns what to mend.

--- a/process/entry/call_test.go
+++ b/process/entry/call_test.go
@@ -288,6 +288,7 @@
 	}{
 		{"oversized prompt", "POST", completions, `{"prompt":"` + huge + `"}`, "bad_request", nil},
 		{"oversized body", "POST", orders, huge, "bad_request", []string{"Idempotency-Key", "k"}},
+		{"prompt larger than any engine", "POST", completions, `{"model":"guide","prompt":"` + huge[:1000000] + `"}`, "bad_request", nil},
 		{"malformed JSON", "POST", completions, `{"model":`, "bad_request", nil},
 		{"JSON of another type", "POST", completions, `[1]`, "bad_request", nil},
 		{"no body", "POST", completions, "", "bad_request", nil},
--- a/process/entry/desk.go
+++ b/process/entry/desk.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"expvar"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,6 +22,7 @@
 	waitPoll     = 20 * time.Millisecond // waiting work is offered again this often without another cause
 	suspectTime  = 3 * time.Second       // an endpoint that failed gets no new work for this long
 	overloadWait = time.Second           // when to come back after a full queue
+	largePrompt  = 8 << 10               // bytes from which a prompt is compared with the endpoints' memory
 )
 
 type (
@@ -102,8 +104,11 @@
 func (d *desk) acquire(ctx context.Context, j *job) (*slot, error) {
 	d.use()
 	for {
+		if err := d.tooLarge(j.req.Prompt); err != nil {
+			return nil, err
+		}
 		s, err := d.reserve(ctx, j)
-		if err != nil || d.confirm(s.endpoint.ID) {
+		if err != nil || d.confirm(s.endpoint.ID) && d.holds(s.endpoint.ID, j.req.Prompt) {
 			return s, err
 		}
 		s.release(false)
@@ -111,6 +116,41 @@
 	}
 }
 
+// tooLarge refuses a prompt that fits into the memory of no endpoint. It would
+// otherwise wait for memory that never becomes free.
+func (d *desk) tooLarge(prompt string) error {
+	if len(prompt) < largePrompt {
+		return nil
+	}
+	watches := d.watches()
+	for _, w := range watches {
+		if d.holds(w.endpoint.ID, prompt) {
+			return nil
+		}
+	}
+	if len(watches) == 0 {
+		return nil
+	}
+	return refusal.New(refusal.BadRequest, refusal.NotRun, fmt.Sprintf(
+		"prompt of about %d tokens is larger than the memory of every endpoint of service %q", engine.Tokens(prompt), d.service))
+}
+
+// holds tells whether a prompt fits into the memory of an endpoint, as far as
+// the endpoint reported it.
+func (d *desk) holds(id, prompt string) bool {
+	if len(prompt) < largePrompt {
+		return true
+	}
+	d.mu.Lock()
+	w := d.watch[id]
+	d.mu.Unlock()
+	if w == nil {
+		return true
+	}
+	r := w.report.Load()
+	return r == nil || r.Total == 0 || int64(engine.Tokens(prompt)) < r.Total
+}
+
 func (d *desk) reserve(ctx context.Context, j *job) (*slot, error) {
 	now := d.e.now()
 	w := &waiter{request: d.request(j), ready: make(chan placement.Decision, 1)}
