platform: bound the calls of a process, the least important first

Cause: every part of an entry backed off by itself; nothing bounded the calls of a process as a whole, and lists competed with leases when the store was slow. Change: platform.Budget between an entry and the platform: a rate that halves when the store limits or is slow and grows again, with parts kept for configuration and for leases and claims; counters by importance. Conclusion: work in flight is the last to lose the store.

--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -124,7 +124,7 @@
 	if e.Log == nil {
 		e.Log = logrus.New()
 	}
-	e.Platform = e.untilKilled(e.Platform)
+	e.Platform = (&platform.Budget{Base: e.untilKilled(e.Platform), Now: e.Now}).Platform()
 	dial := e.Dial
 	if dial == nil {
 		d := &net.Dialer{Timeout: dialTimeout}
