entry: share look-ups that were written again

Cause: reading the whole change showed the wait on a context written beside package sleep, three copies of the look-up of an endpoint's watch, a sorted list of watches where no order is needed, the group of entries computed twice for each change of the configuration, and 'show endpoints' reading the state of all orders once for each endpoint. Change: sleep.For, watchOf and watch.holds serve all; the watches are not sorted; the group is computed once and passed on; the orders' state is read once for a query.

--- a/process/entry/completion.go
+++ b/process/entry/completion.go
@@ -10,7 +10,6 @@
 	"github.com/cockroachdb/errors"
 	"github.com/julienschmidt/httprouter"
 
-	"github.com/eelgrassdock/eelgrassdock/connection/engine"
 	"github.com/eelgrassdock/eelgrassdock/request/refusal"
 	"github.com/eelgrassdock/eelgrassdock/request/resume"
 	"github.com/eelgrassdock/eelgrassdock/request/stream"
@@ -191,8 +190,7 @@
 		e.refuse(w, refusal.New(refusal.GenerationLost, refusal.Unknown, "endpoint is no longer configured"))
 		return
 	}
-	conn := &engine.Conn{Addr: endpoint.Addr, HTTP: e.http}
-	if err := conn.Cancel(r.Context(), token.Generation); err != nil {
+	if err := e.engine(endpoint).Cancel(r.Context(), token.Generation); err != nil {
 		e.refuse(w, refusal.Failed(err, true))
 		return
 	}
--- a/process/entry/desk.go
+++ b/process/entry/desk.go
@@ -4,6 +4,7 @@
 	"context"
 	"expvar"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -123,32 +124,20 @@
 		return nil
 	}
 	watches := d.watches()
-	for _, w := range watches {
-		if d.holds(w.endpoint.ID, prompt) {
-			return nil
-		}
-	}
-	if len(watches) == 0 {
+	if len(watches) == 0 || slices.ContainsFunc(watches, func(w *watch) bool { return w.holds(prompt) }) {
 		return nil
 	}
 	return refusal.New(refusal.BadRequest, refusal.NotRun, fmt.Sprintf(
 		"prompt of about %d tokens is larger than the memory of every endpoint of service %q", engine.Tokens(prompt), d.service))
 }
 
-// holds tells whether a prompt fits into the memory of an endpoint, as far as
-// the endpoint reported it.
+// holds tells whether a prompt fits into the memory of an endpoint.
 func (d *desk) holds(id, prompt string) bool {
 	if len(prompt) < largePrompt {
 		return true
 	}
-	d.mu.Lock()
-	w := d.watch[id]
-	d.mu.Unlock()
-	if w == nil {
-		return true
-	}
-	r := w.report.Load()
-	return r == nil || r.Total == 0 || int64(engine.Tokens(prompt)) < r.Total
+	w := d.watchOf(id)
+	return w == nil || w.holds(prompt)
 }
 
 func (d *desk) reserve(ctx context.Context, j *job) (*slot, error) {
--- a/process/entry/job.go
+++ b/process/entry/job.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/eelgrassdock/eelgrassdock/connection/engine"
+	"github.com/eelgrassdock/eelgrassdock/internal/sleep"
 	"github.com/eelgrassdock/eelgrassdock/request/refusal"
 	"github.com/eelgrassdock/eelgrassdock/request/resume"
 	"github.com/eelgrassdock/eelgrassdock/request/stream"
@@ -399,12 +400,5 @@
 
 // sleepUntil waits until the time at and tells whether ctx is still alive.
 func sleepUntil(ctx context.Context, at, now time.Time) bool {
-	timer := time.NewTimer(at.Sub(now))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
+	return sleep.For(ctx, at.Sub(now))
 }
--- a/process/entry/orders.go
+++ b/process/entry/orders.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"strconv"
 	"strings"
 	"time"
@@ -137,14 +136,14 @@
 	return nil
 }
 
-// orderStatus gives the reconciliation of an endpoint if this entry holds it.
-func (e *Entry) orderStatus(endpoint string) (order.Status, error) {
+// orderStatuses gives the reconciliation of the endpoints whose orders this
+// entry sends, by endpoint.
+func (e *Entry) orderStatuses() map[string]order.Status {
+	all := map[string]order.Status{}
 	for _, r := range e.orders {
 		for _, s := range r.Status() {
-			if s.Desired.Endpoint == endpoint {
-				return s, nil
-			}
+			all[s.Desired.Endpoint] = s
 		}
 	}
-	return order.Status{}, fmt.Errorf("endpoint %s has another holder", endpoint)
+	return all
 }
--- a/process/entry/poll.go
+++ b/process/entry/poll.go
@@ -76,9 +76,7 @@
 // It is false if the endpoint is leaving, which a poll may have told since it
 // was chosen, or turns out to be down.
 func (d *desk) confirm(endpoint string) bool {
-	d.mu.Lock()
-	w := d.watch[endpoint]
-	d.mu.Unlock()
+	w := d.watchOf(endpoint)
 	if w == nil {
 		return true
 	}
--- a/process/entry/show.go
+++ b/process/entry/show.go
@@ -4,7 +4,7 @@
 	"strings"
 
 	"github.com/eelgrassdock/eelgrassdock/process/operator"
-	"github.com/eelgrassdock/eelgrassdock/version/config"
+	"github.com/eelgrassdock/eelgrassdock/version/order"
 )
 
 // columns makes the head of a table from "name:kind" words.
@@ -51,18 +51,19 @@
 		}
 		return true
 	})
+	statuses := e.orderStatuses()
 	for _, endpoint := range e.config().Document.Endpoints {
 		row := []operator.Value{
 			operator.TextOf(endpoint.ID), operator.TextOf(endpoint.Service), operator.TextOf(endpoint.Place),
 			operator.TextOf(endpoint.Region), operator.TextOf(endpoint.Addr), operator.BoolOf(endpoint.Drain),
 		}
-		t.Rows = append(t.Rows, append(row, e.observed(endpoint, seen[endpoint.ID])...))
+		t.Rows = append(t.Rows, append(row, observed(seen[endpoint.ID], statuses[endpoint.ID])...))
 	}
 	return t
 }
 
 // observed gives the cells that come from what the entry sees of an endpoint.
-func (e *Entry) observed(endpoint config.Endpoint, w *watch) []operator.Value {
+func observed(w *watch, status order.Status) []operator.Value {
 	cells := make([]operator.Value, 9)
 	if w != nil {
 		cells[0], cells[1] = operator.BoolOf(w.leaving.Load()), operator.BoolOf(w.down.Load())
@@ -72,7 +73,7 @@
 			cells[6], cells[7] = operator.NumberOf(r.Preempted), operator.TextOf(strings.Join(r.Models, " "))
 		}
 	}
-	if status, err := e.orderStatus(endpoint.ID); err == nil {
+	if status.Desired.Endpoint != "" {
 		cells[8] = operator.TextOf(strings.TrimSpace(status.Waits + " " + status.Error))
 	}
 	return cells
--- a/process/entry/watch.go
+++ b/process/entry/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -44,7 +45,8 @@
 		d.setWatches(nil)
 		return
 	}
-	chosen := d.e.subset(x, d.service)
+	group := d.e.group(x, d.e.entries(), d.service)
+	chosen := d.e.subset(x, group, d.service)
 	var endpoints []placement.Endpoint
 	for _, endpoint := range chosen {
 		endpoints = append(endpoints, placement.Endpoint{
@@ -53,12 +55,12 @@
 	}
 	d.sched.SetRule(placement.Policy(s.Policy), placement.Weights(s.Weights))
 	d.sched.SetEndpoints(endpoints)
-	d.sched.SetPeers(d.e.sharing(x, d.service, len(chosen)))
+	d.sched.SetPeers(sharing(len(group), len(chosen), len(x.Endpoints(d.service))))
 	d.setWatches(chosen)
 }
 
 // subset gives the endpoints of a service that this entry uses.
-func (e *Entry) subset(x *config.Index, service string) []*config.Endpoint {
+func (e *Entry) subset(x *config.Index, group []locate.Entry, service string) []*config.Endpoint {
 	all := x.Endpoints(service)
 	list := make([]locate.Endpoint, len(all))
 	for i, endpoint := range all {
@@ -66,7 +68,6 @@
 	}
 	// An entry outside of the group counts itself in: it serves callers that
 	// come with an old answer.
-	group := e.group(x, e.entries(), service)
 	if !slices.ContainsFunc(group, func(entry locate.Entry) bool { return entry.ID == e.id }) {
 		group = append(group, locate.Entry{ID: e.id, Region: e.Settings.Region})
 	}
@@ -77,13 +78,13 @@
 	return chosen
 }
 
-// sharing estimates how many entries share the endpoints that this one uses.
-func (e *Entry) sharing(x *config.Index, service string, chosen int) int {
-	all := len(x.Endpoints(service))
+// sharing estimates how many of a group of entries share the endpoints that
+// one of them uses, out of all endpoints of the service.
+func sharing(group, chosen, all int) int {
 	if all == 0 {
 		return 1
 	}
-	return max(1, len(e.group(x, e.entries(), service))*chosen/all)
+	return max(1, group*chosen/all)
 }
 
 func (d *desk) setWatches(endpoints []*config.Endpoint) {
@@ -111,21 +112,25 @@
 
 func (d *desk) stopWatches() { d.setWatches(nil) }
 
-// watches lists the watches in the order of their names.
+// watches lists the watches in no particular order.
 func (d *desk) watches() []*watch {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	list := make([]*watch, 0, len(d.watch))
-	for _, w := range d.watch {
-		list = append(list, w)
-	}
-	slices.SortFunc(list, func(a, b *watch) int {
-		if a.endpoint.ID < b.endpoint.ID {
-			return -1
-		}
-		return 1
-	})
-	return list
+	return slices.Collect(maps.Values(d.watch))
+}
+
+// watchOf gives the watch of an endpoint, or nil.
+func (d *desk) watchOf(endpoint string) *watch {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.watch[endpoint]
+}
+
+// holds tells whether a prompt fits into the memory of the endpoint, as far as
+// the endpoint reported it.
+func (w *watch) holds(prompt string) bool {
+	r := w.report.Load()
+	return r == nil || r.Total == 0 || int64(engine.Tokens(prompt)) < r.Total
 }
 
 // pollOnce reads the state of an endpoint. The lock of the watch is held.
@@ -228,9 +233,7 @@
 
 // replicaFailed makes a replica the last choice for a while.
 func (e *Entry) replicaFailed(service, id string) {
-	for _, w := range e.desk(service).watches() {
-		if w.endpoint.ID == id {
-			w.failed.Store(e.now().Add(suspectTime).UnixMilli())
-		}
+	if w := e.desk(service).watchOf(id); w != nil {
+		w.failed.Store(e.now().Add(suspectTime).UnixMilli())
 	}
 }
