claim: leave shards alone that are still loading

A lapsed shard whose own epoch row was written but not noted yet was also taken for superseded and stopped.

--- a/request/claim/shard.go
+++ b/request/claim/shard.go
@@ -29,11 +29,11 @@
 		cancel context.CancelFunc
 		pace   *rate.Limiter
 		loaded chan struct{} // closed when the segments have been read, or the shard stopped
+		epoch  int64         // version of the epoch row; written by load, read only after loaded is closed
 
 		mu       sync.Mutex
 		lapsed   bool
 		failed   error // set when the shard is no longer usable
-		epoch    int64 // version of the epoch row
 		claims   map[Hash]held
 		sealed   []sealedSegment
 		open     segment
@@ -140,6 +140,15 @@
 	close(o.done)
 }
 
+func (s *shard) isLoaded() bool {
+	select {
+	case <-s.loaded:
+		return true
+	default:
+		return false
+	}
+}
+
 // await waits until the segments have been read.
 func (s *shard) await(ctx context.Context) bool {
 	timer := time.NewTimer(loadWait)
--- a/request/claim/write.go
+++ b/request/claim/write.go
@@ -236,6 +236,9 @@
 
 // expire deletes segments whose claims have all expired.
 func (s *shard) expire(ctx context.Context) {
+	if !s.isLoaded() {
+		return // epoch is not settled, and the segments are not known yet
+	}
 	if s.superseded() {
 		s.stop()
 		return
