gateway, platform: the whole path on the users' platform

Cause: nothing of the product spoke the platform's protocol. Change: package gateway serves requests of the operators' routes; routing, mirror, roster, balance, dispatch and channel are the parts it is made of; placement chooses engines for copies; platform/ translates. The entry's desk shares dispatch.

--- /dev/null
+++ b/cmd/eelgrassdock/cgo.go
@@ -0,0 +1,3 @@
+package main
+
+import "C" // the platform runs programs that are linked against the C library
--- /dev/null
+++ b/cmd/eelgrassdock/serve.go
@@ -0,0 +1,29 @@
+package main
+
+import (
+	"github.com/cockroachdb/errors"
+
+	"github.com/eelgrassdock/eelgrassdock/platform"
+	"github.com/eelgrassdock/eelgrassdock/process/gateway"
+)
+
+type serveCommand struct {
+	Config string `type:"existingfile" help:"Settings file in JSON; by default the one that the platform names."`
+}
+
+func (c *serveCommand) Run(std streams) error {
+	path := c.Config
+	if path == "" {
+		path = platform.SettingsPath()
+	}
+	if path == "" {
+		return errors.New("no settings: give --config, or run on a platform that names a settings file")
+	}
+	settings, err := gateway.ReadSettings(path)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := signals(nil)
+	defer cancel()
+	return platform.Serve(ctx, settings, newLog(std.out, settings.Level))
+}
--- a/process/entry/desk.go
+++ b/process/entry/desk.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/eelgrassdock/eelgrassdock/connection/engine"
+	"github.com/eelgrassdock/eelgrassdock/process/dispatch"
 	"github.com/eelgrassdock/eelgrassdock/process/placement"
 	"github.com/eelgrassdock/eelgrassdock/process/queue"
 	"github.com/eelgrassdock/eelgrassdock/request/refusal"
@@ -20,7 +21,6 @@
 )
 
 const (
-	waitPoll     = 20 * time.Millisecond // waiting work is offered again this often without another cause
 	suspectTime  = 3 * time.Second       // an endpoint that failed gets no new work for this long
 	overloadWait = time.Second           // when to come back after a full queue
 	largePrompt  = 8 << 10               // bytes from which a prompt is compared with the endpoints' memory
@@ -33,12 +33,12 @@
 		e       *Entry
 		service string
 		sched   *placement.Scheduler
-		queue   queue.Queue
+		desk    dispatch.Desk
 		next    atomic.Uint64
 		used    atomic.Int64 // Unix ms of the last use
 		start   sync.Once
 
-		mu    sync.Mutex // orders placements, so that waiting work goes first
+		mu    sync.Mutex
 		watch map[string]*watch
 	}
 
@@ -50,12 +50,6 @@
 		ticket   placement.Ticket
 		tokens   int
 	}
-
-	// waiter is a job in the queue.
-	waiter struct {
-		request placement.Request
-		ready   chan placement.Decision
-	}
 )
 
 // desk gives the desk of a service.
@@ -73,7 +67,8 @@
 		d.sched.Policy = placement.Policy(s.Policy)
 		d.sched.Weights = placement.Weights(s.Weights)
 	}
-	d.queue.Weight = e.accountWeight
+	d.desk.Service, d.desk.Sched, d.desk.Now, d.desk.Held = service, d.sched, e.now, func() { held.Add(1) }
+	d.desk.Queue.Weight = e.accountWeight
 	d.used.Store(e.now().UnixMilli())
 	actual, _ := e.desks.LoadOrStore(service, d)
 	d = actual.(*desk)
@@ -141,46 +136,18 @@
 }
 
 func (d *desk) reserve(ctx context.Context, j *job) (*slot, error) {
-	now := d.e.now()
-	w := &waiter{request: d.request(j), ready: make(chan placement.Decision, 1)}
+	request := d.request(j)
 	item := &queue.Item{
 		Account: j.call.account.ID, Caller: j.call.caller, Rank: j.call.account.Rank,
-		Arrived: j.call.arrived, Deadline: j.call.deadline, Cost: float64(w.request.Prompt), Value: w,
+		Arrived: j.call.arrived, Deadline: j.call.deadline, Cost: float64(request.Prompt),
 	}
-	decision, err := d.admit(w, item, now)
+	decision, err := d.desk.Reserve(ctx, request, item)
 	if err != nil {
 		return nil, err
 	}
-	if decision.Wait {
-		held.Add(1)
-		select {
-		case decision = <-w.ready:
-		case <-ctx.Done():
-			if d.queue.Remove(item) {
-				return nil, refusal.Failed(ctx.Err(), false)
-			}
-			decision = <-w.ready
-		}
-	}
 	return d.slot(j, decision)
 }
 
-func (d *desk) admit(w *waiter, item *queue.Item, now time.Time) (placement.Decision, error) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.queue.Len() == 0 {
-		if decision := d.sched.Place(w.request, now); !decision.Wait {
-			return decision, nil
-		}
-	}
-	if err := d.queue.Push(item); err != nil {
-		fault := refusal.New(refusal.Overload, refusal.NotRun, "queue of service \""+d.service+"\" is full")
-		fault.RetryAt = now.Add(overloadWait)
-		return placement.Decision{}, fault
-	}
-	return placement.Decision{Wait: true}, nil
-}
-
 // slot turns a decision into a slot or a refusal.
 func (d *desk) slot(j *job, decision placement.Decision) (*slot, error) {
 	if decision.Endpoint == "" {
@@ -205,31 +172,9 @@
 	return s, nil
 }
 
-// offer gives waiting work to endpoints and refuses what is too late.
-func (d *desk) offer() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.queue.Len() == 0 {
-		return
-	}
-	now := d.e.now()
-	for _, item := range d.queue.Expire(now) {
-		item.Value.(*waiter).ready <- placement.Decision{None: true}
-	}
-	d.queue.Next(now, func(item *queue.Item) bool {
-		w := item.Value.(*waiter)
-		decision := d.sched.Place(w.request, now)
-		if decision.Wait {
-			return false
-		}
-		w.ready <- decision
-		return true
-	})
-}
-
 // run offers waiting work and watches the endpoints until ctx ends.
 func (d *desk) run(ctx context.Context) {
-	ticker := time.NewTicker(waitPoll)
+	ticker := time.NewTicker(dispatch.Poll)
 	defer ticker.Stop()
 	for {
 		select {
@@ -237,7 +182,7 @@
 			d.stopWatches()
 			return
 		case <-ticker.C:
-			d.offer()
+			d.desk.Offer()
 		}
 	}
 }
@@ -262,7 +207,7 @@
 // release gives the reservation back. Completed generations teach lengths.
 func (s *slot) release(completed bool) {
 	s.desk.sched.Done(s.ticket, s.tokens, completed, s.desk.e.now())
-	s.desk.offer()
+	s.desk.desk.Offer()
 }
 
 // nextAttempt decides about the repetition of a failed attempt, counted from 0.
--- /dev/null
+++ b/process/gateway/desk.go
@@ -0,0 +1,169 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
+
+	"github.com/eelgrassdock/eelgrassdock/internal/sleep"
+	"github.com/eelgrassdock/eelgrassdock/process/dispatch"
+	"github.com/eelgrassdock/eelgrassdock/process/placement"
+	"github.com/eelgrassdock/eelgrassdock/process/queue"
+	"github.com/eelgrassdock/eelgrassdock/process/roster"
+	"github.com/eelgrassdock/eelgrassdock/request/refusal"
+	"github.com/eelgrassdock/eelgrassdock/version/routing"
+)
+
+const (
+	reportEvery = time.Second            // interval of load reports of an engine in use
+	reportLimit = 500 * time.Millisecond // for one of them
+	reportAge   = 300 * time.Millisecond // of what a report says when it arrives
+	suspectTime = time.Second            // an engine that failed gets no new work for this long
+	holdShare   = 0.6                    // share of the aim for which a request waits for an engine
+	defaultHold = time.Second            // the same on a route without an aim
+)
+
+// desk places the generations of one service.
+type desk struct {
+	g       *Gateway
+	service string
+	sched   *placement.Scheduler
+	desk    dispatch.Desk
+	start   sync.Once
+
+	mu     sync.Mutex
+	polled map[string]context.CancelFunc // engines whose load is read
+}
+
+func (g *Gateway) desk(service string, engine *routing.Engine) *desk {
+	if d, ok := g.desks.Load(service); ok {
+		return d.(*desk)
+	}
+	d := &desk{g: g, service: service, polled: map[string]context.CancelFunc{}}
+	d.sched = &placement.Scheduler{
+		Service: service, Region: g.Settings.Region, EntryPlace: g.Settings.Place, Length: &g.lengths,
+		Seed: xxhash.Sum64String(g.id + service), Violation: g.violated,
+	}
+	d.desk.Service, d.desk.Sched = service, d.sched
+	actual, _ := g.desks.LoadOrStore(service, d)
+	d = actual.(*desk)
+	d.start.Do(func() {
+		d.refresh(engine)
+		g.spawn(d.offer)
+	})
+	return d
+}
+
+// refresh hands the known endpoints to the scheduler and reads the load of
+// those that are not leaving.
+func (d *desk) refresh(engine *routing.Engine) {
+	list := d.g.Roster.List(d.service)
+	endpoints := make([]placement.Endpoint, 0, len(list))
+	listed := make(map[string]bool, len(list))
+	for _, e := range list {
+		endpoints = append(endpoints, placement.Endpoint{
+			ID: e.ID, Place: e.Place, Region: d.g.Settings.RegionOf(e.Place), Tokens: engine.Tokens, Drain: e.Leaving,
+		})
+		listed[e.ID] = !e.Leaving
+	}
+	d.sched.SetEndpoints(endpoints)
+	d.sched.SetPeers(d.g.instances())
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for id, stop := range d.polled {
+		if !listed[id] {
+			stop()
+			delete(d.polled, id)
+		}
+	}
+	for _, e := range list {
+		if listed[e.ID] && d.polled[e.ID] == nil {
+			ctx, cancel := context.WithCancel(d.g.base)
+			d.polled[e.ID] = cancel
+			d.g.spawn(func() { d.poll(ctx, e) })
+		}
+	}
+}
+
+func (d *desk) offer() {
+	ticker := time.NewTicker(dispatch.Poll)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-d.g.base.Done():
+			return
+		case <-ticker.C:
+			d.desk.Offer()
+		}
+	}
+}
+
+// poll reads the load of one engine until ctx ends.
+func (d *desk) poll(ctx context.Context, e roster.Endpoint) {
+	for sleep.For(ctx, reportEvery/2+jitter(reportEvery)) {
+		call, cancel := context.WithTimeout(ctx, reportLimit)
+		r, err := d.g.Backend.Report(call, e)
+		cancel()
+		if err != nil {
+			counters.Add("reports_failed", 1)
+			continue
+		}
+		if r.Leaving {
+			d.g.Roster.Leave(e.ID, roster.FromReport)
+			return
+		}
+		now := time.Now()
+		d.sched.Report(e.ID, placement.Report{
+			At: now.Add(-reportAge), Running: r.Running, Waiting: r.Waiting, Used: r.Used, Total: r.Total,
+		}, now)
+	}
+}
+
+// acquire waits for an engine. An error is a *refusal.Error with outcome NotRun.
+func (d *desk) acquire(ctx context.Context, j *job, tried []string) (roster.Endpoint, placement.Ticket, error) {
+	now := time.Now()
+	hold := defaultHold
+	if j.route.Aim > 0 {
+		hold = time.Duration(float64(j.route.Aim) * holdShare)
+	}
+	until := now.Add(hold)
+	if j.deadline.Before(until) {
+		until = j.deadline
+	}
+	request := placement.Request{
+		Account: j.route.Name, Prompt: j.Prompt, Max: j.Max, Rank: j.rank, Arrived: now, Deadline: until, Exclude: tried,
+	}
+	item := &queue.Item{
+		Account: j.account, Rank: queue.MaxRank - j.rank, Arrived: now, Deadline: until, Cost: float64(j.Prompt),
+	}
+	decision, err := d.desk.Reserve(ctx, request, item)
+	if err != nil {
+		return roster.Endpoint{}, 0, err
+	}
+	if decision.Endpoint == "" {
+		reason, detail := refusal.NoEndpoint, "no engine of service "+d.service+" can be used"
+		if len(d.g.Roster.List(d.service)) > 0 {
+			reason, detail = refusal.Overload, "no engine of service "+d.service+" had memory for the request in time"
+		}
+		fault := refusal.New(reason, refusal.NotRun, detail)
+		fault.RetryAt = comeBackAt(time.Now())
+		d.g.decided(j, "not_placed", logrus.Fields{
+			"reason": reason, "waited": time.Since(now).Milliseconds(), "queue": d.desk.Queue.Len(),
+		})
+		return roster.Endpoint{}, 0, fault
+	}
+	e, ok := d.g.Roster.Get(decision.Endpoint)
+	if !ok {
+		d.sched.Done(decision.Ticket, 0, false, time.Now())
+		return e, 0, refusal.New(refusal.NoEndpoint, refusal.NotRun, "the engine has left")
+	}
+	return e, decision.Ticket, nil
+}
+
+func (d *desk) done(t placement.Ticket, tokens int, completed bool) {
+	d.sched.Done(t, tokens, completed, time.Now())
+	d.desk.Offer()
+}
--- /dev/null
+++ b/process/gateway/generate.go
@@ -0,0 +1,326 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/eelgrassdock/eelgrassdock/process/placement"
+	"github.com/eelgrassdock/eelgrassdock/process/roster"
+	"github.com/eelgrassdock/eelgrassdock/request/refusal"
+	"github.com/eelgrassdock/eelgrassdock/request/stream"
+	"github.com/eelgrassdock/eelgrassdock/version/routing"
+)
+
+const (
+	streamFresh = time.Second             // a stream uses no connection that was idle for longer
+	moveWait    = 1500 * time.Millisecond // for the answer to a move after its stream has ended
+	firstEvent  = "0"                     // the event before the first
+)
+
+type (
+	// run is one generation on its way to the caller.
+	run struct {
+		g       *Gateway
+		j       *job
+		desk    *desk
+		pool    *pool
+		engine  *routing.Engine
+		stop    context.CancelFunc // ends the present attempt
+		begun   time.Time
+		headed  bool   // the head of the answer was passed on
+		last    string // ID of the last event that was passed on
+		tried   []string
+		sends   int
+		repeats int
+
+		mu       sync.Mutex
+		endpoint roster.Endpoint
+		ticket   placement.Ticket
+		backup   *replica
+		events   int
+		move     *transfer
+		ended    bool
+	}
+
+	// replica is a copy of a run's memory at another engine.
+	replica struct {
+		endpoint roster.Endpoint
+		ticket   placement.Ticket
+	}
+
+	// attempt is what the next attempt of a run begins from.
+	attempt struct {
+		endpoint roster.Endpoint
+		ticket   placement.Ticket
+		after    string
+		from     string
+	}
+)
+
+// generate passes a request to an engine and its events to the caller.
+func (g *Gateway) generate(ctx context.Context, j *job, s *routing.Service) error {
+	r := &run{
+		g: g, j: j, engine: s.Engine, desk: g.desk(j.service, s.Engine), pool: g.arrived(j.service),
+		begun: time.Now(), last: j.After,
+	}
+	g.runs.add(r)
+	defer r.end()
+	next, err := r.place(ctx)
+	if err != nil {
+		return err
+	}
+	for {
+		again, err := r.attempt(ctx, next)
+		if again == nil {
+			return err
+		}
+		next = again
+	}
+}
+
+// place finds an engine for a new run.
+func (r *run) place(ctx context.Context) (*attempt, error) {
+	e, ticket, err := r.desk.acquire(ctx, r.j, r.tried)
+	if err != nil {
+		return nil, err
+	}
+	return &attempt{endpoint: e, ticket: ticket, after: r.last}, nil
+}
+
+// attempt sends the request once and relays what comes. It gives the next
+// attempt, or none if the request has ended with the error or without one.
+func (r *run) attempt(ctx context.Context, a *attempt) (*attempt, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	r.adopt(a)
+	c := Call{
+		Request: r.j.Request, Endpoint: a.endpoint, Account: r.j.account, Deadline: r.j.deadline,
+		Since: time.Now().Add(-streamFresh), Rank: r.j.rank, Stream: true, After: a.after, From: a.from,
+	}
+	if b := r.copyTo(a); b != nil {
+		c.Backup = b.endpoint.Addr
+	}
+	answer, err := r.g.Backend.Send(ctx, c)
+	if err != nil {
+		return r.unsent(ctx, a, refusal.From(err))
+	}
+	r.g.learn(a.endpoint, answer)
+	if answer.NotRun {
+		answer.Close(false)
+		return r.refused(ctx, a, answer)
+	}
+	if answer.Status != http.StatusOK || !strings.HasPrefix(answer.Header.Get("Content-Type"), "text/event-stream") {
+		return r.other(ctx, a, answer)
+	}
+	r.sends++
+	r.g.decided(r.j, "relaying", logrus.Fields{
+		"endpoint": a.endpoint.ID, "after": a.after, "from": a.from, "backup": c.Backup, "waited": time.Since(r.begun).Milliseconds(),
+	})
+	err = r.relay(answer)
+	answer.Close(err == nil)
+	if err == nil {
+		r.completed()
+		return nil, nil
+	}
+	return r.broken(ctx, a, err)
+}
+
+// adopt makes an attempt's engine that of the run.
+func (r *run) adopt(a *attempt) {
+	r.mu.Lock()
+	old, tokens := r.ticket, r.events*r.engine.Stride
+	r.endpoint, r.ticket, r.move = a.endpoint, a.ticket, nil
+	r.mu.Unlock()
+	if old != 0 && old != a.ticket {
+		r.desk.done(old, tokens, false)
+	}
+}
+
+// relay passes events on until the stream ends. It returns nil at the proper
+// end of the stream.
+func (r *run) relay(answer *Answer) error {
+	events := stream.NewEvents(answer.Body)
+	flush := http.NewResponseController(r.j.w)
+	for {
+		event, err := events.Next()
+		if errors.Is(err, io.EOF) {
+			r.head(answer)
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("stream of %s: %w", r.endpoint.ID, err)
+		}
+		r.head(answer)
+		if _, err := r.j.w.Write(event.Raw); err != nil {
+			return errors.Wrap(ErrCut, "caller left: "+err.Error())
+		}
+		if !events.Pending() {
+			if err := flush.Flush(); err != nil {
+				return errors.Wrap(ErrCut, "caller left: "+err.Error())
+			}
+		}
+		if event.ID != "" {
+			r.last = event.ID
+		}
+		r.progress()
+	}
+}
+
+// head passes the head of the first answer on.
+func (r *run) head(answer *Answer) {
+	if r.headed {
+		return
+	}
+	r.headed = true
+	copyHeader(r.j.w.Header(), answer.Header)
+	r.j.w.WriteHeader(answer.Status)
+	observe("first_event", time.Since(r.begun))
+}
+
+func (r *run) progress() {
+	r.mu.Lock()
+	r.events++
+	tokens, ticket, backup := r.events*r.engine.Stride, r.ticket, r.backup
+	r.mu.Unlock()
+	if r.events&3 != 1 {
+		return // the scheduler's estimate changes little from event to event
+	}
+	now := time.Now()
+	r.desk.sched.Progress(ticket, tokens, now)
+	if backup != nil {
+		r.desk.sched.Progress(backup.ticket, tokens, now)
+	}
+}
+
+func (r *run) completed() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ended = true
+}
+
+// end releases what the run holds.
+func (r *run) end() {
+	r.g.runs.remove(r)
+	r.mu.Lock()
+	completed := r.ended
+	r.ended = true
+	ticket, backup, tokens := r.ticket, r.backup, r.events*r.engine.Stride
+	r.ticket, r.backup = 0, nil
+	r.mu.Unlock()
+	if ticket != 0 {
+		r.desk.done(ticket, tokens, completed)
+	}
+	if backup != nil {
+		r.desk.done(backup.ticket, tokens, false)
+	}
+}
+
+// unsent decides after an attempt that got no answer.
+func (r *run) unsent(ctx context.Context, a *attempt, f *refusal.Error) (*attempt, error) {
+	r.desk.sched.Suspect(a.endpoint.ID, time.Now().Add(suspectTime))
+	if f.Reason != refusal.Dial {
+		r.sends++
+	}
+	r.note("attempt_failed", a, logrus.Fields{"reason": f.Reason, "outcome": f.Outcome.String(), "detail": f.Detail})
+	if a.from != "" {
+		// The memory is used up, or its engine has gone.
+		return r.rerun(ctx, a, f)
+	}
+	if f.Outcome == refusal.NotRun && ctx.Err() == nil {
+		return r.elsewhere(ctx, a, f)
+	}
+	return r.rerun(ctx, a, f)
+}
+
+// refused decides after an engine said that it did not run the request.
+func (r *run) refused(ctx context.Context, a *attempt, answer *Answer) (*attempt, error) {
+	if !answer.Elsewhere {
+		r.sends++
+	}
+	r.note("attempt_refused", a, logrus.Fields{"status": answer.Status, "elsewhere": answer.Elsewhere})
+	f := refusal.New(refusal.Rejected, refusal.NotRun, "engine did not run the request")
+	if a.from != "" {
+		return r.rerun(ctx, a, f)
+	}
+	return r.elsewhere(ctx, a, f)
+}
+
+// elsewhere tries another engine for a request that has not run at this one.
+func (r *run) elsewhere(ctx context.Context, a *attempt, f *refusal.Error) (*attempt, error) {
+	r.tried = append(r.tried, a.endpoint.ID)
+	if r.sends >= max(r.j.route.Attempts, 1) || !r.pool.policy.Budget.Take() {
+		return nil, r.failed(f)
+	}
+	refusal.CountRetry(f.Reason)
+	next, err := r.place(ctx)
+	if err != nil {
+		return nil, r.failed(refusal.From(err))
+	}
+	return next, nil
+}
+
+// rerun runs a request again from its last event, if its route allows that.
+func (r *run) rerun(ctx context.Context, a *attempt, f *refusal.Error) (*attempt, error) {
+	if f.Outcome != refusal.NotRun || r.sends > 0 {
+		f = refusal.New(f.Reason, refusal.Unknown, f.Detail)
+	}
+	if ctx.Err() != nil || !r.j.route.Resume || r.sends >= max(r.j.route.Attempts, 1) {
+		return nil, r.failed(f)
+	}
+	return r.elsewhere(ctx, a, f)
+}
+
+// other passes an answer on that is no stream of events.
+func (r *run) other(ctx context.Context, a *attempt, answer *Answer) (*attempt, error) {
+	r.sends++
+	r.note("answer_other", a, logrus.Fields{"status": answer.Status})
+	kept, err := hold(answer)
+	switch {
+	case err != nil:
+		return r.rerun(ctx, a, refusal.Failed(err, true))
+	case r.headed:
+		return r.rerun(ctx, a, refusal.New(refusal.Broken, refusal.Unknown, "engine failed the rest of a stream"))
+	}
+	return nil, r.g.deliver(r.j, kept)
+}
+
+// broken decides after a stream ended early.
+func (r *run) broken(ctx context.Context, a *attempt, err error) (*attempt, error) {
+	if errors.Is(err, ErrCut) || ctx.Err() != nil {
+		return nil, r.failed(refusal.Failed(errors.CombineErrors(ctx.Err(), err), true))
+	}
+	if next := r.moved(ctx); next != nil {
+		return next, nil
+	}
+	r.note("stream_broken", a, logrus.Fields{"detail": err.Error(), "events": r.events, "backup": r.backup != nil})
+	r.desk.sched.Suspect(a.endpoint.ID, time.Now().Add(suspectTime))
+	if next := r.fromBackup(); next != nil {
+		return next, nil
+	}
+	return r.rerun(ctx, a, refusal.Failed(err, true))
+}
+
+// failed gives the error that ends a request.
+func (r *run) failed(f *refusal.Error) error {
+	if r.headed {
+		return errors.Wrap(ErrCut, f.Error())
+	}
+	if f.Outcome == refusal.NotRun && f.RetryAt.IsZero() {
+		f.RetryAt = comeBackAt(time.Now())
+	}
+	return f
+}
+
+func (r *run) note(event string, a *attempt, fields logrus.Fields) {
+	fields["endpoint"], fields["from"], fields["after"] = a.endpoint.ID, a.from, a.after
+	fields["left"] = time.Until(r.j.deadline).Milliseconds()
+	r.g.decided(r.j, event, fields)
+}
--- /dev/null
+++ b/process/gateway/peers.go
@@ -0,0 +1,226 @@
+package gateway
+
+import (
+	"context"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/rpc"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/eelgrassdock/eelgrassdock/connection/peer"
+	"github.com/eelgrassdock/eelgrassdock/internal/sleep"
+	"github.com/eelgrassdock/eelgrassdock/process/member"
+	"github.com/eelgrassdock/eelgrassdock/process/mirror"
+)
+
+const (
+	fetchLimit    = time.Second            // for reading the routing table of a peer
+	registerPause = 300 * time.Millisecond // after a failed registration
+	registerLimit = 2 * time.Second
+	askSeeds      = time.Second // interval at which seeds are asked while no routing table is known
+	payloadBytes  = 8
+)
+
+type (
+	// Peers answers calls of other instances.
+	Peers struct{ g *Gateway }
+
+	// Stored is the routing table in force at a peer, as the store holds it.
+	Stored struct {
+		Version int64
+		Data    []byte
+		Members []member.Member
+	}
+)
+
+// Table gives the routing table in force and the members that are known.
+func (p *Peers) Table(_ int, reply *Stored) error {
+	if s := p.g.stored.Load(); s != nil {
+		reply.Version, reply.Data = s.version, s.data
+	}
+	reply.Members = p.g.members.Members()
+	return nil
+}
+
+// TakeTable puts a routing table in force that the store or a peer gave.
+func (g *Gateway) TakeTable(data []byte, version int64, source string) {
+	t, err := g.Decode(data)
+	if err != nil {
+		counters.Add("tables_unreadable", 1)
+		g.Log.WithError(err).WithFields(logrus.Fields{"event": "table_unreadable", "source": source}).
+			Error("routing table cannot be read; the earlier one stays in force")
+		return
+	}
+	if !g.Tables.Install(t) {
+		return
+	}
+	g.stored.Store(&storedTable{version: t.Version, data: data})
+	g.Log.WithFields(logrus.Fields{
+		"event": "table_installed", "version": t.Version, "row": version, "source": source,
+		"routes": len(t.Routes), "accounts": len(t.Accounts),
+	}).Info("routing table in force")
+	g.refreshDesks()
+	if g.members != nil {
+		g.members.Nudge()
+	}
+}
+
+// Configuration follows the row that holds the routing table.
+func (g *Gateway) Configuration(key string) func(rows []mirror.Row) {
+	return func(rows []mirror.Row) {
+		for _, r := range rows {
+			if r.Key == key && !r.Gone {
+				g.TakeTable(r.Value, r.Version, "store")
+			}
+		}
+	}
+}
+
+// Instances follows the rows of the instances.
+func (g *Gateway) Instances(rows []mirror.Row) {
+	var list []member.Member
+	for _, r := range rows {
+		var m member.Member
+		if r.Gone {
+			continue
+		}
+		if err := json.Unmarshal(r.Value, &m); err != nil {
+			g.Log.WithError(err).WithField("event", "instance_unreadable").Warn("row of an instance cannot be read")
+			continue
+		}
+		if m.ID != g.id {
+			list = append(list, m)
+		}
+	}
+	g.members.Seeded(list)
+}
+
+// payload tells other instances which routing table is in force here.
+func (g *Gateway) payload() []byte {
+	return binary.BigEndian.AppendUint64(nil, uint64(g.Tables.Version()+1))
+}
+
+// onPayload fetches the routing table of a peer that has a newer one.
+func (g *Gateway) onPayload(from string, data []byte) {
+	if len(data) < payloadBytes {
+		counters.Add("payloads_malformed", 1)
+		return
+	}
+	version := int64(binary.BigEndian.Uint64(data)) - 1
+	if version <= g.Tables.Version() || !g.fetching.CompareAndSwap(false, true) {
+		return
+	}
+	g.spawn(func() {
+		defer g.fetching.Store(false)
+		for _, m := range g.members.Members() {
+			if m.ID == from {
+				g.fetch(m.RPC)
+			}
+		}
+	})
+}
+
+// fetch reads the routing table and the members of a peer.
+func (g *Gateway) fetch(addr string) {
+	ctx, cancel := context.WithTimeout(g.base, fetchLimit)
+	defer cancel()
+	var s Stored
+	if err := g.peers.Call(ctx, addr, "Peers.Table", 0, &s); err != nil {
+		g.Log.WithError(err).WithFields(logrus.Fields{"event": "peer_unanswered", "peer": addr}).
+			Warn("peer did not give its routing table")
+		return
+	}
+	if len(s.Data) > 0 {
+		g.TakeTable(s.Data, s.Version, "peer "+addr)
+	}
+	g.members.Seeded(s.Members)
+}
+
+// join makes this instance known: to the store, and to the seeds while the
+// store does not answer.
+func (g *Gateway) join() {
+	row, err := json.Marshal(g.self())
+	if err != nil {
+		g.Log.WithError(err).Error("row of this instance cannot be written")
+		return
+	}
+	registered, asked := false, time.Time{}
+	for !registered || g.Tables.Current() == nil {
+		if !registered {
+			ctx, cancel := context.WithTimeout(g.base, registerLimit)
+			err := g.Register(ctx, g.Settings.Name, row)
+			cancel()
+			if registered = err == nil; !registered {
+				g.Log.WithError(err).WithField("event", "register_failed").Warn("store did not take the row of this instance")
+			}
+		}
+		if g.Tables.Current() == nil && time.Since(asked) > askSeeds {
+			asked = time.Now()
+			for _, addr := range g.Settings.Seeds {
+				if addr != g.Settings.Peer {
+					g.fetch(addr)
+				}
+			}
+		}
+		if !sleep.For(g.base, registerPause/2+jitter(registerPause)) {
+			return
+		}
+	}
+}
+
+func (g *Gateway) self() member.Member {
+	s := &g.Settings
+	return member.Member{ID: g.id, Addr: s.Callers, Probe: s.Probe, RPC: s.Peer, Place: s.Place, Region: s.Region}
+}
+
+func (g *Gateway) listenPeers() (net.Listener, error) {
+	l, err := net.Listen("tcp", g.Settings.Peer)
+	if err != nil {
+		return nil, fmt.Errorf("listen for peers: %w", err)
+	}
+	server := rpc.NewServer()
+	if err := server.Register(&Peers{g: g}); err != nil {
+		return nil, errors.CombineErrors(fmt.Errorf("register peer calls: %w", err), l.Close())
+	}
+	g.spawn(func() { _ = peer.Serve(l, server) })
+	return l, nil
+}
+
+// instances gives the number of live instances, this one included.
+func (g *Gateway) instances() int {
+	if g.members == nil {
+		return 1
+	}
+	return max(len(g.members.Members()), 1)
+}
+
+// Locate gives the addresses that callers of a place should use: those of
+// their place, else of their region, else all, without those that are stopping
+// or seem to be gone.
+func (g *Gateway) Locate(region, place string) []string {
+	var near, regional, all, rest []string
+	for _, m := range g.members.Members() {
+		rest = append(rest, m.Addr)
+		if m.Leaving || m.ID != g.id && g.members.Status(m.ID) != member.Alive {
+			continue
+		}
+		all = append(all, m.Addr)
+		if m.Region == region {
+			regional = append(regional, m.Addr)
+		}
+		if m.Place == place {
+			near = append(near, m.Addr)
+		}
+	}
+	for _, list := range [][]string{near, regional, all} {
+		if len(list) > 0 {
+			return list
+		}
+	}
+	return rest
+}
--- /dev/null
+++ b/process/gateway/run.go
@@ -0,0 +1,179 @@
+package gateway
+
+import (
+	"context"
+	"expvar"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+
+	"github.com/eelgrassdock/eelgrassdock/internal/sleep"
+	"github.com/eelgrassdock/eelgrassdock/process/member"
+	"github.com/eelgrassdock/eelgrassdock/process/mirror"
+	"github.com/eelgrassdock/eelgrassdock/process/roster"
+)
+
+const (
+	budgetShare   = 0.8             // share of the retry budget that is used; the rest covers late knowledge
+	housekeeping  = 5 * time.Second // interval at which idle connections are closed
+	stopReserve   = time.Second     // before the end of the grace time, in which nothing runs any more
+	farewellLimit = 300 * time.Millisecond
+	stopPoll      = 50 * time.Millisecond
+	knownFor      = 3.0 // some callers use an answer for three times as long as they may
+)
+
+var counters = expvar.NewMap("gateway")
+
+// stopping is the state of an instance that stops.
+type stopping struct {
+	begun time.Time
+	end   time.Time // requests in work must have ended by then
+}
+
+// Start prepares the gateway and starts its tasks: the tables of the store, the
+// membership and the calls of peers. The listeners for callers are the user's.
+func (g *Gateway) Start(ctx context.Context, tables []*mirror.Table) error {
+	g.id = g.Settings.Name + "-" + uuid.NewString()[:8]
+	g.base, g.cancel = context.WithCancel(ctx)
+	g.Roster.Changed, g.Roster.Leaves = g.changed, func(e roster.Endpoint, source string) {
+		g.spawn(func() { g.evacuate(e, source) })
+	}
+	g.members = &member.Node{Self: g.self(), Payload: g.payload, OnPayload: g.onPayload, Changed: g.membersChanged}
+	if _, err := g.listenPeers(); err != nil {
+		return err
+	}
+	g.spawn(func() {
+		if err := g.members.Run(g.base); err != nil && g.base.Err() == nil {
+			g.Log.WithError(err).Error("membership ended")
+		}
+	})
+	for _, t := range tables {
+		g.spawn(func() { t.Run(g.base) })
+	}
+	g.spawn(g.join)
+	g.spawn(g.housekeep)
+	g.Log.WithFields(logrus.Fields{"event": "start", "instance": g.id, "callers": g.Settings.Callers}).Info("instance started")
+	return nil
+}
+
+func (g *Gateway) spawn(task func()) { go task() }
+
+func (g *Gateway) housekeep() {
+	for sleep.For(g.base, housekeeping) {
+		if g.Trim != nil {
+			g.Trim()
+		}
+	}
+}
+
+// Ready tells whether this instance should get new requests.
+func (g *Gateway) Ready() bool { return g.Tables.Current() != nil && g.stopping.Load() == nil }
+
+// Stopping tells whether this instance has been told to stop.
+func (g *Gateway) Stopping() bool { return g.stopping.Load() != nil }
+
+// Active gives the number of requests in work.
+func (g *Gateway) Active() int64 { return g.active.Load() }
+
+// Stop begins a graceful stop: the instance disappears from the answers to
+// callers and goes on serving. Stop returns when the requests in work have
+// ended, callers can no longer know this instance, or the time is over.
+func (g *Gateway) Stop() {
+	now := time.Now()
+	s := &stopping{begun: now, end: now.Add(seconds(g.Settings.Grace) - stopReserve)}
+	if !g.stopping.CompareAndSwap(nil, s) {
+		return
+	}
+	g.members.Drain()
+	g.members.Nudge()
+	g.Log.WithFields(logrus.Fields{"event": "stop", "active": g.Active()}).Info("instance stops")
+	known := now.Add(seconds(g.Settings.Keep)*knownFor + stopReserve)
+	for time.Now().Before(s.end) && (time.Now().Before(known) || g.Active() > 0) {
+		if !sleep.For(g.base, stopPoll) {
+			break
+		}
+	}
+	g.members.Leave()
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(g.base), farewellLimit)
+	defer cancel()
+	if err := g.Deregister(ctx, g.Settings.Name); err != nil {
+		g.Log.WithError(err).WithField("event", "deregister_failed").Warn("row of this instance was not deleted")
+	}
+	g.Log.WithFields(logrus.Fields{"event": "stopped", "active": g.Active(), "took": time.Since(now).Milliseconds()}).
+		Info("instance stopped")
+	g.cancel()
+}
+
+func (g *Gateway) membersChanged(list []member.Member) {
+	g.Log.WithFields(logrus.Fields{"event": "members", "members": len(list)}).Info("live instances changed")
+}
+
+func (g *Gateway) changed(service string) {
+	g.pool(service).balance.Retain(g.Roster.List(service))
+	g.refreshDesk(service)
+}
+
+func (g *Gateway) refreshDesks() {
+	g.desks.Range(func(service, _ any) bool {
+		g.refreshDesk(service.(string))
+		return true
+	})
+}
+
+func (g *Gateway) refreshDesk(service string) {
+	d, ok := g.desks.Load(service)
+	if !ok {
+		return
+	}
+	if t := g.Tables.Current(); t != nil {
+		if s := t.Service(service); s != nil && s.Engine != nil {
+			d.(*desk).refresh(s.Engine)
+		}
+	}
+}
+
+// budgetSize is this instance's part of the repeats that one window may hold
+// beyond the share of the requests.
+func (g *Gateway) budgetSize() float64 {
+	return max(g.Settings.Retry.Slack*budgetShare/float64(g.instances()), 1)
+}
+
+// decided logs a decision about a request with what it rests on.
+func (g *Gateway) decided(j *job, event string, fields logrus.Fields) {
+	fields["event"], fields["request"], fields["route"] = event, j.ID, j.route.Name
+	fields["version"] = j.table.Version
+	g.Log.WithFields(fields).Info(event)
+}
+
+func (g *Gateway) violated(what string) {
+	counters.Add("violations", 1)
+	g.Log.WithField("event", "violation").Error(what)
+}
+
+// waitUntil waits for a time and tells whether ctx has not ended before.
+func waitUntil(ctx context.Context, at time.Time) bool {
+	d := time.Until(at)
+	return d <= 0 && ctx.Err() == nil || sleep.For(ctx, d)
+}
+
+func jitter(d time.Duration) time.Duration { return rand.N(d) }
+
+// comeBackAt spreads the return of callers that were refused together.
+func comeBackAt(now time.Time) time.Time { return now.Add(comeBack + jitter(comeBackSpread)) }
+
+func copyHeader(to, from http.Header) {
+	for name, values := range from {
+		to[name] = values
+	}
+}
+
+func itoa(n int64) string { return strconv.FormatInt(n, 10) }
+
+func observe(name string, d time.Duration) {
+	counters.Add(name+"_ms", d.Milliseconds())
+	counters.Add(name+"_count", 1)
+}
--- /dev/null
+++ b/process/gateway/settings.go
@@ -0,0 +1,109 @@
+package gateway
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-playground/validator/v10"
+)
+
+type (
+	// Settings are what one process is told at its start.
+	Settings struct {
+		// Name identifies the instance; a process that is started again has the
+		// same name.
+		Name   string `json:"name" validate:"required,max=120,printascii"`
+		Place  string `json:"place" validate:"required,max=120"`
+		Region string `json:"region" validate:"required,max=120"`
+		// Places gives the region of each place.
+		Places map[string]string `json:"places" validate:"required"`
+		// Callers, Ready, Locate, Peer, Probe and Metrics are the addresses, IP
+		// and port, for requests, readiness, questions which instances to use,
+		// calls of other instances, membership datagrams, and counters.
+		Callers string `json:"callers" validate:"required,address"`
+		Ready   string `json:"ready" validate:"required,address"`
+		Locate  string `json:"locate" validate:"required,address"`
+		Peer    string `json:"peer" validate:"required,address"`
+		Probe   string `json:"probe" validate:"required,address"`
+		Metrics string `json:"metrics,omitempty" validate:"omitempty,address"`
+		// Seeds are peer addresses of instances that may exist.
+		Seeds []string `json:"seeds"`
+		// Store is the address of the platform's store.
+		Store string `json:"store" validate:"required,address"`
+		// Beat is the interval in milliseconds at which endpoints renew their rows.
+		Beat int `json:"beat" validate:"gte=1,lte=60000"`
+		// Grace is how long a stop may take, in seconds.
+		Grace float64 `json:"grace" validate:"gt=0,lte=86400"`
+		// Keep is how long callers may keep an answer that names instances, in
+		// seconds.
+		Keep  float64 `json:"keep" validate:"gt=0,lte=600"`
+		Retry Retry   `json:"retry"`
+		// Level is the lowest level that is logged: "info" if empty.
+		Level string `json:"level,omitempty" validate:"omitempty,oneof=debug info warn error"`
+	}
+
+	// Retry is the budget of all instances together for each service.
+	Retry struct {
+		Ratio  float64 `json:"ratio" validate:"gte=0,lte=10"`     // repeats for each request
+		Window float64 `json:"window" validate:"gt=0,lte=600"`    // seconds
+		Slack  float64 `json:"slack" validate:"gte=0,lte=100000"` // repeats beyond that in one window
+	}
+)
+
+// ReadSettings reads and checks a settings file. The error names every fault
+// with its field, the value and what is allowed.
+func ReadSettings(path string) (Settings, error) {
+	var s Settings
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return s, fmt.Errorf("read settings: %w", err)
+	}
+	if err := json.NewDecoder(bytes.NewReader(data)).Decode(&s); err != nil {
+		return s, fmt.Errorf("decode settings %s: %w", path, err)
+	}
+	if err := s.Check(); err != nil {
+		return s, fmt.Errorf("check settings %s: %w", path, err)
+	}
+	return s, nil
+}
+
+// Check names every fault of the settings in one error.
+func (s Settings) Check() error {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	if err := v.RegisterValidation("address", isAddress); err != nil {
+		return fmt.Errorf("register check: %w", err)
+	}
+	err := v.Struct(s)
+	var faults validator.ValidationErrors
+	if !errors.As(err, &faults) {
+		return err
+	}
+	var lines []string
+	for _, f := range faults {
+		rule := strings.TrimSuffix(f.Tag()+"="+f.Param(), "=")
+		lines = append(lines, fmt.Sprintf("%s: value %q does not satisfy %s",
+			strings.ToLower(f.Field()), fmt.Sprint(f.Value()), rule))
+	}
+	return errors.New(strings.Join(lines, "; "))
+}
+
+func isAddress(f validator.FieldLevel) bool {
+	host, port, err := net.SplitHostPort(f.Field().String())
+	return err == nil && net.ParseIP(host) != nil && port != ""
+}
+
+// RegionOf gives the region of a place, or the place itself if it is not known.
+func (s *Settings) RegionOf(place string) string {
+	if region, ok := s.Places[place]; ok {
+		return region
+	}
+	return place
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/process/placement/copy.go
@@ -0,0 +1,80 @@
+package placement
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// copyBudget is the risk that a copy of a generation's memory may bring to
+	// its endpoint. It is below calmBudget: a copy must not keep out requests.
+	copyBudget = 0.02
+	// moveBudget is the same for a generation whose endpoint goes away, which is
+	// lost otherwise.
+	moveBudget = uselessRisk
+	// copyAwayCost is the cost of a copy to another place than the source's, in
+	// seconds of stall: the transfer takes twice as long and crosses links that
+	// are paid by volume.
+	copyAwayCost = 3.0
+)
+
+// Copy is a running generation whose memory goes to a second endpoint.
+type Copy struct {
+	Account string
+	From    string // endpoint at which it runs
+	Place   string // of that endpoint
+	Prompt  int    // tokens
+	Done    int    // tokens produced
+	Max     int    // most tokens to produce; zero for no limit
+	Exclude []string
+	Urgent  bool // its endpoint goes away
+	Near    bool // only an endpoint in the same place will do
+}
+
+// PlaceCopy chooses an endpoint for a copy and reserves memory there until
+// Done. It never waits: without an endpoint within the risk, None is set.
+func (s *Scheduler) PlaceCopy(c Copy, now time.Time) Decision {
+	s.once.Do(s.init)
+	estimate := s.Length.Predict(s.Service, c.Account, c.Max)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.advance(now)
+	req := &Request{Account: c.Account, Prompt: c.Prompt + c.Done, Arrived: now, Exclude: append(c.Exclude, c.From)}
+	s.match(req)
+	var o outlook
+	s.look(&o, req, &estimate)
+	o.ahead = expect(&estimate, float64(c.Prompt), c.Done, &s.ahead)
+	limit := copyBudget
+	if c.Urgent {
+		limit = moveBudget
+	}
+	var best *endpoint
+	lowest := math.Inf(1)
+	for _, e := range s.list {
+		if !s.usable(e, req) || c.Near && e.Place != c.Place {
+			continue
+		}
+		risk, cost := s.judge(e, &o)
+		if risk > limit {
+			continue
+		}
+		if e.Place != c.Place {
+			cost += copyAwayCost
+		}
+		// Fewer generations and less memory in use spread the copies.
+		cost += (e.others + e.used) / e.total
+		if cost < lowest {
+			lowest, best = cost, e
+		}
+	}
+	if best == nil {
+		return Decision{None: true}
+	}
+	ticket := s.reserve(best, req, &estimate)
+	best.fill = max(best.fill-float64(req.Prompt), 0) // a copy is not computed
+	if r := s.find(ticket); r != nil {
+		r.prompt, r.done = max(float64(c.Prompt), 1), c.Done
+		s.replan(r, 0)
+	}
+	return Decision{Endpoint: best.ID, Ticket: ticket}
+}
--- a/request/retry/retry.go
+++ b/request/retry/retry.go
@@ -41,6 +41,7 @@
 		Size  float64 // tokens in a full bucket; 0 means DefaultSize
 
 		spent atomic.Int64 // tokens missing from a full bucket, in units
+		size  atomic.Int64 // set by Resize, in units; 0 for Size
 	}
 
 	// Backoff computes jittered exponential waits. The zero value is ready.
@@ -68,6 +69,17 @@
 	return value
 }
 
+// Resize changes the tokens in a full bucket, such as when more processes share
+// a budget.
+func (b *Budget) Resize(size float64) { b.size.Store(int64(size * float64(unit))) }
+
+func (b *Budget) full() int64 {
+	if size := b.size.Load(); size > 0 {
+		return size
+	}
+	return int64(or(b.Size, DefaultSize) * float64(unit))
+}
+
 // Success refills the bucket for one successful request. While the bucket is
 // full, the usual case, it writes nothing.
 func (b *Budget) Success() {
@@ -82,7 +94,7 @@
 
 // Take takes a token for one repeat, or reports that there is none.
 func (b *Budget) Take() bool {
-	size := int64(or(b.Size, DefaultSize) * float64(unit))
+	size := b.full()
 	for {
 		spent := b.spent.Load()
 		if spent+unit > size {
@@ -96,7 +108,7 @@
 
 // Tokens gives the number of repeats that the bucket allows now.
 func (b *Budget) Tokens() float64 {
-	return or(b.Size, DefaultSize) - float64(b.spent.Load())/float64(unit)
+	return float64(b.full()-b.spent.Load()) / float64(unit)
 }
 
 // Wait gives the time to wait after the attempt with the given number, from 1:
