gateway: copy generations while they run

Change: a generation that may not run again gets a copy at a second engine of its place from its first token on, and goes on from there when its engine ends. Moves remain for those without a copy. Each served stream is logged with its first event, longest pause and hops.

--- a/process/gateway/generate.go
+++ b/process/gateway/generate.go
@@ -39,7 +39,10 @@
 		last    string // ID of the last event that was passed on
 		tried   []string
 		sends   int
-		repeats int
+		hops    int           // engines that the run went on at
+		first   time.Duration // until the first event
+		pause   time.Duration // longest time between two events
+		passed  time.Time     // when the latest event was passed on
 
 		mu       sync.Mutex
 		endpoint roster.Endpoint
@@ -128,6 +131,9 @@
 	answer.Close(err == nil)
 	if err == nil {
 		r.completed()
+		r.note("served", a, logrus.Fields{
+			"first": r.first.Milliseconds(), "pause": r.pause.Milliseconds(), "events": r.events, "hops": r.hops,
+		})
 		return nil, nil
 	}
 	return r.broken(ctx, a, err)
@@ -182,10 +188,13 @@
 	r.headed = true
 	copyHeader(r.j.w.Header(), answer.Header)
 	r.j.w.WriteHeader(answer.Status)
-	observe("first_event", time.Since(r.begun))
+	r.first, r.passed = time.Since(r.j.Arrived), time.Now()
+	observe("first_event", r.first)
 }
 
 func (r *run) progress() {
+	now := time.Now()
+	r.pause, r.passed = max(r.pause, now.Sub(r.passed)), now
 	r.mu.Lock()
 	r.events++
 	tokens, ticket, backup := r.events*r.engine.Stride, r.ticket, r.backup
@@ -193,7 +202,6 @@
 	if r.events&3 != 1 {
 		return // the scheduler's estimate changes little from event to event
 	}
-	now := time.Now()
 	r.desk.sched.Progress(ticket, tokens, now)
 	if backup != nil {
 		r.desk.sched.Progress(backup.ticket, tokens, now)
@@ -298,11 +306,13 @@
 		return nil, r.failed(refusal.Failed(errors.CombineErrors(ctx.Err(), err), true))
 	}
 	if next := r.moved(ctx); next != nil {
+		r.hops++
 		return next, nil
 	}
 	r.note("stream_broken", a, logrus.Fields{"detail": err.Error(), "events": r.events, "backup": r.backup != nil})
 	r.desk.sched.Suspect(a.endpoint.ID, time.Now().Add(suspectTime))
 	if next := r.fromBackup(); next != nil {
+		r.hops++
 		return next, nil
 	}
 	return r.rerun(ctx, a, refusal.Failed(err, true))
--- a/process/gateway/move.go
+++ b/process/gateway/move.go
@@ -55,34 +55,52 @@
 	delete(s.runs, r)
 }
 
-// at gives the runs at an engine.
-func (x *registry) at(endpoint string) []*run {
-	var list []*run
+// at gives the runs at an engine, and those that have a copy there.
+func (x *registry) at(endpoint string) (runs, copies []*run) {
 	for i := range x.shards {
 		s := &x.shards[i]
 		s.mu.Lock()
 		for r := range s.runs {
 			r.mu.Lock()
-			if r.endpoint.ID == endpoint && !r.ended {
-				list = append(list, r)
+			switch {
+			case r.ended:
+			case r.endpoint.ID == endpoint:
+				runs = append(runs, r)
+			case r.backup != nil && r.backup.endpoint.ID == endpoint:
+				copies = append(copies, r)
 			}
 			r.mu.Unlock()
 		}
 		s.mu.Unlock()
 	}
-	return list
+	return runs, copies
 }
 
-// evacuate moves the runs of an engine that goes away. The copies share its
-// link, so they go one after the other, and those with the most to come first.
+// evacuate moves the runs of an engine that goes away, unless they have a copy
+// at another engine. Transfers share the link of the engine, so they go one
+// after the other, and those with the most to come first.
 func (g *Gateway) evacuate(e roster.Endpoint, source string) {
-	list := g.runs.at(e.ID)
-	g.Log.WithFields(logrus.Fields{"event": "endpoint_leaves", "endpoint": e.ID, "source": source, "runs": len(list)}).
+	list, copies := g.runs.at(e.ID)
+	g.Log.WithFields(logrus.Fields{"event": "endpoint_leaves", "endpoint": e.ID, "source": source, "runs": len(list), "copies": len(copies)}).
 		Info("endpoint leaves")
+	for _, r := range copies {
+		r.mu.Lock()
+		b, at := r.backup, r.endpoint
+		r.mu.Unlock()
+		if b != nil && b.endpoint.ID == e.ID {
+			r.dropBackup(b)
+		}
+		if now, ok := g.Roster.Get(at.ID); ok && now.Leaving {
+			list = append(list, r) // its engine has given notice before
+		}
+	}
 	slices.SortFunc(list, func(a, b *run) int { return cmp.Compare(b.remaining(), a.remaining()) })
 	for _, r := range list {
-		if r.engine.Moves && !r.j.route.Repeatable() {
-			g.transfer(r, e)
+		if r.engine.Moves && !r.j.route.Repeatable() && !r.protected() {
+			r.mu.Lock()
+			at := r.endpoint
+			r.mu.Unlock()
+			g.transfer(r, at)
 		}
 	}
 }
@@ -195,11 +213,73 @@
 }
 
 // copyTo chooses the engine that gets a copy of the run's memory while it runs.
-func (r *run) copyTo(a *attempt) *replica { return nil }
+// Runs that may be repeated need none.
+func (r *run) copyTo(a *attempt) *replica {
+	if !r.engine.Backups || r.j.route.Repeatable() {
+		return nil
+	}
+	r.mu.Lock()
+	done, old := r.events*r.engine.Stride, r.backup
+	r.mu.Unlock()
+	if old != nil {
+		r.dropBackup(old)
+	}
+	d := r.desk.sched.PlaceCopy(placement.Copy{
+		Account: r.j.route.Name, From: a.endpoint.ID, Place: a.endpoint.Place, Prompt: r.j.Prompt, Done: done, Max: r.j.Max, Near: true,
+	}, time.Now())
+	if d.Endpoint == "" {
+		counters.Add("backups_no_room", 1)
+		return nil
+	}
+	e, ok := r.g.Roster.Get(d.Endpoint)
+	if !ok {
+		r.desk.done(d.Ticket, 0, false)
+		return nil
+	}
+	b := &replica{endpoint: e, ticket: d.Ticket}
+	r.mu.Lock()
+	r.backup = b
+	r.mu.Unlock()
+	return b
+}
+
+// dropBackup gives up the room for a copy.
+func (r *run) dropBackup(b *replica) {
+	r.mu.Lock()
+	present := r.backup == b
+	if present {
+		r.backup = nil
+	}
+	r.mu.Unlock()
+	if present {
+		r.desk.done(b.ticket, 0, false)
+	}
+}
 
 // fromBackup gives the attempt that goes on from the copy of a run whose engine
 // has failed, if there is one.
-func (r *run) fromBackup() *attempt { return nil }
+func (r *run) fromBackup() *attempt {
+	r.mu.Lock()
+	b := r.backup
+	r.backup = nil
+	r.mu.Unlock()
+	if b == nil {
+		return nil
+	}
+	return &attempt{endpoint: b.endpoint, ticket: b.ticket, after: r.after(), from: r.g.Backend.Handle(b.endpoint, r.j.ID)}
+}
+
+// protected tells whether the run can go on from a copy at an engine that stays.
+func (r *run) protected() bool {
+	r.mu.Lock()
+	b := r.backup
+	r.mu.Unlock()
+	if b == nil {
+		return false
+	}
+	e, ok := r.g.Roster.Get(b.endpoint.ID)
+	return ok && !e.Leaving
+}
 
 func text(err error) string {
 	if err == nil {
