loads, placement: instances tell each other their load

Change: package loads sends changes of the own load to the other instances, and the scheduler takes their work from it. Load reports of engines are gone. Prompts computed in chunks are no longer drawn to a part of the engines.

--- a/process/entry/desk.go
+++ b/process/entry/desk.go
@@ -21,9 +21,9 @@
 )
 
 const (
-	suspectTime  = 3 * time.Second       // an endpoint that failed gets no new work for this long
-	overloadWait = time.Second           // when to come back after a full queue
-	largePrompt  = 8 << 10               // bytes from which a prompt is compared with the endpoints' memory
+	suspectTime  = 3 * time.Second // an endpoint that failed gets no new work for this long
+	overloadWait = time.Second     // when to come back after a full queue
+	largePrompt  = 8 << 10         // bytes from which a prompt is compared with the endpoints' memory
 )
 
 type (
--- a/process/gateway/desk.go
+++ b/process/gateway/desk.go
@@ -8,8 +8,8 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
-	"github.com/eelgrassdock/eelgrassdock/internal/sleep"
 	"github.com/eelgrassdock/eelgrassdock/process/dispatch"
+	"github.com/eelgrassdock/eelgrassdock/process/loads"
 	"github.com/eelgrassdock/eelgrassdock/process/placement"
 	"github.com/eelgrassdock/eelgrassdock/process/queue"
 	"github.com/eelgrassdock/eelgrassdock/process/roster"
@@ -18,12 +18,9 @@
 )
 
 const (
-	reportEvery = time.Second            // interval of load reports of an engine in use
-	reportLimit = 500 * time.Millisecond // for one of them
-	reportAge   = 300 * time.Millisecond // of what a report says when it arrives
-	suspectTime = time.Second            // an engine that failed gets no new work for this long
-	holdShare   = 0.6                    // share of the aim for which a request waits for an engine
-	defaultHold = time.Second            // the same on a route without an aim
+	suspectTime = time.Second // an engine that failed gets no new work for this long
+	holdShare   = 0.6         // share of the aim for which a request waits for an engine
+	defaultHold = time.Second // the same on a route without an aim
 )
 
 // desk places the generations of one service.
@@ -33,19 +30,16 @@
 	sched   *placement.Scheduler
 	desk    dispatch.Desk
 	start   sync.Once
-
-	mu     sync.Mutex
-	polled map[string]context.CancelFunc // engines whose load is read
 }
 
 func (g *Gateway) desk(service string, engine *routing.Engine) *desk {
 	if d, ok := g.desks.Load(service); ok {
 		return d.(*desk)
 	}
-	d := &desk{g: g, service: service, polled: map[string]context.CancelFunc{}}
+	d := &desk{g: g, service: service}
 	d.sched = &placement.Scheduler{
 		Service: service, Region: g.Settings.Region, EntryPlace: g.Settings.Place, Length: &g.lengths,
-		Seed: xxhash.Sum64String(g.id + service), Violation: g.violated,
+		Seed: xxhash.Sum64String(g.id + service), Violation: g.violated, Chunked: true,
 	}
 	d.desk.Service, d.desk.Sched = service, d.sched
 	actual, _ := g.desks.LoadOrStore(service, d)
@@ -57,37 +51,29 @@
 	return d
 }
 
-// refresh hands the known endpoints to the scheduler and reads the load of
-// those that are not leaving.
+// refresh hands the known engines and the load of other instances to the
+// scheduler.
 func (d *desk) refresh(engine *routing.Engine) {
 	list := d.g.Roster.List(d.service)
 	endpoints := make([]placement.Endpoint, 0, len(list))
-	listed := make(map[string]bool, len(list))
 	for _, e := range list {
 		endpoints = append(endpoints, placement.Endpoint{
 			ID: e.ID, Place: e.Place, Region: d.g.Settings.RegionOf(e.Place), Tokens: engine.Tokens, Drain: e.Leaving,
 		})
-		listed[e.ID] = !e.Leaving
 	}
 	d.sched.SetEndpoints(endpoints)
-	d.sched.SetPeers(d.g.instances())
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for id, stop := range d.polled {
-		if !listed[id] {
-			stop()
-			delete(d.polled, id)
-		}
-	}
 	for _, e := range list {
-		if listed[e.ID] && d.polled[e.ID] == nil {
-			ctx, cancel := context.WithCancel(d.g.base)
-			d.polled[e.ID] = cancel
-			d.g.spawn(func() { d.poll(ctx, e) })
-		}
+		d.others(d.g.board.Sum(e.ID))
 	}
 }
 
+// others takes in what other instances have at an engine.
+func (d *desk) others(l loads.Load) {
+	d.sched.Others(placement.Work{
+		Endpoint: l.Endpoint, Runs: l.Runs, Tokens: float64(l.Tokens), Sent: float64(l.Sent),
+	}, time.Now())
+}
+
 func (d *desk) offer() {
 	ticker := time.NewTicker(dispatch.Poll)
 	defer ticker.Stop()
@@ -101,27 +87,6 @@
 	}
 }
 
-// poll reads the load of one engine until ctx ends.
-func (d *desk) poll(ctx context.Context, e roster.Endpoint) {
-	for sleep.For(ctx, reportEvery/2+jitter(reportEvery)) {
-		call, cancel := context.WithTimeout(ctx, reportLimit)
-		r, err := d.g.Backend.Report(call, e)
-		cancel()
-		if err != nil {
-			counters.Add("reports_failed", 1)
-			continue
-		}
-		if r.Leaving {
-			d.g.Roster.Leave(e.ID, roster.FromReport)
-			return
-		}
-		now := time.Now()
-		d.sched.Report(e.ID, placement.Report{
-			At: now.Add(-reportAge), Running: r.Running, Waiting: r.Waiting, Used: r.Used, Total: r.Total,
-		}, now)
-	}
-}
-
 // acquire waits for an engine. An error is a *refusal.Error with outcome NotRun.
 func (d *desk) acquire(ctx context.Context, j *job, tried []string) (roster.Endpoint, placement.Ticket, error) {
 	now := time.Now()
@@ -160,10 +125,12 @@
 		d.sched.Done(decision.Ticket, 0, false, time.Now())
 		return e, 0, refusal.New(refusal.NoEndpoint, refusal.NotRun, "the engine has left")
 	}
+	d.g.announce()
 	return e, decision.Ticket, nil
 }
 
 func (d *desk) done(t placement.Ticket, tokens int, completed bool) {
 	d.sched.Done(t, tokens, completed, time.Now())
 	d.desk.Offer()
+	d.g.announce()
 }
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -29,6 +29,7 @@
 
 	"github.com/eelgrassdock/eelgrassdock/connection/peer"
 	"github.com/eelgrassdock/eelgrassdock/process/length"
+	"github.com/eelgrassdock/eelgrassdock/process/loads"
 	"github.com/eelgrassdock/eelgrassdock/process/member"
 	"github.com/eelgrassdock/eelgrassdock/process/roster"
 	"github.com/eelgrassdock/eelgrassdock/request/refusal"
@@ -150,6 +151,8 @@
 		desks   sync.Map // service ID to *desk
 		pools   sync.Map // service ID to *pool
 		runs    registry
+		board   loads.Board
+		dirty   chan struct{} // the own load has changed
 
 		id       string
 		stored   atomic.Pointer[storedTable]
--- a/process/gateway/generate.go
+++ b/process/gateway/generate.go
@@ -28,21 +28,21 @@
 type (
 	// run is one generation on its way to the caller.
 	run struct {
-		g       *Gateway
-		j       *job
-		desk    *desk
-		pool    *pool
-		engine  *routing.Engine
-		stop    context.CancelFunc // ends the present attempt
-		begun   time.Time
-		headed  bool   // the head of the answer was passed on
-		last    string // ID of the last event that was passed on
-		tried   []string
-		sends   int
-		hops    int           // engines that the run went on at
-		first   time.Duration // until the first event
-		pause   time.Duration // longest time between two events
-		passed  time.Time     // when the latest event was passed on
+		g      *Gateway
+		j      *job
+		desk   *desk
+		pool   *pool
+		engine *routing.Engine
+		stop   context.CancelFunc // ends the present attempt
+		begun  time.Time
+		headed bool   // the head of the answer was passed on
+		last   string // ID of the last event that was passed on
+		tried  []string
+		sends  int
+		hops   int           // engines that the run went on at
+		first  time.Duration // until the first event
+		pause  time.Duration // longest time between two events
+		passed time.Time     // when the latest event was passed on
 
 		mu       sync.Mutex
 		endpoint roster.Endpoint
--- a/process/gateway/move.go
+++ b/process/gateway/move.go
@@ -237,6 +237,7 @@
 		return nil
 	}
 	b := &replica{endpoint: e, ticket: d.Ticket}
+	r.g.announce()
 	r.mu.Lock()
 	r.backup = b
 	r.mu.Unlock()
--- a/process/gateway/run.go
+++ b/process/gateway/run.go
@@ -43,9 +43,13 @@
 		g.spawn(func() { g.evacuate(e, source) })
 	}
 	g.members = &member.Node{Self: g.self(), Payload: g.payload, OnPayload: g.onPayload, Changed: g.membersChanged}
+	g.dirty = make(chan struct{}, 1)
 	if _, err := g.listenPeers(); err != nil {
 		return err
 	}
+	if err := g.listenLoads(); err != nil {
+		return err
+	}
 	g.spawn(func() {
 		if err := g.members.Run(g.base); err != nil && g.base.Err() == nil {
 			g.Log.WithError(err).Error("membership ended")
--- a/process/gateway/settings.go
+++ b/process/gateway/settings.go
@@ -25,12 +25,13 @@
 		Places map[string]string `json:"places" validate:"required"`
 		// Callers, Ready, Locate, Peer, Probe and Metrics are the addresses, IP
 		// and port, for requests, readiness, questions which instances to use,
-		// calls of other instances, membership datagrams, and counters.
+		// calls of other instances, membership datagrams, loads, and counters.
 		Callers string `json:"callers" validate:"required,address"`
 		Ready   string `json:"ready" validate:"required,address"`
 		Locate  string `json:"locate" validate:"required,address"`
 		Peer    string `json:"peer" validate:"required,address"`
 		Probe   string `json:"probe" validate:"required,address"`
+		Loads   string `json:"loads" validate:"required,address"`
 		Metrics string `json:"metrics,omitempty" validate:"omitempty,address"`
 		// Seeds are peer addresses of instances that may exist.
 		Seeds []string `json:"seeds"`
--- a/process/placement/choose.go
+++ b/process/placement/choose.go
@@ -253,6 +253,9 @@
 
 	filling := (e.pending(o.now, o.fillTime) + uncached) * o.fillTime
 	burst := max((step+filling)*(1/gapTarget)-1, 0)
+	if s.Chunked {
+		burst = 0
+	}
 	cost = w.Stall*(e.queue+filling+step) + w.Gap*(stepCost/gapTarget*step+burstCost/100*burst*runs) +
 		w.Preempt*preemptCost*full
 	switch {
@@ -261,7 +264,7 @@
 	case !e.near:
 		cost += w.Stall * nearSeconds
 	}
-	if !e.long {
+	if !e.long && !s.Chunked {
 		cost += w.Gap * longCost * (fill(uncached, o.fillTime) - o.typical)
 	}
 	return risk, cost
--- a/process/placement/copy.go
+++ b/process/placement/copy.go
@@ -71,7 +71,11 @@
 		return Decision{None: true}
 	}
 	ticket := s.reserve(best, req, &estimate)
-	best.fill = max(best.fill-float64(req.Prompt), 0) // a copy is not computed
+	// A copy is not computed.
+	best.fill = max(best.fill-float64(req.Prompt), 0)
+	best.sent -= float64(req.Prompt)
+	best.sentSince -= float64(req.Prompt)
+	s.sentSince -= float64(req.Prompt)
 	if r := s.find(ticket); r != nil {
 		r.prompt, r.done = max(float64(c.Prompt), 1), c.Done
 		s.replan(r, 0)
--- /dev/null
+++ b/process/placement/others.go
@@ -0,0 +1,44 @@
+package placement
+
+import "time"
+
+// Work is what one entry has at an endpoint.
+type Work struct {
+	Endpoint string
+	Runs     int
+	Tokens   float64 // memory
+	Sent     float64 // prompt tokens sent since the entry knows the endpoint
+}
+
+// Own gives the work of this entry at the endpoints where it has or had some.
+func (s *Scheduler) Own() []Work {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []Work
+	for _, e := range s.list {
+		if e.count > 0 || e.sent > 0 {
+			list = append(list, Work{Endpoint: e.ID, Runs: e.count, Tokens: e.used, Sent: e.sent})
+		}
+	}
+	return list
+}
+
+// Others sets the work of all other entries at an endpoint, as they tell it.
+// Sent is what they have sent there since the last call. Entries that tell each
+// other their work need neither reports nor SetPeers.
+func (s *Scheduler) Others(w Work, now time.Time) {
+	s.once.Do(s.init)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.advance(now)
+	e := s.byID[w.Endpoint]
+	if e == nil {
+		return
+	}
+	e.others, e.othersRuns = w.Tokens, float64(w.Runs)
+	e.reportAt = s.nanos
+	if w.Sent > 0 {
+		e.fill = e.pending(s.nanos, s.FillTime.Seconds()/1000) + w.Sent
+		e.fillAt = s.nanos
+	}
+}
--- a/process/placement/placement.go
+++ b/process/placement/placement.go
@@ -125,6 +125,10 @@
 		// FillTime is the time an engine takes for 1,000 prompt tokens, 30 ms if
 		// zero.
 		FillTime time.Duration
+		// Chunked says that engines compute prompts in chunks between the tokens
+		// of other generations. A long prompt then delays no step by much, and
+		// is not kept away from other work.
+		Chunked bool
 		// Violation is called when an invariant doesn't hold. If nil, it panics
 		// in tests and counts in expvar otherwise.
 		Violation func(string)
