gateway: one instance of a region follows the store for the others

Change: the other instances of a region follow the tables at one of them, which says if it does not reach the store; they then turn to the store themselves. Changes of one moment come in one answer; instances are read from the store at the start only. A read that ran into its deadline is a timeout, not a break.

--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -141,6 +141,8 @@
 		// instances in the store.
 		Register   func(ctx context.Context, key string, value []byte) error
 		Deregister func(ctx context.Context, key string) error
+		// Registered reads the rows of all instances.
+		Registered func(ctx context.Context) ([][]byte, error)
 		// Trim closes connections that were idle for too long; may be nil.
 		Trim func()
 
@@ -151,7 +153,8 @@
 		pools   sync.Map // service ID to *pool
 		runs    registry
 		board   loads.Board
-		dirty   chan struct{} // the own load has changed
+		dirty   chan struct{}    // the own load has changed
+		feeds   map[string]*feed // by table
 
 		id       string
 		stored   atomic.Pointer[storedTable]
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -81,15 +81,16 @@
 	}
 }
 
-// Instances follows the rows of the instances.
-func (g *Gateway) Instances(rows []mirror.Row) {
+// seeds lists the instances that have registered. Some may be gone.
+func (g *Gateway) seeds(ctx context.Context) ([]member.Member, error) {
+	rows, err := g.Registered(ctx)
+	if err != nil {
+		return nil, fmt.Errorf("read the rows of the instances: %w", err)
+	}
 	var list []member.Member
-	for _, r := range rows {
+	for _, data := range rows {
 		var m member.Member
-		if r.Gone {
-			continue
-		}
-		if err := json.Unmarshal(r.Value, &m); err != nil {
+		if err := json.Unmarshal(data, &m); err != nil {
 			g.Log.WithError(err).WithField("event", "instance_unreadable").Warn("row of an instance cannot be read")
 			continue
 		}
@@ -97,7 +98,7 @@
 			list = append(list, m)
 		}
 	}
-	g.members.Seeded(list)
+	return list, nil
 }
 
 // payload tells other instances which routing table is in force here.
--- a/process/gateway/run.go
+++ b/process/gateway/run.go
@@ -42,7 +42,7 @@
 	g.Roster.Changed, g.Roster.Leaves = g.changed, func(e roster.Endpoint, source string) {
 		g.spawn(func() { g.evacuate(e, source) })
 	}
-	g.members = &member.Node{Self: g.self(), Payload: g.payload, OnPayload: g.onPayload, Changed: g.membersChanged}
+	g.members = &member.Node{Self: g.self(), Seeds: g.seeds, Payload: g.payload, OnPayload: g.onPayload, Changed: g.membersChanged}
 	g.dirty = make(chan struct{}, 1)
 	if _, err := g.listenPeers(); err != nil {
 		return err
@@ -55,6 +55,9 @@
 			g.Log.WithError(err).Error("membership ended")
 		}
 	})
+	for _, t := range tables {
+		g.share(t)
+	}
 	for _, t := range tables {
 		g.spawn(func() { t.Run(g.base) })
 	}
--- a/process/mirror/mirror.go
+++ b/process/mirror/mirror.go
@@ -55,6 +55,9 @@
 		// fails with ErrGone if they are no longer kept.
 		Follow func(ctx context.Context, after int64, wait time.Duration) (Page, error)
 		Wait   time.Duration
+		// Rest is how long the table is left alone after changes, so that changes
+		// of one moment come in one answer.
+		Rest time.Duration
 		// Return is the time in which rows come back after an outage.
 		Return time.Duration
 		// Changed gets rows in the order of their versions.
@@ -71,6 +74,7 @@
 		missing map[string]time.Time // rows to drop then, unless they come back
 		after   int64
 		seen    time.Time
+		rest    bool // the latest answer brought changes
 		lost    bool
 		outage  bool // until the whole table was read after it
 	}
@@ -118,6 +122,9 @@
 		t.replace(page)
 		return nil
 	}
+	if t.rest && t.Rest > 0 {
+		sleep.For(ctx, t.Rest)
+	}
 	wait := t.Wait
 	for _, at := range t.missing {
 		wait = min(wait, max(at.Sub(t.now()), firstPause))
@@ -169,12 +176,13 @@
 // follow takes in changes. An answer that shows less than an earlier one is
 // ignored.
 func (t *Table) follow(page Page) {
-	t.answered(page.Version)
 	if page.Version < t.after {
+		t.answered(t.after)
 		return
 	}
-	t.after = page.Version
+	t.after, t.rest = page.Version, len(page.Rows) > 0
 	t.take(page.Rows)
+	t.answered(page.Version)
 }
 
 func (t *Table) take(rows []Row) {
@@ -196,7 +204,6 @@
 
 // replace takes in the whole table.
 func (t *Table) replace(page Page) {
-	t.answered(page.Version)
 	listed := make(map[string]bool, len(page.Rows))
 	for _, r := range page.Rows {
 		listed[r.Key] = true
@@ -216,6 +223,7 @@
 	t.outage, t.after = false, page.Version
 	t.take(gone)
 	t.take(page.Rows)
+	t.answered(page.Version)
 }
 
 // drop ends the rows that did not come back.
--- a/request/refusal/refusal.go
+++ b/request/refusal/refusal.go
@@ -14,6 +14,7 @@
 	"encoding/json"
 	"expvar"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -170,7 +171,7 @@
 		return New(Canceled, NotRun, err.Error())
 	case !sent:
 		return New(Dial, NotRun, err.Error())
-	case errors.Is(err, context.DeadlineExceeded):
+	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, os.ErrDeadlineExceeded):
 		return New(Timeout, Unknown, err.Error())
 	case errors.Is(err, context.Canceled):
 		return New(Canceled, Unknown, err.Error())
