--- a/cmd/eelgrassdock/serve.go
+++ b/cmd/eelgrassdock/serve.go
@@ -1,6 +1,10 @@
 package main
 
 import (
+	"os"
+	"os/signal"
+	"syscall"
+
 	"github.com/cockroachdb/errors"
 
 	"github.com/eelgrassdock/eelgrassdock/platform"
@@ -25,5 +29,9 @@
 	}
 	ctx, cancel := signals(nil)
 	defer cancel()
-	return platform.Serve(ctx, settings, newLog(std.out, settings.Level))
+	log := newLog(std.out, settings.Level)
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	return platform.Serve(ctx, settings, log, func() (gateway.Settings, error) { return gateway.ReadSettings(path) }, hangups)
 }
--- a/process/gateway/call.go
+++ b/process/gateway/call.go
@@ -81,6 +81,11 @@
 		if ctx.Err() != nil || sends >= max(j.route.Attempts, 1) {
 			return g.giveUp(j, kept, fault, maybe)
 		}
+		if fault.unsent {
+			// The service saw nothing of this attempt, so it costs it nothing.
+			refusal.CountRetry(fault.Reason)
+			continue
+		}
 		at, ok := p.policy.Next(fault.Outcome, fault.Reason, j.route.Repeatable(), attempt, j.deadline, time.Now())
 		if !ok || !waitUntil(ctx, at) {
 			return g.giveUp(j, kept, fault, maybe)
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -161,8 +161,9 @@
 		members  *member.Node
 		peers    peer.Pool
 		stopping atomic.Pointer[stopping]
-		fetching atomic.Bool  // a routing table is being read from a peer
-		active   atomic.Int64 // requests in work
+		changing atomic.Pointer[Settings] // in force after a reload
+		fetching atomic.Bool              // a routing table is being read from a peer
+		active   atomic.Int64             // requests in work
 		base     context.Context
 		cancel   context.CancelFunc
 	}
--- a/process/gateway/generate.go
+++ b/process/gateway/generate.go
@@ -73,6 +73,10 @@
 		g: g, j: j, engine: s.Engine, desk: g.desk(j.service, s.Engine), pool: g.arrived(j.service),
 		begun: time.Now(), last: j.After,
 	}
+	if g.Stopping() && !j.route.Repeatable() {
+		// It would probably outlive this instance.
+		return refusal.New(refusal.Stopping, refusal.NotRun, "instance is stopping; use another one")
+	}
 	g.runs.add(r)
 	defer r.end()
 	next, err := r.place(ctx)
@@ -263,7 +267,10 @@
 // elsewhere tries another engine for a request that has not run at this one.
 func (r *run) elsewhere(ctx context.Context, a *attempt, f *refusal.Error) (*attempt, error) {
 	r.tried = append(r.tried, a.endpoint.ID)
-	if r.sends >= max(r.j.route.Attempts, 1) || !r.pool.policy.Budget.Take() {
+	if r.sends >= max(r.j.route.Attempts, 1) {
+		return nil, r.failed(f)
+	}
+	if f.Reason != refusal.Dial && !r.pool.policy.Budget.Take() {
 		return nil, r.failed(f)
 	}
 	refusal.CountRetry(f.Reason)
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -162,7 +162,7 @@
 		}
 		if g.Tables.Current() == nil && time.Since(asked) > askSeeds {
 			asked = time.Now()
-			for _, addr := range g.Settings.Seeds {
+			for _, addr := range g.live().Seeds {
 				if addr != g.Settings.Peer {
 					g.fetch(addr)
 				}
--- a/process/gateway/run.go
+++ b/process/gateway/run.go
@@ -91,14 +91,14 @@
 // ended, callers can no longer know this instance, or the time is over.
 func (g *Gateway) Stop() {
 	now := time.Now()
-	s := &stopping{begun: now, end: now.Add(seconds(g.Settings.Grace) - stopReserve)}
+	s := &stopping{begun: now, end: now.Add(seconds(g.live().Grace) - stopReserve)}
 	if !g.stopping.CompareAndSwap(nil, s) {
 		return
 	}
 	g.members.Drain()
 	g.members.Nudge()
 	g.Log.WithFields(logrus.Fields{"event": "stop", "active": g.Active()}).Info("instance stops")
-	known := now.Add(seconds(g.Settings.Keep)*knownFor + stopReserve)
+	known := now.Add(seconds(g.live().Keep)*knownFor + stopReserve)
 	for time.Now().Before(s.end) && (time.Now().Before(known) || g.Active() > 0) {
 		if !sleep.For(g.base, stopPoll) {
 			break
@@ -146,7 +146,7 @@
 // budgetSize is this instance's part of the repeats that one window may hold
 // beyond the share of the requests.
 func (g *Gateway) budgetSize() float64 {
-	return max(g.Settings.Retry.Slack*budgetShare/float64(g.instances()), 1)
+	return max(g.live().Retry.Slack*budgetShare/float64(g.instances()), 1)
 }
 
 // decided logs a decision about a request with what it rests on.
--- a/process/gateway/settings.go
+++ b/process/gateway/settings.go
@@ -6,11 +6,13 @@
 	"fmt"
 	"net"
 	"os"
+	"reflect"
 	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-playground/validator/v10"
+	"github.com/sirupsen/logrus"
 )
 
 type (
@@ -99,6 +101,42 @@
 	return err == nil && net.ParseIP(host) != nil && port != ""
 }
 
+// Reload puts changed settings in force, as far as they can change while the
+// instance runs: the retry budget, the seeds, how long a stop and an answer to
+// callers last, and the level of the log. Addresses and places need a restart.
+// Settings that could not be read change nothing.
+func (g *Gateway) Reload(s Settings, err error) {
+	if err != nil {
+		counters.Add("reload_failed", 1)
+		g.Log.WithError(err).WithField("event", "reload_failed").Error("changed settings are not used")
+		return
+	}
+	old := g.live()
+	if reflect.DeepEqual(*old, s) {
+		return
+	}
+	changed := *old
+	changed.Retry, changed.Seeds, changed.Grace, changed.Keep, changed.Level = s.Retry, s.Seeds, s.Grace, s.Keep, s.Level
+	fixed := s
+	fixed.Retry, fixed.Seeds, fixed.Grace, fixed.Keep, fixed.Level = changed.Retry, changed.Seeds, changed.Grace, changed.Keep, changed.Level
+	g.changing.Store(&changed)
+	if level, err := logrus.ParseLevel(s.Level); err == nil {
+		g.Log.SetLevel(level)
+	}
+	g.Log.WithFields(logrus.Fields{"event": "reload", "restart": !reflect.DeepEqual(changed, fixed)}).Info("settings reloaded")
+}
+
+// live gives the settings in force.
+func (g *Gateway) live() *Settings {
+	if s := g.changing.Load(); s != nil {
+		return s
+	}
+	return &g.Settings
+}
+
+// Keep is how long callers may keep an answer that names instances.
+func (g *Gateway) Keep() float64 { return g.live().Keep }
+
 // RegionOf gives the region of a place, or the place itself if it is not known.
 func (s *Settings) RegionOf(place string) string {
 	if region, ok := s.Places[place]; ok {
