placement: learn how long prompts take, spread memory early

Memory in use cost nothing until it was nearly full. Change: the time for prompts and the lag of each engine are learned from first tokens; memory in use has a cost; copies fill an engine to 0.75 at most.

--- a/process/gateway/desk.go
+++ b/process/gateway/desk.go
@@ -19,6 +19,7 @@
 
 const (
 	suspectTime = time.Second // an engine that failed gets no new work for this long
+	memoryCost  = 0.5         // seconds of stall that a full engine costs against an empty one
 	holdShare   = 0.6         // share of the aim for which a request waits for an engine
 	defaultHold = time.Second // the same on a route without an aim
 )
@@ -40,6 +41,7 @@
 	d.sched = &placement.Scheduler{
 		Service: service, Region: g.Settings.Region, EntryPlace: g.Settings.Place, Length: &g.lengths,
 		Seed: xxhash.Sum64String(g.id + service), Violation: g.violated, Chunked: true,
+		Memory: memoryCost,
 	}
 	d.desk.Service, d.desk.Sched = service, d.sched
 	actual, _ := g.desks.LoadOrStore(service, d)
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -78,10 +78,11 @@
 		Status    int
 		Header    http.Header // of the answer itself, not of the connection
 		Body      io.Reader
-		Length    int64 // of the body, -1 if not stated
-		NotRun    bool  // the endpoint says that it did not run the request
-		Elsewhere bool  // another endpoint has the address
-		Leaving   bool  // the endpoint closes the connection
+		Length    int64         // of the body, -1 if not stated
+		NotRun    bool          // the endpoint says that it did not run the request
+		Elsewhere bool          // another endpoint has the address
+		Leaving   bool          // the endpoint closes the connection
+		Connect   time.Duration // that a new connection took, 0 for a kept one
 		// Expire sets when reading the body fails; zero for never.
 		Expire func(time.Time) error
 		// Close releases the connection; whole says that the body was read to its end.
--- a/process/gateway/generate.go
+++ b/process/gateway/generate.go
@@ -114,6 +114,7 @@
 	if b := r.copyTo(a); b != nil {
 		c.Backup = b.endpoint.Addr
 	}
+	sent := time.Now()
 	answer, err := r.g.Backend.Send(ctx, c)
 	if err != nil {
 		return r.unsent(ctx, a, refusal.From(err))
@@ -128,7 +129,8 @@
 	}
 	r.sends++
 	r.g.decided(r.j, "relaying", logrus.Fields{
-		"endpoint": a.endpoint.ID, "after": a.after, "from": a.from, "backup": c.Backup, "waited": time.Since(r.begun).Milliseconds(),
+		"endpoint": a.endpoint.ID, "after": a.after, "from": a.from, "backup": c.Backup, "prompt": r.j.Prompt,
+		"held": sent.Sub(r.begun).Milliseconds(), "waited": time.Since(r.begun).Milliseconds(), "connect": answer.Connect.Milliseconds(),
 	})
 	err = r.relay(answer)
 	answer.Close(err == nil)
@@ -193,6 +195,7 @@
 	r.j.w.WriteHeader(answer.Status)
 	r.first, r.passed = time.Since(r.j.Arrived), time.Now()
 	observe("first_event", r.first)
+	r.desk.sched.Started(r.ticket, r.passed)
 }
 
 func (r *run) progress() {
--- a/process/placement/account.go
+++ b/process/placement/account.go
@@ -52,6 +52,9 @@
 		mark   uint64  // match for which matched is valid
 		cached float64 // prompt tokens of that request in the prefix cache
 
+		lag   float64 // logarithm of the time it takes against other endpoints
+		lagAt int64   // Unix nanoseconds
+
 		suspect int64 // no new work before; Unix nanoseconds
 		closed  bool  // drained or leaving
 		far     bool  // in another region
@@ -78,6 +81,8 @@
 		account  string
 		estimate length.Estimate
 		prompt   float64 // prompt tokens that take memory of their own
+		placed   int64   // Unix nanoseconds
+		backlog  float64 // prompt tokens to compute at its endpoint then, its own included
 		done     int
 		refresh  int // tokens at which the expectation is computed again
 		ahead    load
@@ -230,10 +235,11 @@
 	s.sentSince += r.prompt
 	ep.sinceCount++
 	now := s.now.UnixNano()
-	ep.fill = ep.pending(now, s.FillTime.Seconds()/1000) + r.prompt
+	ep.fill = ep.pending(now, s.fillTime()) + r.prompt
 	ep.fillAt = now
 	s.flow.sent(r.prompt, s.now)
-	s.flow.filled(fill(r.prompt, s.FillTime.Seconds()/1000))
+	r.placed, r.backlog = now, ep.fill
+	s.flow.filled(fill(r.prompt, s.fillTime()))
 	s.beliefs.placed(ep, req.Prefix)
 	s.move(ep, req.Prompt*bytesPerPrompt)
 	return Ticket(uint64(r.gen)<<32 | uint64(i))
@@ -331,7 +337,7 @@
 	if e.fill == 0 {
 		return 0
 	}
-	return max(e.fill-float64(now-e.fillAt)*1e-9/fillTime, 0)
+	return max(e.fill-float64(now-e.fillAt)*1e-9/(fillTime*e.slow(now)), 0)
 }
 
 // sent takes in one placement. Rate and size follow the last few seconds.
--- a/process/placement/choose.go
+++ b/process/placement/choose.go
@@ -157,7 +157,7 @@
 		o.far = previousFar + previousFarPerMB*bytes/1e6
 	}
 	s.lookAtOthers(o)
-	o.fillTime = s.FillTime.Seconds() / 1000
+	o.fillTime = s.fillTime()
 	// Waiting doesn't help where even an idle engine misses the gap target.
 	o.perStep = 1 / max(gapTarget*gapHeadroom, idleFactor*s.step.predict(1, 0))
 	o.typical = s.flow.typical(fill(o.prompt, o.fillTime))
@@ -247,17 +247,22 @@
 	}
 
 	runs := e.othersRuns + float64(e.count) + 1
-	step := s.step.predict(runs, now+uncached)
+	lag := e.slow(o.now)
+	step := s.step.predict(runs, now+uncached) * lag
 	slow := min(max(step*o.perStep-1, 0)*gapSlope, 1)
 	risk = w.Preempt*full + w.Gap*slow
 
-	filling := (e.pending(o.now, o.fillTime) + uncached) * o.fillTime
+	filling := (e.pending(o.now, o.fillTime) + uncached) * o.fillTime * lag
 	burst := max((step+filling)*(1/gapTarget)-1, 0)
 	if s.Chunked {
 		burst = 0
 	}
 	cost = w.Stall*(e.queue+filling+step) + w.Gap*(stepCost/gapTarget*step+burstCost/100*burst*runs) +
 		w.Preempt*preemptCost*full
+	if s.Memory > 0 {
+		share := min(floor/e.total, 2)
+		cost += s.Memory * share * share
+	}
 	switch {
 	case e.far:
 		cost += o.far
--- a/process/placement/copy.go
+++ b/process/placement/copy.go
@@ -12,6 +12,9 @@
 	// moveBudget is the same for a generation whose endpoint goes away, which is
 	// lost otherwise.
 	moveBudget = uselessRisk
+	// copyCeiling is the share of an endpoint's memory up to which copies may fill
+	// it. The rest is for requests, whose generations a copy would preempt.
+	copyCeiling = 0.75
 	// copyAwayCost is the cost of a copy to another place than the source's, in
 	// seconds of stall: the transfer takes twice as long and crosses links that
 	// are paid by volume.
@@ -55,7 +58,7 @@
 			continue
 		}
 		risk, cost := s.judge(e, &o)
-		if risk > limit {
+		if risk > limit || !c.Urgent && e.others+e.used+float64(req.Prompt) > copyCeiling*e.total {
 			continue
 		}
 		if e.Place != c.Place {
--- a/process/placement/others.go
+++ b/process/placement/others.go
@@ -38,7 +38,7 @@
 	e.others, e.othersRuns = w.Tokens, float64(w.Runs)
 	e.reportAt = s.nanos
 	if w.Sent > 0 {
-		e.fill = e.pending(s.nanos, s.FillTime.Seconds()/1000) + w.Sent
+		e.fill = e.pending(s.nanos, s.fillTime()) + w.Sent
 		e.fillAt = s.nanos
 	}
 }
--- a/process/placement/placement.go
+++ b/process/placement/placement.go
@@ -123,12 +123,20 @@
 		// if zero.
 		PrefixTokens int
 		// FillTime is the time an engine takes for 1,000 prompt tokens, 30 ms if
-		// zero.
+		// zero. Started corrects it.
 		FillTime time.Duration
 		// Chunked says that engines compute prompts in chunks between the tokens
 		// of other generations. A long prompt then delays no step by much, and
 		// is not kept away from other work.
 		Chunked bool
+		// Ahead are the numbers of tokens ahead at which memory is predicted, in
+		// ascending order; zero means 8, 16, 64, 128. They should cover a few
+		// seconds at the speed of the engines.
+		Ahead [horizons]int
+		// Memory is the cost, in seconds of stall, of an endpoint whose memory is
+		// full against one that is empty. It spreads generations before their
+		// memory is short.
+		Memory float64
 		// Violation is called when an invariant doesn't hold. If nil, it panics
 		// in tests and counts in expvar otherwise.
 		Violation func(string)
@@ -147,6 +155,7 @@
 		free      []uint32
 		beliefs   prefixIndex
 		step      stepModel
+		speed     speed
 		flow      flow
 		mix       mix
 		turn      int
@@ -209,6 +218,9 @@
 	}
 	s.policy, s.weights = policy, weights
 	ahead := horizonTokens
+	if s.Ahead != ([horizons]int{}) {
+		ahead = s.Ahead
+	}
 	if policy == Previous {
 		ahead = previousHorizons
 	}
