--- a/process/gateway/desk.go
+++ b/process/gateway/desk.go
@@ -19,6 +19,9 @@
 
 const (
 	suspectTime = time.Second // an engine that failed gets no new work for this long
+	// farCost is two round trips between regions, one to connect and one for the
+	// request, and as much again when a generation goes on at another engine.
+	farCost     = 0.15
 	memoryCost  = 0.5         // seconds of stall that a full engine costs against an empty one
 	holdShare   = 0.6         // share of the aim for which a request waits for an engine
 	defaultHold = time.Second // the same on a route without an aim
@@ -41,7 +44,7 @@
 	d.sched = &placement.Scheduler{
 		Service: service, Region: g.Settings.Region, EntryPlace: g.Settings.Place, Length: &g.lengths,
 		Seed: xxhash.Sum64String(g.id + service), Violation: g.violated, Chunked: true,
-		Memory: memoryCost,
+		Memory: memoryCost, Far: farCost,
 	}
 	d.desk.Service, d.desk.Sched = service, d.sched
 	actual, _ := g.desks.LoadOrStore(service, d)
--- a/process/placement/choose.go
+++ b/process/placement/choose.go
@@ -152,7 +152,7 @@
 	}
 	o.ahead = expect(estimate, o.size, 0, &s.ahead)
 	bytes := o.prompt*bytesPerPrompt + estimate.Mean(0)*bytesPerToken
-	o.far = s.weights.Stall*farSeconds + farPerMB*bytes/1e6
+	o.far = s.weights.Stall*s.Far + farPerMB*bytes/1e6
 	if s.policy == Previous {
 		o.far = previousFar + previousFarPerMB*bytes/1e6
 	}
--- a/process/placement/placement.go
+++ b/process/placement/placement.go
@@ -137,6 +137,9 @@
 		// full against one that is empty. It spreads generations before their
 		// memory is short.
 		Memory float64
+		// Far is the cost of an endpoint in another region, in seconds of stall,
+		// beside the bytes; 0.03 if zero.
+		Far float64
 		// Violation is called when an invariant doesn't hold. If nil, it panics
 		// in tests and counts in expvar otherwise.
 		Violation func(string)
@@ -337,6 +340,9 @@
 	if s.FillTime == 0 {
 		s.FillTime = 30 * time.Millisecond
 	}
+	if s.Far == 0 {
+		s.Far = farSeconds
+	}
 	if s.Length == nil {
 		s.Length = &length.Learner{}
 	}
