--- /dev/null
+++ b/process/gateway/world_test.go
@@ -0,0 +1,175 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/eelgrassdock/eelgrassdock/process/roster"
+	"github.com/eelgrassdock/eelgrassdock/request/refusal"
+	"github.com/eelgrassdock/eelgrassdock/version/routing"
+)
+
+// world is a gateway in front of scripted endpoints.
+type world struct {
+	*Gateway
+	t     *testing.T
+	mu    sync.Mutex
+	calls []Call
+	moves []Move
+	freed []string
+	// answer answers the nth call, counted from 0.
+	answer func(n int, c Call) (*Answer, error)
+	move   func(m Move) (Moved, error)
+}
+
+const (
+	engineService = "engines"
+	plainService  = "desk"
+)
+
+func newWorld(t *testing.T) *world {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	w := &world{t: t}
+	w.Gateway = &Gateway{
+		Settings: Settings{
+			Name: "i1", Place: "p0", Region: "r0", Places: map[string]string{"p0": "r0", "p1": "r1"},
+			Retry: Retry{Ratio: 0.2, Window: 10, Slack: 50},
+		},
+		Log: log, id: "i1-x", dirty: make(chan struct{}, 1),
+	}
+	w.Backend = Backend{
+		Send: w.send,
+		Move: func(_ context.Context, m Move) (Moved, error) {
+			w.mu.Lock()
+			w.moves = append(w.moves, m)
+			w.mu.Unlock()
+			if w.move == nil {
+				return Moved{Handle: "h"}, nil
+			}
+			return w.move(m)
+		},
+		Free: func(_ context.Context, _ roster.Endpoint, handle string) error {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			w.freed = append(w.freed, handle)
+			return nil
+		},
+		Handle: func(e roster.Endpoint, handle string) string { return e.Addr + "/" + handle },
+		Forget: func(string) {}, Warm: func(context.Context, string) {},
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	w.base, w.cancel = ctx, cancel
+	t.Cleanup(cancel)
+	w.Tables.Install(routing.New(routing.Document{
+		Version: 1,
+		Routes: []routing.Route{
+			{Name: "guide", Host: "h", Prefix: "/guide/", Kind: routing.Stream, Targets: []routing.Target{{Service: engineService, Weight: 1}}, Attempts: 1, Aim: time.Second},
+			{Name: "short", Host: "h", Prefix: "/short/", Kind: routing.Stream, Resume: true, Targets: []routing.Target{{Service: engineService, Weight: 1}}, Attempts: 2, Aim: time.Second},
+			{Name: "book", Host: "h", Prefix: "/book/", Kind: routing.Once, Targets: []routing.Target{{Service: plainService, Weight: 1}}, Attempts: 3},
+			{Name: "read", Host: "h", Prefix: "/read/", Kind: routing.Idempotent, Targets: []routing.Target{{Service: plainService, Weight: 1}}, Attempts: 2},
+			{Name: "slow", Host: "h", Prefix: "/slow/", Kind: routing.Once, Targets: []routing.Target{{Service: plainService, Weight: 1}}, Attempts: 1, Timeout: 50 * time.Millisecond},
+		},
+		Services: []routing.Service{
+			{ID: engineService, Engine: &routing.Engine{Slots: 24, Tokens: 30000, Moves: true, Backups: true, Stride: 4, Keep: 5 * time.Second}},
+			{ID: plainService},
+		},
+		Accounts: []routing.Account{{Name: "club", Keys: []string{"key"}}},
+	}))
+	for i := range 4 {
+		w.Roster.Set(roster.Endpoint{ID: fmt.Sprint("e", i), Service: engineService, Addr: fmt.Sprint("10.0.0.", i, ":1"), Place: "p0", Slots: 24})
+		w.Roster.Set(roster.Endpoint{ID: fmt.Sprint("d", i), Service: plainService, Addr: fmt.Sprint("10.0.1.", i, ":1"), Place: "p0", Slots: 6})
+	}
+	return w
+}
+
+func (w *world) send(ctx context.Context, c Call) (*Answer, error) {
+	w.mu.Lock()
+	n := len(w.calls)
+	w.calls = append(w.calls, c)
+	w.mu.Unlock()
+	if ctx.Err() != nil {
+		return nil, refusal.Failed(ctx.Err(), true)
+	}
+	return w.answer(n, c)
+}
+
+func (w *world) request(path string) (*httptest.ResponseRecorder, error) {
+	return w.requestWith(w.t.Context(), &Request{
+		ID: "q", Method: http.MethodPost, Host: "h", Path: path, Target: path, Header: http.Header{}, Key: "key", Arrived: time.Now(),
+		Prompt: 1000, Max: 400,
+	})
+}
+
+func (w *world) requestWith(ctx context.Context, r *Request) (*httptest.ResponseRecorder, error) {
+	rec := httptest.NewRecorder()
+	return rec, w.Serve(ctx, rec, r)
+}
+
+// plain is a whole answer of a plain service.
+func plain(status int, body string) *Answer {
+	return &Answer{
+		Status: status, Header: http.Header{"X-Seal": {fmt.Sprint(status, body)}}, Body: strings.NewReader(body), Length: int64(len(body)),
+		Close: func(bool) {}, Expire: func(time.Time) error { return nil },
+	}
+}
+
+// events is a stream with the events from first to last; a broken one ends
+// inside the next event.
+func events(seal string, first, last int, broken bool) *Answer {
+	var b bytes.Buffer
+	for i := first; i <= last; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: %s\n\n", i, seal)
+	}
+	var body io.Reader = &b
+	if broken {
+		body = io.MultiReader(&b, strings.NewReader(fmt.Sprintf("id: %d\nda", last+1)), failing{})
+	}
+	return &Answer{
+		Status: http.StatusOK, Header: http.Header{"Content-Type": {"text/event-stream"}, "X-Seal": {seal}}, Body: body, Length: -1,
+		Close: func(bool) {}, Expire: func(time.Time) error { return nil },
+	}
+}
+
+type failing struct{}
+
+func (failing) Read([]byte) (int, error) { return 0, errors.New("connection reset") }
+
+func refused() *Answer {
+	a := plain(http.StatusServiceUnavailable, "")
+	a.NotRun = true
+	return a
+}
+
+func dialFailed() error { return refusal.New(refusal.Dial, refusal.NotRun, "connection refused") }
+
+func lost() error { return refusal.New(refusal.Broken, refusal.Unknown, "connection reset") }
+
+func (w *world) outcome(err error) *refusal.Error {
+	w.t.Helper()
+	var f *refusal.Error
+	require.True(w.t, errors.As(err, &f), "want a refusal, got %v", err)
+	return f
+}
+
+// ids gives the numbers of the events in a body.
+func ids(body string) (list []string) {
+	for line := range strings.SplitSeq(body, "\n") {
+		if id, ok := strings.CutPrefix(line, "id: "); ok {
+			list = append(list, id)
+		}
+	}
+	return list
+}
