--- a/process/gateway/generate.go
+++ b/process/gateway/generate.go
@@ -32,7 +32,6 @@
 		desk   *desk
 		pool   *pool
 		engine *routing.Engine
-		stop   context.CancelFunc // ends the present attempt
 		begun  time.Time
 		headed bool   // the head of the answer was passed on
 		last   string // ID of the last event that was passed on
--- a/process/mirror/mirror_test.go
+++ b/process/mirror/mirror_test.go
@@ -16,7 +16,7 @@
 
 // store is a table in memory that can be away or forget its history.
 type store struct {
-	mu   sync.Mutex
+	mu      sync.Mutex
 	rows    map[string]Row
 	log     []Row
 	version int64
