--- a/internal/system/system.go
+++ b/internal/system/system.go
@@ -29,7 +29,7 @@
 )
 
 const (
-	startTime    = 10 * time.Second // longest start of an entry
+	startTime    = time.Minute // ends a wait for an entry that never starts; not a bound on the start
 	keepSeconds  = 1                // locate answers expire fast, so that a stop fits into a demonstration
 	stopSeconds  = 20               // longest graceful stop
 	engineStep   = 8 * time.Millisecond
