gateway: leave engines that fall silent

Change: an attempt without an event for a second asks the engine for its load; without an answer in 0.4 s the run goes on from its copy or, where it may, again elsewhere. Idempotent calls leave a replica after 0.8 of the aim.

--- a/process/gateway/call.go
+++ b/process/gateway/call.go
@@ -20,6 +20,7 @@
 	defaultDeadline = 60 * time.Second       // of a request without a deadline on a route without a timeout
 	onceFresh       = 250 * time.Millisecond // a request that runs once uses no connection that was idle for longer
 	repeatFresh     = 3 * time.Second        // the same, of a request that may be repeated
+	attemptShare    = 0.8                    // of the aim, after which a request that may be repeated is sent elsewhere
 	answerMost      = 1 << 20                // bytes of a plain answer that is held until it is whole
 	comeBack        = 200 * time.Millisecond // earliest return after a refusal
 	comeBackSpread  = 300 * time.Millisecond // callers that were refused together return spread over this
@@ -65,7 +66,9 @@
 			fault.RetryAt = comeBackAt(time.Now())
 			return doubt(fault, maybe)
 		}
-		kept, fault := g.try(ctx, j, p, e)
+		limited, cancel := g.patience(ctx, j, sends)
+		kept, fault := g.try(limited, j, p, e)
+		cancel()
 		if fault == nil {
 			return g.deliver(j, kept)
 		}
@@ -93,6 +96,15 @@
 	}
 }
 
+// patience bounds an attempt of a request that may be sent to another replica
+// afterwards, so that a replica that hangs leaves time for one that does not.
+func (g *Gateway) patience(ctx context.Context, j *job, sends int) (context.Context, context.CancelFunc) {
+	if !j.route.Repeatable() || sends+1 >= j.route.Attempts || j.route.Aim <= 0 {
+		return ctx, func() {}
+	}
+	return context.WithTimeout(ctx, time.Duration(float64(j.route.Aim)*attemptShare))
+}
+
 type (
 	// whole is a plain answer that was read to its end, or to a size from which
 	// it is passed on while it is read.
--- a/process/gateway/generate.go
+++ b/process/gateway/generate.go
@@ -20,10 +20,14 @@
 )
 
 const (
-	streamFresh = time.Second // a stream uses no connection that was idle for longer
-	firstEvent  = "0"         // the event before the first
+	streamFresh = time.Second            // a stream uses no connection that was idle for longer
+	silence     = time.Second            // without an event, after which an engine is asked whether it lives
+	probeLimit  = 400 * time.Millisecond // for its answer; covers a new connection between regions
+	firstEvent  = "0"                    // the event before the first
 )
 
+var errSilent = errors.New("engine is silent and does not answer")
+
 type (
 	// run is one generation on its way to the caller.
 	run struct {
@@ -103,8 +107,8 @@
 // attempt sends the request once and relays what comes. It gives the next
 // attempt, or none if the request has ended with the error or without one.
 func (r *run) attempt(ctx context.Context, a *attempt) (*attempt, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	here, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	r.adopt(a)
 	c := Call{
 		Request: r.j.Request, Endpoint: a.endpoint, Account: r.j.account, Deadline: r.j.deadline,
@@ -113,10 +117,12 @@
 	if b := r.copyTo(a); b != nil {
 		c.Backup = b.endpoint.Addr
 	}
+	quiet := r.watch(here, a.endpoint, cancel)
+	defer quiet.Stop()
 	sent := time.Now()
-	answer, err := r.g.Backend.Send(ctx, c)
+	answer, err := r.g.Backend.Send(here, c)
 	if err != nil {
-		return r.unsent(ctx, a, refusal.From(err))
+		return r.unsent(ctx, a, silenced(here, refusal.From(err)))
 	}
 	r.g.learn(a.endpoint, answer)
 	if answer.NotRun {
@@ -131,7 +137,7 @@
 		"endpoint": a.endpoint.ID, "after": a.after, "from": a.from, "backup": c.Backup, "prompt": r.j.Prompt,
 		"held": sent.Sub(r.begun).Milliseconds(), "waited": time.Since(r.begun).Milliseconds(), "connect": answer.Connect.Milliseconds(),
 	})
-	err = r.relay(answer)
+	err = r.relay(answer, quiet)
 	answer.Close(err == nil)
 	if err == nil {
 		r.completed()
@@ -143,6 +149,37 @@
 	return r.broken(ctx, a, err)
 }
 
+// watch ends an attempt whose engine is silent and does not answer a question
+// for its load either. An engine that answers is only slow.
+func (r *run) watch(ctx context.Context, e roster.Endpoint, cancel context.CancelCauseFunc) *time.Timer {
+	var quiet *time.Timer
+	quiet = time.AfterFunc(time.Hour, func() {
+		for ctx.Err() == nil {
+			call, done := context.WithTimeout(ctx, probeLimit)
+			_, err := r.g.Backend.Report(call, e)
+			done()
+			if err == nil {
+				quiet.Reset(silence)
+				return
+			}
+			if ctx.Err() == nil {
+				r.g.decided(r.j, "engine_silent", logrus.Fields{"endpoint": e.ID, "detail": err.Error()})
+				cancel(errSilent)
+			}
+		}
+	})
+	quiet.Reset(max(r.j.route.Aim, silence)) // after quiet is set
+	return quiet
+}
+
+// silenced names the cause of an attempt that watch has ended.
+func silenced(ctx context.Context, f *refusal.Error) *refusal.Error {
+	if errors.Is(context.Cause(ctx), errSilent) {
+		return refusal.New(refusal.Timeout, refusal.Unknown, errSilent.Error())
+	}
+	return f
+}
+
 // adopt makes an attempt's engine that of the run.
 func (r *run) adopt(a *attempt) {
 	r.mu.Lock()
@@ -156,7 +193,7 @@
 
 // relay passes events on until the stream ends. It returns nil at the proper
 // end of the stream.
-func (r *run) relay(answer *Answer) error {
+func (r *run) relay(answer *Answer, quiet *time.Timer) error {
 	events := stream.NewEvents(answer.Body)
 	flush := http.NewResponseController(r.j.w)
 	for {
@@ -181,6 +218,7 @@
 			r.last = event.ID
 		}
 		r.progress()
+		quiet.Reset(silence)
 	}
 }
 
@@ -250,6 +288,10 @@
 	if f.Outcome == refusal.NotRun && ctx.Err() == nil {
 		return r.elsewhere(ctx, a, f)
 	}
+	if next := r.fromBackup(); next != nil && ctx.Err() == nil {
+		r.hops++
+		return next, nil
+	}
 	return r.rerun(ctx, a, f)
 }
 
--- a/process/gateway/world_test.go
+++ b/process/gateway/world_test.go
@@ -29,6 +29,8 @@
 	calls []Call
 	moves []Move
 	freed []string
+	// attempt is the context of the latest call.
+	attempt context.Context
 	// answer answers the nth call, counted from 0.
 	answer func(n int, c Call) (*Answer, error)
 	move   func(m Move) (Moved, error)
@@ -103,9 +105,15 @@
 	if ctx.Err() != nil {
 		return nil, refusal.Failed(ctx.Err(), true)
 	}
+	w.attempt = ctx
 	return w.answer(n, c)
 }
 
+// closes breaks a body when the attempt is given up, as closing its connection does.
+func (w *world) closes(body *io.PipeReader) {
+	context.AfterFunc(w.attempt, func() { _ = body.CloseWithError(errors.New("connection closed")) })
+}
+
 func (w *world) request(path string) (*httptest.ResponseRecorder, error) {
 	return w.requestWith(w.t.Context(), &Request{
 		ID: "q", Method: http.MethodPost, Host: "h", Path: path, Target: path, Header: http.Header{}, Key: "key", Arrived: time.Now(),
