--- a/process/gateway/move.go
+++ b/process/gateway/move.go
@@ -16,6 +16,7 @@
 
 const (
 	copyLimit    = 2 * time.Second        // for one copy; the notice of an engine is seldom longer
+	copyTries    = 1                      // engines that are asked for room for one copy
 	freeLimit    = 300 * time.Millisecond // for giving up a copy
 	firstRenewal = time.Second            // shortest interval at which a copy is renewed
 	registers    = 8
@@ -117,18 +118,29 @@
 // the links.
 func (g *Gateway) protect(r *run, from roster.Endpoint) {
 	begun := time.Now()
-	to, ticket, ok := r.destination(from)
-	if !ok {
-		g.decided(r.j, "copy_no_room", logrus.Fields{"endpoint": from.ID})
-		return
-	}
-	moved, err := g.copy(r, from, to)
-	if err != nil || moved.Failed {
+	var (
+		to     roster.Endpoint
+		ticket placement.Ticket
+		moved  Moved
+		full   []string // engines without room
+	)
+	for {
+		var ok bool
+		if to, ticket, ok = r.destination(from, full); !ok {
+			g.decided(r.j, "copy_no_room", logrus.Fields{"endpoint": from.ID, "full": len(full)})
+			return
+		}
+		var err error
+		if moved, err = g.copy(r, from, to); err == nil && !moved.Failed {
+			break
+		}
 		r.desk.done(ticket, 0, false)
 		g.decided(r.j, "copy_failed", logrus.Fields{
 			"endpoint": from.ID, "to": to.ID, "detail": text(err), "took": time.Since(begun).Milliseconds(),
 		})
-		return
+		if full = append(full, to.ID); err != nil || len(full) >= copyTries {
+			return
+		}
 	}
 	b := &replica{endpoint: to, ticket: ticket, from: g.Backend.Handle(from, moved.Handle)}
 	r.mu.Lock()
@@ -188,12 +200,12 @@
 
 // destination reserves room for a run whose engine goes away: where its memory
 // is already, or else at the engine that the scheduler chooses.
-func (r *run) destination(from roster.Endpoint) (roster.Endpoint, placement.Ticket, bool) {
+func (r *run) destination(from roster.Endpoint, full []string) (roster.Endpoint, placement.Ticket, bool) {
 	r.mu.Lock()
 	done := r.events * r.engine.Stride
 	r.mu.Unlock()
 	d := r.desk.sched.PlaceCopy(placement.Copy{
-		Account: r.j.route.Name, From: from.ID, Place: from.Place, Prompt: r.j.Prompt, Done: done, Max: r.j.Max, Urgent: true,
+		Account: r.j.route.Name, From: from.ID, Place: from.Place, Prompt: r.j.Prompt, Done: done, Max: r.j.Max, Urgent: true, Exclude: full,
 	}, time.Now())
 	if d.Endpoint == "" {
 		return roster.Endpoint{}, 0, false
--- a/process/placement/copy.go
+++ b/process/placement/copy.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -14,7 +15,7 @@
 	moveBudget = uselessRisk
 	// copyCeiling is the share of an endpoint's memory up to which copies may fill
 	// it. The rest is for requests, whose generations a copy would preempt.
-	copyCeiling = 0.75
+	copyCeiling = 0.4
 	// copyAwayCost is the cost of a copy to another place than the source's, in
 	// seconds of stall: the transfer takes twice as long and crosses links that
 	// are paid by volume.
@@ -42,7 +43,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.advance(now)
-	req := &Request{Account: c.Account, Prompt: c.Prompt + c.Done, Arrived: now, Exclude: append(c.Exclude, c.From)}
+	req := &Request{Account: c.Account, Prompt: c.Prompt + c.Done, Arrived: now, Exclude: append(slices.Clone(c.Exclude), c.From)}
 	s.match(req)
 	var o outlook
 	s.look(&o, req, &estimate)
