--- /dev/null
+++ b/cmd/eelgrassdock/explain.go
@@ -0,0 +1,57 @@
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/eelgrassdock/eelgrassdock/internal/story"
+)
+
+type explainCommand struct {
+	Top  bool     `help:"Group the failed requests of the logs by cause instead."`
+	Args []string `arg:"" optional:"" help:"ID of the request, unless --top is given, and log files; standard input without files."`
+}
+
+func (c *explainCommand) Run(std streams) error {
+	var id string
+	files := c.Args
+	if !c.Top {
+		if len(c.Args) == 0 {
+			return errors.New("give the ID of a request, or --top")
+		}
+		id, files = c.Args[0], c.Args[1:]
+	}
+	var log story.Log
+	if len(files) == 0 {
+		if err := log.Read(os.Stdin); err != nil {
+			return err
+		}
+	}
+	for _, name := range files {
+		f, err := os.Open(name)
+		if err != nil {
+			return fmt.Errorf("open log: %w", err)
+		}
+		err = log.Read(f)
+		_ = f.Close()
+		if err != nil {
+			return fmt.Errorf("%s: %w", name, err)
+		}
+	}
+	if log.Foreign > 0 {
+		fmt.Fprintf(std.err, "%d lines are no log lines and were passed over\n", log.Foreign)
+	}
+	if c.Top {
+		for _, cause := range log.Top() {
+			fmt.Fprintf(std.out, "%6d  %s  (such as %s)\n", cause.Count, cause.Text, cause.Example)
+		}
+		return nil
+	}
+	found, err := log.Tell(std.out, id)
+	if err == nil && !found {
+		err = errors.Newf("no line tells of request %q: its instance may have logged it elsewhere, or its successes were not sampled", id)
+	}
+	return err
+}
--- a/cmd/eelgrassdock/main.go
+++ b/cmd/eelgrassdock/main.go
@@ -26,6 +26,7 @@
 type commands struct {
 	Entry   entryCommand   `cmd:"" help:"Run one entry instance. SIGTERM stops it gracefully; a second SIGTERM ends the stop early."`
 	Serve   serveCommand   `cmd:"" help:"Run one instance on the users' platform. SIGTERM stops it gracefully."`
+	Explain explainCommand `cmd:"" help:"Tell from logs what became of a request, and why."`
 	Check   checkCommand   `cmd:"" help:"Check a settings or configuration file and name every fault."`
 	Publish publishCommand `cmd:"" help:"Store the first version of the configuration in the platform."`
 	Ask     askCommand     `cmd:"" help:"Send one query or command of the operators' language to an entry."`
--- a/cmd/eelgrassdock/serve.go
+++ b/cmd/eelgrassdock/serve.go
@@ -9,6 +9,7 @@
 
 	"github.com/eelgrassdock/eelgrassdock/platform"
 	"github.com/eelgrassdock/eelgrassdock/process/gateway"
+	"github.com/eelgrassdock/eelgrassdock/process/record"
 )
 
 type serveCommand struct {
@@ -29,7 +30,16 @@
 	}
 	ctx, cancel := signals(nil)
 	defer cancel()
-	log := newLog(std.out, settings.Level)
+	writer := &record.Writer{Out: std.out}
+	log, done, written := writer.Logger(settings.Level), make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(written)
+		writer.Run(done)
+	}()
+	defer func() {
+		close(done)
+		<-written
+	}()
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	defer signal.Stop(hangups)
--- a/process/gateway/call.go
+++ b/process/gateway/call.go
@@ -70,6 +70,9 @@
 		kept, fault := g.try(limited, j, p, e)
 		cancel()
 		if fault == nil {
+			g.decided(j, "served", logrus.Fields{
+				"endpoint": e.ID, "status": kept.status, "attempt": attempt, "took": time.Since(j.Arrived).Milliseconds(),
+			})
 			return g.deliver(j, kept)
 		}
 		tried = append(tried, e.ID)
@@ -151,6 +154,9 @@
 	}
 	a, err := hold(answer)
 	if err != nil {
+		if ctx.Err() != nil {
+			err = errors.CombineErrors(ctx.Err(), err)
+		}
 		p.balance.Done(e.ID, balance.Result{Took: time.Since(begun), Failed: ctx.Err() == nil})
 		return nil, &fault{Error: refusal.Failed(err, true)}
 	}
--- a/process/gateway/desk.go
+++ b/process/gateway/desk.go
@@ -18,7 +18,8 @@
 )
 
 const (
-	suspectTime = time.Second // an engine that failed gets no new work for this long
+	suspectMost = 8 * time.Second // longest time that a failed engine gets no new work
+	suspectTime = time.Second     // an engine that failed gets no new work for this long
 	// farCost is two round trips between regions, one to connect and one for the
 	// request, and as much again when a generation goes on at another engine.
 	farCost     = 0.15
@@ -34,13 +35,16 @@
 	sched   *placement.Scheduler
 	desk    dispatch.Desk
 	start   sync.Once
+
+	mu     sync.Mutex
+	failed map[string]int // engines that failed, with the number of times in a row
 }
 
 func (g *Gateway) desk(service string, engine *routing.Engine) *desk {
 	if d, ok := g.desks.Load(service); ok {
 		return d.(*desk)
 	}
-	d := &desk{g: g, service: service}
+	d := &desk{g: g, service: service, failed: map[string]int{}}
 	d.sched = &placement.Scheduler{
 		Service: service, Region: g.Settings.Region, EntryPlace: g.Settings.Place, Length: &g.lengths,
 		Seed: xxhash.Sum64String(g.id + service), Violation: g.violated, Chunked: true,
@@ -139,3 +143,19 @@
 	d.desk.Offer()
 	d.g.announce()
 }
+
+// suspect keeps new work from an engine that failed, for longer each time.
+func (d *desk) suspect(id string) {
+	d.mu.Lock()
+	n := d.failed[id]
+	d.failed[id] = n + 1
+	d.mu.Unlock()
+	d.sched.Suspect(id, time.Now().Add(min(suspectTime<<min(n, 10), suspectMost)))
+}
+
+// trust ends the count of failures of an engine.
+func (d *desk) trust(id string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.failed, id)
+}
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -31,6 +31,7 @@
 	"github.com/eelgrassdock/eelgrassdock/process/length"
 	"github.com/eelgrassdock/eelgrassdock/process/loads"
 	"github.com/eelgrassdock/eelgrassdock/process/member"
+	"github.com/eelgrassdock/eelgrassdock/process/record"
 	"github.com/eelgrassdock/eelgrassdock/process/roster"
 	"github.com/eelgrassdock/eelgrassdock/request/refusal"
 	"github.com/eelgrassdock/eelgrassdock/version/routing"
@@ -153,6 +154,7 @@
 		desks   sync.Map // service ID to *desk
 		pools   sync.Map // service ID to *pool
 		runs    registry
+		sampler record.Sampler
 		board   loads.Board
 		dirty   chan struct{}    // the own load has changed
 		feeds   map[string]*feed // by table
@@ -191,6 +193,7 @@
 // Serve answers one request. An error other than ErrCut is a *refusal.Error,
 // and nothing was written to w then.
 func (g *Gateway) Serve(ctx context.Context, w http.ResponseWriter, r *Request) error {
+	g.sampler.Arrived()
 	g.active.Add(1)
 	defer g.active.Add(-1)
 	j, err := g.admit(w, r)
--- a/process/gateway/generate.go
+++ b/process/gateway/generate.go
@@ -233,6 +233,7 @@
 	r.first, r.passed = time.Since(r.j.Arrived), time.Now()
 	observe("first_event", r.first)
 	r.desk.sched.Started(r.ticket, r.passed)
+	r.desk.trust(r.endpoint.ID)
 }
 
 func (r *run) progress() {
@@ -276,7 +277,7 @@
 
 // unsent decides after an attempt that got no answer.
 func (r *run) unsent(ctx context.Context, a *attempt, f *refusal.Error) (*attempt, error) {
-	r.desk.sched.Suspect(a.endpoint.ID, time.Now().Add(suspectTime))
+	r.desk.suspect(a.endpoint.ID)
 	if f.Reason != refusal.Dial {
 		r.sends++
 	}
@@ -356,7 +357,7 @@
 		return nil, r.failed(refusal.Failed(errors.CombineErrors(ctx.Err(), err), true))
 	}
 	r.note("stream_broken", a, logrus.Fields{"detail": err.Error(), "events": r.events, "backup": r.backup != nil})
-	r.desk.sched.Suspect(a.endpoint.ID, time.Now().Add(suspectTime))
+	r.desk.suspect(a.endpoint.ID)
 	if next := r.fromBackup(); next != nil {
 		r.hops++
 		return next, nil
--- a/process/gateway/run.go
+++ b/process/gateway/run.go
@@ -149,8 +149,19 @@
 	return max(g.live().Retry.Slack*budgetShare/float64(g.instances()), 1)
 }
 
-// decided logs a decision about a request with what it rests on.
+// decided logs a decision about a request with what it rests on. Successes are
+// sampled under load.
 func (g *Gateway) decided(j *job, event string, fields logrus.Fields) {
+	switch event {
+	case "relaying", "served":
+		if !g.sampler.Success(j.ID) {
+			return
+		}
+	default:
+		if !g.sampler.Other() {
+			return
+		}
+	}
 	fields["event"], fields["request"], fields["route"] = event, j.ID, j.route.Name
 	fields["version"] = j.table.Version
 	g.Log.WithFields(fields).Info(event)
