gateway: one copy of a run at a time, tried again while its prompt is read

Change: one copy at a time for each run, tried again until it can be copied; engines are asked for notices while the store is away; copies fill engines to 0.6 and yield as requests fill the memory.

--- /dev/null
+++ b/internal/story/story_test.go
@@ -0,0 +1,90 @@
+package story
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	cutOff = `{"copies":0,"endpoint":"i-70","event":"endpoint_leaves","msg":"endpoint leaves","runs":1,"source":"list","time":"2026-04-22T09:36:41.36Z"}
+10.06 front-a-1 {"detail":"move from i-70: status 404","endpoint":"i-70","event":"copy_failed","msg":"copy_failed","request":"q1","time":"2026-04-22T09:36:41.46Z","to":"i-93","took":1}
+{"endpoint":"i-70","event":"relaying","msg":"relaying","prompt":4340,"request":"q1","time":"2026-04-22T09:36:41.55Z","waited":607}
+{"backup":false,"detail":"unexpected EOF","endpoint":"i-70","event":"stream_broken","events":52,"msg":"stream_broken","request":"q1","time":"2026-04-22T09:36:43.06Z"}
+{"error":"broken (unknown): answer broke off","event":"cut","msg":"answer broke off","request":"q1","time":"2026-04-22T09:36:43.07Z"}
+`
+	storeAway = `{"event":"store_lost","msg":"store does not answer","table":"op","time":"2026-04-22T09:00:01Z"}
+{"event":"refused","msg":"no routing table is known yet","outcome":"not run","reason":"store","request":"q2","retry_ms":0,"status":503,"time":"2026-04-22T09:00:02Z","version":-1}
+`
+	unknown = `{"attempt":1,"endpoint":"i-aa","event":"attempt_failed","msg":"attempt_failed","outcome":"unknown","reason":"timeout","request":"q3","time":"2026-04-22T09:00:01Z"}
+{"event":"refused","msg":"i/o timeout","outcome":"unknown","reason":"timeout","request":"q3","status":504,"time":"2026-04-22T09:00:02Z","version":4}
+`
+	served = `{"endpoint":"i-aa","event":"served","msg":"served","request":"q4","status":200,"time":"2026-04-22T09:00:01Z"}
+`
+)
+
+func read(t *testing.T, texts ...string) *Log {
+	var l Log
+	for _, text := range texts {
+		require.NoError(t, l.Read(strings.NewReader(text)))
+	}
+	return &l
+}
+
+// The cause of each kind of failure must be told from its lines alone, whatever
+// order the files of the instances come in.
+func TestCauses(t *testing.T) {
+	l := read(t, served, unknown, storeAway, cutOff)
+	require.Equal(t, "engine i-70 ended the stream after its notice (seen at 2026-04-22T09:36:41.36Z by list), and there was no copy of its memory", l.Cause("q1"))
+	require.Equal(t, "the instance knew no routing table, because the store did not answer since 2026-04-22T09:00:01Z; the request has not run", l.Cause("q2"))
+	require.Equal(t, "endpoint i-aa gave no answer in time; it is not known whether the request ran", l.Cause("q3"))
+	require.Equal(t, "none: the request was served", l.Cause("q4"))
+	require.Equal(t, "no line tells of this request", l.Cause("q5"))
+}
+
+// A story has the lines of one request in order, and an unknown ID is said so.
+func TestTell(t *testing.T) {
+	l := read(t, cutOff)
+	var out strings.Builder
+	found, err := l.Tell(&out, "q1")
+	require.NoError(t, err)
+	require.True(t, found)
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	require.Len(t, lines, 5)
+	require.Contains(t, lines[0], "copy_failed")
+	require.Contains(t, lines[1], "prompt=4340 waited=607")
+	require.True(t, strings.HasPrefix(lines[4], "cause: "))
+	found, err = l.Tell(&out, "q9")
+	require.NoError(t, err)
+	require.False(t, found)
+}
+
+// Failures are grouped by cause, without what differs between them.
+func TestTop(t *testing.T) {
+	again := strings.NewReplacer("q1", "q7", "i-70", "i-71", "09:36:41.36Z", "09:36:41.99Z").Replace(cutOff)
+	l := read(t, cutOff, again, unknown, served)
+	top := l.Top()
+	require.Len(t, top, 2)
+	require.Equal(t, 2, top[0].Count)
+	require.Equal(t, "q1", top[0].Example)
+	require.Contains(t, top[0].Text, "engine ended the stream after its notice")
+}
+
+// Lines that were cut or come from elsewhere are counted and passed over.
+func TestForeignLines(t *testing.T) {
+	l := read(t, "panic: something\n"+served+cutOff[:40]+"\n\n")
+	require.Equal(t, 3, l.Foreign)
+	require.Len(t, l.Requests, 1)
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add(cutOff)
+	f.Add(storeAway)
+	f.Fuzz(func(_ *testing.T, text string) {
+		var l Log
+		if l.Read(strings.NewReader(text)) == nil {
+			l.Top()
+		}
+	})
+}
--- a/internal/system/system.go
+++ b/internal/system/system.go
@@ -30,8 +30,8 @@
 
 const (
 	startTime    = time.Minute // ends a wait for an entry that never starts; not a bound on the start
-	keepSeconds  = 1                // locate answers expire fast, so that a stop fits into a demonstration
-	stopSeconds  = 20               // longest graceful stop
+	keepSeconds  = 1           // locate answers expire fast, so that a stop fits into a demonstration
+	stopSeconds  = 20          // longest graceful stop
 	engineStep   = 8 * time.Millisecond
 	engineMemory = 4000 // tokens; small, so that engines are crowded
 )
--- a/process/gateway/feed.go
+++ b/process/gateway/feed.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -10,8 +11,10 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
+	"github.com/eelgrassdock/eelgrassdock/internal/sleep"
 	"github.com/eelgrassdock/eelgrassdock/process/member"
 	"github.com/eelgrassdock/eelgrassdock/process/mirror"
+	"github.com/eelgrassdock/eelgrassdock/process/roster"
 )
 
 // One instance of each region follows a table at the store; the others of the
@@ -23,6 +26,7 @@
 	peerWait    = time.Second            // of a poll at another instance
 	peerMargin  = 400 * time.Millisecond // beyond peerWait, after which a poll is given up
 	peerAvoid   = 5 * time.Second        // an instance that failed is not asked for this long
+	askEvery    = 400 * time.Millisecond // interval of questions to engines while the store is away
 	feedSilence = 4 * time.Second        // without an answer of the store, others are sent there themselves
 )
 
@@ -157,6 +161,39 @@
 	return best, best.ID != g.id
 }
 
+// away tells whether the store has not answered the latest question.
+func (f *feed) away() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lost
+}
+
+// askEngines looks for notices that the store does not show while it is away:
+// it asks the engines that run generations of this instance.
+func (g *Gateway) askEngines() {
+	for sleep.For(g.base, askEvery/2+jitter(askEvery)) {
+		if !slices.ContainsFunc(slices.Collect(maps.Values(g.feeds)), (*feed).away) {
+			continue
+		}
+		for _, e := range g.runs.engines() {
+			if now, ok := g.Roster.Get(e.ID); !ok || now.Leaving {
+				continue
+			}
+			g.spawn(func() {
+				ctx, cancel := context.WithTimeout(g.base, probeLimit)
+				defer cancel()
+				r, err := g.Backend.Report(ctx, e)
+				switch {
+				case err != nil:
+					counters.Add("reports_failed", 1) // the stream tells if the engine has ended
+				case r.Leaving:
+					g.Roster.Leave(e.ID, roster.FromReport)
+				}
+			})
+		}
+	}
+}
+
 // poll asks another instance for changes.
 func (g *Gateway) poll(ctx context.Context, source member.Member, f *feed, after int64) (mirror.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, peerWait+peerMargin)
--- a/process/gateway/generate.go
+++ b/process/gateway/generate.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -46,6 +47,8 @@
 		pause  time.Duration // longest time between two events
 		passed time.Time     // when the latest event was passed on
 
+		copying atomic.Bool // its memory is being copied after a notice
+
 		mu       sync.Mutex
 		endpoint roster.Endpoint
 		ticket   placement.Ticket
@@ -186,6 +189,9 @@
 	old, tokens := r.ticket, r.events*r.engine.Stride
 	r.endpoint, r.ticket = a.endpoint, a.ticket
 	r.mu.Unlock()
+	if a.from != "" {
+		r.desk.sched.Adopt(a.ticket)
+	}
 	if old != 0 && old != a.ticket {
 		r.desk.done(old, tokens, false)
 	}
@@ -356,7 +362,10 @@
 	if errors.Is(err, ErrCut) || ctx.Err() != nil {
 		return nil, r.failed(refusal.Failed(errors.CombineErrors(ctx.Err(), err), true))
 	}
-	r.note("stream_broken", a, logrus.Fields{"detail": err.Error(), "events": r.events, "backup": r.backup != nil})
+	r.mu.Lock()
+	events, copied := r.events, r.backup != nil
+	r.mu.Unlock()
+	r.note("stream_broken", a, logrus.Fields{"detail": err.Error(), "events": events, "backup": copied})
 	r.desk.suspect(a.endpoint.ID)
 	if next := r.fromBackup(); next != nil {
 		r.hops++
--- a/process/gateway/generate_test.go
+++ b/process/gateway/generate_test.go
@@ -215,6 +215,7 @@
 	w.Roster.Leave(from.ID, roster.FromList)
 	w.refreshDesks()
 	w.evacuate(from, roster.FromList)
+	require.Eventually(t, func() bool { return w.runsOf("q")[0].safe() != nil }, time.Minute, time.Millisecond)
 	_ = writer.CloseWithError(errors.New("connection reset"))
 	require.Equal(t, strings.Fields("1 2 3 4"), ids(<-done))
 	require.Len(t, w.moves, 1)
@@ -224,6 +225,126 @@
 	require.Equal(t, from.Addr+"/h", w.calls[1].From)
 }
 
+// Pattern: the notice comes while the prompt is still being read. The run cannot
+// be copied then, and must be as soon as it can.
+func TestNoticeWhileThePromptIsRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		w.Tables.Current().Services[0].Engine.Backups = false
+		tries := 0
+		w.move = func(Move) (Moved, error) {
+			if tries++; tries < 3 {
+				return Moved{}, errors.New("no such run")
+			}
+			return Moved{Handle: "h"}, nil
+		}
+		reader, writer := io.Pipe()
+		w.answer = func(n int, _ Call) (*Answer, error) {
+			if n > 0 {
+				return events("second", 2, 3, false), nil
+			}
+			a := events("first", 1, 0, false)
+			a.Body = reader
+			return a, nil
+		}
+		done := make(chan string)
+		go func() {
+			rec, err := w.request("/guide/1")
+			require.NoError(t, err)
+			done <- rec.Body.String()
+		}()
+		synctest.Wait()
+		from := w.runsOf("q")[0].endpoint
+		w.Roster.Leave(from.ID, roster.FromList)
+		w.refreshDesks()
+		w.evacuate(from, roster.FromList)
+		time.Sleep(protectPause)
+		_, _ = io.WriteString(writer, "id: 1\ndata: x\n\n")
+		time.Sleep(2 * protectPause)
+		_ = writer.CloseWithError(errors.New("connection reset"))
+		require.Equal(t, strings.Fields("1 2 3"), ids(<-done))
+	})
+}
+
+// Pattern: the engine of a generation and the engine of its copy are taken away
+// in one wave, first the one, whose row is gone already, and then the other.
+func TestCopyIsTakenAfterItsRun(t *testing.T) {
+	w := newWorld(t)
+	reader, writer := io.Pipe()
+	w.answer = func(n int, _ Call) (*Answer, error) {
+		if n > 0 {
+			return events("second", 2, 3, false), nil
+		}
+		a := events("first", 1, 0, false)
+		a.Body = reader
+		return a, nil
+	}
+	done := make(chan string)
+	go func() {
+		rec, err := w.request("/guide/1")
+		require.NoError(t, err)
+		done <- rec.Body.String()
+	}()
+	_, _ = io.WriteString(writer, "id: 1\ndata: x\n\n")
+	require.Eventually(t, func() bool { return len(w.runsOf("q")) == 1 && w.runsOf("q")[0].safe() != nil }, time.Minute, time.Millisecond)
+	r := w.runsOf("q")[0]
+	from, to := r.endpoint, r.safe().endpoint
+	w.Roster.Leave(from.ID, roster.FromList)
+	w.evacuate(from, roster.FromList)
+	w.Roster.Remove(from.ID)
+	w.Roster.Leave(to.ID, roster.FromList)
+	w.refreshDesks()
+	w.evacuate(to, roster.FromList)
+	require.Eventually(t, func() bool { return r.safe() != nil }, 10*time.Second, time.Millisecond)
+	require.NotEqual(t, to.ID, r.safe().endpoint.ID)
+	_ = writer.CloseWithError(errors.New("connection reset"))
+	require.Equal(t, strings.Fields("1 2 3"), ids(<-done))
+}
+
+// Two notices that concern one run must not begin two copies: the engine refuses
+// the second, and freeing it would free the first.
+func TestNoticesBeginOneCopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		w.Tables.Current().Services[0].Engine.Backups = false
+		busy := 0
+		w.move = func(Move) (Moved, error) {
+			busy++
+			require.Equal(t, 1, busy)
+			time.Sleep(300 * time.Millisecond)
+			busy--
+			return Moved{Handle: "h"}, nil
+		}
+		reader, writer := io.Pipe()
+		w.answer = func(n int, _ Call) (*Answer, error) {
+			if n > 0 {
+				return events("second", 2, 3, false), nil
+			}
+			a := events("first", 1, 0, false)
+			a.Body = reader
+			return a, nil
+		}
+		done := make(chan string)
+		go func() {
+			rec, err := w.request("/guide/1")
+			require.NoError(t, err)
+			done <- rec.Body.String()
+		}()
+		_, _ = io.WriteString(writer, "id: 1\ndata: x\n\n")
+		synctest.Wait()
+		from := w.runsOf("q")[0].endpoint
+		w.Roster.Leave(from.ID, roster.FromList)
+		w.refreshDesks()
+		w.evacuate(from, roster.FromList)
+		time.Sleep(100 * time.Millisecond)
+		w.evacuate(from, roster.FromReport)
+		time.Sleep(time.Second)
+		_ = writer.CloseWithError(errors.New("connection reset"))
+		require.Equal(t, strings.Fields("1 2 3"), ids(<-done))
+		require.Empty(t, w.freed)
+	})
+}
+
 // runsOf gives the runs of a request.
 func (w *world) runsOf(id string) (list []*run) {
 	for i := range 4 {
--- a/process/gateway/loads.go
+++ b/process/gateway/loads.go
@@ -76,7 +76,7 @@
 	g.desks.Range(func(_, d any) bool {
 		for _, w := range d.(*desk).sched.Own() {
 			list = append(list, loads.Load{
-				Endpoint: w.Endpoint, Runs: w.Runs, Tokens: int64(w.Tokens), Sent: int64(max(w.Sent, 0)),
+				Endpoint: w.Endpoint, Runs: w.Runs, Tokens: int64(w.Tokens), Copied: int64(max(w.Copied, 0)), Sent: int64(max(w.Sent, 0)),
 			})
 		}
 		return true
--- a/process/gateway/move.go
+++ b/process/gateway/move.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -16,7 +17,8 @@
 
 const (
 	copyLimit    = 2 * time.Second        // for one copy; the notice of an engine is seldom longer
-	copyTries    = 1                      // engines that are asked for room for one copy
+	protectLimit = 4 * time.Second        // after which a run is not copied any more
+	protectPause = 150 * time.Millisecond // between attempts to copy it
 	freeLimit    = 300 * time.Millisecond // for giving up a copy
 	firstRenewal = time.Second            // shortest interval at which a copy is renewed
 	registers    = 8
@@ -70,9 +72,27 @@
 	return runs, copies
 }
 
+// engines gives the engines at which runs are in work.
+func (x *registry) engines() []roster.Endpoint {
+	found := map[string]roster.Endpoint{}
+	for i := range x.shards {
+		s := &x.shards[i]
+		s.mu.Lock()
+		for r := range s.runs {
+			r.mu.Lock()
+			if !r.ended && r.endpoint.ID != "" {
+				found[r.endpoint.ID] = r.endpoint
+			}
+			r.mu.Unlock()
+		}
+		s.mu.Unlock()
+	}
+	return slices.Collect(maps.Values(found))
+}
+
 // evacuate protects the runs of an engine that goes away, unless they have a
-// copy at another engine. Copies share the link of the engine, so they go one
-// after the other, and those with the most to come first.
+// copy at another engine. The engine sends one copy after the other; those with
+// the most to come are asked for first.
 func (g *Gateway) evacuate(e roster.Endpoint, source string) {
 	list, copies := g.runs.at(e.ID)
 	g.Log.WithFields(logrus.Fields{"event": "endpoint_leaves", "endpoint": e.ID, "source": source, "runs": len(list), "copies": len(copies)}).
@@ -84,13 +104,13 @@
 		if b != nil && b.endpoint.ID == e.ID {
 			r.dropBackup(b)
 		}
-		if now, ok := g.Roster.Get(at.ID); ok && now.Leaving {
+		if now, ok := g.Roster.Get(at.ID); !ok || now.Leaving {
 			list = append(list, r) // its engine has given notice before
 		}
 	}
 	slices.SortFunc(list, func(a, b *run) int { return cmp.Compare(b.remaining(), a.remaining()) })
 	for _, r := range list {
-		if b := r.protected(); b != nil {
+		if b := r.safe(); b != nil {
 			g.spawn(func() { g.Backend.Warm(g.base, b.endpoint.Addr) })
 			continue
 		}
@@ -98,7 +118,7 @@
 			r.mu.Lock()
 			at := r.endpoint
 			r.mu.Unlock()
-			g.protect(r, at)
+			g.spawn(func() { g.protect(r, at) })
 		}
 	}
 }
@@ -115,33 +135,49 @@
 // for as long as the run is still there. The run goes on from the copy when its
 // stream ends: what the copy lacks then is read again within a step or two,
 // while stopping the run first would make it wait for the other transfers on
-// the links.
+// the links. A run whose prompt is still being read cannot be copied yet, so a
+// copy that fails is tried again until the run has left.
 func (g *Gateway) protect(r *run, from roster.Endpoint) {
+	if !r.copying.CompareAndSwap(false, true) {
+		return // an earlier notice has begun it
+	}
+	defer r.copying.Store(false)
 	begun := time.Now()
-	var (
-		to     roster.Endpoint
-		ticket placement.Ticket
-		moved  Moved
-		full   []string // engines without room
-	)
+	until := begun.Add(protectLimit)
 	for {
-		var ok bool
-		if to, ticket, ok = r.destination(from, full); !ok {
-			g.decided(r.j, "copy_no_room", logrus.Fields{"endpoint": from.ID, "full": len(full)})
-			return
-		}
-		var err error
-		if moved, err = g.copy(r, from, to); err == nil && !moved.Failed {
-			break
+		to, ticket, ok := r.destination(from)
+		switch {
+		case !ok:
+			g.decided(r.j, "copy_no_room", logrus.Fields{"endpoint": from.ID})
+		default:
+			moved, err := g.copy(r, from, to)
+			if err == nil && !moved.Failed {
+				g.protected(r, from, to, ticket, moved, begun)
+				return
+			}
+			r.desk.done(ticket, 0, false)
+			g.decided(r.j, "copy_failed", logrus.Fields{
+				"endpoint": from.ID, "to": to.ID, "detail": text(err), "took": time.Since(begun).Milliseconds(),
+			})
+			if err == nil {
+				return // memory is short; asking further engines would make it shorter
+			}
 		}
-		r.desk.done(ticket, 0, false)
-		g.decided(r.j, "copy_failed", logrus.Fields{
-			"endpoint": from.ID, "to": to.ID, "detail": text(err), "took": time.Since(begun).Milliseconds(),
-		})
-		if full = append(full, to.ID); err != nil || len(full) >= copyTries {
+		if time.Now().After(until) || !sleep.For(g.base, protectPause) || !r.at(from) || r.safe() != nil {
 			return
 		}
 	}
+}
+
+// at tells whether the run is in work at an engine.
+func (r *run) at(e roster.Endpoint) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.ended && r.endpoint.ID == e.ID
+}
+
+// protected makes a finished copy that of its run.
+func (g *Gateway) protected(r *run, from, to roster.Endpoint, ticket placement.Ticket, moved Moved, begun time.Time) {
 	b := &replica{endpoint: to, ticket: ticket, from: g.Backend.Handle(from, moved.Handle)}
 	r.mu.Lock()
 	wanted := !r.ended && r.endpoint.ID == from.ID && r.backup == nil
@@ -150,8 +186,9 @@
 	}
 	r.mu.Unlock()
 	if !wanted {
+		// The copy lapses by itself. Freeing it would free that of another move of
+		// this run as well.
 		r.desk.done(ticket, 0, false)
-		g.free(from, moved.Handle)
 		return
 	}
 	observe("copy", time.Since(begun))
@@ -200,12 +237,12 @@
 
 // destination reserves room for a run whose engine goes away: where its memory
 // is already, or else at the engine that the scheduler chooses.
-func (r *run) destination(from roster.Endpoint, full []string) (roster.Endpoint, placement.Ticket, bool) {
+func (r *run) destination(from roster.Endpoint) (roster.Endpoint, placement.Ticket, bool) {
 	r.mu.Lock()
 	done := r.events * r.engine.Stride
 	r.mu.Unlock()
 	d := r.desk.sched.PlaceCopy(placement.Copy{
-		Account: r.j.route.Name, From: from.ID, Place: from.Place, Prompt: r.j.Prompt, Done: done, Max: r.j.Max, Urgent: true, Exclude: full,
+		Account: r.j.route.Name, From: from.ID, Place: from.Place, Prompt: r.j.Prompt, Done: done, Max: r.j.Max, Urgent: true,
 	}, time.Now())
 	if d.Endpoint == "" {
 		return roster.Endpoint{}, 0, false
@@ -282,8 +319,8 @@
 	return &attempt{endpoint: b.endpoint, ticket: b.ticket, after: r.after(), from: b.from}
 }
 
-// protected gives the copy from which the run can go on, if its engine stays.
-func (r *run) protected() *replica {
+// safe gives the copy from which the run can go on, if its engine stays.
+func (r *run) safe() *replica {
 	r.mu.Lock()
 	b := r.backup
 	r.mu.Unlock()
--- a/process/gateway/run.go
+++ b/process/gateway/run.go
@@ -63,6 +63,7 @@
 	}
 	g.spawn(g.join)
 	g.spawn(g.housekeep)
+	g.spawn(g.askEngines)
 	g.Log.WithFields(logrus.Fields{"event": "start", "instance": g.id, "callers": g.Settings.Callers}).Info("instance started")
 	return nil
 }
--- a/process/gateway/world_test.go
+++ b/process/gateway/world_test.go
@@ -63,6 +63,7 @@
 			}
 			return w.move(m)
 		},
+		Report: func(context.Context, roster.Endpoint) (Report, error) { return Report{}, nil },
 		Free: func(_ context.Context, _ roster.Endpoint, handle string) error {
 			w.mu.Lock()
 			defer w.mu.Unlock()
--- a/process/loads/loads.go
+++ b/process/loads/loads.go
@@ -32,6 +32,7 @@
 		Endpoint string
 		Runs     int
 		Tokens   int64 // memory
+		Copied   int64 // the part of it that copies take
 		Sent     int64 // prompt tokens, since the sender started
 	}
 
@@ -126,7 +127,7 @@
 	if m.Seq > p.seq {
 		p.seq, p.seen = m.Seq, now
 		for _, l := range m.Loads {
-			if l.Runs < 0 || l.Tokens < 0 || l.Sent < 0 {
+			if l.Runs < 0 || l.Tokens < 0 || l.Copied < 0 || l.Sent < 0 {
 				continue
 			}
 			old := p.loads[l.Endpoint]
@@ -149,6 +150,7 @@
 	sum.Endpoint = l.Endpoint
 	sum.Runs += l.Runs - old.Runs
 	sum.Tokens += l.Tokens - old.Tokens
+	sum.Copied += l.Copied - old.Copied
 	b.sums[l.Endpoint] = sum
 	if sum.Runs == 0 && sum.Tokens == 0 {
 		delete(b.sums, l.Endpoint)
--- a/process/placement/account.go
+++ b/process/placement/account.go
@@ -38,6 +38,9 @@
 		used  float64 // tokens of prompts and outputs
 		count int
 		ahead load
+		// copied is the part of used, and othersCopied that of others, which
+		// copies take: memory without a generation.
+		copied, othersCopied float64
 
 		// Work of others: the report less own work at its time.
 		others     float64
@@ -82,6 +85,7 @@
 		estimate length.Estimate
 		prompt   float64 // prompt tokens that take memory of their own
 		placed   int64   // Unix nanoseconds
+		copy     bool    // of a generation that runs elsewhere
 		backlog  float64 // prompt tokens to compute at its endpoint then, its own included
 		done     int
 		refresh  int // tokens at which the expectation is computed again
@@ -275,6 +279,9 @@
 	// Most calls come here, one for each token; change would do the same slower.
 	s.remember(r.ep)
 	r.ep.used += grown
+	if r.copy {
+		r.ep.copied += grown
+	}
 	s.mix.used += grown
 }
 
@@ -286,6 +293,9 @@
 	delta := r.ahead
 	delta.add(&before, -1)
 	s.change(r.ep, 0, grown, &delta, 1)
+	if r.copy {
+		r.ep.copied += grown
+	}
 }
 
 // Done says that a generation has ended after n tokens and releases its
@@ -308,6 +318,7 @@
 	}
 	s.move(r.ep, max(n, r.done)*bytesPerToken)
 	s.change(r.ep, -1, -(r.prompt + float64(r.done)), &r.ahead, -1)
+	s.uncopy(r)
 	account = r.account
 	r.active, r.ep, r.account = false, nil, ""
 	s.free = append(s.free, uint32(ticket))
--- a/process/placement/copy.go
+++ b/process/placement/copy.go
@@ -13,9 +13,13 @@
 	// moveBudget is the same for a generation whose endpoint goes away, which is
 	// lost otherwise.
 	moveBudget = uselessRisk
-	// copyCeiling is the share of an endpoint's memory up to which copies may fill
-	// it. The rest is for requests, whose generations a copy would preempt.
-	copyCeiling = 0.4
+	// Copies fill an endpoint up to copyMost of its memory while requests use
+	// less than copyFrom of all memory, and up to copyLeast when they use copyTo:
+	// what copies take preempts generations then.
+	copyMost  = 0.6
+	copyLeast = 0.35
+	copyFrom  = 0.35
+	copyTo    = 0.55
 	// copyAwayCost is the cost of a copy to another place than the source's, in
 	// seconds of stall: the transfer takes twice as long and crosses links that
 	// are paid by volume.
@@ -52,6 +56,10 @@
 	if c.Urgent {
 		limit = moveBudget
 	}
+	ceiling := s.copyCeiling()
+	if c.Urgent {
+		ceiling = math.Inf(1)
+	}
 	var best *endpoint
 	lowest := math.Inf(1)
 	for _, e := range s.list {
@@ -59,7 +67,7 @@
 			continue
 		}
 		risk, cost := s.judge(e, &o)
-		if risk > limit || !c.Urgent && e.others+e.used+float64(req.Prompt) > copyCeiling*e.total {
+		if risk > limit || e.others+e.used+float64(req.Prompt) > ceiling*e.total {
 			continue
 		}
 		if e.Place != c.Place {
@@ -83,6 +91,40 @@
 	if r := s.find(ticket); r != nil {
 		r.prompt, r.done = max(float64(c.Prompt), 1), c.Done
 		s.replan(r, 0)
+		r.copy = true
+		best.copied += r.prompt + float64(r.done)
 	}
 	return Decision{Endpoint: best.ID, Ticket: ticket}
 }
+
+// copyCeiling gives the share of an endpoint's memory up to which copies may
+// fill it.
+func (s *Scheduler) copyCeiling() float64 {
+	var requests, total float64
+	for _, e := range s.list {
+		if !e.closed {
+			requests += e.others + e.used - e.copied - e.othersCopied
+			total += e.total
+		}
+	}
+	crowd := (requests/max(total, 1) - copyFrom) / (copyTo - copyFrom)
+	return copyMost + min(max(crowd, 0), 1)*(copyLeast-copyMost)
+}
+
+// Adopt says that a generation goes on from its copy.
+func (s *Scheduler) Adopt(ticket Ticket) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r := s.find(ticket); r != nil {
+		s.uncopy(r)
+	}
+}
+
+// uncopy makes the memory of a copy that of a generation.
+func (s *Scheduler) uncopy(r *reservation) {
+	if !r.copy {
+		return
+	}
+	r.copy = false
+	r.ep.copied = max(r.ep.copied-r.prompt-float64(r.done), 0)
+}
--- a/process/placement/others.go
+++ b/process/placement/others.go
@@ -7,6 +7,7 @@
 	Endpoint string
 	Runs     int
 	Tokens   float64 // memory
+	Copied   float64 // the part of it that copies take
 	Sent     float64 // prompt tokens sent since the entry knows the endpoint
 }
 
@@ -17,7 +18,7 @@
 	var list []Work
 	for _, e := range s.list {
 		if e.count > 0 || e.sent > 0 {
-			list = append(list, Work{Endpoint: e.ID, Runs: e.count, Tokens: e.used, Sent: e.sent})
+			list = append(list, Work{Endpoint: e.ID, Runs: e.count, Tokens: e.used, Copied: e.copied, Sent: e.sent})
 		}
 	}
 	return list
@@ -35,7 +36,7 @@
 	if e == nil {
 		return
 	}
-	e.others, e.othersRuns = w.Tokens, float64(w.Runs)
+	e.others, e.othersRuns, e.othersCopied = w.Tokens, float64(w.Runs), w.Copied
 	e.reportAt = s.nanos
 	if w.Sent > 0 {
 		e.fill = e.pending(s.nanos, s.fillTime()) + w.Sent
