--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -22,7 +22,7 @@
 	fetchLimit    = time.Second            // for reading the routing table of a peer
 	registerPause = 300 * time.Millisecond // after a failed registration
 	registerLimit = 2 * time.Second
-	askSeeds      = time.Second // interval at which seeds are asked while no routing table is known
+	seedPause     = 200 * time.Millisecond // before seeds are asked for a routing table, and between
 	payloadBytes  = 8
 )
 
@@ -142,38 +142,39 @@
 	g.members.Seeded(s.Members)
 }
 
-// join makes this instance known: to the store, and to the seeds while the
-// store does not answer.
-func (g *Gateway) join() {
+// register makes this instance known to the store.
+func (g *Gateway) register() {
 	row, err := json.Marshal(g.self())
 	if err != nil {
 		g.Log.WithError(err).Error("row of this instance cannot be written")
 		return
 	}
-	registered, asked := false, time.Time{}
-	for !registered || g.Tables.Current() == nil {
-		if !registered {
-			ctx, cancel := context.WithTimeout(g.base, registerLimit)
-			err := g.Register(ctx, g.Settings.Name, row)
-			cancel()
-			if registered = err == nil; !registered {
-				g.Log.WithError(err).WithField("event", "register_failed").Warn("store did not take the row of this instance")
-			}
-		}
-		if g.Tables.Current() == nil && time.Since(asked) > askSeeds {
-			asked = time.Now()
-			for _, addr := range g.live().Seeds {
-				if addr != g.Settings.Peer {
-					g.fetch(addr)
-				}
-			}
+	for {
+		ctx, cancel := context.WithTimeout(g.base, registerLimit)
+		err := g.Register(ctx, g.Settings.Name, row)
+		cancel()
+		if err == nil {
+			return
 		}
+		g.Log.WithError(err).WithField("event", "register_failed").Warn("store did not take the row of this instance")
 		if !sleep.For(g.base, registerPause/2+jitter(registerPause)) {
 			return
 		}
 	}
 }
 
+// askSeeds learns the routing table and the members from the seeds while the
+// store does not give them.
+func (g *Gateway) askSeeds() {
+	for sleep.For(g.base, seedPause/2+jitter(seedPause)) && g.Tables.Current() == nil {
+		for _, addr := range g.live().Seeds {
+			if addr != g.Settings.Peer {
+				g.spawn(func() { g.fetch(addr) })
+			}
+		}
+	}
+}
+
 func (g *Gateway) self() member.Member {
 	s := &g.Settings
 	return member.Member{ID: g.id, Addr: s.Callers, Probe: s.Probe, RPC: s.Peer, Place: s.Place, Region: s.Region}
--- /dev/null
+++ b/process/gateway/peers_test.go
@@ -0,0 +1,58 @@
+package gateway
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/eelgrassdock/eelgrassdock/internal/port"
+	"github.com/eelgrassdock/eelgrassdock/process/mirror"
+	"github.com/eelgrassdock/eelgrassdock/version/routing"
+)
+
+// instance starts a gateway on loopback whose store does not answer.
+func instance(t *testing.T, name string, seeds ...string) *Gateway {
+	w := newWorld(t)
+	g := w.Gateway
+	g.Tables = routing.Keeper{}
+	g.Settings.Name = name
+	for _, addr := range []*string{&g.Settings.Peer, &g.Settings.Probe, &g.Settings.Loads, &g.Settings.Callers} {
+		free, err := port.Addr()
+		require.NoError(t, err)
+		*addr = free
+	}
+	g.Settings.Seeds = seeds
+	g.Decode = func(data []byte) (*routing.Table, error) {
+		return routing.New(routing.Document{Version: int64(data[0])}), nil
+	}
+	away := func(ctx context.Context) error {
+		<-t.Context().Done() // also when the call's own time is over
+		return errors.CombineErrors(ctx.Err(), errors.New("away"))
+	}
+	g.Register = func(ctx context.Context, _ string, _ []byte) error { return away(ctx) }
+	g.Registered = func(ctx context.Context) ([][]byte, error) { return nil, away(ctx) }
+	g.Deregister = func(ctx context.Context, _ string) error { return away(ctx) }
+	tables := []*mirror.Table{{
+		Name: "t", Wait: time.Second, Log: g.Log, Changed: func([]mirror.Row) {},
+		List: func(ctx context.Context) (mirror.Page, error) { return mirror.Page{}, away(ctx) },
+	}}
+	require.NoError(t, g.Start(t.Context(), tables))
+	return g
+}
+
+// An instance that starts while the store does not answer learns the routing
+// table from a seed at once, and newer ones from its peers.
+func TestStartWhileTheStoreIsAway(t *testing.T) {
+	a := instance(t, "a")
+	a.TakeTable([]byte{3}, 3, "test")
+	b := instance(t, "b", a.Settings.Peer)
+	require.Eventually(t, func() bool { return b.Tables.Version() == 3 }, time.Minute, time.Millisecond)
+	require.Eventually(t, func() bool { return a.instances() == 2 && b.instances() == 2 }, time.Minute, time.Millisecond)
+	a.TakeTable([]byte{5}, 5, "test")
+	require.Eventually(t, func() bool { return b.Tables.Version() == 5 }, time.Minute, time.Millisecond)
+	b.TakeTable([]byte{4}, 4, "test")
+	require.Equal(t, int64(5), b.Tables.Version())
+}
--- a/process/gateway/run.go
+++ b/process/gateway/run.go
@@ -61,7 +61,8 @@
 	for _, t := range tables {
 		g.spawn(func() { t.Run(g.base) })
 	}
-	g.spawn(g.join)
+	g.spawn(g.register)
+	g.spawn(g.askSeeds)
 	g.spawn(g.housekeep)
 	g.spawn(g.askEngines)
 	g.Log.WithFields(logrus.Fields{"event": "start", "instance": g.id, "callers": g.Settings.Callers}).Info("instance started")
