gateway: hold requests until the first routing table is read

Change: requests wait up to 0.4 s for the first table; refusals for want of a table name a time to come back; explain looks at the latest news of the store.

--- a/internal/story/story.go
+++ b/internal/story/story.go
@@ -224,11 +224,15 @@
 
 // outage says when the store was lost before a line.
 func (l *Log) outage(end Line) string {
-	for _, x := range slices.Backward(l.Store) {
-		if x.Time <= end.Time && x.Event == "store_lost" {
-			return ", because the store did not answer since " + x.Time
+	var latest Line
+	for _, x := range l.Store {
+		if x.Time <= end.Time && x.Time >= latest.Time {
+			latest = x
 		}
 	}
+	if latest.Event == "store_lost" {
+		return ", because the store did not answer since " + latest.Time
+	}
 	return ""
 }
 
--- a/process/gateway/call.go
+++ b/process/gateway/call.go
@@ -22,6 +22,7 @@
 	repeatFresh     = 3 * time.Second        // the same, of a request that may be repeated
 	attemptShare    = 0.8                    // of the aim, after which a request that may be repeated is sent elsewhere
 	answerMost      = 1 << 20                // bytes of a plain answer that is held until it is whole
+	startHold       = 400 * time.Millisecond // covers a connection to the store and a read between regions
 	comeBack        = 200 * time.Millisecond // earliest return after a refusal
 	comeBackSpread  = 300 * time.Millisecond // callers that were refused together return spread over this
 )
--- a/process/gateway/call_test.go
+++ b/process/gateway/call_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -143,6 +144,24 @@
 	require.Empty(t, w.calls)
 }
 
+// Pattern: all instances start again at once. A request that comes before the
+// routing table has been read waits for it for a moment.
+func TestRequestWaitsForTheFirstTable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		table := w.Tables.Current()
+		w.Tables = routing.Keeper{}
+		w.answer = func(int, Call) (*Answer, error) { return plain(http.StatusOK, "ok"), nil }
+		go func() {
+			time.Sleep(startHold / 2)
+			w.Tables.Install(table)
+		}()
+		rec, err := w.request("/book/1")
+		require.NoError(t, err)
+		require.Equal(t, "ok", rec.Body.String())
+	})
+}
+
 // An address that another endpoint has now is not used again.
 func TestAddressOfAnotherEndpoint(t *testing.T) {
 	w := newWorld(t)
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -196,6 +196,7 @@
 	g.sampler.Arrived()
 	g.active.Add(1)
 	defer g.active.Add(-1)
+	g.awaitTable(ctx)
 	j, err := g.admit(w, r)
 	if err != nil {
 		return err
@@ -208,11 +209,28 @@
 	return g.call(ctx, j)
 }
 
+// awaitTable holds the requests that come in the first moments of a process
+// until it has read a routing table.
+func (g *Gateway) awaitTable(ctx context.Context) {
+	if g.Tables.Current() != nil {
+		return
+	}
+	limit := time.NewTimer(startHold)
+	defer limit.Stop()
+	select {
+	case <-g.Tables.Ready():
+	case <-ctx.Done():
+	case <-limit.C:
+	}
+}
+
 // admit finds route, account and deadline.
 func (g *Gateway) admit(w http.ResponseWriter, r *Request) (*job, error) {
 	t := g.Tables.Current()
 	if t == nil {
-		return nil, refusal.New(refusal.Store, refusal.NotRun, "no routing table is known yet")
+		f := refusal.New(refusal.Store, refusal.NotRun, "no routing table is known yet")
+		f.RetryAt = comeBackAt(time.Now())
+		return nil, f
 	}
 	j := &job{Request: r, w: w, table: t, route: t.Route(r.Host, r.Path)}
 	if j.route == nil {
--- a/version/routing/routing.go
+++ b/version/routing/routing.go
@@ -106,6 +106,7 @@
 
 		mu      sync.Mutex
 		current atomic.Pointer[Table]
+		ready   chan struct{}
 	}
 )
 
@@ -190,12 +191,38 @@
 		return false
 	}
 	k.current.Store(t)
+	if old := k.readyLocked(); !closed(old) {
+		close(old)
+	}
 	if k.Installed != nil {
 		k.Installed(t)
 	}
 	return true
 }
 
+// Ready is closed when the first table is in force.
+func (k *Keeper) Ready() <-chan struct{} {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.readyLocked()
+}
+
+func (k *Keeper) readyLocked() chan struct{} {
+	if k.ready == nil {
+		k.ready = make(chan struct{})
+	}
+	return k.ready
+}
+
+func closed(c chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
 // Current gives the table in force, nil before the first.
 func (k *Keeper) Current() *Table { return k.current.Load() }
 
