gateway: histograms at the metrics address

Cause: only sums of times were served. Change: HdrHistograms of the first event, pauses, holds, copies and calls; state of the instance.

--- a/process/gateway/call.go
+++ b/process/gateway/call.go
@@ -74,6 +74,7 @@
 			g.decided(j, "served", logrus.Fields{
 				"endpoint": e.ID, "status": kept.status, "attempt": attempt, "took": time.Since(j.Arrived).Milliseconds(),
 			})
+			observe(callTime, time.Since(j.Arrived))
 			return g.deliver(j, kept)
 		}
 		tried = append(tried, e.ID)
--- a/process/gateway/generate.go
+++ b/process/gateway/generate.go
@@ -104,6 +104,7 @@
 	if err != nil {
 		return nil, err
 	}
+	observe(heldTime, time.Since(r.begun))
 	return &attempt{endpoint: e, ticket: ticket, after: r.last}, nil
 }
 
@@ -144,6 +145,7 @@
 	answer.Close(err == nil)
 	if err == nil {
 		r.completed()
+		observe(pauseTime, r.pause)
 		r.note("served", a, logrus.Fields{
 			"first": r.first.Milliseconds(), "pause": r.pause.Milliseconds(), "events": r.events, "hops": r.hops,
 		})
@@ -237,7 +239,7 @@
 	copyHeader(r.j.w.Header(), answer.Header)
 	r.j.w.WriteHeader(answer.Status)
 	r.first, r.passed = time.Since(r.j.Arrived), time.Now()
-	observe("first_event", r.first)
+	observe(firstTime, r.first)
 	r.desk.sched.Started(r.ticket, r.passed)
 	r.desk.trust(r.endpoint.ID)
 }
--- /dev/null
+++ b/process/gateway/metrics.go
@@ -0,0 +1,92 @@
+package gateway
+
+import (
+	"expvar"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	longestTime = int64(10 * time.Minute / time.Microsecond) // of a histogram; longer ones count as this
+	digits      = 2                                          // significant decimal digits of a histogram
+)
+
+// Names of the histograms. All hold times.
+const (
+	firstTime = "first" // from a request's arrival to the first event of its answer
+	pauseTime = "pause" // the longest between two events of one answer
+	heldTime  = "held"  // a generation waited for an engine
+	copyTime  = "copy"  // a copy of a generation's memory after a notice
+	callTime  = "call"  // from arrival to the answer of a plain service
+)
+
+type (
+	// histogram is one histogram of times in microseconds.
+	histogram struct {
+		mu sync.Mutex
+		h  *hdrhistogram.Histogram
+	}
+
+	// Times is a histogram as the metrics address shows it, in milliseconds.
+	Times struct {
+		Count int64   `json:"count"`
+		P50   float64 `json:"p50"`
+		P95   float64 `json:"p95"`
+		P99   float64 `json:"p99"`
+		Max   float64 `json:"max"`
+	}
+)
+
+var (
+	counters   = expvar.NewMap("gateway")
+	histograms = newHistograms(firstTime, pauseTime, heldTime, copyTime, callTime)
+)
+
+func newHistograms(names ...string) map[string]*histogram {
+	list := make(map[string]*histogram, len(names))
+	times := expvar.NewMap("times")
+	for _, name := range names {
+		h := newHistogram()
+		list[name] = h
+		times.Set(name, expvar.Func(func() any { return h.times() }))
+	}
+	return list
+}
+
+// observe takes a time into a histogram.
+func observe(name string, d time.Duration) {
+	histograms[name].record(d)
+}
+
+func newHistogram() *histogram {
+	return &histogram{h: hdrhistogram.New(1, longestTime, digits)}
+}
+
+func (h *histogram) record(d time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	// The value is within the histogram's range, so that no error is possible.
+	_ = h.h.RecordValue(min(max(d.Microseconds(), 1), longestTime))
+}
+
+func (h *histogram) times() Times {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	ms := func(us int64) float64 { return float64(us) / 1000 }
+	return Times{
+		Count: h.h.TotalCount(), P50: ms(h.h.ValueAtQuantile(50)), P95: ms(h.h.ValueAtQuantile(95)),
+		P99: ms(h.h.ValueAtQuantile(99)), Max: ms(h.h.Max()),
+	}
+}
+
+// Publish shows the state of this gateway at the metrics address. It is called once in
+// a process.
+func (g *Gateway) Publish() {
+	expvar.Publish("state", expvar.Func(func() any {
+		return map[string]any{
+			"version": g.Tables.Version(), "instances": g.instances(), "active": g.Active(), "stopping": g.Stopping(),
+		}
+	}))
+}
--- a/process/gateway/move.go
+++ b/process/gateway/move.go
@@ -191,7 +191,7 @@
 		r.desk.done(ticket, 0, false)
 		return
 	}
-	observe("copy", time.Since(begun))
+	observe(copyTime, time.Since(begun))
 	g.decided(r.j, "copied", logrus.Fields{
 		"endpoint": from.ID, "to": to.ID, "events": moved.Events, "took": time.Since(begun).Milliseconds(),
 	})
--- a/process/gateway/run.go
+++ b/process/gateway/run.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"expvar"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -26,8 +25,6 @@
 	knownFor      = 3.0 // some callers use an answer for three times as long as they may
 )
 
-var counters = expvar.NewMap("gateway")
-
 // stopping is the state of an instance that stops.
 type stopping struct {
 	begun time.Time
@@ -192,8 +189,3 @@
 }
 
 func itoa(n int64) string { return strconv.FormatInt(n, 10) }
-
-func observe(name string, d time.Duration) {
-	counters.Add(name+"_ms", d.Milliseconds())
-	counters.Add(name+"_count", 1)
-}
