gateway, platform: close idle connections in a stop

Change: when callers can no longer know the instance (3.5 s), its listeners and idle connections close, while requests in work go on.

--- a/process/gateway/run.go
+++ b/process/gateway/run.go
@@ -21,6 +21,7 @@
 	housekeeping  = 5 * time.Second // interval at which idle connections are closed
 	stopReserve   = time.Second     // before the end of the grace time, in which nothing runs any more
 	farewellLimit = 300 * time.Millisecond
+	newsTime      = 500 * time.Millisecond // until all instances know that one is leaving
 	stopPoll      = 50 * time.Millisecond
 	knownFor      = 3.0 // some callers use an answer for three times as long as they may
 )
@@ -85,10 +86,11 @@
 // Active gives the number of requests in work.
 func (g *Gateway) Active() int64 { return g.active.Load() }
 
-// Stop begins a graceful stop: the instance disappears from the answers to
-// callers and goes on serving. Stop returns when the requests in work have
-// ended, callers can no longer know this instance, or the time is over.
-func (g *Gateway) Stop() {
+// Stop stops gracefully: the instance disappears from the answers to callers and
+// goes on serving until callers can no longer know it. Then it calls drain,
+// which must keep new requests out and leave those in work alone. Stop returns
+// when these have ended, or when the time is over.
+func (g *Gateway) Stop(drain func()) {
 	now := time.Now()
 	s := &stopping{begun: now, end: now.Add(seconds(g.live().Grace) - stopReserve)}
 	if !g.stopping.CompareAndSwap(nil, s) {
@@ -97,11 +99,10 @@
 	g.members.Drain()
 	g.members.Nudge()
 	g.Log.WithFields(logrus.Fields{"event": "stop", "active": g.Active()}).Info("instance stops")
-	known := now.Add(seconds(g.live().Keep)*knownFor + stopReserve)
-	for time.Now().Before(s.end) && (time.Now().Before(known) || g.Active() > 0) {
-		if !sleep.For(g.base, stopPoll) {
-			break
-		}
+	known := now.Add(seconds(g.live().Keep)*knownFor + newsTime)
+	waitUntil(g.base, earlier(known, s.end))
+	drain()
+	for time.Now().Before(s.end) && g.Active() > 0 && sleep.For(g.base, stopPoll) {
 	}
 	g.members.Leave()
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(g.base), farewellLimit)
@@ -177,6 +178,13 @@
 	return d <= 0 && ctx.Err() == nil || sleep.For(ctx, d)
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 func jitter(d time.Duration) time.Duration { return rand.N(d) }
 
 // comeBackAt spreads the return of callers that were refused together.
--- /dev/null
+++ b/process/gateway/run_test.go
@@ -0,0 +1,70 @@
+package gateway
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/eelgrassdock/eelgrassdock/process/member"
+)
+
+// A stop must keep new requests out as soon as callers no longer know the
+// instance: one that is taken later is cut at the end of the grace time. Those
+// in work are waited for.
+func TestStopKeepsNewRequestsOutInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		w.Settings.Grace, w.Settings.Keep = 8, 1
+		w.members = &member.Node{
+			Self: member.Member{ID: w.id, Addr: "127.0.0.1:1", Probe: "127.0.0.1:2", RPC: "127.0.0.1:3"},
+			Send: func(string, []byte) error { return nil },
+		}
+		deregistered := false
+		w.Deregister = func(context.Context, string) error {
+			deregistered = true
+			return nil
+		}
+		w.active.Store(1)
+		var drained atomic.Bool
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			w.Stop(func() { drained.Store(true) })
+		}()
+		time.Sleep(time.Duration(knownFor)*time.Second - time.Millisecond)
+		require.True(t, w.Stopping())
+		require.False(t, drained.Load(), "callers may still know the instance")
+		time.Sleep(newsTime + 2*time.Millisecond)
+		require.True(t, drained.Load())
+		select {
+		case <-ended:
+			require.Fail(t, "a request is in work")
+		case <-time.After(time.Second):
+		}
+		w.active.Store(0)
+		time.Sleep(2 * stopPoll)
+		<-ended
+		require.True(t, deregistered)
+	})
+}
+
+// A request that never ends does not keep the instance beyond its grace time.
+func TestStopEndsInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		w.Settings.Grace, w.Settings.Keep = 8, 5
+		w.members = &member.Node{
+			Self: member.Member{ID: w.id, Addr: "127.0.0.1:1", Probe: "127.0.0.1:2", RPC: "127.0.0.1:3"},
+			Send: func(string, []byte) error { return nil },
+		}
+		w.Deregister = func(context.Context, string) error { return nil }
+		w.active.Store(1)
+		begun := time.Now()
+		w.Stop(func() {})
+		require.LessOrEqual(t, time.Since(begun), 8*time.Second)
+	})
+}
