placement: load tests of the platform path

Change: tests without a network that name their pattern: instances that choose at once, new engines, slow engines, copies that spread and yield.

--- /dev/null
+++ b/process/placement/platform_test.go
@@ -0,0 +1,220 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// group is several schedulers before the same engines, which tell each other
+// their work after each decision.
+type group struct {
+	now       time.Time
+	engines   []Endpoint
+	entries   []*Scheduler
+	sent      []map[string]float64 // by entry, as told last
+	exchanges bool
+}
+
+func newGroup(entries, engines int) *group {
+	f := &group{now: time.Unix(1000, 0), exchanges: true}
+	for i := range engines {
+		f.engines = append(f.engines, Endpoint{ID: fmt.Sprint("e", i), Place: "p", Region: "r", Tokens: 30_000})
+	}
+	for i := range entries {
+		s := &Scheduler{Service: "s", Region: "r", EntryPlace: "p", Seed: uint64(i + 1), Chunked: true, Memory: 0.5}
+		s.SetEndpoints(f.engines)
+		f.entries = append(f.entries, s)
+		f.sent = append(f.sent, map[string]float64{})
+	}
+	return f
+}
+
+// tell hands the work of entry i to the others.
+func (f *group) tell() {
+	if !f.exchanges {
+		return
+	}
+	fresh := map[string]map[int]float64{}
+	for i, s := range f.entries {
+		for _, w := range s.Own() {
+			if fresh[w.Endpoint] == nil {
+				fresh[w.Endpoint] = map[int]float64{}
+			}
+			fresh[w.Endpoint][i] = w.Sent - f.sent[i][w.Endpoint]
+			f.sent[i][w.Endpoint] = w.Sent
+		}
+	}
+	for i, s := range f.entries {
+		sums := map[string]Work{}
+		for j, other := range f.entries {
+			if i == j {
+				continue
+			}
+			for _, w := range other.Own() {
+				sum := sums[w.Endpoint]
+				sum.Endpoint = w.Endpoint
+				sum.Runs += w.Runs
+				sum.Tokens += w.Tokens
+				sum.Copied += w.Copied
+				sum.Sent += fresh[w.Endpoint][j]
+				sums[w.Endpoint] = sum
+			}
+		}
+		for _, w := range sums {
+			s.Others(w, f.now)
+		}
+	}
+}
+
+func (f *group) place(t *testing.T, i, prompt int) Decision {
+	f.now = f.now.Add(10 * time.Millisecond)
+	d := f.entries[i].Place(Request{Account: "a", Prompt: prompt, Max: 400, Arrived: f.now}, f.now)
+	require.NotEmpty(t, d.Endpoint)
+	f.tell()
+	return d
+}
+
+// most gives the most requests at one engine.
+func most(counts map[string]int) (n int) {
+	for _, c := range counts {
+		n = max(n, c)
+	}
+	return n
+}
+
+// Pattern: six instances choose at once. Without each other's work they send
+// more to some engines than with it; told, they spread evenly.
+func TestInstancesThatChooseAtOnce(t *testing.T) {
+	spread := map[bool]int{}
+	for _, exchanges := range []bool{false, true} {
+		f := newGroup(6, 6)
+		f.exchanges = exchanges
+		counts := map[string]int{}
+		for i := range 18 {
+			counts[f.place(t, i%6, 3000).Endpoint]++
+		}
+		spread[exchanges] = most(counts)
+	}
+	require.LessOrEqual(t, spread[true], 4, "three each are even")
+	require.LessOrEqual(t, spread[true], spread[false])
+}
+
+// Pattern: an engine replaces one that was reclaimed, and is empty. It must not
+// get the next requests of all instances.
+func TestNewEngineIsNotOverrun(t *testing.T) {
+	f := newGroup(6, 5)
+	for i := range 10 {
+		f.place(t, i%6, 3000)
+	}
+	f.engines = append(f.engines, Endpoint{ID: "new", Place: "p", Region: "r", Tokens: 30_000})
+	for _, s := range f.entries {
+		s.SetEndpoints(f.engines)
+	}
+	f.now = f.now.Add(300 * time.Millisecond)
+	counts := map[string]int{}
+	for i := range 12 {
+		counts[f.place(t, i%6, 3000).Endpoint]++
+	}
+	require.LessOrEqual(t, counts["new"], 5)
+}
+
+// Pattern: engines turn slow. Work goes elsewhere while one is slower than the
+// others, and comes back when that has faded.
+func TestSlowEngineGetsLess(t *testing.T) {
+	f := newGroup(1, 4)
+	s := f.entries[0]
+	run := func(n int, slow bool) map[string]int {
+		counts := map[string]int{}
+		for range n {
+			d := f.place(t, 0, 2000)
+			counts[d.Endpoint]++
+			took := 280 * time.Millisecond
+			if slow && d.Endpoint == "e0" {
+				took *= 6
+			}
+			f.now = f.now.Add(took)
+			s.Started(d.Ticket, f.now)
+			s.Done(d.Ticket, 40, true, f.now)
+		}
+		return counts
+	}
+	counts := run(60, true)
+	require.Less(t, counts["e0"], 10)
+	f.now = f.now.Add(time.Minute)
+	counts = run(60, false)
+	require.Greater(t, counts["e0"], 8)
+}
+
+// The time for prompts is learned from a few first tokens, also when it is far
+// from what was assumed.
+func TestTimeForPromptsIsLearned(t *testing.T) {
+	f := newGroup(1, 2)
+	s := f.entries[0]
+	for range 10 {
+		d := f.place(t, 0, 3000)
+		f.now = f.now.Add(420 * time.Millisecond)
+		s.Started(d.Ticket, f.now)
+		f.now = f.now.Add(time.Second)
+		s.Done(d.Ticket, 100, true, f.now)
+	}
+	require.InEpsilon(t, 0.00014, s.fillTime(), 0.15, "seconds for a prompt token")
+}
+
+// Pattern: engines are reclaimed at short notice. Copies go to another engine of
+// the same place, and spread.
+func TestCopiesGoToOtherEnginesOfThePlace(t *testing.T) {
+	f := newGroup(1, 4)
+	f.engines = append(f.engines, Endpoint{ID: "away", Place: "q", Region: "r2", Tokens: 30_000})
+	s := f.entries[0]
+	s.SetEndpoints(f.engines)
+	counts := map[string]int{}
+	for range 6 {
+		d := s.PlaceCopy(Copy{Account: "a", From: "e0", Place: "p", Prompt: 3000, Max: 400, Near: true}, f.now)
+		require.NotEmpty(t, d.Endpoint)
+		require.NotContains(t, []string{"e0", "away"}, d.Endpoint)
+		counts[d.Endpoint]++
+	}
+	require.Equal(t, 2, most(counts))
+	for _, e := range []string{"e1", "e2", "e3"} {
+		s.Suspect(e, f.now.Add(time.Minute))
+	}
+	d := s.PlaceCopy(Copy{Account: "a", From: "e0", Place: "p", Prompt: 3000, Max: 400, Near: true}, f.now)
+	require.True(t, d.None)
+	d = s.PlaceCopy(Copy{Account: "a", From: "e0", Place: "p", Prompt: 3000, Max: 400, Urgent: true}, f.now)
+	require.Equal(t, "away", d.Endpoint, "a generation that would be lost goes to another place")
+}
+
+// Pattern: requests fill the memory. Copies yield, so that they preempt no
+// generations.
+func TestCopiesYieldToRequests(t *testing.T) {
+	f := newGroup(1, 4)
+	s := f.entries[0]
+	c := Copy{Account: "a", From: "e0", Place: "p", Prompt: 3000, Max: 400, Near: true}
+	require.Greater(t, s.copyCeiling(), 0.55)
+	for range 20 {
+		f.place(t, 0, 3200)
+	}
+	require.InDelta(t, copyLeast, s.copyCeiling(), 0.1)
+	require.True(t, s.PlaceCopy(c, f.now).None)
+}
+
+// A generation that goes on from its copy uses the copy's memory as its own, and
+// all of it is given back at the end.
+func TestCopyBecomesTheGeneration(t *testing.T) {
+	f := newGroup(1, 2)
+	s := f.entries[0]
+	d := s.PlaceCopy(Copy{Account: "a", From: "e0", Place: "p", Prompt: 1000, Done: 40, Max: 400, Near: true}, f.now)
+	e := s.byID[d.Endpoint]
+	require.Equal(t, 1040.0, e.copied)
+	s.Progress(d.Ticket, 60, f.now)
+	require.Equal(t, 1060.0, e.copied)
+	s.Adopt(d.Ticket)
+	require.Zero(t, e.copied)
+	require.Equal(t, 1060.0, e.used)
+	s.Done(d.Ticket, 80, true, f.now)
+	require.Zero(t, e.used)
+	require.Zero(t, e.count)
+}
