check, header: one copy of settings checks and header passing

Cause: duplicates showed the checks of settings twice and the stripping of connection headers three times.

--- /dev/null
+++ b/internal/header/header_test.go
@@ -0,0 +1,19 @@
+package header
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Headers of one connection, also those that it names itself, must not reach the
+// next one.
+func TestPass(t *testing.T) {
+	from := http.Header{
+		"Connection": {"close, X-Hop", "X-Other"}, "X-Hop": {"1"}, "X-Other": {"1"}, "Keep-Alive": {"timeout=5"},
+		"X-Kept": {"a", "b"}, "X-Own": {"1"},
+	}
+	require.Equal(t, http.Header{"X-Kept": {"a", "b"}}, Pass(from, "X-Own"))
+	require.Len(t, from, 6, "the original is not changed")
+}
--- a/process/entry/call.go
+++ b/process/entry/call.go
@@ -7,25 +7,22 @@
 	"net/url"
 	"path"
 	"strconv"
-	"strings"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/julienschmidt/httprouter"
 
 	"github.com/eelgrassdock/eelgrassdock/connection/engine"
 	"github.com/eelgrassdock/eelgrassdock/connection/service"
+	"github.com/eelgrassdock/eelgrassdock/internal/header"
 	"github.com/eelgrassdock/eelgrassdock/request/claim"
 	"github.com/eelgrassdock/eelgrassdock/request/refusal"
 	"github.com/eelgrassdock/eelgrassdock/version/config"
 )
 
-// ownHeaders are between a caller and an entry, or between two ends of a
-// connection (RFC 9110, section 7.6.1), and are not passed on.
+// ownHeaders are between a caller and an entry, and are not passed on.
 var ownHeaders = []string{
 	"Authorization", KeyHeader, CallerHeader, DeadlineHeader, refusal.Header, engine.NotRunHeader,
 	service.KeyHeader, accountHeader, "Content-Length", "Host",
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
 }
 
 const (
@@ -173,15 +170,4 @@
 }
 
 // passHeader copies the headers that are passed on.
-func passHeader(from http.Header) http.Header {
-	to := from.Clone()
-	for _, field := range from.Values("Connection") {
-		for name := range strings.SplitSeq(field, ",") {
-			to.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range ownHeaders {
-		to.Del(name)
-	}
-	return to
-}
+func passHeader(from http.Header) http.Header { return header.Pass(from, ownHeaders...) }
--- a/process/entry/settings.go
+++ b/process/entry/settings.go
@@ -5,12 +5,11 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"os"
-	"strings"
 
 	"github.com/cockroachdb/errors"
-	"github.com/go-playground/validator/v10"
+
+	"github.com/eelgrassdock/eelgrassdock/internal/check"
 )
 
 // Settings are what one process is told at its start. Everything else is in
@@ -58,26 +57,4 @@
 }
 
 // Check names every fault of the settings in one error.
-func (s Settings) Check() error {
-	v := validator.New(validator.WithRequiredStructEnabled())
-	if err := v.RegisterValidation("ipport", isIPPort); err != nil {
-		return fmt.Errorf("register check: %w", err)
-	}
-	err := v.Struct(s)
-	var faults validator.ValidationErrors
-	if !errors.As(err, &faults) {
-		return err
-	}
-	var lines []string
-	for _, f := range faults {
-		rule := strings.TrimSuffix(f.Tag()+"="+f.Param(), "=")
-		lines = append(lines, fmt.Sprintf("%s: value %q does not satisfy %s",
-			strings.ToLower(f.Field()), fmt.Sprint(f.Value()), rule))
-	}
-	return errors.New(strings.Join(lines, "; "))
-}
-
-func isIPPort(f validator.FieldLevel) bool {
-	host, port, err := net.SplitHostPort(f.Field().String())
-	return err == nil && net.ParseIP(host) != nil && port != ""
-}
+func (s Settings) Check() error { return check.Struct(s) }
--- a/process/gateway/settings.go
+++ b/process/gateway/settings.go
@@ -4,15 +4,13 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
-	"net"
 	"os"
 	"reflect"
-	"strings"
 	"time"
 
-	"github.com/cockroachdb/errors"
-	"github.com/go-playground/validator/v10"
 	"github.com/sirupsen/logrus"
+
+	"github.com/eelgrassdock/eelgrassdock/internal/check"
 )
 
 type (
@@ -28,17 +26,17 @@
 		// Callers, Ready, Locate, Peer, Probe and Metrics are the addresses, IP
 		// and port, for requests, readiness, questions which instances to use,
 		// calls of other instances, membership datagrams, loads, and counters.
-		Callers string `json:"callers" validate:"required,address"`
-		Ready   string `json:"ready" validate:"required,address"`
-		Locate  string `json:"locate" validate:"required,address"`
-		Peer    string `json:"peer" validate:"required,address"`
-		Probe   string `json:"probe" validate:"required,address"`
-		Loads   string `json:"loads" validate:"required,address"`
-		Metrics string `json:"metrics,omitempty" validate:"omitempty,address"`
+		Callers string `json:"callers" validate:"required,ipport"`
+		Ready   string `json:"ready" validate:"required,ipport"`
+		Locate  string `json:"locate" validate:"required,ipport"`
+		Peer    string `json:"peer" validate:"required,ipport"`
+		Probe   string `json:"probe" validate:"required,ipport"`
+		Loads   string `json:"loads" validate:"required,ipport"`
+		Metrics string `json:"metrics,omitempty" validate:"omitempty,ipport"`
 		// Seeds are peer addresses of instances that may exist.
 		Seeds []string `json:"seeds"`
 		// Store is the address of the platform's store.
-		Store string `json:"store" validate:"required,address"`
+		Store string `json:"store" validate:"required,ipport"`
 		// Beat is the interval in milliseconds at which endpoints renew their rows.
 		Beat int `json:"beat" validate:"gte=1,lte=60000"`
 		// Grace is how long a stop may take, in seconds.
@@ -77,29 +75,7 @@
 }
 
 // Check names every fault of the settings in one error.
-func (s Settings) Check() error {
-	v := validator.New(validator.WithRequiredStructEnabled())
-	if err := v.RegisterValidation("address", isAddress); err != nil {
-		return fmt.Errorf("register check: %w", err)
-	}
-	err := v.Struct(s)
-	var faults validator.ValidationErrors
-	if !errors.As(err, &faults) {
-		return err
-	}
-	var lines []string
-	for _, f := range faults {
-		rule := strings.TrimSuffix(f.Tag()+"="+f.Param(), "=")
-		lines = append(lines, fmt.Sprintf("%s: value %q does not satisfy %s",
-			strings.ToLower(f.Field()), fmt.Sprint(f.Value()), rule))
-	}
-	return errors.New(strings.Join(lines, "; "))
-}
-
-func isAddress(f validator.FieldLevel) bool {
-	host, port, err := net.SplitHostPort(f.Field().String())
-	return err == nil && net.ParseIP(host) != nil && port != ""
-}
+func (s Settings) Check() error { return check.Struct(s) }
 
 // Reload puts changed settings in force, as far as they can change while the
 // instance runs: the retry budget, the seeds, how long a stop and an answer to
