gateway: keep the head of the engine at which a generation began

Cause, found by reading: a generation that broke before its first event and went on from its copy was answered under the head of the second engine. Connections opened on a notice counted as too old when the engine ended over a second later. All runs were in one shard of the registry, since IDs have equal lengths. Change: the first head is kept; connections for streams may be 2 s old; shards by hash. The extended test fails on the old code.

--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -132,7 +132,7 @@
 	}
 
 	// Gateway serves the requests of one instance. Exported fields are set
-	// before Run.
+	// before Start.
 	Gateway struct {
 		Settings Settings
 		Backend  Backend
--- a/process/gateway/generate.go
+++ b/process/gateway/generate.go
@@ -21,7 +21,7 @@
 )
 
 const (
-	streamFresh = time.Second            // a stream uses no connection that was idle for longer
+	streamFresh = 2 * time.Second        // a stream uses no connection that was idle for longer
 	silence     = time.Second            // without an event, after which an engine is asked whether it lives
 	probeLimit  = 400 * time.Millisecond // for its answer; covers a new connection between regions
 	firstEvent  = "0"                    // the event before the first
@@ -38,8 +38,9 @@
 		pool   *pool
 		engine *routing.Engine
 		begun  time.Time
-		headed bool   // the head of the answer was passed on
-		last   string // ID of the last event that was passed on
+		header http.Header // of the engine at which the generation began
+		headed bool        // it was passed on
+		last   string      // ID of the last event that was passed on
 		tried  []string
 		sends  int
 		hops   int           // engines that the run went on at
@@ -137,6 +138,9 @@
 		return r.other(ctx, a, answer)
 	}
 	r.sends++
+	if r.header == nil || a.from == "" {
+		r.header = answer.Header
+	}
 	r.g.decided(r.j, "relaying", logrus.Fields{
 		"endpoint": a.endpoint.ID, "after": a.after, "from": a.from, "backup": c.Backup, "prompt": r.j.Prompt,
 		"held": sent.Sub(r.begun).Milliseconds(), "waited": time.Since(r.begun).Milliseconds(), "connect": answer.Connect.Milliseconds(),
@@ -207,13 +211,13 @@
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
-			r.head(answer)
+			r.head()
 			return nil
 		}
 		if err != nil {
 			return fmt.Errorf("stream of %s: %w", r.endpoint.ID, err)
 		}
-		r.head(answer)
+		r.head()
 		if _, err := r.j.w.Write(event.Raw); err != nil {
 			return errors.Wrap(ErrCut, "caller left: "+err.Error())
 		}
@@ -230,14 +234,14 @@
 	}
 }
 
-// head passes the head of the first answer on.
-func (r *run) head(answer *Answer) {
+// head passes on the head of the answer at which the generation began.
+func (r *run) head() {
 	if r.headed {
 		return
 	}
 	r.headed = true
-	copyHeader(r.j.w.Header(), answer.Header)
-	r.j.w.WriteHeader(answer.Status)
+	copyHeader(r.j.w.Header(), r.header)
+	r.j.w.WriteHeader(http.StatusOK)
 	r.first, r.passed = time.Since(r.j.Arrived), time.Now()
 	observe(firstTime, r.first)
 	r.desk.sched.Started(r.ticket, r.passed)
--- a/process/gateway/generate_test.go
+++ b/process/gateway/generate_test.go
@@ -55,6 +55,7 @@
 	require.NoError(t, err)
 	require.Equal(t, strings.Fields("1 2 3"), ids(rec.Body.String()))
 	require.Equal(t, firstEvent, w.calls[1].After)
+	require.Equal(t, "first", rec.Header().Get("X-Seal"), "it is the run of the first engine")
 }
 
 // Without a copy a generation that may not run again is cut, and never begun
--- a/process/gateway/move.go
+++ b/process/gateway/move.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
 	"github.com/eelgrassdock/eelgrassdock/internal/sleep"
@@ -21,13 +22,13 @@
 	protectPause = 150 * time.Millisecond // between attempts to copy it
 	freeLimit    = 300 * time.Millisecond // for giving up a copy
 	firstRenewal = time.Second            // shortest interval at which a copy is renewed
-	registers    = 8
+	runShards    = 8
 )
 
 type (
 	// registry holds the runs in work, by request.
 	registry struct {
-		shards [registers]struct {
+		shards [runShards]struct {
 			mu   sync.Mutex
 			runs map[*run]struct{}
 		}
@@ -35,7 +36,7 @@
 )
 
 func (x *registry) add(r *run) {
-	s := &x.shards[len(r.j.ID)%registers]
+	s := &x.shards[xxhash.Sum64String(r.j.ID)%runShards]
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.runs == nil {
@@ -45,7 +46,7 @@
 }
 
 func (x *registry) remove(r *run) {
-	s := &x.shards[len(r.j.ID)%registers]
+	s := &x.shards[xxhash.Sum64String(r.j.ID)%runShards]
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.runs, r)
@@ -235,8 +236,7 @@
 	}
 }
 
-// destination reserves room for a run whose engine goes away: where its memory
-// is already, or else at the engine that the scheduler chooses.
+// destination reserves room for a run whose engine goes away.
 func (r *run) destination(from roster.Endpoint) (roster.Endpoint, placement.Ticket, bool) {
 	r.mu.Lock()
 	done := r.events * r.engine.Stride
--- a/process/gateway/run.go
+++ b/process/gateway/run.go
@@ -28,8 +28,7 @@
 
 // stopping is the state of an instance that stops.
 type stopping struct {
-	begun time.Time
-	end   time.Time // requests in work must have ended by then
+	end time.Time // requests in work must have ended by then
 }
 
 // Start prepares the gateway and starts its tasks: the tables of the store, the
@@ -92,7 +91,7 @@
 // when these have ended, or when the time is over.
 func (g *Gateway) Stop(drain func()) {
 	now := time.Now()
-	s := &stopping{begun: now, end: now.Add(seconds(g.live().Grace) - stopReserve)}
+	s := &stopping{end: now.Add(seconds(g.live().Grace) - stopReserve)}
 	if !g.stopping.CompareAndSwap(nil, s) {
 		return
 	}
