gateway, platform, channel: remove what nothing uses

Cause: read as a newcomer: fields of answers and reports that no decision uses. Change: they are gone; the source of news from an address has a name.

--- a/connection/channel/channel.go
+++ b/connection/channel/channel.go
@@ -236,14 +236,6 @@
 	}
 }
 
-// Expire sets the time at which reading fails; zero for none.
-func (c *Channel) Expire(deadline time.Time) error {
-	if err := c.conn.SetReadDeadline(deadline); err != nil {
-		return fmt.Errorf("set read deadline: %w", err)
-	}
-	return nil
-}
-
 // Close ends the connection.
 func (c *Channel) Close() { _ = c.conn.Close() }
 
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -82,20 +82,14 @@
 		Length    int64         // of the body, -1 if not stated
 		NotRun    bool          // the endpoint says that it did not run the request
 		Elsewhere bool          // another endpoint has the address
-		Leaving   bool          // the endpoint closes the connection
 		Connect   time.Duration // that a new connection took, 0 for a kept one
-		// Expire sets when reading the body fails; zero for never.
-		Expire func(time.Time) error
 		// Close releases the connection; whole says that the body was read to its end.
 		Close func(whole bool)
 	}
 
-	// Report is an endpoint's load as it was some hundred milliseconds ago.
+	// Report is what an engine says of itself.
 	Report struct {
-		Running, Waiting int
-		Used, Total      int64 // tokens of memory
-		Leaving          bool
-		LeavesIn         time.Duration // zero if unknown
+		Leaving bool
 	}
 
 	// Move asks for a copy of a running generation's memory.
@@ -117,7 +111,7 @@
 		// Send sends a call and reads the head of its answer. An error is a
 		// *refusal.Error.
 		Send func(ctx context.Context, c Call) (*Answer, error)
-		// Report reads the load of an engine.
+		// Report asks an engine whether it leaves.
 		Report func(ctx context.Context, e roster.Endpoint) (Report, error)
 		// Move copies a generation's memory; Free gives up a copy, named by the
 		// engine it came from.
--- a/process/gateway/generate.go
+++ b/process/gateway/generate.go
@@ -159,7 +159,7 @@
 }
 
 // watch ends an attempt whose engine is silent and does not answer a question
-// for its load either. An engine that answers is only slow.
+// either. An engine that answers is only slow.
 func (r *run) watch(ctx context.Context, e roster.Endpoint, cancel context.CancelCauseFunc) *time.Timer {
 	var quiet *time.Timer
 	quiet = time.AfterFunc(time.Hour, func() {
--- a/process/gateway/world_test.go
+++ b/process/gateway/world_test.go
@@ -131,7 +131,7 @@
 func plain(status int, body string) *Answer {
 	return &Answer{
 		Status: status, Header: http.Header{"X-Seal": {fmt.Sprint(status, body)}}, Body: strings.NewReader(body), Length: int64(len(body)),
-		Close: func(bool) {}, Expire: func(time.Time) error { return nil },
+		Close: func(bool) {},
 	}
 }
 
@@ -148,7 +148,7 @@
 	}
 	return &Answer{
 		Status: http.StatusOK, Header: http.Header{"Content-Type": {"text/event-stream"}, "X-Seal": {seal}}, Body: body, Length: -1,
-		Close: func(bool) {}, Expire: func(time.Time) error { return nil },
+		Close: func(bool) {},
 	}
 }
 
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -45,7 +45,7 @@
 	FromList     = "list"     // the platform's list
 	FromEndpoint = "endpoint" // an answer of the endpoint
 	FromReport   = "report"   // the endpoint's load report
-	FromPeer     = "peer"     // another instance
+	FromAddress  = "address"  // another endpoint answered at its address
 )
 
 // Set takes in an endpoint as the list shows it.
