--- a/standin/generation.go
+++ b/standin/generation.go
@@ -1,6 +1,13 @@
 package standin
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
+
+// idleAfter is how long a generation without a reader does not count as idle: a
+// reader whose connection was cut comes back meanwhile.
+const idleAfter = 3 * time.Second
 
 // generation is the output of one request so far. Readers may come and go.
 type generation struct {
@@ -11,6 +18,7 @@
 	ended   bool
 	reason  string
 	readers int
+	left    time.Time // when the latest reader left
 	wake    chan struct{}
 }
 
@@ -55,11 +63,13 @@
 func (g *generation) attach(delta int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.readers += delta
+	if g.readers += delta; delta < 0 {
+		g.left = time.Now()
+	}
 }
 
 func (g *generation) idle() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.readers == 0
+	return g.readers == 0 && time.Since(g.left) >= idleAfter
 }
