--- a/process/gateway/generate_test.go
+++ b/process/gateway/generate_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
@@ -195,21 +196,7 @@
 func TestNoticeCopiesRunsWithoutACopy(t *testing.T) {
 	w := newWorld(t)
 	w.Tables.Current().Services[0].Engine.Backups = false
-	reader, writer := io.Pipe()
-	w.answer = func(n int, c Call) (*Answer, error) {
-		if n == 0 {
-			a := events("first", 1, 0, false)
-			a.Body = reader
-			return a, nil
-		}
-		return events("second", 3, 4, false), nil
-	}
-	done := make(chan string)
-	go func() {
-		rec, err := w.request("/guide/1")
-		require.NoError(t, err)
-		done <- rec.Body.String()
-	}()
+	writer, done := w.stream(3, 4)
 	_, _ = io.WriteString(writer, "id: 1\ndata: x\n\nid: 2\ndata: x\n\n")
 	require.Eventually(t, func() bool { return len(w.runsOf("q")) == 1 }, time.Minute, time.Millisecond)
 	from := w.runsOf("q")[0].endpoint
@@ -239,21 +226,7 @@
 			}
 			return Moved{Handle: "h"}, nil
 		}
-		reader, writer := io.Pipe()
-		w.answer = func(n int, _ Call) (*Answer, error) {
-			if n > 0 {
-				return events("second", 2, 3, false), nil
-			}
-			a := events("first", 1, 0, false)
-			a.Body = reader
-			return a, nil
-		}
-		done := make(chan string)
-		go func() {
-			rec, err := w.request("/guide/1")
-			require.NoError(t, err)
-			done <- rec.Body.String()
-		}()
+		writer, done := w.stream(2, 3)
 		synctest.Wait()
 		from := w.runsOf("q")[0].endpoint
 		w.Roster.Leave(from.ID, roster.FromList)
@@ -271,21 +244,7 @@
 // in one wave, first the one, whose row is gone already, and then the other.
 func TestCopyIsTakenAfterItsRun(t *testing.T) {
 	w := newWorld(t)
-	reader, writer := io.Pipe()
-	w.answer = func(n int, _ Call) (*Answer, error) {
-		if n > 0 {
-			return events("second", 2, 3, false), nil
-		}
-		a := events("first", 1, 0, false)
-		a.Body = reader
-		return a, nil
-	}
-	done := make(chan string)
-	go func() {
-		rec, err := w.request("/guide/1")
-		require.NoError(t, err)
-		done <- rec.Body.String()
-	}()
+	writer, done := w.stream(2, 3)
 	_, _ = io.WriteString(writer, "id: 1\ndata: x\n\n")
 	require.Eventually(t, func() bool { return len(w.runsOf("q")) == 1 && w.runsOf("q")[0].safe() != nil }, time.Minute, time.Millisecond)
 	r := w.runsOf("q")[0]
@@ -316,21 +275,7 @@
 			busy--
 			return Moved{Handle: "h"}, nil
 		}
-		reader, writer := io.Pipe()
-		w.answer = func(n int, _ Call) (*Answer, error) {
-			if n > 0 {
-				return events("second", 2, 3, false), nil
-			}
-			a := events("first", 1, 0, false)
-			a.Body = reader
-			return a, nil
-		}
-		done := make(chan string)
-		go func() {
-			rec, err := w.request("/guide/1")
-			require.NoError(t, err)
-			done <- rec.Body.String()
-		}()
+		writer, done := w.stream(2, 3)
 		_, _ = io.WriteString(writer, "id: 1\ndata: x\n\n")
 		synctest.Wait()
 		from := w.runsOf("q")[0].endpoint
@@ -346,6 +291,27 @@
 	})
 }
 
+// stream begins a request whose first engine sends what is written, and whose
+// second one the events from first to last. The body of the answer follows.
+func (w *world) stream(first, last int) (*io.PipeWriter, <-chan string) {
+	reader, writer := io.Pipe()
+	w.answer = func(n int, _ Call) (*Answer, error) {
+		if n > 0 {
+			return events("second", first, last, false), nil
+		}
+		a := events("first", 1, 0, false)
+		a.Body = reader
+		return a, nil
+	}
+	done := make(chan string)
+	go func() {
+		rec, err := w.request("/guide/1")
+		assert.NoError(w.t, err)
+		done <- rec.Body.String()
+	}()
+	return writer, done
+}
+
 // runsOf gives the runs of a request.
 func (w *world) runsOf(id string) (list []*run) {
 	for i := range 4 {
