balance: a test without a draw

Cause: TestOtherRegionsAreTheLastChoice failed once beside load: after 12 requests in flight both replicas cost the same (0.09 s), and the choice between equals is drawn, so it would have failed without load as well. Change: the near replica is given 24 requests directly, which makes it the dearer one by more than the width of a tie. Conclusion: the fault was the test's.

--- a/process/balance/balance_test.go
+++ b/process/balance/balance_test.go
@@ -98,11 +98,11 @@
 	w.list[1].Place = "p1"
 	counts := w.send(t, 100, good)
 	require.Equal(t, 100, counts["r0"])
-	for range 12 {
-		_, _ = w.Pick(w.list, nil)
+	for range 24 {
+		_, _ = w.Pick(w.list[:1], nil)
 	}
 	e, _ := w.Pick(w.list, nil)
-	require.Equal(t, "r1", e.ID, "a queue of two rounds is longer than the way")
+	require.Equal(t, "r1", e.ID, "a queue of four rounds is longer than the way")
 }
 
 // A replica that refuses connections is left alone for a while.
