gateway: one walk over the runs in work

Cause, found by reading the diff again: two methods of the registry walked its shards and took the same locks. Change: each walks, at and engines choose; behaviour is the same.

--- a/process/gateway/move.go
+++ b/process/gateway/move.go
@@ -52,42 +52,43 @@
 	delete(s.runs, r)
 }
 
-// at gives the runs at an engine, and those that have a copy there.
-func (x *registry) at(endpoint string) (runs, copies []*run) {
+// each calls visit for each run in work, with the run's lock held.
+func (x *registry) each(visit func(r *run)) {
 	for i := range x.shards {
 		s := &x.shards[i]
 		s.mu.Lock()
 		for r := range s.runs {
 			r.mu.Lock()
-			switch {
-			case r.ended:
-			case r.endpoint.ID == endpoint:
-				runs = append(runs, r)
-			case r.backup != nil && r.backup.endpoint.ID == endpoint:
-				copies = append(copies, r)
+			if !r.ended {
+				visit(r)
 			}
 			r.mu.Unlock()
 		}
 		s.mu.Unlock()
 	}
+}
+
+// at gives the runs at an engine, and those that have a copy there.
+func (x *registry) at(endpoint string) (runs, copies []*run) {
+	x.each(func(r *run) {
+		switch {
+		case r.endpoint.ID == endpoint:
+			runs = append(runs, r)
+		case r.backup != nil && r.backup.endpoint.ID == endpoint:
+			copies = append(copies, r)
+		}
+	})
 	return runs, copies
 }
 
 // engines gives the engines at which runs are in work.
 func (x *registry) engines() []roster.Endpoint {
 	found := map[string]roster.Endpoint{}
-	for i := range x.shards {
-		s := &x.shards[i]
-		s.mu.Lock()
-		for r := range s.runs {
-			r.mu.Lock()
-			if !r.ended && r.endpoint.ID != "" {
-				found[r.endpoint.ID] = r.endpoint
-			}
-			r.mu.Unlock()
+	x.each(func(r *run) {
+		if r.endpoint.ID != "" {
+			found[r.endpoint.ID] = r.endpoint
 		}
-		s.mu.Unlock()
-	}
+	})
 	return slices.Collect(maps.Values(found))
 }
 
