standin: cut a stream after its frames, not before them

Cause: with the fault Cut, a batch of frames that reached the cut was dropped whole. A reader that came back after the end of its generation, with more frames left than the limit, got nothing on any connection until the generation was forgotten after 30 s. Beside load the last frames were always ready at once, so TestEngineFaults ended with status 410.

Change: frames before the cut are written first. New test TestCutComesAfterFrames: 0 frames before, 3 after.

Conclusion: the fault was in the stand-in; entry and client are unchanged.

--- a/standin/engine.go
+++ b/standin/engine.go
@@ -368,15 +368,23 @@
 	for {
 		have, ended, reason, wake := g.look()
 		var out []byte
-		for ; n < have; sent++ {
-			n++
-			f := stream.Frame{Boot: e.boot, Gen: gen, N: n, Text: Token(g.prompt, n)}
-			out = e.appendFrame(out, f, sent)
+		cut := false
+		for ; n < have && !cut; sent++ {
+			f := stream.Frame{Boot: e.boot, Gen: gen, N: n + 1, Text: Token(g.prompt, n+1)}
+			if out, cut = e.appendFrame(out, f, sent); !cut {
+				n++
+			}
 		}
-		if ended {
-			out = e.appendFrame(out, stream.Frame{Boot: e.boot, Gen: gen, N: n, End: true, Error: reason}, sent)
+		if ended && !cut {
+			out, cut = e.appendFrame(out, stream.Frame{Boot: e.boot, Gen: gen, N: n, End: true, Error: reason}, sent)
+		}
+		if _, err := w.Write(out); err != nil || control.Flush() != nil {
+			return
+		}
+		if cut {
+			panic(http.ErrAbortHandler)
 		}
-		if _, err := w.Write(out); err != nil || control.Flush() != nil || ended {
+		if ended {
 			return
 		}
 		select {
@@ -387,18 +395,17 @@
 	}
 }
 
-// appendFrame encodes a frame, with the faults that are set.
-func (e *Engine) appendFrame(out []byte, f stream.Frame, sent int) []byte {
+// appendFrame encodes a frame, with the faults that are set. It tells whether
+// the connection is cut before this frame.
+func (e *Engine) appendFrame(out []byte, f stream.Frame, sent int) ([]byte, bool) {
 	e.mu.Lock()
 	fault := e.fault
 	e.mu.Unlock()
 	switch {
-	case fault.Close:
-		panic(http.ErrAbortHandler)
-	case fault.Cut > 0 && sent > 0 && sent%fault.Cut == 0:
-		panic(http.ErrAbortHandler)
+	case fault.Close, fault.Cut > 0 && sent > 0 && sent%fault.Cut == 0:
+		return out, true
 	case fault.Garbage:
-		return append(out, "data: {\"gen\":\n\n"...)
+		return append(out, "data: {\"gen\":\n\n"...), false
 	case fault.Foreign:
 		f.Gen = "another"
 	case fault.Reorder:
@@ -406,14 +413,14 @@
 	}
 	data, err := json.Marshal(f)
 	if err != nil {
-		return out
+		return out, true
 	}
 	for range 1 + btoi(fault.Repeat) {
 		out = append(out, "data: "...)
 		out = append(out, data...)
 		out = append(out, "\n\n"...)
 	}
-	return out
+	return out, false
 }
 
 func btoi(b bool) int {
--- a/standin/idle_test.go
+++ b/standin/engine_test.go
@@ -1,8 +1,10 @@
 package standin
 
 import (
+	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -29,3 +31,23 @@
 	defer e.mu.Unlock()
 	require.Contains(t, e.gens, "g")
 }
+
+// A connection is cut after the stated number of frames, also when more of them
+// are ready at once. Otherwise a reader that comes back after the end of the
+// generation gets none of the rest, however often it tries.
+func TestCutComesAfterFrames(t *testing.T) {
+	e := &Engine{}
+	s := httptest.NewServer(e.Handler())
+	defer s.Close()
+	g, refused := e.submit(engine.Request{Gen: "g", Prompt: "x", Max: 50})
+	require.Empty(t, refused)
+	g.grow(10)
+	g.end("")
+	e.Break(EngineFaults{Cut: 3})
+	res, err := http.Get(s.URL + "/generate/g?after=0")
+	require.NoError(t, err)
+	defer res.Body.Close()
+	body, err := io.ReadAll(res.Body)
+	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	require.Equal(t, 3, strings.Count(string(body), "data: "))
+}
