entry: list possible owners once per change, not per look-up

Cause: each of an entry's duties and shards looks for its preferred owner several times a second, and each look-up built the list of all entries with their loads. A hundred entries in one process made 2,000 such lists at once; a stack dump beside load showed 1,264 goroutines in them, and reads of the in-memory store, which sorted all keys under its lock, waited 10 s.

Change: the list without loads is kept until membership or configuration changes. The in-memory store keeps its keys in a tree.

--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -90,6 +90,7 @@
 	socket       *member.Socket
 	members      *member.Node
 	present      atomic.Pointer[[]member.Member] // as of the last change
+	owners       atomic.Pointer[candidates]
 	holder       *config.Holder
 	tracker      config.Tracker
 	leaving      atomic.Pointer[map[string]bool] // addresses that the instance list calls leaving
--- a/process/entry/members.go
+++ b/process/entry/members.go
@@ -29,11 +29,21 @@
 	listPeriod  = 10 * time.Second // period of reads of the instance list while an entry is missing
 )
 
-// locateAnswer is the answer to GET /v1/entries.
-type locateAnswer struct {
-	Entries []locate.Entry `json:"entries"`
-	Until   time.Time      `json:"until"`
-}
+type (
+	// locateAnswer is the answer to GET /v1/entries.
+	locateAnswer struct {
+		Entries []locate.Entry `json:"entries"`
+		Until   time.Time      `json:"until"`
+	}
+
+	// candidates lists the entries that may own something, as of one state of
+	// membership and configuration.
+	candidates struct {
+		members []member.Member
+		config  *config.Index
+		list    []locate.Entry
+	}
+)
 
 func (e *Entry) newMembers() *member.Node {
 	return &member.Node{
@@ -128,24 +138,43 @@
 			}
 		}
 	}
-	e.lender.Moved(e.now(), func(account string) bool { return locate.Home(e.entries(), account).ID == e.id })
+	e.lender.Moved(e.now(), func(account string) bool { return locate.Home(e.candidates(), account).ID == e.id })
 	e.reconfigure()
 }
 
-// entries lists the live entries as the membership knows them.
+// entries lists the live entries as the membership knows them, with their loads.
 func (e *Entry) entries() []locate.Entry {
-	members := e.members.Members()
+	list := slices.Clone(e.candidates())
+	for i := range list {
+		list[i].Load = e.load(list[i].ID)
+	}
+	return list
+}
+
+// candidates lists the live entries without their loads. The list is made once
+// for each change of membership or configuration, because every lease, shard
+// and account looks for its owner in it.
+func (e *Entry) candidates() []locate.Entry {
+	members, x := e.members.Members(), e.config()
+	if c := e.owners.Load(); c != nil && c.config == x && sameList(c.members, members) {
+		return c.list
+	}
 	list := make([]locate.Entry, 0, len(members))
-	drained := e.config().Drained()
+	drained := x.Drained()
 	for _, m := range members {
 		list = append(list, locate.Entry{
 			ID: m.ID, Addr: m.Addr, Place: m.Place, Region: m.Region, Leaving: m.Leaving || drained[m.ID],
-			Load: e.load(m.ID),
 		})
 	}
+	e.owners.Store(&candidates{members: members, config: x, list: list})
 	return list
 }
 
+// sameList tells whether two snapshots of the membership are one.
+func sameList(a, b []member.Member) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
+}
+
 // peerAddr finds the address for calls to a live entry.
 func (e *Entry) peerAddr(id string) (string, bool) {
 	for _, m := range e.members.Members() {
--- a/process/entry/shares.go
+++ b/process/entry/shares.go
@@ -22,7 +22,7 @@
 		Violation: func(s string) { e.violation("share", s) },
 	}
 	e.borrower = &share.Borrower{
-		Entry: e.id, Live: func() int { return len(e.entries()) }, Borrow: e.borrow,
+		Entry: e.id, Live: func() int { return len(e.candidates()) }, Borrow: e.borrow,
 		Go:        func(task func()) { e.spawn(task) },
 		Violation: func(s string) { e.violation("share", s) },
 	}
@@ -30,7 +30,7 @@
 
 // borrow asks the owner of an account for a share of its limit.
 func (e *Entry) borrow(ctx context.Context, account string, ask share.Ask) (share.Share, error) {
-	home := locate.Home(e.entries(), account)
+	home := locate.Home(e.candidates(), account)
 	if home.ID == e.id {
 		return e.lender.Lend(ask, e.now())
 	}
--- a/process/platform/memory.go
+++ b/process/platform/memory.go
@@ -2,19 +2,22 @@
 
 import (
 	"context"
-	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/google/btree"
 	"golang.org/x/time/rate"
 
 	"github.com/eelgrassdock/eelgrassdock/internal/sleep"
 )
 
-const rowsPerRead = 100 // rows that one read of a list covers
+const (
+	rowsPerRead = 100 // rows that one read of a list covers
+	keyDegree   = 32  // of the tree of keys, the usual choice of the library
+)
 
 type (
 	// Faults sets how a Memory misbehaves. The zero value is a healthy platform.
@@ -50,6 +53,7 @@
 		faults    Faults
 		usage     Usage
 		rows      map[string]Row
+		keys      *btree.BTreeG[string] // of rows, in order
 		last      map[string]int64
 		objects   map[string][]byte
 		instances []Instance
@@ -127,14 +131,18 @@
 	defer m.mu.Unlock()
 	m.usage.Reads += int64(1 + n/rowsPerRead)
 	var rows []Row
-	for _, key := range slices.Sorted(maps.Keys(m.rows)) {
-		if len(rows) == n {
-			break
+	if m.keys == nil {
+		return nil, nil
+	}
+	m.keys.AscendGreaterOrEqual(max(prefix, after), func(key string) bool {
+		if len(rows) == n || !strings.HasPrefix(key, prefix) {
+			return false
 		}
-		if strings.HasPrefix(key, prefix) && key > after {
+		if key > after {
 			rows = append(rows, m.rows[key])
 		}
-	}
+		return true
+	})
 	return rows, nil
 }
 
@@ -167,13 +175,16 @@
 func (m *Memory) apply(op Op) {
 	if m.rows == nil {
 		m.rows, m.last = map[string]Row{}, map[string]int64{}
+		m.keys = btree.NewOrderedG[string](keyDegree)
 	}
 	switch op.Kind {
 	case Put:
 		m.last[op.Key]++
 		m.rows[op.Key] = Row{Key: op.Key, Value: slices.Clone(op.Value), Version: m.last[op.Key]}
+		m.keys.ReplaceOrInsert(op.Key)
 	case Delete:
 		delete(m.rows, op.Key)
+		m.keys.Delete(op.Key)
 	}
 }
 
