gateway: start with the endpoints of a peer while the store is away

Cause: an instance that restarted during an outage of the store learned the routing table from a peer but no endpoints, was among the addresses for callers, and refused each request until the store was back. After a start in calm, requests between the routing table and the endpoint list were refused.

Change: the first requests also wait for the endpoint list; peers give the endpoints they know with the routing table; an instance is ready only when it has both.

Tests: TestRequestWaitsForTheFirstList, TestEndpointsOfAPeerWhileTheStoreIsAway.

--- a/process/gateway/call_test.go
+++ b/process/gateway/call_test.go
@@ -162,6 +162,25 @@
 	})
 }
 
+// Pattern: all instances start again at once. A request that comes after the
+// routing table and before the list of endpoints waits for the list.
+func TestRequestWaitsForTheFirstList(t *testing.T) {
+	for path, answer := range map[string]*Answer{"/book/1": plain(http.StatusOK, "ok"), "/guide/1": events("s", 1, 400, false)} {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(t)
+			w.Roster = roster.Roster{}
+			w.answer = func(int, Call) (*Answer, error) { return answer, nil }
+			go func() {
+				time.Sleep(startHold / 2)
+				w.fill()
+			}()
+			_, err := w.request(path)
+			require.NoError(t, err)
+			require.Len(t, w.calls, 1)
+		})
+	}
+}
+
 // An address that another endpoint has now is not used again.
 func TestAddressOfAnotherEndpoint(t *testing.T) {
 	w := newWorld(t)
--- a/process/gateway/feed.go
+++ b/process/gateway/feed.go
@@ -75,7 +75,15 @@
 		f.add(rows)
 		changed(rows)
 	}
-	t.Seen, t.Lost = f.seen, f.fail
+	if seen := t.Seen; seen != nil {
+		t.Seen = func(version int64) {
+			f.seen(version)
+			seen(version)
+		}
+	} else {
+		t.Seen = f.seen
+	}
+	t.Lost = f.fail
 	t.Follow = func(ctx context.Context, after int64, wait time.Duration) (mirror.Page, error) {
 		if source, ok := g.watcher(f); ok {
 			page, err := g.poll(ctx, source, f, after)
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -190,7 +190,7 @@
 	g.sampler.Arrived()
 	g.active.Add(1)
 	defer g.active.Add(-1)
-	g.awaitTable(ctx)
+	g.awaitStart(ctx)
 	j, err := g.admit(w, r)
 	if err != nil {
 		return err
@@ -203,18 +203,27 @@
 	return g.call(ctx, j)
 }
 
-// awaitTable holds the requests that come in the first moments of a process
-// until it has read a routing table.
-func (g *Gateway) awaitTable(ctx context.Context) {
-	if g.Tables.Current() != nil {
-		return
-	}
-	limit := time.NewTimer(startHold)
-	defer limit.Stop()
-	select {
-	case <-g.Tables.Ready():
-	case <-ctx.Done():
-	case <-limit.C:
+// awaitStart holds the requests that come in the first moments of a process
+// until it has read a routing table and the list of endpoints.
+func (g *Gateway) awaitStart(ctx context.Context) {
+	var limit *time.Timer
+	for _, ready := range []<-chan struct{}{g.Tables.Ready(), g.Roster.Ready()} {
+		select {
+		case <-ready:
+			continue
+		default:
+		}
+		if limit == nil {
+			limit = time.NewTimer(startHold)
+			defer limit.Stop()
+		}
+		select {
+		case <-ready:
+		case <-ctx.Done():
+			return
+		case <-limit.C:
+			return
+		}
 	}
 }
 
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -16,6 +16,7 @@
 	"github.com/eelgrassdock/eelgrassdock/internal/sleep"
 	"github.com/eelgrassdock/eelgrassdock/process/member"
 	"github.com/eelgrassdock/eelgrassdock/process/mirror"
+	"github.com/eelgrassdock/eelgrassdock/process/roster"
 )
 
 const (
@@ -30,20 +31,26 @@
 	// Peers answers calls of other instances.
 	Peers struct{ g *Gateway }
 
-	// Stored is the routing table in force at a peer, as the store holds it.
+	// Stored is the routing table in force at a peer, as the store holds it,
+	// with the members and endpoints that the peer knows.
 	Stored struct {
-		Version int64
-		Data    []byte
-		Members []member.Member
+		Version   int64
+		Data      []byte
+		Members   []member.Member
+		Endpoints []roster.Endpoint // none if the peer has not read their list
 	}
 )
 
-// Table gives the routing table in force and the members that are known.
+// Table gives the routing table in force, and what else an instance needs that
+// starts while the store is away.
 func (p *Peers) Table(_ int, reply *Stored) error {
 	if s := p.g.stored.Load(); s != nil {
 		reply.Version, reply.Data = s.version, s.data
 	}
 	reply.Members = p.g.members.Members()
+	if p.g.Roster.IsReady() {
+		reply.Endpoints = p.g.Roster.All()
+	}
 	return nil
 }
 
@@ -139,6 +146,11 @@
 	if len(s.Data) > 0 {
 		g.TakeTable(s.Data, s.Version, "peer "+addr)
 	}
+	if len(s.Endpoints) > 0 && !g.Roster.IsReady() {
+		g.Roster.Borrow(s.Endpoints)
+		g.Log.WithFields(logrus.Fields{"event": "endpoints_borrowed", "peer": addr, "endpoints": len(s.Endpoints)}).
+			Info("serving with the endpoints that a peer knows until the store gives their list")
+	}
 	g.members.Seeded(s.Members)
 }
 
@@ -163,10 +175,10 @@
 	}
 }
 
-// askSeeds learns the routing table and the members from the seeds while the
-// store does not give them.
+// askSeeds learns the routing table, the endpoints and the members from the
+// seeds while the store does not give them.
 func (g *Gateway) askSeeds() {
-	for sleep.For(g.base, seedPause/2+jitter(seedPause)) && g.Tables.Current() == nil {
+	for sleep.For(g.base, seedPause/2+jitter(seedPause)) && !g.informed() {
 		for _, addr := range g.live().Seeds {
 			if addr != g.Settings.Peer {
 				g.spawn(func() { g.fetch(addr) })
@@ -175,6 +187,9 @@
 	}
 }
 
+// informed tells whether the routing table and the endpoints are known.
+func (g *Gateway) informed() bool { return g.Tables.Current() != nil && g.Roster.IsReady() }
+
 func (g *Gateway) self() member.Member {
 	s := &g.Settings
 	return member.Member{ID: g.id, Addr: s.Callers, Probe: s.Probe, RPC: s.Peer, Place: s.Place, Region: s.Region}
--- a/process/gateway/peers_test.go
+++ b/process/gateway/peers_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/eelgrassdock/eelgrassdock/internal/port"
 	"github.com/eelgrassdock/eelgrassdock/process/mirror"
+	"github.com/eelgrassdock/eelgrassdock/process/roster"
 	"github.com/eelgrassdock/eelgrassdock/version/routing"
 )
 
@@ -17,7 +18,7 @@
 func instance(t *testing.T, name string, seeds ...string) *Gateway {
 	w := newWorld(t)
 	g := w.Gateway
-	g.Tables = routing.Keeper{}
+	g.Tables, g.Roster = routing.Keeper{}, roster.Roster{}
 	g.Settings.Name = name
 	for _, addr := range []*string{&g.Settings.Peer, &g.Settings.Probe, &g.Settings.Loads, &g.Settings.Callers} {
 		free, err := port.Addr()
@@ -56,3 +57,22 @@
 	b.TakeTable([]byte{4}, 4, "test")
 	require.Equal(t, int64(5), b.Tables.Version())
 }
+
+// An instance that starts while the store does not answer serves with the
+// endpoints that a peer knows. Otherwise it would be among the addresses for
+// callers and refuse each request until the store is back.
+func TestEndpointsOfAPeerWhileTheStoreIsAway(t *testing.T) {
+	a := instance(t, "a")
+	a.TakeTable([]byte{3}, 3, "test")
+	gone := roster.Endpoint{ID: "gone", Service: plainService, Addr: "10.0.0.9:1"}
+	stays := roster.Endpoint{ID: "stays", Service: plainService, Addr: "10.0.0.8:1"}
+	a.Roster.Set(gone)
+	a.Roster.Set(stays)
+	a.Roster.Complete()
+	b := instance(t, "b", a.Settings.Peer)
+	require.Eventually(t, b.Ready, time.Minute, time.Millisecond)
+	require.Len(t, b.Roster.List(plainService), 2)
+	b.Roster.Set(stays)
+	b.Roster.Settle()
+	require.Equal(t, []roster.Endpoint{stays}, b.Roster.List(plainService))
+}
--- a/process/gateway/run.go
+++ b/process/gateway/run.go
@@ -77,7 +77,7 @@
 }
 
 // Ready tells whether this instance should get new requests.
-func (g *Gateway) Ready() bool { return g.Tables.Current() != nil && g.stopping.Load() == nil }
+func (g *Gateway) Ready() bool { return g.informed() && g.stopping.Load() == nil }
 
 // Stopping tells whether this instance has been told to stop.
 func (g *Gateway) Stopping() bool { return g.stopping.Load() != nil }
--- a/process/gateway/world_test.go
+++ b/process/gateway/world_test.go
@@ -91,11 +91,17 @@
 		},
 		Accounts: []routing.Account{{Name: "club", Keys: []string{"key"}}},
 	}))
+	w.fill()
+	return w
+}
+
+// fill makes the endpoints known.
+func (w *world) fill() {
 	for i := range 4 {
 		w.Roster.Set(roster.Endpoint{ID: fmt.Sprint("e", i), Service: engineService, Addr: fmt.Sprint("10.0.0.", i, ":1"), Place: "p0", Slots: 24})
 		w.Roster.Set(roster.Endpoint{ID: fmt.Sprint("d", i), Service: plainService, Addr: fmt.Sprint("10.0.1.", i, ":1"), Place: "p0", Slots: 6})
 	}
-	return w
+	w.Roster.Complete()
 }
 
 func (w *world) send(ctx context.Context, c Call) (*Answer, error) {
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -35,8 +35,10 @@
 		Leaves func(e Endpoint, source string)
 
 		mu       sync.Mutex
+		complete chan struct{} // closed by Complete
 		byID     map[string]*Endpoint
-		services sync.Map // service to *atomic.Pointer[[]Endpoint]
+		borrowed map[string]bool // by ID, until the list shows the endpoint
+		services sync.Map        // service to *atomic.Pointer[[]Endpoint]
 	}
 )
 
@@ -48,8 +50,92 @@
 	FromAddress  = "address"  // another endpoint answered at its address
 )
 
+// Complete notes that the whole list has been taken in once.
+func (r *Roster) Complete() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	select {
+	case <-r.completeLocked():
+	default:
+		close(r.complete)
+	}
+}
+
+// Ready is closed when the whole list has been taken in once. Before that, a
+// service without endpoints may have some.
+func (r *Roster) Ready() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.completeLocked()
+}
+
+// IsReady tells whether Ready is closed.
+func (r *Roster) IsReady() bool {
+	select {
+	case <-r.Ready():
+		return true
+	default:
+		return false
+	}
+}
+
+func (r *Roster) completeLocked() chan struct{} {
+	if r.complete == nil {
+		r.complete = make(chan struct{})
+	}
+	return r.complete
+}
+
+// Borrow takes in the endpoints that another instance knows, for an instance
+// that has not read the list. Settle drops those that the list does not show.
+func (r *Roster) Borrow(list []Endpoint) {
+	r.mu.Lock()
+	if r.borrowed == nil {
+		r.borrowed = map[string]bool{}
+	}
+	list = slices.DeleteFunc(slices.Clone(list), func(e Endpoint) bool { return r.byID[e.ID] != nil })
+	for _, e := range list {
+		r.borrowed[e.ID] = true
+	}
+	r.mu.Unlock()
+	for _, e := range list {
+		r.set(e)
+	}
+	r.Complete()
+}
+
+// Settle removes the endpoints that were borrowed and that the list has not
+// shown since.
+func (r *Roster) Settle() {
+	r.mu.Lock()
+	ids := slices.Collect(maps.Keys(r.borrowed))
+	r.borrowed = nil
+	r.mu.Unlock()
+	for _, id := range ids {
+		r.Remove(id)
+	}
+}
+
+// All gives every endpoint, in no order.
+func (r *Roster) All() []Endpoint {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	list := make([]Endpoint, 0, len(r.byID))
+	for _, e := range r.byID {
+		list = append(list, *e)
+	}
+	return list
+}
+
 // Set takes in an endpoint as the list shows it.
 func (r *Roster) Set(e Endpoint) {
+	r.mu.Lock()
+	delete(r.borrowed, e.ID)
+	r.mu.Unlock()
+	r.set(e)
+}
+
+func (r *Roster) set(e Endpoint) {
 	r.mu.Lock()
 	if r.byID == nil {
 		r.byID = map[string]*Endpoint{}
@@ -80,6 +166,7 @@
 func (r *Roster) Remove(id string) {
 	r.mu.Lock()
 	old := r.byID[id]
+	delete(r.borrowed, id)
 	if old == nil {
 		r.mu.Unlock()
 		return
