gateway: ask a seed only while the store gives no answer

Cause: an instance without a routing table asked all three seeds every 0.2 s, also while the store answered that no configuration had been written yet. Each answer held all members.

Change: seeds are asked only while the store has not answered or is away, one at a time, with pauses that double to 1 s. Members and endpoints come only with the answers to such questions, no longer with each routing table.

--- a/process/gateway/feed.go
+++ b/process/gateway/feed.go
@@ -176,6 +176,14 @@
 	return f.lost
 }
 
+// unanswered tells whether the store has not answered yet, or not the latest
+// question.
+func (f *feed) unanswered() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lost || f.from < 0
+}
+
 // askEngines looks for notices that the store does not show while it is away:
 // it asks the engines that run generations of this instance.
 func (g *Gateway) askEngines() {
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -5,8 +5,11 @@
 	"encoding/binary"
 	"encoding/json"
 	"fmt"
+	"maps"
+	"math/rand/v2"
 	"net"
 	"net/rpc"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -23,7 +26,8 @@
 	fetchLimit    = time.Second            // for reading the routing table of a peer
 	registerPause = 300 * time.Millisecond // after a failed registration
 	registerLimit = 2 * time.Second
-	seedPause     = 200 * time.Millisecond // before seeds are asked for a routing table, and between
+	seedPause     = 200 * time.Millisecond // before a seed is asked for a routing table; doubles with each
+	seedMost      = time.Second            // longest of these pauses, for a start into an outage
 	payloadBytes  = 8
 )
 
@@ -41,12 +45,16 @@
 	}
 )
 
-// Table gives the routing table in force, and what else an instance needs that
-// starts while the store is away.
-func (p *Peers) Table(_ int, reply *Stored) error {
+// Table gives the routing table in force, and on demand what else an instance
+// needs that starts while the store is away.
+func (p *Peers) Table(all bool, reply *Stored) error {
+	counters.Add("tables_given", 1)
 	if s := p.g.stored.Load(); s != nil {
 		reply.Version, reply.Data = s.version, s.data
 	}
+	if !all {
+		return nil
+	}
 	reply.Members = p.g.members.Members()
 	if p.g.Roster.IsReady() {
 		reply.Endpoints = p.g.Roster.All()
@@ -127,18 +135,18 @@
 		defer g.fetching.Store(false)
 		for _, m := range g.members.Members() {
 			if m.ID == from {
-				g.fetch(m.RPC)
+				g.fetch(m.RPC, false)
 			}
 		}
 	})
 }
 
-// fetch reads the routing table and the members of a peer.
-func (g *Gateway) fetch(addr string) {
+// fetch reads the routing table of a peer, and with all its members and endpoints.
+func (g *Gateway) fetch(addr string, all bool) {
 	ctx, cancel := context.WithTimeout(g.base, fetchLimit)
 	defer cancel()
 	var s Stored
-	if err := g.peers.Call(ctx, addr, "Peers.Table", 0, &s); err != nil {
+	if err := g.peers.Call(ctx, addr, "Peers.Table", all, &s); err != nil {
 		g.Log.WithError(err).WithFields(logrus.Fields{"event": "peer_unanswered", "peer": addr}).
 			Warn("peer did not give its routing table")
 		return
@@ -175,14 +183,21 @@
 	}
 }
 
-// askSeeds learns the routing table, the endpoints and the members from the
-// seeds while the store does not give them.
+// askSeeds learns the routing table, the endpoints and the members from a seed
+// while the store does not give them. While the store answers, there is nothing
+// to ask for: a fleet that waits for its first configuration would only keep
+// the seeds busy.
 func (g *Gateway) askSeeds() {
-	for sleep.For(g.base, seedPause/2+jitter(seedPause)) && !g.informed() {
-		for _, addr := range g.live().Seeds {
-			if addr != g.Settings.Peer {
-				g.spawn(func() { g.fetch(addr) })
-			}
+	pause := seedPause
+	for sleep.For(g.base, pause/2+jitter(pause)) && !g.informed() {
+		if !slices.ContainsFunc(slices.Collect(maps.Values(g.feeds)), (*feed).unanswered) {
+			continue
+		}
+		seeds := slices.DeleteFunc(slices.Clone(g.live().Seeds), func(addr string) bool { return addr == g.Settings.Peer })
+		if len(seeds) > 0 {
+			addr := seeds[rand.IntN(len(seeds))]
+			g.spawn(func() { g.fetch(addr, true) })
+			pause = min(pause*2, seedMost)
 		}
 	}
 }
--- a/process/gateway/peers_test.go
+++ b/process/gateway/peers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -16,6 +17,11 @@
 
 // instance starts a gateway on loopback whose store does not answer.
 func instance(t *testing.T, name string, seeds ...string) *Gateway {
+	return instanceWith(t, name, nil, seeds...)
+}
+
+// instanceWith starts a gateway on loopback that reads its tables with list.
+func instanceWith(t *testing.T, name string, list func(ctx context.Context) (mirror.Page, error), seeds ...string) *Gateway {
 	w := newWorld(t)
 	g := w.Gateway
 	g.Tables, g.Roster = routing.Keeper{}, roster.Roster{}
@@ -36,9 +42,14 @@
 	g.Register = func(ctx context.Context, _ string, _ []byte) error { return away(ctx) }
 	g.Registered = func(ctx context.Context) ([][]byte, error) { return nil, away(ctx) }
 	g.Deregister = func(ctx context.Context, _ string) error { return away(ctx) }
+	if list == nil {
+		list = func(ctx context.Context) (mirror.Page, error) { return mirror.Page{}, away(ctx) }
+	}
 	tables := []*mirror.Table{{
-		Name: "t", Wait: time.Second, Log: g.Log, Changed: func([]mirror.Row) {},
-		List: func(ctx context.Context) (mirror.Page, error) { return mirror.Page{}, away(ctx) },
+		Name: "t", Wait: time.Second, Log: g.Log, Changed: func([]mirror.Row) {}, List: list,
+		Follow: func(ctx context.Context, after int64, _ time.Duration) (mirror.Page, error) {
+			return mirror.Page{Version: after}, away(ctx)
+		},
 	}}
 	require.NoError(t, g.Start(t.Context(), tables))
 	return g
@@ -76,3 +87,23 @@
 	b.Roster.Settle()
 	require.Equal(t, []roster.Endpoint{stays}, b.Roster.List(plainService))
 }
+
+// Pattern: a large fleet starts before the first configuration is written.
+// Instances that all ask the seeds again and again take the seeds' processors
+// and links, and learn nothing.
+func TestSeedsAreLeftAloneWhileTheStoreAnswers(t *testing.T) {
+	a := instance(t, "a")
+	before := counted("tables_given")
+	for n := range 5 {
+		instanceWith(t, fmt.Sprint("b", n), func(context.Context) (mirror.Page, error) { return mirror.Page{Version: 1}, nil }, a.Settings.Peer)
+	}
+	time.Sleep(4 * seedPause)
+	require.Equal(t, before, counted("tables_given"))
+}
+
+func counted(name string) string {
+	if v := counters.Get(name); v != nil {
+		return v.String()
+	}
+	return "0"
+}
