soak: the real program under faults, checked from outside

eelgrassdock soak runs instances of the program as processes on loopback, between stand-ins of the platform (platform/stage) and callers. The plan of faults depends on the seed alone: links are delayed, reset, cut one way or silenced by relays; processes are paused, stopped, killed one or many at once, and started again; store and endpoints misbehave; settings files and configurations change. A ledger checks ten promises from what callers and endpoints see, and the summary says how often each was checked.

Each promise has a test that breaks it on purpose and sees the soak report it. Clocks are not moved: the processes of this path use monotonic time.

port: Listen gives a listener without a gap. With Addr, a child between fork and exec kept the socket of the search, and the listen after it failed.

--- a/cmd/eelgrassdock/main.go
+++ b/cmd/eelgrassdock/main.go
@@ -26,6 +26,7 @@
 type commands struct {
 	Entry   entryCommand   `cmd:"" help:"Run one entry instance. SIGTERM stops it gracefully; a second SIGTERM ends the stop early."`
 	Serve   serveCommand   `cmd:"" help:"Run one instance on the users' platform. SIGTERM stops it gracefully."`
+	Soak    soakCommand    `cmd:"" help:"Run processes of this program under faults and check what callers and endpoints see; one JSON summary, exit code 1 if a promise was broken."`
 	Explain explainCommand `cmd:"" help:"Tell from logs what became of a request, and why."`
 	Check   checkCommand   `cmd:"" help:"Check a settings or configuration file and name every fault."`
 	Publish publishCommand `cmd:"" help:"Store the first version of the configuration in the platform."`
--- /dev/null
+++ b/cmd/eelgrassdock/soak.go
@@ -0,0 +1,66 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/eelgrassdock/eelgrassdock/internal/soak"
+)
+
+type soakCommand struct {
+	Seed      uint64  `default:"1" help:"Seed of the plan of faults."`
+	Minutes   float64 `default:"1" help:"Duration in minutes."`
+	Processes int     `default:"6" help:"Processes of the program."`
+	Keep      string  `help:"Directory for the logs of all processes; by default one that is removed if every promise was kept."`
+	Break     string  `help:"Break a promise on purpose, to see that the soak reports it."`
+}
+
+func (c *soakCommand) Run(std streams) error {
+	if c.Minutes <= 0 || c.Processes < 1 {
+		return errors.Newf("--minutes and --processes must be positive, are %v and %d", c.Minutes, c.Processes)
+	}
+	binary, err := os.Executable()
+	if err != nil {
+		return fmt.Errorf("find the program: %w", err)
+	}
+	dir := c.Keep
+	if dir == "" {
+		if dir, err = os.MkdirTemp("", "eelgrassdock-soak-"); err != nil {
+			return fmt.Errorf("directory for logs: %w", err)
+		}
+	} else if err := os.MkdirAll(dir, 0o755); err != nil {
+		return fmt.Errorf("directory for logs: %w", err)
+	}
+	ctx, cancel := signals(nil)
+	defer cancel()
+	total := time.Duration(c.Minutes * float64(time.Minute))
+	plan := soak.Plan(c.Seed, total)
+	if err := json.NewEncoder(std.err).Encode(map[string]any{"seed": c.Seed, "plan": plan, "logs": dir}); err != nil {
+		return fmt.Errorf("print the plan: %w", err)
+	}
+	s := soak.Soak{
+		Binary: binary, Dir: dir, Seed: c.Seed, Duration: total, Instances: c.Processes, Sabotage: c.Break, Progress: std.err,
+	}
+	sum, err := s.Run(ctx)
+	if err != nil {
+		return fmt.Errorf("soak with seed %d, logs in %s: %w", c.Seed, dir, err)
+	}
+	out := json.NewEncoder(std.out)
+	out.SetIndent("", "  ")
+	if err := out.Encode(sum); err != nil {
+		return fmt.Errorf("print the summary: %w", err)
+	}
+	if !sum.Kept {
+		return errors.Newf("a promise was broken with seed %d; logs are in %s", c.Seed, dir)
+	}
+	if c.Keep == "" {
+		if err := os.RemoveAll(dir); err != nil {
+			return fmt.Errorf("remove logs: %w", err)
+		}
+	}
+	return nil
+}
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -51,6 +51,22 @@
 	return "", errors.New("no port is free for TCP and UDP")
 }
 
+// Listen listens at a free address on the loopback interface. Unlike a Listen
+// after Addr it cannot meet the socket of the search, which a process that is
+// being started keeps for a moment.
+func Listen() (net.Listener, error) {
+	for range tries {
+		n := first + int(next.Add(1)%(last-first))
+		if !reserve(n) {
+			continue
+		}
+		if l, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(n))); err == nil {
+			return l, nil
+		}
+	}
+	return nil, errors.New("no port is free for TCP")
+}
+
 // reserve locks a port against other processes, and tells whether it could.
 func reserve(n int) bool {
 	dir := filepath.Join(os.TempDir(), "eelgrassdock-ports")
--- /dev/null
+++ b/internal/soak/caller.go
@@ -0,0 +1,228 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/eelgrassdock/eelgrassdock/internal/sleep"
+	"github.com/eelgrassdock/eelgrassdock/platform/stage"
+)
+
+const (
+	accountsUsed = 4
+	patience     = 12 * time.Second // of a caller
+	askLimit     = time.Second      // for the addresses
+	asksMost     = 3                // instances that are asked for addresses
+	overstay     = 3                // some callers use an answer for this many times as long
+	eventsMost   = 150
+	thinkTime    = 60 * time.Millisecond
+	probePause   = 150 * time.Millisecond
+	idleTime     = 4 * time.Second // an idle connection is closed by the caller
+)
+
+// caller sends one request after the other.
+type caller struct {
+	s      *Soak
+	key    string
+	owner  string // the account of the key
+	random *rand.Rand
+	client *http.Client
+	place  string
+	addrs  []string
+	until  time.Time
+}
+
+// newClient makes a client whose connections to instances go through relays.
+func (s *Soak) newClient() *http.Client {
+	dialer := &net.Dialer{Timeout: time.Second}
+	return &http.Client{Transport: &http.Transport{
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			if i := s.instanceAt(addr); i != nil {
+				addr = i.door.addr
+			}
+			return dialer.DialContext(ctx, network, addr)
+		},
+		IdleConnTimeout: idleTime, MaxIdleConnsPerHost: 4,
+	}}
+}
+
+func (s *Soak) newCaller(n int) *caller {
+	key, owner := steadyKey(n)
+	return &caller{
+		s: s, key: key, owner: owner, random: rand.New(rand.NewPCG(s.Seed, uint64(n))), client: s.newClient(),
+		place: s.placeNames[n%len(s.placeNames)],
+	}
+}
+
+func (c *caller) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if i := c.choose(ctx); i != nil {
+			c.ask(ctx, i)
+		}
+		if !sleep.For(ctx, time.Duration(c.random.ExpFloat64()*float64(thinkTime))) {
+			return
+		}
+	}
+}
+
+// choose picks an instance as the platform's callers do.
+func (c *caller) choose(ctx context.Context) *instance {
+	for range asksMost {
+		if time.Now().Before(c.until) {
+			break
+		}
+		i := c.s.instances[c.random.IntN(len(c.s.instances))]
+		asking, cancel := context.WithTimeout(ctx, askLimit)
+		addrs, until, err := stage.Resolve(asking, c.client, i.settings.Locate, i.settings.Region, c.place)
+		cancel()
+		if err != nil {
+			continue
+		}
+		if c.random.IntN(overstay) == 0 {
+			until = until.Add(time.Until(until) * (overstay - 1))
+		}
+		c.addrs, c.until = addrs, until
+	}
+	if len(c.addrs) == 0 {
+		return nil
+	}
+	return c.s.instanceAt(c.addrs[c.random.IntN(len(c.addrs))])
+}
+
+// ask sends one request and judges the answer.
+func (c *caller) ask(ctx context.Context, i *instance) {
+	a := stage.Ask{ID: fmt.Sprintf("%016x", c.random.Uint64()), Key: c.key, Deadline: time.Now().Add(patience)}
+	service, once := stage.Desk, false
+	switch c.random.IntN(4) {
+	case 0:
+		a.Path, once = stage.OncePrefix+"x", true
+	case 1:
+		a.Path = stage.SafePrefix + "x"
+	case 2:
+		a.Path, a.Events, service, once = stage.GuidePrefix+"x", 1+c.random.IntN(eventsMost), stage.Engines, true
+	case 3:
+		a.Path, a.Events, service = stage.ShortPrefix+"x", 1+c.random.IntN(eventsMost), stage.Engines
+	}
+	last, seed := 0, ""
+	a.Event = func(n int, data string) {
+		if c.s.Sabotage == Order && n == 2 {
+			return
+		}
+		if last == 0 {
+			seed, _, _ = strings.Cut(data, "-")
+		}
+		kept := n == last+1 && data == stage.Data(seed, n) && (once || seed == a.ID)
+		c.s.ledger.Check(Order, kept, "request %s: event %d %q after event %d of run %s", a.ID, n, data, last, seed)
+		last = n
+	}
+	c.s.ledger.Sent(a.ID, i.name, service, c.owner, once, time.Now())
+	reply := a.Do(ctx, c.client, i.settings.Callers)
+	if ctx.Err() != nil {
+		return // the caller left, at the end of the soak
+	}
+	c.s.outcome(reply)
+	c.judge(a, i, reply)
+	if !reply.RetryAt.IsZero() {
+		sleep.For(ctx, min(time.Until(reply.RetryAt), patience/3))
+	}
+}
+
+// judge checks one answer.
+func (c *caller) judge(a stage.Ask, i *instance, r stage.Reply) {
+	l := &c.s.ledger
+	if c.s.Sabotage == Own && r.Body != "" {
+		r.Body = r.Body[1:]
+	}
+	if r.Err != nil {
+		c.client.CloseIdleConnections()
+		c.until = time.Time{}
+		if i.stopping() && time.Now().Before(a.Deadline) {
+			l.Cut(a.ID, r.Err)
+		}
+		return
+	}
+	if r.NotRun {
+		l.Refused(a.ID)
+		return
+	}
+	if r.Status == http.StatusUnauthorized || r.Status == http.StatusNotFound {
+		l.Check(Config, false, "%s answered %d to request %s, which every configuration allows", i.name, r.Status, a.ID)
+		return
+	}
+	if r.Seal == "" {
+		l.Check(Own, r.Status >= http.StatusBadGateway, "%s answered %d without a seal to request %s", i.name, r.Status, a.ID)
+		return
+	}
+	_, endpoint, _ := strings.Cut(r.Seal, ".")
+	l.Check(Own, r.ID == a.ID && r.Seal == stage.Seal(a.ID, endpoint), "request %s got the answer to %s, seal %s", a.ID, r.ID, r.Seal)
+	if r.Status != http.StatusOK {
+		return
+	}
+	if a.Events > 0 {
+		l.Check(Order, r.Events == a.Events, "request %s ended as if whole after %d of %d events", a.ID, r.Events, a.Events)
+		return
+	}
+	l.Check(Own, r.Body == stage.Body(a.ID, endpoint), "request %s got another body", a.ID)
+}
+
+// probe watches the configuration in force at one instance.
+func (s *Soak) probe(ctx context.Context, i *instance) {
+	client := s.newClient()
+	seen, seenAt, life := int64(0), time.Time{}, 0
+	for n := 0; sleep.For(ctx, probePause); n++ {
+		if !i.running() {
+			continue
+		}
+		if now := i.lifetime(); now != life {
+			seen, life = 0, now
+		}
+		version, before, at := s.operators.state()
+		sent := time.Now()
+		due := sent.Sub(at) > configBound && s.ledger.InTouch(i.name, sent)
+		key, owner := steadyKey(0)
+		switch n % 3 {
+		case 0:
+			r := s.send(ctx, client, i, stage.NewsPrefix(version)+"x", key, owner)
+			found := r.Seal != ""
+			if r.Status == http.StatusNotFound && i.lifetime() == life {
+				s.ledger.Check(Config, !due, "%s lacks version %d after %s", i.name, version, sent.Sub(at))
+				s.ledger.Check(Config, seen < version, "%s has lost version %d", i.name, version)
+			}
+			if found {
+				s.ledger.Check(Config, true, "")
+				if seen < version {
+					seen, seenAt = version, time.Now()
+				}
+			}
+		case 1:
+			if before == 0 {
+				continue
+			}
+			r := s.send(ctx, client, i, stage.NewsPrefix(before)+"x", key, owner)
+			if r.Seal == "" || i.lifetime() != life {
+				continue
+			}
+			s.ledger.Check(Config, !due, "%s uses version %d although %d is %s old", i.name, before, version, sent.Sub(at))
+			s.ledger.Check(Config, seen < version || sent.Sub(seenAt) < revertBound, "%s uses version %d after %d", i.name, before, version)
+		case 2:
+			gone, ok := s.operators.withdrawn(sent.Add(-revokeBound))
+			if !ok || !s.ledger.InTouch(i.name, sent) {
+				continue
+			}
+			r := s.send(ctx, client, i, stage.SafePrefix+"x", gone.key, "visitor")
+			s.ledger.Check(Revoked, r.Seal == "", "%s serves key %s, withdrawn %s ago", i.name, gone.key, sent.Sub(gone.at))
+		}
+	}
+}
+
+// send sends one request of a probe.
+func (s *Soak) send(ctx context.Context, client *http.Client, i *instance, path, key, owner string) stage.Reply {
+	a := stage.Ask{ID: fmt.Sprintf("%016x", rand.Uint64()), Path: path, Key: key, Deadline: time.Now().Add(askLimit)}
+	s.ledger.Sent(a.ID, i.name, stage.Desk, owner, false, time.Now())
+	return a.Do(ctx, client, i.settings.Callers)
+}
--- /dev/null
+++ b/internal/soak/ledger_test.go
@@ -0,0 +1,109 @@
+package soak
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// A check that cannot fail is worth nothing: each promise is broken here in
+// what callers and endpoints report, and the ledger has to say so.
+func TestLedgerSeesEachBreach(t *testing.T) {
+	now := time.Now()
+	sent := func(l *Ledger, id string, once bool) { l.Sent(id, "i1", "desk", "club", once, now) }
+	for name, tt := range map[string]struct {
+		promise string
+		broken  func(l *Ledger)
+		kept    func(l *Ledger)
+	}{
+		"run twice": {Once, func(l *Ledger) {
+			sent(l, "q", true)
+			l.Began("q", "a", "club", false, now)
+			l.Began("q", "b", "club", false, now)
+		}, func(l *Ledger) {
+			sent(l, "q", true)
+			l.Began("q", "a", "club", false, now)
+			l.Began("q", "b", "club", true, now)
+		}},
+		"refused after it ran": {NotRun, func(l *Ledger) {
+			sent(l, "q", true)
+			l.Began("q", "a", "club", false, now)
+			l.Refused("q")
+		}, func(l *Ledger) {
+			sent(l, "q", true)
+			l.Refused("q")
+		}},
+		"runs after it was refused": {NotRun, func(l *Ledger) {
+			sent(l, "q", true)
+			l.Refused("q")
+			l.Began("q", "a", "club", false, now)
+		}, func(l *Ledger) { sent(l, "q", true) }},
+		"another account": {Own, func(l *Ledger) {
+			sent(l, "q", false)
+			l.Began("q", "a", "yard", false, now)
+		}, func(l *Ledger) {
+			sent(l, "q", false)
+			l.Began("q", "a", "club", false, now)
+		}},
+		"never sent": {Own, func(l *Ledger) { l.Began("q", "a", "club", false, now) }, func(*Ledger) {}},
+		"two engines": {Single, func(l *Ledger) {
+			sent(l, "q", true)
+			l.Began("q", "a", "club", false, now)
+			l.Began("q", "b", "club", true, now)
+			time.Sleep(2 * overlap)
+		}, func(l *Ledger) {
+			sent(l, "q", true)
+			l.Began("q", "a", "club", false, now)
+			l.Began("q", "b", "club", true, now)
+			l.Ended("q", "a", false)
+			time.Sleep(2 * overlap)
+		}},
+		"new work after leaving": {Leaving, func(l *Ledger) {
+			l.Leaves("a", now.Add(-leaveBound-time.Second))
+			sent(l, "q", false)
+			l.Began("q", "a", "club", false, now)
+		}, func(l *Ledger) {
+			l.Leaves("a", now.Add(-leaveBound-time.Second))
+			l.Disturb("i1", now.Add(-time.Second))
+			sent(l, "q", false)
+			l.Began("q", "a", "club", false, now)
+		}},
+		"cut by a stop": {Planned, func(l *Ledger) {
+			sent(l, "q", true)
+			l.Began("q", "a", "club", false, now)
+			l.Cut("q", errors.New("reset"))
+		}, func(l *Ledger) {
+			sent(l, "q", true)
+			l.Began("q", "a", "club", false, now)
+			l.Ended("q", "a", false)
+			l.Cut("q", errors.New("reset"))
+		}},
+		"too many repeats": {Budget, func(l *Ledger) {
+			sent(l, "q", false)
+			for range budgetSlack + 3 {
+				l.Began("q", "a", "club", false, now)
+			}
+		}, func(l *Ledger) {
+			sent(l, "q", false)
+			for range budgetSlack {
+				l.Began("q", "a", "club", false, now)
+			}
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var broken, kept Ledger
+			tt.broken(&broken)
+			broken.Close()
+			_, breaches, details := broken.Result()
+			require.Positive(t, breaches[tt.promise])
+			require.NotEmpty(t, details)
+			tt.kept(&kept)
+			kept.Close()
+			_, breaches, _ = kept.Result()
+			require.Empty(t, breaches)
+		})
+	}
+}
