--- a/process/gateway/world_test.go
+++ b/process/gateway/world_test.go
@@ -24,7 +24,7 @@
 // world is a gateway in front of scripted endpoints.
 type world struct {
 	*Gateway
-	t     *testing.T
+	t     testing.TB
 	mu    sync.Mutex
 	calls []Call
 	moves []Move
@@ -41,7 +41,7 @@
 	plainService  = "desk"
 )
 
-func newWorld(t *testing.T) *world {
+func newWorld(t testing.TB) *world {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	w := &world{t: t}
