--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -202,6 +202,9 @@
 	} else if r.once {
 		l.check(Once, true, "")
 	}
+	if continued && len(r.active) == 0 {
+		l.check(Single, true, "")
+	}
 	for other, since := range r.active {
 		if l.calm(other, at) && l.calm(r.instance, at) {
 			time.AfterFunc(overlap, func() { l.stillActive(id, other, endpoint, since) })
--- a/internal/story/story.go
+++ b/internal/story/story.go
@@ -266,7 +266,7 @@
 	words := strings.Fields(text)
 	kept := words[:0]
 	for i, word := range words {
-		if i > 0 && (words[i-1] == "engine" || words[i-1] == "endpoint") && strings.ContainsAny(word, "0123456789") {
+		if i > 0 && (words[i-1] == "engine" || words[i-1] == "endpoint" || words[i-1] == "table") && strings.ContainsAny(word, "0123456789") {
 			continue
 		}
 		if strings.Count(word, ":") >= 2 || strings.Contains(word, "/") && strings.ContainsAny(word, "0123456789") {
--- a/internal/story/story_test.go
+++ b/internal/story/story_test.go
@@ -71,6 +71,15 @@
 	require.Contains(t, top[0].Text, "engine ended the stream after its notice")
 }
 
+// The version of the routing table must not split a cause: on a day with many
+// versions the same refusal filled the list.
+func TestTopLeavesVersionsOut(t *testing.T) {
+	const line = `{"event":"refused","msg":"no route for h/x","outcome":"not run","reason":"no_service","request":"q1",` +
+		`"status":404,"time":"2026-04-22T09:00:02Z","version":23}` + "\n"
+	l := read(t, line, strings.NewReplacer("q1", "q2", "23", "26").Replace(line))
+	require.Len(t, l.Top(), 1)
+}
+
 // Lines that were cut or come from elsewhere are counted and passed over.
 func TestForeignLines(t *testing.T) {
 	l := read(t, "panic: something\n"+served+cutOff[:40]+"\n\n")
