platform: the operators' limit of a request's header is kept

The configured limit was decoded and not used; a longer header now gets 431. Decoded fields that nothing uses are removed: the caller's estimate of the output, rates of engine links, and two times that a listener cannot change.

--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -56,7 +56,6 @@
 		Deadline time.Time // zero if the caller named none
 		Prompt   int       // tokens, 0 if not stated
 		Max      int       // most tokens to produce, 0 if not stated
-		Hint     int       // the caller's estimate of the tokens to produce
 		After    string    // the last event that the caller has
 	}
 
--- a/request/refusal/refusal.go
+++ b/request/refusal/refusal.go
@@ -63,6 +63,7 @@
 const (
 	BadRequest     Reason = "bad_request"     // malformed or oversized body, bad header
 	TooLarge       Reason = "too_large"       // body over the configured limit
+	LongHeader     Reason = "long_header"     // header over the configured limit
 	BadKey         Reason = "bad_key"         // account key missing or wrong
 	BadToken       Reason = "bad_token"       // resume token forged, foreign or expired
 	Forbidden      Reason = "forbidden"       // account may not call the service
@@ -96,7 +97,7 @@
 var (
 	// All lists every reason, for docs and counters.
 	All = []Reason{
-		BadRequest, TooLarge, BadKey, BadToken, Forbidden, NoService, NoKey, KeyExpired, KeyBarred, KeyReused, KeyTaken,
+		BadRequest, TooLarge, LongHeader, BadKey, BadToken, Forbidden, NoService, NoKey, KeyExpired, KeyBarred, KeyReused, KeyTaken,
 		RateLimit, ActiveLimit, TokenLimit, Deadline, Overload, NoEndpoint, Leaving, Rejected, Dial, Broken,
 		Timeout, Garbage, GenerationLost, Budget, Store, Stale, Stopping, Canceled, Internal,
 	}
@@ -106,6 +107,7 @@
 
 	statuses = map[Reason]int{
 		TooLarge:   http.StatusRequestEntityTooLarge,
+		LongHeader: http.StatusRequestHeaderFieldsTooLarge,
 		BadRequest: http.StatusBadRequest, NoKey: http.StatusBadRequest, BadKey: http.StatusUnauthorized,
 		BadToken: http.StatusForbidden, Forbidden: http.StatusForbidden, NoService: http.StatusNotFound,
 		KeyExpired: http.StatusConflict, KeyBarred: http.StatusConflict, KeyReused: http.StatusUnprocessableEntity,
--- a/version/routing/routing.go
+++ b/version/routing/routing.go
@@ -55,14 +55,12 @@
 
 	// Engine describes the model engines of a service.
 	Engine struct {
-		Slots      int     // requests in one batch
-		Tokens     int64   // memory of one engine, in tokens
-		TokenBytes int64   // bytes of one token's memory
-		LinkRate   float64 // megabits per second between two engines
-		Moves      bool    // a running generation can be moved
-		Backups    bool    // a generation's memory can be copied while it runs
-		Stride     int     // tokens in one event
-		Keep       time.Duration
+		Slots   int   // requests in one batch
+		Tokens  int64 // memory of one engine, in tokens
+		Moves   bool  // a running generation can be moved
+		Backups bool  // a generation's memory can be copied while it runs
+		Stride  int   // tokens in one event
+		Keep    time.Duration
 	}
 
 	// Account is a client account.
@@ -76,8 +74,6 @@
 	Limits struct {
 		HeaderBytes int
 		BodyBytes   int64
-		HeaderTime  time.Duration
-		IdleTime    time.Duration
 	}
 
 	// Document is the content of one version.
