gateway: each instance asks one seed for the members at its start

Cause: since seeds are asked only while the store gives no answer, members are learned from the rows of the store and by probes alone.

Change: one question to one seed at the start, whatever the store does.

--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -183,22 +183,27 @@
 	}
 }
 
-// askSeeds learns the routing table, the endpoints and the members from a seed
-// while the store does not give them. While the store answers, there is nothing
-// to ask for: a fleet that waits for its first configuration would only keep
-// the seeds busy.
+// askSeeds learns the members from a seed once, and the routing table and the
+// endpoints from seeds while the store does not give them. While the store
+// answers, there is nothing more to ask for: a fleet that waits for its first
+// configuration would only keep the seeds busy.
 func (g *Gateway) askSeeds() {
 	pause := seedPause
-	for sleep.For(g.base, pause/2+jitter(pause)) && !g.informed() {
-		if !slices.ContainsFunc(slices.Collect(maps.Values(g.feeds)), (*feed).unanswered) {
+	for first := true; sleep.For(g.base, pause/2+jitter(pause)); first = false {
+		away := slices.ContainsFunc(slices.Collect(maps.Values(g.feeds)), (*feed).unanswered)
+		if !first && !away {
+			if g.informed() {
+				return
+			}
 			continue
 		}
 		seeds := slices.DeleteFunc(slices.Clone(g.live().Seeds), func(addr string) bool { return addr == g.Settings.Peer })
-		if len(seeds) > 0 {
-			addr := seeds[rand.IntN(len(seeds))]
-			g.spawn(func() { g.fetch(addr, true) })
-			pause = min(pause*2, seedMost)
+		if len(seeds) == 0 || !first && g.informed() {
+			return
 		}
+		addr := seeds[rand.IntN(len(seeds))]
+		g.spawn(func() { g.fetch(addr, true) })
+		pause = min(pause*2, seedMost)
 	}
 }
 
--- a/process/record/bench_test.go
+++ b/process/record/bench_test.go
@@ -58,6 +58,7 @@
 			require.NoError(t, err)
 		}
 		time.Sleep(2 * gather)
+		synctest.Wait()
 		require.Equal(t, writes{writes: 1, bytes: 500}, out)
 		large := make([]byte, writeBytes)
 		for range 3 {
