--- a/standin/engine_test.go
+++ b/standin/engine_test.go
@@ -12,14 +12,20 @@
 	"github.com/eelgrassdock/eelgrassdock/connection/engine"
 )
 
-// A reader whose connection was cut comes back in a moment. An order to cancel
-// the generation if nobody reads it, which arrives in between, must leave it.
-func TestReaderThatComesBackKeepsItsGeneration(t *testing.T) {
+// generating serves an engine with the generation "g".
+func generating(t *testing.T) (*Engine, *httptest.Server, *generation) {
 	e := &Engine{}
 	s := httptest.NewServer(e.Handler())
-	defer s.Close()
+	t.Cleanup(s.Close)
 	g, refused := e.submit(engine.Request{Gen: "g", Prompt: "x", Max: 50})
 	require.Empty(t, refused)
+	return e, s, g
+}
+
+// A reader whose connection was cut comes back in a moment. An order to cancel
+// the generation if nobody reads it, which arrives in between, must leave it.
+func TestReaderThatComesBackKeepsItsGeneration(t *testing.T) {
+	e, s, g := generating(t)
 	g.attach(1)
 	g.attach(-1)
 	r, err := http.NewRequestWithContext(t.Context(), http.MethodDelete, s.URL+"/generate/g?idle=true", nil)
@@ -36,11 +42,7 @@
 // are ready at once. Otherwise a reader that comes back after the end of the
 // generation gets none of the rest, however often it tries.
 func TestCutComesAfterFrames(t *testing.T) {
-	e := &Engine{}
-	s := httptest.NewServer(e.Handler())
-	defer s.Close()
-	g, refused := e.submit(engine.Request{Gen: "g", Prompt: "x", Max: 50})
-	require.Empty(t, refused)
+	e, s, g := generating(t)
 	g.grow(10)
 	g.end("")
 	e.Break(EngineFaults{Cut: 3})
