--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -171,59 +171,81 @@
 }
 
 // probe watches the configuration in force at one instance.
+type probe struct {
+	s      *Soak
+	i      *instance
+	client *http.Client
+	life   int       // of the process that seen is about
+	seen   int64     // newest version whose effect was seen
+	seenAt time.Time // when it was seen first
+}
+
 func (s *Soak) probe(ctx context.Context, i *instance) {
-	client := s.newClient()
-	seen, seenAt, life := int64(0), time.Time{}, 0
+	p := &probe{s: s, i: i, client: s.newClient()}
+	checks := []func(context.Context){p.newest, p.replaced, p.revoked}
 	for n := 0; sleep.For(ctx, probePause); n++ {
 		if !i.running() {
 			continue
 		}
-		if now := i.lifetime(); now != life {
-			seen, life = 0, now
-		}
-		version, before, at := s.operators.state()
-		sent := time.Now()
-		due := sent.Sub(at) > configBound && s.ledger.InTouch(i.name, sent)
-		key, owner := steadyKey(0)
-		switch n % 3 {
-		case 0:
-			r := s.send(ctx, client, i, stage.NewsPrefix(version)+"x", key, owner)
-			found := r.Seal != ""
-			now, _, _ := s.operators.state() // a later version has taken the route away
-			if r.Status == http.StatusNotFound && now == version && i.lifetime() == life {
-				s.ledger.Check(Config, !due, "%s lacks version %d after %s", i.name, version, sent.Sub(at))
-				s.ledger.Check(Config, seen < version, "%s has lost version %d", i.name, version)
-			}
-			if found {
-				s.ledger.Check(Config, true, "")
-				if seen < version {
-					seen, seenAt = version, time.Now()
-				}
-			}
-		case 1:
-			if before == 0 {
-				continue
-			}
-			r := s.send(ctx, client, i, stage.NewsPrefix(before)+"x", key, owner)
-			if r.Seal == "" || i.lifetime() != life {
-				continue
-			}
-			s.ledger.Check(Config, !due, "%s uses version %d although %d is %s old", i.name, before, version, sent.Sub(at))
-			s.ledger.Check(Config, seen < version || sent.Sub(seenAt) < revertBound, "%s uses version %d after %d", i.name, before, version)
-		case 2:
-			gone, ok := s.operators.withdrawn(sent.Add(-revokeBound))
-			if !ok || !s.ledger.InTouch(i.name, sent) {
-				continue
-			}
-			r := s.send(ctx, client, i, stage.SafePrefix+"x", gone.key, "visitor")
-			s.ledger.Check(Revoked, r.Seal == "", "%s serves key %s, withdrawn %s ago", i.name, gone.key, sent.Sub(gone.at))
+		if life := i.lifetime(); life != p.life {
+			p.seen, p.life = 0, life
 		}
+		checks[n%len(checks)](ctx)
+	}
+}
+
+// newest asks for the route that the newest version has added.
+func (p *probe) newest(ctx context.Context) {
+	version, _, at := p.s.operators.state()
+	sent := time.Now()
+	due := sent.Sub(at) > configBound && p.s.ledger.InTouch(p.i.name, sent)
+	key, owner := steadyKey(0)
+	r := p.send(ctx, stage.NewsPrefix(version)+"x", key, owner)
+	now, _, _ := p.s.operators.state() // a later version has taken the route away
+	if r.Status == http.StatusNotFound && now == version && p.i.lifetime() == p.life {
+		p.s.ledger.Check(Config, !due, "%s lacks version %d after %s", p.i.name, version, sent.Sub(at))
+		p.s.ledger.Check(Config, p.seen < version, "%s has lost version %d", p.i.name, version)
+	}
+	if r.Seal == "" {
+		return
+	}
+	p.s.ledger.Check(Config, true, "")
+	if p.seen < version {
+		p.seen, p.seenAt = version, time.Now()
+	}
+}
+
+// replaced asks for the route that the newest version has removed.
+func (p *probe) replaced(ctx context.Context) {
+	version, before, at := p.s.operators.state()
+	if before == 0 {
+		return
+	}
+	sent := time.Now()
+	due := sent.Sub(at) > configBound && p.s.ledger.InTouch(p.i.name, sent)
+	key, owner := steadyKey(0)
+	r := p.send(ctx, stage.NewsPrefix(before)+"x", key, owner)
+	if r.Seal == "" || p.i.lifetime() != p.life {
+		return
+	}
+	p.s.ledger.Check(Config, !due, "%s uses version %d although %d is %s old", p.i.name, before, version, sent.Sub(at))
+	p.s.ledger.Check(Config, p.seen < version || sent.Sub(p.seenAt) < revertBound,
+		"%s uses version %d after %d", p.i.name, before, version)
+}
+
+// revoked uses a key that was withdrawn.
+func (p *probe) revoked(ctx context.Context) {
+	sent := time.Now()
+	gone, ok := p.s.operators.withdrawn(sent.Add(-revokeBound))
+	if !ok || !p.s.ledger.InTouch(p.i.name, sent) {
+		return
 	}
+	r := p.send(ctx, stage.SafePrefix+"x", gone.key, "visitor")
+	p.s.ledger.Check(Revoked, r.Seal == "", "%s serves key %s, withdrawn %s ago", p.i.name, gone.key, sent.Sub(gone.at))
 }
 
-// send sends one request of a probe.
-func (s *Soak) send(ctx context.Context, client *http.Client, i *instance, path, key, owner string) stage.Reply {
+func (p *probe) send(ctx context.Context, path, key, owner string) stage.Reply {
 	a := stage.Ask{ID: fmt.Sprintf("%016x", rand.Uint64()), Path: path, Key: key, Deadline: time.Now().Add(askLimit)}
-	s.ledger.Sent(a.ID, i.name, stage.Desk, owner, false, time.Now())
-	return a.Do(ctx, client, i.settings.Callers)
+	p.s.ledger.Sent(a.ID, p.i.name, stage.Desk, owner, false, time.Now())
+	return a.Do(ctx, p.client, p.i.settings.Callers)
 }
