--- a/cmd/eelgrassdock/soak.go
+++ b/cmd/eelgrassdock/soak.go
@@ -15,13 +15,14 @@
 	Seed      uint64  `default:"1" help:"Seed of the plan of faults."`
 	Minutes   float64 `default:"1" help:"Duration in minutes."`
 	Processes int     `default:"6" help:"Processes of the program."`
+	Callers   int     `default:"6" help:"Callers for each process; fewer for many processes."`
 	Keep      string  `help:"Directory for the logs of all processes; by default one that is removed if every promise was kept."`
 	Break     string  `help:"Break a promise on purpose, to see that the soak reports it."`
 }
 
 func (c *soakCommand) Run(std streams) error {
-	if c.Minutes <= 0 || c.Processes < 1 {
-		return errors.Newf("--minutes and --processes must be positive, are %v and %d", c.Minutes, c.Processes)
+	if c.Minutes <= 0 || c.Processes < 1 || c.Callers < 1 {
+		return errors.Newf("--minutes, --processes and --callers must be positive, are %v, %d and %d", c.Minutes, c.Processes, c.Callers)
 	}
 	binary, err := os.Executable()
 	if err != nil {
@@ -43,7 +44,7 @@
 		return fmt.Errorf("print the plan: %w", err)
 	}
 	s := soak.Soak{
-		Binary: binary, Dir: dir, Seed: c.Seed, Duration: total, Instances: c.Processes, Sabotage: c.Break, Progress: std.err,
+		Binary: binary, Dir: dir, Seed: c.Seed, Duration: total, Instances: c.Processes, Callers: c.Callers, Sabotage: c.Break, Progress: std.err,
 	}
 	sum, err := s.Run(ctx)
 	if err != nil {
