--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -28,16 +28,15 @@
 )
 
 const (
-	enginesEach  = 1.0 // engines for each instance
-	desksEach    = 0.7 // replicas of the plain service for each instance
-	callersEach  = 6   // callers for each instance
-	leastPlaces  = 3   // endpoints of each service at least
-	watchEvery   = 50 * time.Millisecond
-	stallFrom    = 400 * time.Millisecond // a gap in the watch; the machine was too busy for bounds to hold
-	startLimit   = 30 * time.Second       // for the instances to be ready
-	lastRequests = 3 * time.Second        // for requests in work at the end
-	slowness     = 300 * time.Millisecond // of a slow store
-	herdShare    = 2                      // one in so many instances survives a herd
+	enginesEach = 1.0 // engines for each instance
+	desksEach   = 0.7 // replicas of the plain service for each instance
+	callersEach = 6   // callers for each instance
+	leastPlaces = 3   // endpoints of each service at least
+	watchEvery  = 50 * time.Millisecond
+	stallFrom   = 400 * time.Millisecond // a gap in the watch; the machine was too busy for bounds to hold
+	startLimit  = 30 * time.Second       // for the instances to be ready
+	slowness    = 300 * time.Millisecond // of a slow store
+	herdShare   = 2                      // one in so many instances survives a herd
 )
 
 type (
@@ -63,7 +62,6 @@
 
 		ctx        context.Context
 		store      stage.Store
-		storeAddr  string
 		ledger     Ledger
 		operators  operators
 		instances  []*instance
@@ -146,7 +144,6 @@
 	if err != nil {
 		return fmt.Errorf("address of the store: %w", err)
 	}
-	s.storeAddr = l.Addr().String()
 	server := &http.Server{Handler: s.store.Handler()}
 	go func() { _ = server.Serve(l) }() // ends with ctx
 	context.AfterFunc(ctx, func() { _ = server.Close() })
@@ -163,7 +160,7 @@
 		}
 	}
 	for n := range s.Instances {
-		i, err := newInstance(fmt.Sprint("i", n), s.placeNames[n%len(s.placeNames)], s.Binary, s.Dir, s.storeAddr, places)
+		i, err := newInstance(fmt.Sprint("i", n), s.placeNames[n%len(s.placeNames)], s.Binary, s.Dir, l.Addr().String(), places)
 		if err != nil {
 			return err
 		}
--- a/process/gateway/settings.go
+++ b/process/gateway/settings.go
@@ -93,13 +93,11 @@
 	}
 	changed := *old
 	changed.Retry, changed.Seeds, changed.Grace, changed.Keep, changed.Level = s.Retry, s.Seeds, s.Grace, s.Keep, s.Level
-	fixed := s
-	fixed.Retry, fixed.Seeds, fixed.Grace, fixed.Keep, fixed.Level = changed.Retry, changed.Seeds, changed.Grace, changed.Keep, changed.Level
 	g.changing.Store(&changed)
 	if level, err := logrus.ParseLevel(s.Level); err == nil {
 		g.Log.SetLevel(level)
 	}
-	g.Log.WithFields(logrus.Fields{"event": "reload", "restart": !reflect.DeepEqual(changed, fixed)}).Info("settings reloaded")
+	g.Log.WithFields(logrus.Fields{"event": "reload", "restart": !reflect.DeepEqual(changed, s)}).Info("settings reloaded")
 }
 
 // live gives the settings in force.
