--- a/process/balance/balance.go
+++ b/process/balance/balance.go
@@ -10,6 +10,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -75,7 +76,7 @@
 	costs := make([]float64, len(list))
 	for i, e := range list {
 		costs[i] = math.Inf(1)
-		if e.Leaving || contains(exclude, e.ID) {
+		if e.Leaving || slices.Contains(exclude, e.ID) {
 			continue
 		}
 		costs[i] = b.cost(e, now)
@@ -96,15 +97,6 @@
 	return list[best], true
 }
 
-func contains(list []string, id string) bool {
-	for _, x := range list {
-		if x == id {
-			return true
-		}
-	}
-	return false
-}
-
 func (b *Balancer) replica(id string) *replica {
 	if b.byID == nil {
 		b.byID = map[string]*replica{}
--- a/process/entry/call.go
+++ b/process/entry/call.go
@@ -132,7 +132,7 @@
 	for attempt := 0; ; attempt++ {
 		endpoint, err := e.freshReplica(s, exclude)
 		if err != nil {
-			return claim.Result{}, doubt(err, maybe)
+			return claim.Result{}, refusal.Doubt(err, maybe)
 		}
 		act.Endpoint.Store(&endpoint.ID)
 		conn := &service.Conn{Addr: endpoint.Addr, HTTP: e.http}
@@ -149,25 +149,14 @@
 		e.replicaFailed(s.ID, endpoint.ID)
 		at, ok := e.nextAttempt(s.ID, fault, idempotent, attempt, out.Deadline)
 		if !ok || ctx.Err() != nil {
-			return claim.Result{}, doubt(err, maybe)
+			return claim.Result{}, refusal.Doubt(err, maybe)
 		}
 		exclude = append(exclude, endpoint.ID)
 		if !sleepUntil(ctx, at, e.now()) {
-			return claim.Result{}, doubt(err, maybe)
+			return claim.Result{}, refusal.Doubt(err, maybe)
 		}
 	}
 }
 
-// doubt takes "not run" out of an error if an earlier attempt may have run.
-func doubt(err error, maybe bool) error {
-	fault := refusal.From(err)
-	if !maybe || fault.Outcome != refusal.NotRun {
-		return err
-	}
-	doubtful := *fault
-	doubtful.Outcome = refusal.Unknown
-	return &doubtful
-}
-
 // passHeader copies the headers that are passed on.
 func passHeader(from http.Header) http.Header { return header.Pass(from, ownHeaders...) }
--- a/process/entry/job.go
+++ b/process/entry/job.go
@@ -140,7 +140,7 @@
 	case ctx.Err() != nil:
 		return refusal.New(refusal.Canceled, ran, "caller hung up")
 	}
-	return doubt(err, j.maybe)
+	return refusal.Doubt(err, j.maybe)
 }
 
 // start runs one generation on an endpoint that the service's desk chooses.
--- a/process/gateway/call.go
+++ b/process/gateway/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net/http"
 	"time"
 
@@ -65,7 +66,7 @@
 		if !ok {
 			fault := refusal.New(refusal.NoEndpoint, refusal.NotRun, "no replica of service "+j.service+" can be used")
 			fault.RetryAt = comeBackAt(time.Now())
-			return doubt(fault, maybe)
+			return refusal.Doubt(fault, maybe)
 		}
 		limited, cancel := g.patience(ctx, j, sends)
 		kept, fault := g.try(limited, j, p, e)
@@ -197,7 +198,7 @@
 
 // deliver writes a plain answer.
 func (g *Gateway) deliver(j *job, a *whole) error {
-	copyHeader(j.w.Header(), a.header)
+	maps.Copy(j.w.Header(), a.header)
 	if a.length >= 0 {
 		j.w.Header().Set("Content-Length", itoa(a.length))
 	}
@@ -228,15 +229,5 @@
 	if f.Outcome == refusal.NotRun && f.RetryAt.IsZero() {
 		f.RetryAt = comeBackAt(time.Now())
 	}
-	return doubt(f.Error, maybe)
-}
-
-// doubt takes "not run" out of a refusal if an earlier attempt may have run.
-func doubt(e *refusal.Error, maybe bool) error {
-	if !maybe || e.Outcome != refusal.NotRun {
-		return e
-	}
-	doubtful := *e
-	doubtful.Outcome = refusal.Unknown
-	return &doubtful
+	return refusal.Doubt(f.Error, maybe)
 }
--- a/process/gateway/feed.go
+++ b/process/gateway/feed.go
@@ -184,11 +184,16 @@
 	return f.lost || f.from < 0
 }
 
+// anyFeed tells whether a table is in a state.
+func (g *Gateway) anyFeed(state func(*feed) bool) bool {
+	return slices.ContainsFunc(slices.Collect(maps.Values(g.feeds)), state)
+}
+
 // askEngines looks for notices that the store does not show while it is away:
 // it asks the engines that run generations of this instance.
 func (g *Gateway) askEngines() {
 	for sleep.For(g.base, askEvery/2+jitter(askEvery)) {
-		if !slices.ContainsFunc(slices.Collect(maps.Values(g.feeds)), (*feed).away) {
+		if !g.anyFeed((*feed).away) {
 			continue
 		}
 		for _, e := range g.runs.engines() {
--- a/process/gateway/generate.go
+++ b/process/gateway/generate.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"strings"
 	"sync"
@@ -240,7 +241,7 @@
 		return
 	}
 	r.headed = true
-	copyHeader(r.j.w.Header(), r.header)
+	maps.Copy(r.j.w.Header(), r.header)
 	r.j.w.WriteHeader(http.StatusOK)
 	r.first, r.passed = time.Since(r.j.Arrived), time.Now()
 	observe(firstTime, r.first)
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -5,7 +5,6 @@
 	"encoding/binary"
 	"encoding/json"
 	"fmt"
-	"maps"
 	"math/rand/v2"
 	"net"
 	"net/rpc"
@@ -190,7 +189,7 @@
 func (g *Gateway) askSeeds() {
 	pause := seedPause
 	for first := true; sleep.For(g.base, pause/2+jitter(pause)); first = false {
-		away := slices.ContainsFunc(slices.Collect(maps.Values(g.feeds)), (*feed).unanswered)
+		away := g.anyFeed((*feed).unanswered)
 		if !first && !away {
 			if g.informed() {
 				return
--- a/process/gateway/run.go
+++ b/process/gateway/run.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/http"
 	"strconv"
 	"time"
 
@@ -198,10 +197,4 @@
 // comeBackAt spreads the return of callers that were refused together.
 func comeBackAt(now time.Time) time.Time { return now.Add(comeBack + jitter(comeBackSpread)) }
 
-func copyHeader(to, from http.Header) {
-	for name, values := range from {
-		to[name] = values
-	}
-}
-
 func itoa(n int64) string { return strconv.FormatInt(n, 10) }
--- a/request/refusal/refusal.go
+++ b/request/refusal/refusal.go
@@ -237,3 +237,14 @@
 	}
 	return e
 }
+
+// Doubt takes "not run" out of a refusal if an earlier attempt may have run.
+func Doubt(err error, maybe bool) error {
+	fault := From(err)
+	if !maybe || fault.Outcome != NotRun {
+		return err
+	}
+	doubtful := *fault
+	doubtful.Outcome = Unknown
+	return &doubtful
+}
