soak: sites and their lies depend on the seed

Whether a replica lies about having run was drawn without the seed for each replica; with three replicas none lied in one of eight runs. The sites were also laid in the order of a map, so that a fault of the same seed hit another endpoint in each run, and the time until a site starts again was not of the seed.

Change: every second site lies to break 'once', all lie to break 'notrun'; sites have a fixed order and a random source of their own.

Conclusion: the check of the check no longer depends on a draw.

--- a/internal/soak/endpoints.go
+++ b/internal/soak/endpoints.go
@@ -22,14 +22,16 @@
 // site is a place at which one endpoint after another runs.
 type site struct {
 	s       *Soak
+	n       int // among the sites of the service
 	service string
 	place   string
 
-	mu    sync.Mutex
-	at    *stage.Endpoint
-	link  *relay
-	busy  bool // an endpoint leaves or starts
-	count int
+	mu     sync.Mutex
+	random *rand.Rand
+	at     *stage.Endpoint
+	link   *relay
+	busy   bool // an endpoint leaves or starts
+	count  int
 }
 
 // begin starts an endpoint with a new ID and address.
@@ -53,7 +55,7 @@
 	p.at, p.link, p.busy = e, link, false
 	p.mu.Unlock()
 	e.Start(l)
-	e.SetMood(p.s.mood())
+	e.SetMood(p.s.mood(p.n))
 	p.s.store.List(e, false)
 	return nil
 }
@@ -112,7 +114,10 @@
 }
 
 func (p *site) restart() {
-	sleep.For(p.s.ctx, shortest+rand.N(longest/2))
+	p.mu.Lock()
+	away := shortest + time.Duration(p.random.Int64N(int64(longest/2)))
+	p.mu.Unlock()
+	sleep.For(p.s.ctx, away)
 	if p.s.ctx.Err() != nil {
 		return
 	}
@@ -127,7 +132,7 @@
 	p.s.ledger.Disturb(e.ID, time.Now().Add(last))
 	e.SetMood(m)
 	sleep.For(p.s.ctx, last)
-	e.SetMood(p.s.mood())
+	e.SetMood(p.s.mood(p.n))
 }
 
 // harm harms the link to the endpoint.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -128,6 +128,7 @@
 func (s *Soak) prepare() {
 	s.outcomes, s.faults, s.byAddr = map[string]int64{}, map[string]int64{}, map[string]*instance{}
 	s.operators.s = s
+	s.placeNames = []string{"a1", "a2", "b1"}
 	if s.Callers == 0 {
 		s.Callers = callersEach
 	}
@@ -139,7 +140,6 @@
 // begin starts store, endpoints and instances, and waits until these are ready.
 func (s *Soak) begin(ctx context.Context) error {
 	places := map[string]string{"a1": "a", "a2": "a", "b1": "b"}
-	s.placeNames = []string{"a1", "a2", "b1"}
 	l, err := port.Listen()
 	if err != nil {
 		return fmt.Errorf("address of the store: %w", err)
@@ -150,13 +150,10 @@
 	if err := s.operators.change(false); err != nil {
 		return err
 	}
-	for service, each := range map[string]float64{stage.Engines: enginesEach, stage.Desk: desksEach} {
-		for n := range max(int(each*float64(s.Instances)), leastPlaces) {
-			p := &site{s: s, service: service, place: s.placeNames[n%len(s.placeNames)]}
-			if err := p.begin(); err != nil {
-				return err
-			}
-			s.sites = append(s.sites, p)
+	s.sites = s.lay()
+	for _, p := range s.sites {
+		if err := p.begin(); err != nil {
+			return err
 		}
 	}
 	for n := range s.Instances {
@@ -186,6 +183,23 @@
 	return s.awaitReady(ctx)
 }
 
+// lay gives the sites of all endpoints, always in the same order, since the
+// targets of faults are chosen by it.
+func (s *Soak) lay() (sites []*site) {
+	for _, kind := range []struct {
+		service string
+		each    float64
+	}{{stage.Engines, enginesEach}, {stage.Desk, desksEach}} {
+		for n := range max(int(kind.each*float64(s.Instances)), leastPlaces) {
+			seed := s.Seed + uint64(len(sites))
+			sites = append(sites, &site{
+				s: s, n: n, service: kind.service, place: s.placeNames[n%len(s.placeNames)], random: rand.New(rand.NewPCG(seed, seed)),
+			})
+		}
+	}
+	return sites
+}
+
 func (s *Soak) awaitReady(ctx context.Context) error {
 	client := s.newClient()
 	deadline := time.Now().Add(startLimit)
@@ -337,11 +351,14 @@
 	}
 }
 
-// mood is that of a sound endpoint, unless a promise is broken on purpose.
-func (s *Soak) mood() stage.Mood {
+// mood is that of a sound endpoint at the n-th site of its service, unless a
+// promise is broken on purpose.
+func (s *Soak) mood(n int) stage.Mood {
 	switch s.Sabotage {
-	case NotRun, Once:
-		return stage.Mood{Lie: rand.IntN(2) == 0}
+	case NotRun:
+		return stage.Mood{Lie: true} // whichever endpoint is tried last
+	case Once:
+		return stage.Mood{Lie: n%2 == 0}
 	case Single:
 		return stage.Mood{Deaf: true, Cut: moodShare}
 	case Budget:
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/eelgrassdock/eelgrassdock/platform/stage"
 	"github.com/eelgrassdock/eelgrassdock/process/gateway"
 )
 
@@ -40,6 +41,31 @@
 	}
 }
 
+// Endpoints that lie are drawn by nobody: with a draw, no replica lied in one of
+// eight runs, and a fault of the same seed hit another endpoint.
+func TestSitesDependOnTheSeedAlone(t *testing.T) {
+	var first []string
+	for range 20 {
+		s := Soak{Seed: 4, Instances: 3, Sabotage: Once}
+		s.prepare()
+		var sites []string
+		moods := map[string]map[bool]bool{}
+		for _, p := range s.lay() {
+			lie := s.mood(p.n).Lie
+			sites = append(sites, fmt.Sprintln(p.service, p.place, lie, p.random.Uint64()))
+			if moods[p.service] == nil {
+				moods[p.service] = map[bool]bool{}
+			}
+			moods[p.service][lie] = true
+		}
+		require.Equal(t, map[bool]bool{true: true, false: true}, moods[stage.Desk])
+		if first == nil {
+			first = sites
+		}
+		require.Equal(t, first, sites)
+	}
+}
+
 // A short run of the real program under faults keeps every promise. Seeds that
 // ever failed are played as well, with the processes that they had.
 func TestSoak(t *testing.T) {
