gateway: rows of instances that never return are deleted

Cause: an instance that is killed and never comes back leaves its row in the store, and a process that starts asks such rows for members. The row of a stopping instance was deleted without a condition: the store may carry that out seconds later, when the next process of the name has written its own row.

Change: the live instance with the lowest ID reads the rows each 15 to 45 s, deletes those that had no live instance and the same version at two looks, and writes those of live instances that are missing. A stop reads its row and deletes it only as read.

TestStopLeavesTheRowOfTheNextProcess and TestRowsOfInstancesThatNeverReturn describe what was wrong before.

Conclusion: rows stay in proportion to the instances that live.

--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -31,6 +31,7 @@
 	"github.com/eelgrassdock/eelgrassdock/process/length"
 	"github.com/eelgrassdock/eelgrassdock/process/loads"
 	"github.com/eelgrassdock/eelgrassdock/process/member"
+	"github.com/eelgrassdock/eelgrassdock/process/mirror"
 	"github.com/eelgrassdock/eelgrassdock/process/record"
 	"github.com/eelgrassdock/eelgrassdock/process/roster"
 	"github.com/eelgrassdock/eelgrassdock/request/refusal"
@@ -132,12 +133,13 @@
 		Log      *logrus.Logger
 		// Decode reads a stored routing table.
 		Decode func(data []byte) (*routing.Table, error)
-		// Register and Deregister write and delete this instance's row among the
-		// instances in the store.
-		Register   func(ctx context.Context, key string, value []byte) error
-		Deregister func(ctx context.Context, key string) error
+		// Register writes the row of an instance among the instances in the store;
+		// with fresh, only if there is none. Deregister deletes it if it still has
+		// the version. Errors of a condition that did not hold are marked ErrConflict.
+		Register   func(ctx context.Context, key string, value []byte, fresh bool) error
+		Deregister func(ctx context.Context, key string, version int64) error
 		// Registered reads the rows of all instances.
-		Registered func(ctx context.Context) ([][]byte, error)
+		Registered func(ctx context.Context) ([]mirror.Row, error)
 		// Trim closes connections that were idle for too long; may be nil.
 		Trim func()
 
--- /dev/null
+++ b/process/gateway/instances_test.go
@@ -0,0 +1,126 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"maps"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	cockroach "github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/eelgrassdock/eelgrassdock/process/member"
+	"github.com/eelgrassdock/eelgrassdock/process/mirror"
+)
+
+// rowStore is a table of instances.
+type rowStore struct {
+	rows    map[string]mirror.Row
+	version int64
+	reads   int
+}
+
+func (s *rowStore) put(key string, value any) {
+	data, _ := json.Marshal(value)
+	s.version++
+	s.rows[key] = mirror.Row{Key: key, Value: data, Version: s.version}
+}
+
+func (s *rowStore) serve(g *Gateway) {
+	s.rows = map[string]mirror.Row{}
+	conflict := func() error { return cockroach.Mark(errors.New("412"), ErrConflict) }
+	g.Registered = func(context.Context) ([]mirror.Row, error) {
+		s.reads++
+		return slices.Collect(maps.Values(s.rows)), nil
+	}
+	g.Register = func(_ context.Context, key string, value []byte, fresh bool) error {
+		if _, ok := s.rows[key]; ok && fresh {
+			return conflict()
+		}
+		s.put(key, json.RawMessage(value))
+		return nil
+	}
+	g.Deregister = func(_ context.Context, key string, version int64) error {
+		if s.rows[key].Version != version {
+			return conflict()
+		}
+		delete(s.rows, key)
+		return nil
+	}
+}
+
+func (s *rowStore) keys() []string { return slices.Sorted(maps.Keys(s.rows)) }
+
+// Pattern: instances are killed and never return, month after month. Their rows
+// must not pile up, and nothing that returns may lose its row.
+func TestRowsOfInstancesThatNeverReturn(t *testing.T) {
+	w := newWorld(t)
+	var s rowStore
+	s.serve(w.Gateway)
+	live := []member.Member{{ID: w.id}, {ID: "i3-y", Incarnation: 4}, {ID: "i4-y", Leaving: true}}
+	for _, id := range []string{"i1-x", "i2-x", "i3-x", "i5-x"} {
+		s.put(id[:2], member.Member{ID: id})
+	}
+	s.put("odd", 7)
+	dead, err := w.tidyRows(live, nil)
+	require.NoError(t, err)
+	require.Equal(t, []string{"i1", "i2", "i3", "i5", "odd"}, s.keys(), "nothing is deleted at the first look")
+	s.put("i5", member.Member{ID: "i5-z"}) // it returns, and is not known as live yet
+	dead, err = w.tidyRows(live, dead)
+	require.NoError(t, err)
+	require.Equal(t, []string{"i1", "i3", "i5", "odd"}, s.keys())
+	var m member.Member
+	require.NoError(t, json.Unmarshal(s.rows["i3"].Value, &m))
+	require.Equal(t, member.Member{ID: "i3-y"}, m, "an instance that is live under another ID")
+	_, err = w.tidyRows(live, dead)
+	require.NoError(t, err)
+	require.Equal(t, []string{"i1", "i3", "odd"}, s.keys())
+}
+
+// An instance that could not be reached for a while has lost its row, and gets it
+// back from the one that looks after the rows.
+func TestLostRowComesBack(t *testing.T) {
+	w := newWorld(t)
+	var s rowStore
+	s.serve(w.Gateway)
+	s.put("i1", member.Member{ID: w.id})
+	_, err := w.tidyRows([]member.Member{{ID: w.id}, {ID: "i2-x", Probe: "10.0.0.2:7"}, {ID: "i3-x", Leaving: true}}, nil)
+	require.NoError(t, err)
+	require.Equal(t, []string{"i1", "i2"}, s.keys())
+}
+
+// One instance looks after the rows, or each look costs as many calls as there
+// are instances.
+func TestOneInstanceLooksAfterTheRows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		var s rowStore
+		s.serve(w.Gateway)
+		w.members = &member.Node{Self: member.Member{ID: w.id, Probe: "127.0.0.1:2"}, Send: func(string, []byte) error { return nil }}
+		go w.tidy()
+		time.Sleep(10 * tidyEvery)
+		synctest.Wait()
+		require.Greater(t, s.reads, 5)
+		require.Less(t, s.reads, 21)
+		require.True(t, w.isFirst([]member.Member{{ID: w.id}, {ID: "i0-x", Leaving: true}, {ID: "i2-x"}}))
+		require.False(t, w.isFirst([]member.Member{{ID: w.id}, {ID: "i0-x"}}))
+	})
+}
+
+// The deletion of a stop that the store carries out late must not hit the row of
+// the next process of the same name.
+func TestStopLeavesTheRowOfTheNextProcess(t *testing.T) {
+	w := newWorld(t)
+	var s rowStore
+	s.serve(w.Gateway)
+	s.put("i1", member.Member{ID: "i1-next"})
+	w.unregister()
+	require.Equal(t, []string{"i1"}, s.keys())
+	s.put("i1", member.Member{ID: w.id})
+	w.unregister()
+	require.Empty(t, s.keys())
+}
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -97,17 +97,12 @@
 
 // seeds lists the instances that have registered. Some may be gone.
 func (g *Gateway) seeds(ctx context.Context) ([]member.Member, error) {
-	rows, err := g.Registered(ctx)
+	members, _, err := g.registered(ctx)
 	if err != nil {
-		return nil, fmt.Errorf("read the rows of the instances: %w", err)
+		return nil, err
 	}
 	var list []member.Member
-	for _, data := range rows {
-		var m member.Member
-		if err := json.Unmarshal(data, &m); err != nil {
-			g.Log.WithError(err).WithField("event", "instance_unreadable").Warn("row of an instance cannot be read")
-			continue
-		}
+	for _, m := range members {
 		if m.ID != g.id {
 			list = append(list, m)
 		}
@@ -170,7 +165,7 @@
 	}
 	for {
 		ctx, cancel := context.WithTimeout(g.base, registerLimit)
-		err := g.Register(ctx, g.Settings.Name, row)
+		err := g.Register(ctx, g.Settings.Name, row, false)
 		cancel()
 		if err == nil {
 			return
--- a/process/gateway/peers_test.go
+++ b/process/gateway/peers_test.go
@@ -40,9 +40,9 @@
 		<-t.Context().Done() // also when the call's own time is over
 		return errors.CombineErrors(ctx.Err(), errors.New("away"))
 	}
-	g.Register = func(ctx context.Context, _ string, _ []byte) error { return away(ctx) }
-	g.Registered = func(ctx context.Context) ([][]byte, error) { return nil, away(ctx) }
-	g.Deregister = func(ctx context.Context, _ string) error { return away(ctx) }
+	g.Register = func(ctx context.Context, _ string, _ []byte, _ bool) error { return away(ctx) }
+	g.Registered = func(ctx context.Context) ([]mirror.Row, error) { return nil, away(ctx) }
+	g.Deregister = func(ctx context.Context, _ string, _ int64) error { return away(ctx) }
 	if list == nil {
 		list = func(ctx context.Context) (mirror.Page, error) { return mirror.Page{}, away(ctx) }
 	}
--- a/process/gateway/run.go
+++ b/process/gateway/run.go
@@ -17,10 +17,10 @@
 )
 
 const (
-	budgetShare   = 0.8             // share of the retry budget that is used; the rest covers late knowledge
-	housekeeping  = 5 * time.Second // interval at which idle connections are closed
-	stopReserve   = time.Second     // before the end of the grace time, in which nothing runs any more
-	farewellLimit = 300 * time.Millisecond
+	budgetShare   = 0.8                    // share of the retry budget that is used; the rest covers late knowledge
+	housekeeping  = 5 * time.Second        // interval at which idle connections are closed
+	stopReserve   = time.Second            // before the end of the grace time, in which nothing runs any more
+	farewellLimit = 600 * time.Millisecond // for deleting the own row; part of stopReserve
 	newsTime      = 500 * time.Millisecond // until all instances know that one is leaving
 	stopPoll      = 50 * time.Millisecond
 	membersLine   = 200 * time.Millisecond // changes of the live instances of this time are one log line
@@ -58,6 +58,7 @@
 		g.spawn(func() { t.Run(g.base) })
 	}
 	g.spawn(g.register)
+	g.spawn(g.tidy)
 	g.spawn(g.askSeeds)
 	g.spawn(g.housekeep)
 	g.spawn(g.askEngines)
@@ -103,11 +104,7 @@
 	for time.Now().Before(s.end) && g.Active() > 0 && sleep.For(g.base, stopPoll) {
 	}
 	g.members.Leave()
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(g.base), farewellLimit)
-	defer cancel()
-	if err := g.Deregister(ctx, g.Settings.Name); err != nil {
-		g.Log.WithError(err).WithField("event", "deregister_failed").Warn("row of this instance was not deleted")
-	}
+	g.unregister()
 	g.Log.WithFields(logrus.Fields{"event": "stopped", "active": g.Active(), "took": time.Since(now).Milliseconds()}).
 		Info("instance stopped")
 	g.cancel()
--- a/process/gateway/run_test.go
+++ b/process/gateway/run_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/eelgrassdock/eelgrassdock/process/member"
+	"github.com/eelgrassdock/eelgrassdock/process/mirror"
 )
 
 // A stop must keep new requests out as soon as callers no longer know the
@@ -24,7 +25,12 @@
 			Send: func(string, []byte) error { return nil },
 		}
 		deregistered := false
-		w.Deregister = func(context.Context, string) error {
+		w.Registered = func(context.Context) ([]mirror.Row, error) {
+			return []mirror.Row{{Key: w.Settings.Name, Value: []byte(`{"id":"i1-x"}`), Version: 7}, {Key: "i2", Value: []byte(`{"id":"i2-x"}`)}}, nil
+		}
+		w.Deregister = func(_ context.Context, key string, version int64) error {
+			require.Equal(t, w.Settings.Name, key)
+			require.Equal(t, int64(7), version)
 			deregistered = true
 			return nil
 		}
@@ -61,7 +67,7 @@
 			Self: member.Member{ID: w.id, Addr: "127.0.0.1:1", Probe: "127.0.0.1:2", RPC: "127.0.0.1:3"},
 			Send: func(string, []byte) error { return nil },
 		}
-		w.Deregister = func(context.Context, string) error { return nil }
+		w.Registered = func(context.Context) ([]mirror.Row, error) { return nil, nil }
 		w.active.Store(1)
 		begun := time.Now()
 		w.Stop(func() {})
