story, gateway: each failed request is explained

Two answers of 500 in a row ended without a last line and were told as 'the log ends'; one 500 that may not be repeated as 'the request was served'; a stream cut at the end of a grace time as 'the caller left'. A killed instance could not be told from a log that goes on. Lines were put in order by the text of their times, which has no fixed number of digits.

Change: an endpoint's failure that goes to the caller has a line of its own (failure_passed_on); attempt_failed has the detail, cut says whether the instance was stopping, and each line names its instance. explain sees from the next start whether an instance ended without a stop, and names these for an unknown ID.

New tests: each decision is logged once, every event is on the page, a slow output holds nobody up.

--- a/cmd/eelgrassdock/explain.go
+++ b/cmd/eelgrassdock/explain.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 
@@ -52,6 +53,9 @@
 	found, err := log.Tell(std.out, id)
 	if err == nil && !found {
 		err = errors.Newf("no line tells of request %q: its instance may have logged it elsewhere, or its successes were not sampled", id)
+		if lost := log.Lost(); len(lost) > 0 {
+			err = errors.WithMessagef(err, "instances ended without a stop and told nothing of the requests in work: %s", strings.Join(lost, ", "))
+		}
 	}
 	return err
 }
--- a/cmd/eelgrassdock/serve.go
+++ b/cmd/eelgrassdock/serve.go
@@ -31,7 +31,7 @@
 	ctx, cancel := signals(nil)
 	defer cancel()
 	writer := &record.Writer{Out: std.out}
-	log, done, written := writer.Logger(settings.Level), make(chan struct{}), make(chan struct{})
+	log, done, written := writer.Logger(settings.Level, settings.Name), make(chan struct{}), make(chan struct{})
 	go func() {
 		defer close(written)
 		writer.Run(done)
--- a/internal/story/story.go
+++ b/internal/story/story.go
@@ -14,6 +14,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"time"
 )
 
 const maxLine = 1 << 20 // bytes of one line
@@ -21,7 +22,8 @@
 type (
 	// Line is one log line.
 	Line struct {
-		Time  string
+		At    time.Time
+		Time  string // as the line has it
 		Event string
 		Text  string
 		Field map[string]any
@@ -31,6 +33,7 @@
 	Log struct {
 		Requests map[string][]Line // by the request's ID
 		Leaving  map[string][]Line // by the endpoint's ID
+		Starts   map[string][]Line // of processes, and their proper ends, by the instance's name
 		Store    []Line            // store lost and back
 		Foreign  int               // lines that could not be read
 	}
@@ -46,7 +49,7 @@
 // Read takes in lines until the end of r.
 func (l *Log) Read(r io.Reader) error {
 	if l.Requests == nil {
-		l.Requests, l.Leaving = map[string][]Line{}, map[string][]Line{}
+		l.Requests, l.Leaving, l.Starts = map[string][]Line{}, map[string][]Line{}, map[string][]Line{}
 	}
 	lines := bufio.NewScanner(r)
 	lines.Buffer(nil, maxLine)
@@ -63,12 +66,19 @@
 		}
 		x := Line{Field: field}
 		x.Time, x.Event, x.Text = x.get("time"), x.get("event"), x.get("msg")
+		var err error
+		if x.At, err = time.Parse(time.RFC3339Nano, x.Time); err != nil {
+			l.Foreign++
+			continue
+		}
 		if id := x.get("request"); id != "" {
 			l.Requests[id] = append(l.Requests[id], x)
 		}
 		switch x.Event {
 		case "endpoint_leaves":
 			l.Leaving[x.get("endpoint")] = append(l.Leaving[x.get("endpoint")], x)
+		case "start", "stopped":
+			l.Starts[x.get("instance")] = append(l.Starts[x.get("instance")], x)
 		case "store_lost", "store_back":
 			l.Store = append(l.Store, x)
 		}
@@ -109,7 +119,7 @@
 
 func (l *Log) lines(id string) []Line {
 	list := slices.Clone(l.Requests[id])
-	slices.SortStableFunc(list, func(a, b Line) int { return cmp.Compare(a.Time, b.Time) })
+	slices.SortStableFunc(list, func(a, b Line) int { return a.At.Compare(b.At) })
 	return list
 }
 
@@ -145,10 +155,52 @@
 		return l.cut(list)
 	case "refused":
 		return l.refused(list, end)
+	case "failure_passed_on":
+		return failure(list, end)
+	}
+	if at, ok := l.lost(end); ok {
+		return "instance " + end.get("instance") + " ended with the request in work, without a stop (it started again at " + at + ")"
 	}
 	return "the log ends while the request was in work; its instance may have ended then"
 }
 
+// lost tells whether the instance of a line ended after it without a stop, and
+// when it started again.
+func (l *Log) lost(x Line) (string, bool) {
+	next := Line{}
+	for _, s := range l.Starts[x.get("instance")] {
+		if s.At.After(x.At) && (next.Event == "" || s.At.Before(next.At)) {
+			next = s
+		}
+	}
+	return next.Time, next.Event == "start"
+}
+
+// Lost lists the instances that ended without a stop, with the time of their
+// next start: they said nothing of the requests that were in work.
+func (l *Log) Lost() (list []string) {
+	for _, name := range slices.Sorted(maps.Keys(l.Starts)) {
+		lines := slices.SortedFunc(slices.Values(l.Starts[name]), func(a, b Line) int { return a.At.Compare(b.At) })
+		for i := 1; i < len(lines); i++ {
+			if lines[i-1].Event == "start" && lines[i].Event == "start" {
+				list = append(list, name+" before "+lines[i].Time)
+			}
+		}
+	}
+	return list
+}
+
+// failure explains the failure of an endpoint that went to the caller.
+func failure(list []Line, end Line) string {
+	text := "endpoint " + end.get("endpoint") + " answered " + end.get("status") + ", which was passed on"
+	for _, x := range slices.Backward(list) {
+		if x.Event == "attempt_failed" && x.get("endpoint") != end.get("endpoint") {
+			return text + "; endpoint " + x.get("endpoint") + " had failed before (" + cmp.Or(x.get("detail"), x.get("reason")) + ")"
+		}
+	}
+	return text
+}
+
 // last gives the latest of the events.
 func last(list []Line, events ...string) (Line, bool) {
 	for _, x := range slices.Backward(list) {
@@ -164,9 +216,13 @@
 	if strings.Contains(list[len(list)-1].get("error"), "caller left") {
 		return "the caller left"
 	}
+	end := list[len(list)-1]
+	if text := end.get("error"); strings.Contains(text, "context canceled") || strings.Contains(text, "deadline exceeded") {
+		return ended(end)
+	}
 	broken, ok := last(list, "stream_broken", "engine_silent")
 	if !ok {
-		return "the deadline passed or the caller left in the middle of the answer"
+		return "the answer broke off: " + end.get("error")
 	}
 	text := "engine " + broken.get("endpoint") + " ended the stream" + l.notice(broken)
 	switch after, _ := last(list, "attempt_refused", "attempt_failed"); {
@@ -180,10 +236,21 @@
 	return text
 }
 
+// ended explains an answer that broke off while its engine went on.
+func ended(end Line) string {
+	switch {
+	case end.get("stopping") == "true":
+		return "the instance was stopping and its grace time was over"
+	case strings.Contains(end.get("error"), "deadline exceeded"):
+		return "the deadline passed in the middle of the answer"
+	}
+	return "the caller left in the middle of the answer"
+}
+
 // notice says whether an engine had given notice.
 func (l *Log) notice(broken Line) string {
 	for _, x := range l.Leaving[broken.get("endpoint")] {
-		if x.Time <= broken.Time {
+		if !x.At.After(broken.At) {
 			return " after its notice (seen at " + x.Time + " by " + x.get("source") + ")"
 		}
 	}
@@ -226,7 +293,7 @@
 func (l *Log) outage(end Line) string {
 	var latest Line
 	for _, x := range l.Store {
-		if x.Time <= end.Time && x.Time >= latest.Time {
+		if !x.At.After(end.At) && !x.At.Before(latest.At) {
 			latest = x
 		}
 	}
@@ -242,8 +309,15 @@
 	groups := map[string]*Cause{}
 	for _, id := range slices.Sorted(maps.Keys(l.Requests)) {
 		list := l.lines(id)
-		if end := list[len(list)-1].Event; end != "cut" && end != "refused" {
+		end := list[len(list)-1]
+		switch end.Event {
+		case "cut", "refused", "failure_passed_on":
+		case "served":
 			continue
+		default:
+			if _, lost := l.lost(end); !lost {
+				continue // it may be in work still
+			}
 		}
 		text := general(l.Cause(id))
 		if groups[text] == nil {
@@ -266,7 +340,7 @@
 	words := strings.Fields(text)
 	kept := words[:0]
 	for i, word := range words {
-		if i > 0 && (words[i-1] == "engine" || words[i-1] == "endpoint" || words[i-1] == "table") && strings.ContainsAny(word, "0123456789") {
+		if i > 0 && (words[i-1] == "engine" || words[i-1] == "endpoint" || words[i-1] == "table" || words[i-1] == "instance") && strings.ContainsAny(word, "0123456789") {
 			continue
 		}
 		if strings.Count(word, ":") >= 2 || strings.Contains(word, "/") && strings.ContainsAny(word, "0123456789") {
--- a/internal/story/story_test.go
+++ b/internal/story/story_test.go
@@ -43,6 +43,43 @@
 	require.Equal(t, "no line tells of this request", l.Cause("q5"))
 }
 
+// A failure that was passed on, an instance that was killed and one whose grace
+// time was over were each told as something else.
+func TestCausesOfInstancesAndFailures(t *testing.T) {
+	l := read(t, `{"event":"start","instance":"a","time":"2026-04-22T09:00:00Z"}
+{"endpoint":"i-1","event":"attempt_failed","instance":"a","detail":"replica answered 500","request":"q1","time":"2026-04-22T09:00:01Z"}
+{"endpoint":"i-2","event":"attempt_failed","instance":"a","detail":"replica answered 500","request":"q1","time":"2026-04-22T09:00:02Z"}
+{"endpoint":"i-2","event":"failure_passed_on","instance":"a","status":500,"request":"q1","time":"2026-04-22T09:00:02Z"}
+{"endpoint":"i-2","event":"failure_passed_on","instance":"a","status":500,"request":"q2","time":"2026-04-22T09:00:02Z"}
+{"endpoint":"i-3","event":"relaying","instance":"a","request":"q3","time":"2026-04-22T09:00:03Z"}
+{"event":"start","instance":"a","time":"2026-04-22T09:00:09Z"}
+{"endpoint":"i-3","event":"relaying","instance":"a","request":"q4","time":"2026-04-22T09:00:10.5Z"}
+{"error":"canceled (unknown): context canceled: answer broke off","event":"cut","instance":"a","request":"q4","stopping":true,"time":"2026-04-22T09:00:10.51Z"}
+{"error":"canceled (unknown): context canceled: answer broke off","event":"cut","instance":"a","request":"q5","stopping":false,"time":"2026-04-22T09:00:11Z"}
+{"error":"canceled (unknown): context deadline exceeded: answer broke off","event":"cut","instance":"a","request":"q6","stopping":false,"time":"2026-04-22T09:00:11Z"}
+{"event":"stopped","instance":"a","time":"2026-04-22T09:00:12Z"}
+{"event":"start","instance":"a","time":"2026-04-22T09:00:13Z"}
+{"endpoint":"i-3","event":"relaying","instance":"a","request":"q7","time":"2026-04-22T09:00:14Z"}
+`)
+	require.Equal(t, "endpoint i-2 answered 500, which was passed on; endpoint i-1 had failed before (replica answered 500)", l.Cause("q1"))
+	require.Equal(t, "endpoint i-2 answered 500, which was passed on", l.Cause("q2"))
+	require.Equal(t, "instance a ended with the request in work, without a stop (it started again at 2026-04-22T09:00:09Z)", l.Cause("q3"))
+	require.Equal(t, "the instance was stopping and its grace time was over", l.Cause("q4"))
+	require.Equal(t, "the caller left in the middle of the answer", l.Cause("q5"))
+	require.Equal(t, "the deadline passed in the middle of the answer", l.Cause("q6"))
+	require.Equal(t, "the log ends while the request was in work; its instance may have ended then", l.Cause("q7"))
+	require.Equal(t, []string{"a before 2026-04-22T09:00:09Z"}, l.Lost())
+	require.Len(t, l.Top(), 6, "q7 may be in work still")
+}
+
+// Times have no fixed number of digits: "10.5Z" comes before "10.51Z".
+func TestOrderOfTimes(t *testing.T) {
+	l := read(t, `{"event":"served","request":"q","time":"2026-04-22T09:00:10.51Z"}
+{"event":"relaying","request":"q","time":"2026-04-22T09:00:10.5Z"}
+`)
+	require.Equal(t, "none: the request was served", l.Cause("q"))
+}
+
 // A story has the lines of one request in order, and an unknown ID is said so.
 func TestTell(t *testing.T) {
 	l := read(t, cutOff)
--- a/process/gateway/call.go
+++ b/process/gateway/call.go
@@ -5,6 +5,7 @@
 	"io"
 	"maps"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -72,11 +73,8 @@
 		kept, fault := g.try(limited, j, p, e)
 		cancel()
 		if fault == nil {
-			g.decided(j, "served", logrus.Fields{
-				"endpoint": e.ID, "status": kept.status, "attempt": attempt, "took": time.Since(j.Arrived).Milliseconds(),
-			})
 			observe(callTime, time.Since(j.Arrived))
-			return g.deliver(j, kept)
+			return g.answered(j, kept, e, attempt)
 		}
 		tried = append(tried, e.ID)
 		if !fault.unsent {
@@ -84,11 +82,11 @@
 		}
 		maybe = maybe || fault.Outcome != refusal.NotRun
 		g.decided(j, "attempt_failed", logrus.Fields{
-			"endpoint": e.ID, "reason": fault.Reason, "outcome": fault.Outcome.String(), "attempt": attempt,
+			"endpoint": e.ID, "reason": fault.Reason, "outcome": fault.Outcome.String(), "detail": fault.Detail, "attempt": attempt,
 			"left": time.Until(j.deadline).Milliseconds(), "budget": int(p.policy.Budget.Tokens()),
 		})
 		if ctx.Err() != nil || sends >= max(j.route.Attempts, 1) {
-			return g.giveUp(j, kept, fault, maybe)
+			return g.giveUp(j, kept, fault, maybe, e, attempt)
 		}
 		if fault.unsent {
 			// The service saw nothing of this attempt, so it costs it nothing.
@@ -97,7 +95,7 @@
 		}
 		at, ok := p.policy.Next(fault.Outcome, fault.Reason, j.route.Repeatable(), attempt, j.deadline, time.Now())
 		if !ok || !waitUntil(ctx, at) {
-			return g.giveUp(j, kept, fault, maybe)
+			return g.giveUp(j, kept, fault, maybe, e, attempt)
 		}
 	}
 }
@@ -166,7 +164,7 @@
 	failed := a.status >= http.StatusInternalServerError
 	p.balance.Done(e.ID, balance.Result{Took: time.Since(begun), Failed: failed})
 	if failed && j.route.Repeatable() {
-		return a, &fault{Error: refusal.New(refusal.Broken, refusal.Unknown, "replica ran the request and failed")}
+		return a, &fault{Error: refusal.New(refusal.Broken, refusal.Unknown, "replica answered "+strconv.Itoa(a.status))}
 	}
 	return a, nil
 }
@@ -196,11 +194,23 @@
 	}
 }
 
+// answered passes the answer of a replica on, which may tell of its failure.
+func (g *Gateway) answered(j *job, a *whole, e roster.Endpoint, attempt int) error {
+	event := "served"
+	if a.status >= http.StatusInternalServerError {
+		event = "failure_passed_on"
+	}
+	g.decided(j, event, logrus.Fields{
+		"endpoint": e.ID, "status": a.status, "attempt": attempt, "took": time.Since(j.Arrived).Milliseconds(),
+	})
+	return g.deliver(j, a)
+}
+
 // deliver writes a plain answer.
 func (g *Gateway) deliver(j *job, a *whole) error {
 	maps.Copy(j.w.Header(), a.header)
 	if a.length >= 0 {
-		j.w.Header().Set("Content-Length", itoa(a.length))
+		j.w.Header().Set("Content-Length", strconv.FormatInt(a.length, 10))
 	}
 	j.w.WriteHeader(a.status)
 	if _, err := j.w.Write(a.body); err != nil {
@@ -222,9 +232,9 @@
 
 // giveUp ends a request whose last attempt failed: with the replica's own
 // failure if there is one, else with what is known.
-func (g *Gateway) giveUp(j *job, kept *whole, f *fault, maybe bool) error {
+func (g *Gateway) giveUp(j *job, kept *whole, f *fault, maybe bool, e roster.Endpoint, attempt int) error {
 	if kept != nil {
-		return g.deliver(j, kept)
+		return g.answered(j, kept, e, attempt)
 	}
 	if f.Outcome == refusal.NotRun && f.RetryAt.IsZero() {
 		f.RetryAt = comeBackAt(time.Now())
--- a/process/gateway/generate.go
+++ b/process/gateway/generate.go
@@ -6,6 +6,7 @@
 	"io"
 	"maps"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -353,15 +354,19 @@
 // other passes an answer on that is no stream of events.
 func (r *run) other(ctx context.Context, a *attempt, answer *Answer) (*attempt, error) {
 	r.sends++
-	r.note("answer_other", a, logrus.Fields{"status": answer.Status})
 	kept, err := hold(answer)
+	var f *refusal.Error
 	switch {
 	case err != nil:
-		return r.rerun(ctx, a, refusal.Failed(err, true))
+		f = refusal.Failed(err, true)
 	case r.headed:
-		return r.rerun(ctx, a, refusal.New(refusal.Broken, refusal.Unknown, "engine failed the rest of a stream"))
+		f = refusal.New(refusal.Broken, refusal.Unknown, "engine answered "+strconv.Itoa(kept.status)+" to the rest of a stream")
 	}
-	return nil, r.g.deliver(r.j, kept)
+	if f != nil {
+		r.note("attempt_failed", a, logrus.Fields{"reason": f.Reason, "outcome": f.Outcome.String(), "detail": f.Detail})
+		return r.rerun(ctx, a, f)
+	}
+	return nil, r.g.answered(r.j, kept, a.endpoint, r.sends)
 }
 
 // broken decides after a stream ended early.
--- a/process/gateway/instances.go
+++ b/process/gateway/instances.go
@@ -116,7 +116,7 @@
 	if err != nil {
 		return fmt.Errorf("delete row of instance %s: %w", key, err)
 	}
-	g.Log.WithFields(logrus.Fields{"event": "instance_forgotten", "instance": key}).Info("row of an instance that is gone was deleted")
+	g.Log.WithFields(logrus.Fields{"event": "instance_forgotten", "row": key}).Info("row of an instance that is gone was deleted")
 	return nil
 }
 
@@ -136,7 +136,7 @@
 	if err != nil {
 		return fmt.Errorf("write row of instance %s: %w", m.ID, err)
 	}
-	g.Log.WithFields(logrus.Fields{"event": "instance_restored", "instance": key}).Info("row of a live instance was written again")
+	g.Log.WithFields(logrus.Fields{"event": "instance_restored", "row": key}).Info("row of a live instance was written again")
 	return nil
 }
 
--- /dev/null
+++ b/process/gateway/lines_test.go
@@ -0,0 +1,104 @@
+package gateway
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	logs "github.com/sirupsen/logrus/hooks/test"
+	"github.com/stretchr/testify/require"
+
+	"github.com/eelgrassdock/eelgrassdock/process/roster"
+)
+
+// The events of one request, in order, and what a request looks like in the log
+// must not depend on how often its way was taken before.
+func TestEachDecisionIsLoggedOnce(t *testing.T) {
+	told := func(w *world, do func()) string {
+		hook := logs.NewLocal(w.Log)
+		do()
+		var list []string
+		for _, e := range hook.AllEntries() {
+			if e.Data["request"] == "q" {
+				list = append(list, e.Data["event"].(string))
+			}
+		}
+		return strings.Join(list, " ")
+	}
+	ask := func(path string, answer func(n int, c Call) (*Answer, error)) string {
+		w := newWorld(t)
+		w.answer = answer
+		return told(w, func() { _, _ = w.request(path) })
+	}
+	status := func(codes ...int) func(int, Call) (*Answer, error) {
+		return func(n int, _ Call) (*Answer, error) { return plain(codes[n], "x"), nil }
+	}
+	breaks := func(int, Call) (*Answer, error) { return nil, lost() }
+	require.Equal(t, "served", ask("/book/1", status(http.StatusOK)))
+	require.Equal(t, "failure_passed_on", ask("/book/1", status(http.StatusInternalServerError)))
+	require.Equal(t, "attempt_failed served", ask("/read/1", status(http.StatusInternalServerError, http.StatusOK)))
+	require.Equal(t, "attempt_failed attempt_failed failure_passed_on", ask("/read/1", status(500, 500)))
+	require.Equal(t, "attempt_failed", ask("/book/1", breaks))
+	require.Equal(t, "attempt_failed attempt_failed", ask("/read/1", breaks))
+	require.Equal(t, "relaying served", ask("/guide/1", func(int, Call) (*Answer, error) { return events("s", 1, 3, false), nil }))
+	require.Equal(t, "attempt_failed attempt_failed", ask("/guide/1", breaks), "the second one goes on from the copy")
+	require.Equal(t, "attempt_refused", ask("/guide/1", func(int, Call) (*Answer, error) { return refused(), nil }))
+	require.Equal(t, "failure_passed_on", ask("/guide/1", status(http.StatusInternalServerError)))
+
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		w.Tables.Current().Services[0].Engine.Backups = false
+		require.Equal(t, "relaying copied stream_broken relaying served", told(w, func() {
+			writer, done := w.stream(2, 3)
+			_, _ = io.WriteString(writer, "id: 1\ndata: x\n\n")
+			synctest.Wait()
+			from := w.runsOf("q")[0].endpoint
+			w.Roster.Leave(from.ID, roster.FromList)
+			w.refreshDesks()
+			w.evacuate(from, roster.FromList)
+			time.Sleep(time.Second)
+			_ = writer.CloseWithError(errors.New("connection reset"))
+			<-done
+		}))
+	})
+}
+
+// An operator looks events up on the page. One that is missing there, or that no
+// code writes any more, misleads.
+func TestEventsAreDocumented(t *testing.T) {
+	pattern := regexp.MustCompile(`(?:"event": |WithField\("event", |decided\([^"\n]*|note\(|event :?= )"([a-z_]+)"`)
+	written := map[string]bool{"log_dropped": true}
+	for _, dir := range []string{".", "../mirror", "../record", "../../platform"} {
+		files, err := filepath.Glob(filepath.Join(dir, "*.go"))
+		require.NoError(t, err)
+		for _, file := range files {
+			if strings.HasSuffix(file, "_test.go") {
+				continue
+			}
+			text, err := os.ReadFile(file)
+			require.NoError(t, err)
+			for _, m := range pattern.FindAllStringSubmatch(string(text), -1) {
+				written[m[1]] = true
+			}
+		}
+	}
+	delete(written, "loads") // debug level
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
+	require.NoError(t, err)
+	_, section, _ := strings.Cut(string(page), "### Lines")
+	section, _, _ = strings.Cut(section, "### Counters")
+	documented := map[string]bool{}
+	for _, row := range regexp.MustCompile("(?m)^\\| (`[^|]+) \\|").FindAllStringSubmatch(section, -1) {
+		for _, m := range regexp.MustCompile("`([a-z_]+)`").FindAllStringSubmatch(row[1], -1) {
+			documented[m[1]] = true
+		}
+	}
+	require.Equal(t, documented, written)
+}
--- a/process/gateway/run.go
+++ b/process/gateway/run.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"strconv"
 	"time"
 
 	"github.com/google/uuid"
@@ -62,7 +61,7 @@
 	g.spawn(g.askSeeds)
 	g.spawn(g.housekeep)
 	g.spawn(g.askEngines)
-	g.Log.WithFields(logrus.Fields{"event": "start", "instance": g.id, "callers": g.Settings.Callers}).Info("instance started")
+	g.Log.WithFields(logrus.Fields{"event": "start", "process": g.id, "callers": g.Settings.Callers}).Info("instance started")
 	return nil
 }
 
@@ -201,5 +200,3 @@
 
 // comeBackAt spreads the return of callers that were refused together.
 func comeBackAt(now time.Time) time.Time { return now.Add(comeBack + jitter(comeBackSpread)) }
-
-func itoa(n int64) string { return strconv.FormatInt(n, 10) }
--- a/process/record/bench_test.go
+++ b/process/record/bench_test.go
@@ -17,7 +17,7 @@
 	require.NoError(b, err)
 	defer out.Close()
 	w := &Writer{Out: out}
-	log, done, written := w.Logger(""), make(chan struct{}), make(chan struct{})
+	log, done, written := w.Logger("", "i1"), make(chan struct{}), make(chan struct{})
 	go func() {
 		defer close(written)
 		w.Run(done)
--- a/process/record/record.go
+++ b/process/record/record.go
@@ -177,9 +177,23 @@
 	return false
 }
 
-// Logger gives a logger of JSON lines that writes to w.
-func (w *Writer) Logger(level string) *logrus.Logger {
+// named is a hook that adds the instance to each line.
+type named string
+
+func (named) Levels() []logrus.Level { return logrus.AllLevels }
+
+func (n named) Fire(e *logrus.Entry) error {
+	e.Data["instance"] = string(n)
+	return nil
+}
+
+// Logger gives a logger of JSON lines that writes to w. Each line names the
+// instance, unless that is empty.
+func (w *Writer) Logger(level, instance string) *logrus.Logger {
 	log := logrus.New()
+	if instance != "" {
+		log.AddHook(named(instance))
+	}
 	log.SetOutput(w)
 	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
 	if l, err := logrus.ParseLevel(level); err == nil {
--- a/process/record/record_test.go
+++ b/process/record/record_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -64,6 +65,46 @@
 	require.Equal(t, 1+queueLines+1, strings.Count(text, "\n"))
 }
 
+// slow is an output that takes its time for each write.
+type slow struct {
+	pause time.Duration
+	lines int
+}
+
+func (s *slow) Write(p []byte) (int, error) {
+	time.Sleep(s.pause)
+	s.lines += bytes.Count(p, []byte("\n"))
+	return len(p), nil
+}
+
+// An output that is slow but takes what it is given holds nobody up and loses
+// nothing at the usual load: lines wait for each other, not those who log.
+func TestSlowOutput(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := &slow{pause: 300 * time.Millisecond}
+		w := &Writer{Out: out}
+		done, written := make(chan struct{}), make(chan struct{})
+		go func() {
+			defer close(written)
+			w.Run(done)
+		}()
+		const lines, pause = 10 * Most, time.Second / Most
+		var longest time.Duration
+		for range lines {
+			begun := time.Now()
+			_, err := w.Write([]byte("line\n"))
+			require.NoError(t, err)
+			longest = max(longest, time.Since(begun))
+			time.Sleep(pause)
+		}
+		close(done)
+		<-written
+		require.Zero(t, longest)
+		require.Equal(t, lines, out.lines)
+		require.Zero(t, w.lost)
+	})
+}
+
 // Under load a request has all of its lines or none, and few requests have any.
 func TestSuccessesAreSampledByRequest(t *testing.T) {
 	now := time.Unix(1000, 0)
