placement: urgent copies are spread at random

The engines that refused had room for several copies by the log (such as 1 run, 1 copy, 10,388 of 26,948 tokens), but up to six instances chose the same one within 30 ms of the notice, each the emptiest it knew.

Change: for an urgent copy an endpoint is drawn at random, with a chance that falls with its cost.

TestCopiesThatAreChosenAtOnce: 12 of 12 copies at one engine before.

--- a/process/placement/copy.go
+++ b/process/placement/copy.go
@@ -24,6 +24,11 @@
 	// seconds of stall: the transfer takes twice as long and crosses links that
 	// are paid by volume.
 	copyAwayCost = 3.0
+	// copySpread is the difference in cost, in seconds of stall, at which the chance of
+	// an endpoint to be chosen for an urgent copy falls to 1/e. A notice makes all
+	// instances choose in the same moment, and a quarter of an endpoint's memory is
+	// what several of them may bring there.
+	copySpread = 0.25
 )
 
 // Copy is a running generation whose memory goes to a second endpoint.
@@ -60,7 +65,7 @@
 	if c.Urgent {
 		ceiling = math.Inf(1)
 	}
-	var best *endpoint
+	s.scratch = s.scratch[:0]
 	lowest := math.Inf(1)
 	for _, e := range s.list {
 		if !s.usable(e, req) || c.Near && e.Place != c.Place {
@@ -75,13 +80,13 @@
 		}
 		// Fewer generations and less memory in use spread the copies.
 		cost += (e.others + e.used) / e.total
-		if cost < lowest {
-			lowest, best = cost, e
-		}
+		lowest = min(lowest, cost)
+		s.scratch = append(s.scratch, candidate{e, cost})
 	}
-	if best == nil {
+	if len(s.scratch) == 0 {
 		return Decision{None: true}
 	}
+	best := s.pickForCopy(lowest, c.Urgent)
 	ticket := s.reserve(best, req, &estimate)
 	// A copy is not computed.
 	best.fill = max(best.fill-float64(req.Prompt), 0)
@@ -97,6 +102,26 @@
 	return Decision{Endpoint: best.ID, Ticket: ticket}
 }
 
+// pickForCopy takes the candidate with the lowest cost, or, for an urgent copy, a
+// random one of those that cost little more.
+func (s *Scheduler) pickForCopy(lowest float64, urgent bool) (best *endpoint) {
+	var sum float64
+	for _, c := range s.scratch {
+		switch {
+		case !urgent:
+			if c.cost == lowest {
+				return c.ep
+			}
+		default:
+			weight := math.Exp((lowest - c.cost) / copySpread)
+			if sum += weight; s.rand.Float64()*sum < weight {
+				best = c.ep
+			}
+		}
+	}
+	return best
+}
+
 // copyCeiling gives the share of an endpoint's memory up to which copies may
 // fill it.
 func (s *Scheduler) copyCeiling() float64 {
--- a/process/placement/platform_test.go
+++ b/process/placement/platform_test.go
@@ -193,6 +193,27 @@
 	require.Equal(t, "away", d.Endpoint, "a generation that would be lost goes to another place")
 }
 
+// Pattern: an engine gives notice, and all instances with runs there choose
+// engines for the copies in the same moment, before they can know of each other's
+// choices. If all take the emptiest one, it has no room for most of them.
+func TestCopiesThatAreChosenAtOnce(t *testing.T) {
+	const entries, prompt = 12, 5000
+	f := newGroup(entries, 11)
+	for i, e := range f.engines {
+		for _, s := range f.entries {
+			s.Others(Work{Endpoint: e.ID, Runs: 1, Tokens: 3000 + 200*float64(i)}, f.now)
+		}
+	}
+	counts := map[string]int{}
+	for _, s := range f.entries {
+		s.SetPeers(entries)
+		d := s.PlaceCopy(Copy{Account: "a", From: "e0", Place: "p", Prompt: prompt, Max: 400, Urgent: true}, f.now)
+		require.NotEmpty(t, d.Endpoint)
+		counts[d.Endpoint]++
+	}
+	require.LessOrEqual(t, most(counts), (30_000-5000)/prompt, "what one engine has room for")
+}
+
 // Pattern: requests fill the memory. Copies yield, so that they preempt no
 // generations.
 func TestCopiesYieldToRequests(t *testing.T) {
