--- a/process/gateway/instances.go
+++ b/process/gateway/instances.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -17,8 +18,9 @@
 
 // The rows of the instances tell a process that starts where others are. Each
 // instance writes its row when it starts and deletes it when it stops. An
-// instance that is killed and never returns leaves its row behind: one live instance
-// looks for such rows, and for live instances whose row is missing.
+// instance that is killed and never returns leaves its row behind: the first live
+// instance of each region looks for such rows of the region, and for live instances whose
+// row is missing. A region that is cut off from the others keeps its rows.
 
 const (
 	tidyEvery = 30 * time.Second // a row must be without its instance at two looks in a row
@@ -47,11 +49,12 @@
 	return members, rows, nil
 }
 
-// tidy looks after the rows of the instances while this is the first of them.
+// tidy looks after the rows of the region's instances while this is the first of
+// them.
 func (g *Gateway) tidy() {
 	var dead map[string]int64
 	for sleep.For(g.base, tidyEvery/2+jitter(tidyEvery)) {
-		live := g.members.Members()
+		live := slices.DeleteFunc(slices.Clone(g.members.Members()), func(m member.Member) bool { return m.Region != g.Settings.Region })
 		if !g.isFirst(live) {
 			dead = nil
 			continue
@@ -72,7 +75,7 @@
 	return true
 }
 
-// tidyRows deletes the rows that were without a live instance before and have
+// tidyRows deletes the region's rows that were without a live instance before and have
 // not changed since, and writes those of live instances that are missing. It gives the
 // rows without a live instance, by version.
 func (g *Gateway) tidyRows(live []member.Member, before map[string]int64) (map[string]int64, error) {
@@ -94,7 +97,7 @@
 		_, lives := missing[m.ID]
 		delete(missing, m.ID)
 		switch version, seen := before[r.Key]; {
-		case lives || !readable:
+		case lives || !readable || m.Region != g.Settings.Region:
 		case seen && version == r.Version:
 			err = errors.CombineErrors(err, g.deregister(ctx, r.Key, r.Version))
 		default:
--- a/process/gateway/instances_test.go
+++ b/process/gateway/instances_test.go
@@ -61,24 +61,26 @@
 	w := newWorld(t)
 	var s rowStore
 	s.serve(w.Gateway)
-	live := []member.Member{{ID: w.id}, {ID: "i3-y", Incarnation: 4}, {ID: "i4-y", Leaving: true}}
+	const region = "r0"
+	live := []member.Member{{ID: w.id, Region: region}, {ID: "i3-y", Region: region, Incarnation: 4}, {ID: "i4-y", Region: region, Leaving: true}}
 	for _, id := range []string{"i1-x", "i2-x", "i3-x", "i5-x"} {
-		s.put(id[:2], member.Member{ID: id})
+		s.put(id[:2], member.Member{ID: id, Region: region})
 	}
 	s.put("odd", 7)
+	s.put("other", member.Member{ID: "other-x", Region: "r1"}) // of a region that may only be cut off
 	dead, err := w.tidyRows(live, nil)
 	require.NoError(t, err)
-	require.Equal(t, []string{"i1", "i2", "i3", "i5", "odd"}, s.keys(), "nothing is deleted at the first look")
-	s.put("i5", member.Member{ID: "i5-z"}) // it returns, and is not known as live yet
+	require.Equal(t, []string{"i1", "i2", "i3", "i5", "odd", "other"}, s.keys(), "nothing is deleted at the first look")
+	s.put("i5", member.Member{ID: "i5-z", Region: region}) // it returns, and is not known as live yet
 	dead, err = w.tidyRows(live, dead)
 	require.NoError(t, err)
-	require.Equal(t, []string{"i1", "i3", "i5", "odd"}, s.keys())
+	require.Equal(t, []string{"i1", "i3", "i5", "odd", "other"}, s.keys())
 	var m member.Member
 	require.NoError(t, json.Unmarshal(s.rows["i3"].Value, &m))
-	require.Equal(t, member.Member{ID: "i3-y"}, m, "an instance that is live under another ID")
+	require.Equal(t, member.Member{ID: "i3-y", Region: region}, m, "an instance that is live under another ID")
 	_, err = w.tidyRows(live, dead)
 	require.NoError(t, err)
-	require.Equal(t, []string{"i1", "i3", "odd"}, s.keys())
+	require.Equal(t, []string{"i1", "i3", "odd", "other"}, s.keys())
 }
 
 // An instance that could not be reached for a while has lost its row, and gets it
@@ -100,7 +102,7 @@
 		w := newWorld(t)
 		var s rowStore
 		s.serve(w.Gateway)
-		w.members = &member.Node{Self: member.Member{ID: w.id, Probe: "127.0.0.1:2"}, Send: func(string, []byte) error { return nil }}
+		w.members = &member.Node{Self: member.Member{ID: w.id, Probe: "127.0.0.1:2", Region: "r0"}, Send: func(string, []byte) error { return nil }}
 		go w.tidy()
 		time.Sleep(10 * tidyEvery)
 		synctest.Wait()
