soak: entries with the product's own interface

Cause: the soak ran the path on the users' platform only; entries as separate processes under faults were not covered.

BenchmarkLogs gives both halves of the instances both roles: the first instance of each region follows the store, and was always among those that log.

Conclusion: both interfaces are soaked with one set of processes and faults.

--- a/cmd/eelgrassdock/soak.go
+++ b/cmd/eelgrassdock/soak.go
@@ -17,7 +17,8 @@
 	Processes int     `default:"6" help:"Processes of the program."`
 	Callers   int     `default:"6" help:"Callers for each process; fewer for many processes."`
 	Keep      string  `help:"Directory for the logs of all processes; by default one that is removed if every promise was kept."`
-	Break     string  `help:"Break a promise on purpose, to see that the soak reports it."`
+	Break     string  `help:"Break a promise on purpose, to see that the soak reports it; with --entries, only once."`
+	Entries   bool    `help:"Run entries with the product's own interface instead of instances on the users' platform."`
 }
 
 func (c *soakCommand) Run(std streams) error {
@@ -40,13 +41,31 @@
 	defer cancel()
 	total := time.Duration(c.Minutes * float64(time.Minute))
 	plan := soak.Plan(c.Seed, total)
+	if c.Entries {
+		plan = soak.EntryPlan(c.Seed, total)
+	}
 	if err := json.NewEncoder(std.err).Encode(map[string]any{"seed": c.Seed, "plan": plan, "logs": dir}); err != nil {
 		return fmt.Errorf("print the plan: %w", err)
 	}
-	s := soak.Soak{
-		Binary: binary, Dir: dir, Seed: c.Seed, Duration: total, Instances: c.Processes, Callers: c.Callers, Sabotage: c.Break, Progress: std.err,
+	var (
+		sum  any
+		kept bool
+	)
+	if c.Entries {
+		s := soak.Entries{
+			Binary: binary, Dir: dir, Seed: c.Seed, Duration: total, Processes: c.Processes, Callers: c.Callers, Lie: c.Break == soak.Once, Progress: std.err,
+		}
+		var result soak.EntriesSummary
+		result, err = s.Run(ctx)
+		sum, kept = result, result.Kept
+	} else {
+		s := soak.Soak{
+			Binary: binary, Dir: dir, Seed: c.Seed, Duration: total, Instances: c.Processes, Callers: c.Callers, Sabotage: c.Break, Progress: std.err,
+		}
+		var result soak.Summary
+		result, err = s.Run(ctx)
+		sum, kept = result, result.Kept
 	}
-	sum, err := s.Run(ctx)
 	if err != nil {
 		return fmt.Errorf("soak with seed %d, logs in %s: %w", c.Seed, dir, err)
 	}
@@ -55,7 +74,7 @@
 	if err := out.Encode(sum); err != nil {
 		return fmt.Errorf("print the summary: %w", err)
 	}
-	if !sum.Kept {
+	if !kept {
 		return errors.Newf("a promise was broken with seed %d; logs are in %s", c.Seed, dir)
 	}
 	if c.Keep == "" {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -49,6 +49,9 @@
 		Kill, Kill, Pause, Pause, Stop, Stop, Stop, Herd, Hup, Refuse, Mute, Lose, Slow, Forget, Cutoff, Cutoff, Link, Link, Link,
 		Door, Door, Reclaim, Reclaim, Reclaim, Reclaim, Reclaim, Reclaim, Crash, Crash, Grey, Garble, Drop, Change, Change, Change, Withdraw, Withdraw,
 	}
+	entryKinds = []string{
+		Kill, Kill, Pause, Stop, Stop, Herd, Refuse, Lose, Slow, Garble, Garble, Garble, Crash, Crash, Grey, Grey, Drop, Drop, Reclaim, Reclaim,
+	}
 )
 
 // Fault is one disturbance of a plan.
@@ -62,15 +65,23 @@
 	Harm   string `json:"harm,omitempty"`
 }
 
-// Plan gives the faults of a soak. They depend on the seed and the time alone.
-func Plan(seed uint64, total time.Duration) []Fault {
+// Plan gives the faults of a Soak. They depend on the seed and the time alone.
+func Plan(seed uint64, total time.Duration) []Fault { return plan(seed, total, mild, every) }
+
+// EntryPlan gives the faults of an Entries in the same way.
+func EntryPlan(seed uint64, total time.Duration) []Fault {
+	return plan(seed, total, entryKinds, entryKinds)
+}
+
+// plan draws faults of the kinds of odd and of even eras.
+func plan(seed uint64, total time.Duration, odd, even []string) []Fault {
 	random := rand.New(rand.NewPCG(seed, seed))
 	harms := []string{Delay, Reset, OneWay, Silence}
 	var plan []Fault
 	for at := calmStart; at < total-calmEnd; at += time.Duration(random.ExpFloat64() * float64(faultGap)) {
-		kinds := mild
+		kinds := odd
 		if at/eraTime%2 == 1 {
-			kinds = every
+			kinds = even
 		}
 		f := Fault{
 			Kind: kinds[random.IntN(len(kinds))], After: at, Target: random.IntN(1 << 16),
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -4,7 +4,8 @@
 // by signals, and store and endpoints misbehave. A Ledger checks the promises
 // from what callers and endpoints see.
 //
-// The faults depend on the seed and the duration alone.
+// A Soak runs the path on the users' platform, an Entries the product's own
+// interface. The faults depend on the seed and the duration alone.
 package soak
 
 import (
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -142,43 +142,46 @@
 }
 
 // BenchmarkLogs compares instances that log decisions with instances that log
-// errors only, side by side under one load.
+// errors only, side by side under one load. The two halves change places for a
+// second run: the first instance of each region does more than the others.
 func BenchmarkLogs(b *testing.B) {
 	binary := build(b)
+	const instances = 6
 	for _, callers := range []int{callersEach, 10 * callersEach} {
 		b.Run(fmt.Sprint("callers=", callers), func(b *testing.B) {
 			for range b.N {
-				s := Soak{Binary: binary, Dir: b.TempDir(), Seed: 1, Instances: 6, Duration: 30 * time.Second, Faults: []Fault{}, Callers: callers}
-				s.Adapt = func(n int, settings *gateway.Settings) {
-					if n%2 == 1 {
-						settings.Level = "error"
-					}
-				}
-				var used [2]time.Duration
+				var used [2]time.Duration // of instances that log, and of those that do not
 				var served [2]int64
-				time.AfterFunc(s.Duration-time.Second, func() {
-					for n, i := range s.instances {
-						used[n%2] += i.processorTime(b)
-						served[n%2] += s.ledger.requestsOf(i.name)
-					}
-				})
-				sum, err := s.Run(context.Background())
-				require.NoError(b, err)
-				require.Empty(b, sum.Details)
 				var lines int
-				for n, i := range s.instances {
-					if n%2 == 0 {
+				var took time.Duration
+				for turn := range 2 {
+					s := Soak{Binary: binary, Dir: b.TempDir(), Seed: 1, Instances: instances, Duration: 30 * time.Second, Faults: []Fault{}, Callers: callers}
+					s.Adapt = func(n int, settings *gateway.Settings) {
+						if (n+turn)%2 == 1 {
+							settings.Level = "error"
+						}
+					}
+					time.AfterFunc(s.Duration-time.Second, func() {
+						for n, i := range s.instances {
+							used[(n+turn)%2] += i.processorTime(b)
+							served[(n+turn)%2] += s.ledger.requestsOf(i.name)
+						}
+					})
+					sum, err := s.Run(context.Background())
+					require.NoError(b, err)
+					require.Empty(b, sum.Details)
+					for _, i := range s.instances {
 						data, err := os.ReadFile(filepath.Join(s.Dir, i.name+".1.log"))
 						require.NoError(b, err)
 						lines += strings.Count(string(data), "\n")
 					}
+					took += s.Duration
 				}
-				on := used[0].Seconds() * 1e6 / float64(served[0])
-				off := used[1].Seconds() * 1e6 / float64(served[1])
-				b.ReportMetric(on, "µs/request-on")
-				b.ReportMetric(off, "µs/request-off")
-				b.ReportMetric(float64(lines)/3/s.Duration.Seconds(), "lines/s")
-				b.ReportMetric(float64(served[0])/3/s.Duration.Seconds(), "requests/s")
+				b.ReportMetric(used[0].Seconds()*1e6/float64(served[0]), "µs/request-on")
+				b.ReportMetric(used[1].Seconds()*1e6/float64(served[1]), "µs/request-off")
+				each := instances / 2 * took.Seconds()
+				b.ReportMetric(float64(lines)/each, "lines/s")
+				b.ReportMetric(float64(served[0])/each, "requests/s")
 			}
 		})
 	}
--- a/standin/service.go
+++ b/standin/service.go
@@ -32,6 +32,7 @@
 		Reject   bool `json:"reject"`   // rejects every call before executing it
 		Hang     bool `json:"hang"`     // executes calls and closes the connection without an answer
 		Redirect bool `json:"redirect"` // executes calls and answers with a redirect
+		Lie      bool `json:"lie"`      // executes calls and says that it has not
 	}
 
 	// Receipt is the answer to a call that ran.
@@ -112,6 +113,11 @@
 	if fault.Hang {
 		panic(http.ErrAbortHandler)
 	}
+	if fault.Lie {
+		w.Header().Set("X-Not-Run", "true")
+		http.Error(w, "rejected before execution", http.StatusServiceUnavailable)
+		return
+	}
 	if fault.Redirect {
 		http.Redirect(w, r, "/stock", http.StatusSeeOther)
 		return
