--- a/internal/soak/entries.go
+++ b/internal/soak/entries.go
@@ -54,9 +54,8 @@
 		entries []*process
 		health  []string // addresses, by entry
 
-		mu     sync.Mutex
-		faults map[string]int64
-		errs   []string
+		mu   sync.Mutex
+		errs []string
 	}
 
 	// EntriesSummary is the result of an Entries.
@@ -75,7 +74,6 @@
 func (s *Entries) Run(ctx context.Context) (EntriesSummary, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	s.faults = map[string]int64{}
 	defer s.end()
 	if err := s.begin(ctx); err != nil {
 		return EntriesSummary{}, err
@@ -83,8 +81,13 @@
 	begun := time.Now()
 	working, stop := context.WithTimeout(ctx, s.Duration)
 	defer stop()
+	plan := s.Faults
+	if plan == nil {
+		plan = EntryPlan(s.Seed, s.Duration)
+	}
+	var counts map[string]int64
 	var faults conc.WaitGroup
-	faults.Go(func() { s.play(ctx, begun) })
+	faults.Go(func() { counts = play(ctx, begun, plan, s.Progress, func(f Fault) { s.inject(ctx, f) }) })
 	runner := &load.Runner{
 		Entries: s.health, Accounts: []load.Account{{ID: "riga", Key: "key-riga", Callers: s.Callers * s.Processes}},
 		Model: system.Model, Plain: system.Plain, Runs: s.system.PlainAddrs(), Seed: s.Seed, Max: entryTokens, Pause: entryPause,
@@ -93,7 +96,7 @@
 	report := runner.Run(working)
 	faults.Wait()
 	sum := EntriesSummary{
-		Seed: s.Seed, Seconds: time.Since(begun).Seconds(), Processes: s.Processes, Faults: s.faults, Report: report, Errors: s.errs,
+		Seed: s.Seed, Seconds: time.Since(begun).Seconds(), Processes: s.Processes, Faults: counts, Report: report, Errors: s.errs,
 	}
 	for _, p := range s.entries {
 		sum.Errors = append(sum.Errors, p.faults()...)
@@ -183,28 +186,6 @@
 	return json.NewDecoder(res.Body).Decode(&h) == nil && h.Version > 0
 }
 
-// play injects the faults of the plan.
-func (s *Entries) play(ctx context.Context, begun time.Time) {
-	var all conc.WaitGroup
-	defer all.Wait()
-	list := s.Faults
-	if list == nil {
-		list = EntryPlan(s.Seed, s.Duration)
-	}
-	for _, f := range list {
-		if !sleep.For(ctx, time.Until(begun.Add(f.After))) {
-			return
-		}
-		s.mu.Lock()
-		s.faults[f.Kind]++
-		s.mu.Unlock()
-		if s.Progress != nil {
-			_, _ = fmt.Fprintf(s.Progress, "%6.1f s  %s\n", time.Since(begun).Seconds(), f.Kind)
-		}
-		all.Go(func() { s.inject(ctx, f) })
-	}
-}
-
 // inject injects one fault and takes it back.
 func (s *Entries) inject(ctx context.Context, f Fault) {
 	p := s.entries[f.Target%len(s.entries)]
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -118,7 +118,11 @@
 		work.Go(func() { s.probe(working, i) })
 	}
 	work.Go(func() { s.watch(working) })
-	s.play(ctx, begun)
+	plan := s.Faults
+	if plan == nil {
+		plan = Plan(s.Seed, s.Duration)
+	}
+	s.faults = play(ctx, begun, plan, s.Progress, s.inject)
 	sleep.For(ctx, time.Until(begun.Add(s.Duration)))
 	stop()
 	work.Wait()
@@ -127,7 +131,7 @@
 }
 
 func (s *Soak) prepare() {
-	s.outcomes, s.faults, s.byAddr = map[string]int64{}, map[string]int64{}, map[string]*instance{}
+	s.outcomes, s.byAddr = map[string]int64{}, map[string]*instance{}
 	s.operators.s = s
 	s.placeNames = []string{"a1", "a2", "b1"}
 	if s.Callers == 0 {
@@ -219,26 +223,23 @@
 	return i.start()
 }
 
-// play injects the faults of the plan.
-func (s *Soak) play(ctx context.Context, begun time.Time) {
+// play injects the faults of a plan that are due until ctx ends, waits for their
+// ends, and counts them by kind.
+func play(ctx context.Context, begun time.Time, plan []Fault, progress io.Writer, inject func(f Fault)) map[string]int64 {
+	counts := map[string]int64{}
 	var faults conc.WaitGroup
 	defer faults.Wait()
-	plan := s.Faults
-	if plan == nil {
-		plan = Plan(s.Seed, s.Duration)
-	}
 	for _, f := range plan {
 		if !sleep.For(ctx, time.Until(begun.Add(f.After))) {
-			return
+			break
 		}
-		s.mu.Lock()
-		s.faults[f.Kind]++
-		s.mu.Unlock()
-		if s.Progress != nil {
-			_, _ = fmt.Fprintf(s.Progress, "%6.1f s  %-8s %s\n", time.Since(begun).Seconds(), f.Kind, f.Harm)
+		counts[f.Kind]++
+		if progress != nil {
+			_, _ = fmt.Fprintf(progress, "%6.1f s  %-8s %s\n", time.Since(begun).Seconds(), f.Kind, f.Harm)
 		}
-		faults.Go(func() { s.inject(f) })
+		faults.Go(func() { inject(f) })
 	}
+	return counts
 }
 
 // inject injects one fault and takes it back.
--- a/process/gateway/generate_test.go
+++ b/process/gateway/generate_test.go
@@ -199,10 +199,7 @@
 	writer, done := w.stream(3, 4)
 	_, _ = io.WriteString(writer, "id: 1\ndata: x\n\nid: 2\ndata: x\n\n")
 	require.Eventually(t, func() bool { return len(w.runsOf("q")) == 1 }, time.Minute, time.Millisecond)
-	from := w.runsOf("q")[0].endpoint
-	w.Roster.Leave(from.ID, roster.FromList)
-	w.refreshDesks()
-	w.evacuate(from, roster.FromList)
+	from := w.notice(roster.FromList)
 	require.Eventually(t, func() bool { return w.runsOf("q")[0].safe() != nil }, time.Minute, time.Millisecond)
 	_ = writer.CloseWithError(errors.New("connection reset"))
 	require.Equal(t, strings.Fields("1 2 3 4"), ids(<-done))
@@ -228,10 +225,7 @@
 		}
 		writer, done := w.stream(2, 3)
 		synctest.Wait()
-		from := w.runsOf("q")[0].endpoint
-		w.Roster.Leave(from.ID, roster.FromList)
-		w.refreshDesks()
-		w.evacuate(from, roster.FromList)
+		w.notice(roster.FromList)
 		time.Sleep(protectPause)
 		_, _ = io.WriteString(writer, "id: 1\ndata: x\n\n")
 		time.Sleep(2 * protectPause)
@@ -278,10 +272,7 @@
 		writer, done := w.stream(2, 3)
 		_, _ = io.WriteString(writer, "id: 1\ndata: x\n\n")
 		synctest.Wait()
-		from := w.runsOf("q")[0].endpoint
-		w.Roster.Leave(from.ID, roster.FromList)
-		w.refreshDesks()
-		w.evacuate(from, roster.FromList)
+		from := w.notice(roster.FromList)
 		time.Sleep(100 * time.Millisecond)
 		w.evacuate(from, roster.FromReport)
 		time.Sleep(time.Second)
--- a/process/gateway/health_test.go
+++ b/process/gateway/health_test.go
@@ -71,10 +71,7 @@
 		writer, done := w.stream(2, 3)
 		_, _ = io.WriteString(writer, "id: 1\ndata: x\n\n")
 		synctest.Wait()
-		from := w.runsOf("q")[0].endpoint
-		w.Roster.Leave(from.ID, roster.FromList)
-		w.refreshDesks()
-		w.evacuate(from, roster.FromReport)
+		w.notice(roster.FromReport)
 		time.Sleep(time.Second)
 		_ = writer.CloseWithError(errors.New("connection reset"))
 		require.Equal(t, strings.Fields("1 2 3"), ids(<-done))
--- a/process/gateway/lines_test.go
+++ b/process/gateway/lines_test.go
@@ -59,10 +59,7 @@
 			writer, done := w.stream(2, 3)
 			_, _ = io.WriteString(writer, "id: 1\ndata: x\n\n")
 			synctest.Wait()
-			from := w.runsOf("q")[0].endpoint
-			w.Roster.Leave(from.ID, roster.FromList)
-			w.refreshDesks()
-			w.evacuate(from, roster.FromList)
+			w.notice(roster.FromList)
 			time.Sleep(time.Second)
 			_ = writer.CloseWithError(errors.New("connection reset"))
 			<-done
--- a/process/gateway/world_test.go
+++ b/process/gateway/world_test.go
@@ -144,6 +144,15 @@
 	return rec, w.Serve(ctx, rec, r)
 }
 
+// notice takes in that the engine of request q leaves, and gives the engine.
+func (w *world) notice(source string) roster.Endpoint {
+	from := w.runsOf("q")[0].endpoint
+	w.Roster.Leave(from.ID, source)
+	w.refreshDesks()
+	w.evacuate(from, source)
+	return from
+}
+
 // plain is a whole answer of a plain service.
 func plain(status int, body string) *Answer {
 	return &Answer{
