--- a/internal/soak/entries.go
+++ b/internal/soak/entries.go
@@ -26,6 +26,7 @@
 const (
 	entryStep   = 4 * time.Millisecond // of an engine
 	entryTokens = 100                  // most tokens of an answer
+	entryMemory = 4000                 // tokens of an engine, which is soon crowded
 	entryPause  = 20 * time.Millisecond
 	entrySlow   = 200 // milliseconds that an answer of a slow store takes longer
 	loseShare   = 0.5 // of the store's answers to writes
@@ -52,7 +53,7 @@
 
 		system  system.System
 		entries []*process
-		health  []string // addresses, by entry
+		addrs   []string // of the entries, in the same order
 
 		mu   sync.Mutex
 		errs []string
@@ -89,7 +90,7 @@
 	var faults conc.WaitGroup
 	faults.Go(func() { counts = play(ctx, begun, plan, s.Progress, func(f Fault) { s.inject(ctx, f) }) })
 	runner := &load.Runner{
-		Entries: s.health, Accounts: []load.Account{{ID: "riga", Key: "key-riga", Callers: s.Callers * s.Processes}},
+		Entries: s.addrs, Accounts: []load.Account{{ID: "riga", Key: "key-riga", Callers: s.Callers * s.Processes}},
 		Model: system.Model, Plain: system.Plain, Runs: s.system.PlainAddrs(), Seed: s.Seed, Max: entryTokens, Pause: entryPause,
 		Patience: patience, Preemptions: s.system.Preemptions,
 	}
@@ -112,7 +113,7 @@
 	s.system.Places = []system.Place{{Name: "riga-1", Region: "baltic"}, {Name: "presov-1", Region: "tatra"}}
 	s.system.Engines, s.system.Plains = max(s.Processes, leastPlaces), max(s.Processes/2, plainsLeast)
 	s.system.Seed, s.system.Log = s.Seed, log
-	s.system.Config.Base, s.system.Config.Memory = entryStep, 4000
+	s.system.Config.Base, s.system.Config.Memory = entryStep, entryMemory
 	if err := s.system.Start(ctx); err != nil {
 		return err
 	}
@@ -140,7 +141,7 @@
 			path, err := p.writeSettings(settings)
 			return []string{"entry", "--config", path}, err
 		}
-		s.entries, s.health = append(s.entries, p), append(s.health, settings.Addr)
+		s.entries, s.addrs = append(s.entries, p), append(s.addrs, settings.Addr)
 		list = append(list, platform.Instance{
 			ID: settings.Name, Addr: settings.Addr, Peer: settings.Peer, Place: settings.Place, Region: settings.Region,
 		})
@@ -161,7 +162,7 @@
 
 func (s *Entries) awaitReady(ctx context.Context) error {
 	deadline := time.Now().Add(startLimit)
-	for n, addr := range s.health {
+	for n, addr := range s.addrs {
 		for !isHealthy(ctx, addr) {
 			if time.Now().After(deadline) || !sleep.For(ctx, watchEvery) {
 				return errors.CombineErrors(errors.Newf("%s was not ready in %s", s.entries[n].name, startLimit), ctx.Err())
--- a/process/placement/copy.go
+++ b/process/placement/copy.go
@@ -107,16 +107,15 @@
 func (s *Scheduler) pickForCopy(lowest float64, urgent bool) (best *endpoint) {
 	var sum float64
 	for _, c := range s.scratch {
-		switch {
-		case !urgent:
+		if !urgent {
 			if c.cost == lowest {
 				return c.ep
 			}
-		default:
-			weight := math.Exp((lowest - c.cost) / copySpread)
-			if sum += weight; s.rand.Float64()*sum < weight {
-				best = c.ep
-			}
+			continue
+		}
+		weight := math.Exp((lowest - c.cost) / copySpread)
+		if sum += weight; s.rand.Float64()*sum < weight {
+			best = c.ep
 		}
 	}
 	return best
