gateway, soak, system: one piece for what stood twice

Cause: a last reading. registered gave the rows and their members as two values that each caller joined again. The soak of entries had its own copy of the readiness check of package system, of the wait for processes, and of the server that ends with a context.

Change: a registration is a row with its member, and unreadable rows are left out in one place; system.IsReady, awaitReady and serve are used by both. Behaviour stays, tests are not changed.

Conclusion: nothing else.

--- a/internal/soak/entries.go
+++ b/internal/soak/entries.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
-	"net/http"
 	"sync"
 	"syscall"
 	"time"
@@ -117,18 +115,15 @@
 	if err := s.system.Start(ctx); err != nil {
 		return err
 	}
-	l, err := port.Listen()
+	addr, err := serve(ctx, s.system.Memory.Handler())
 	if err != nil {
 		return fmt.Errorf("address of the platform: %w", err)
 	}
-	server := &http.Server{Handler: s.system.Memory.Handler()}
-	go func() { _ = server.Serve(l) }() // ends with ctx
-	context.AfterFunc(ctx, func() { _ = server.Close() })
 	var list []platform.Instance
 	for n := range s.Processes {
 		place := s.system.Places[n%len(s.system.Places)]
 		settings := entry.Settings{
-			Name: fmt.Sprint("e", n), Place: place.Name, Region: place.Region, Platform: "http://" + l.Addr().String(),
+			Name: fmt.Sprint("e", n), Place: place.Name, Region: place.Region, Platform: "http://" + addr,
 			Keep: keepTime, Stop: grace - 1,
 		}
 		for _, addr := range []*string{&settings.Addr, &settings.Peer} {
@@ -157,34 +152,7 @@
 			e.Service.Break(standin.ServiceFaults{Lie: true})
 		}
 	}
-	return s.awaitReady(ctx)
-}
-
-func (s *Entries) awaitReady(ctx context.Context) error {
-	deadline := time.Now().Add(startLimit)
-	for n, addr := range s.addrs {
-		for !isHealthy(ctx, addr) {
-			if time.Now().After(deadline) || !sleep.For(ctx, watchEvery) {
-				return errors.CombineErrors(errors.Newf("%s was not ready in %s", s.entries[n].name, startLimit), ctx.Err())
-			}
-		}
-	}
-	return nil
-}
-
-// isHealthy tells whether an entry knows a configuration.
-func isHealthy(ctx context.Context, addr string) bool {
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/v1/health", nil)
-	if err != nil {
-		return false
-	}
-	res, err := http.DefaultClient.Do(r)
-	if err != nil {
-		return false
-	}
-	defer res.Body.Close()
-	var h entry.Health
-	return json.NewDecoder(res.Body).Decode(&h) == nil && h.Version > 0
+	return awaitReady(ctx, s.entries, func(n int) bool { return system.IsReady(ctx, s.addrs[n]) })
 }
 
 // inject injects one fault and takes it back.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -145,13 +145,10 @@
 // begin starts store, endpoints and instances, and waits until these are ready.
 func (s *Soak) begin(ctx context.Context) error {
 	places := map[string]string{"a1": "a", "a2": "a", "b1": "b"}
-	l, err := port.Listen()
+	storeAddr, err := serve(ctx, s.store.Handler())
 	if err != nil {
 		return fmt.Errorf("address of the store: %w", err)
 	}
-	server := &http.Server{Handler: s.store.Handler()}
-	go func() { _ = server.Serve(l) }() // ends with ctx
-	context.AfterFunc(ctx, func() { _ = server.Close() })
 	if err := s.operators.change(false); err != nil {
 		return err
 	}
@@ -162,7 +159,7 @@
 		}
 	}
 	for n := range s.Instances {
-		i, err := newInstance(fmt.Sprint("i", n), s.placeNames[n%len(s.placeNames)], s.Binary, s.Dir, l.Addr().String(), places)
+		i, err := newInstance(fmt.Sprint("i", n), s.placeNames[n%len(s.placeNames)], s.Binary, s.Dir, storeAddr, places)
 		if err != nil {
 			return err
 		}
@@ -185,7 +182,24 @@
 			return err
 		}
 	}
-	return s.awaitReady(ctx)
+	client := s.newClient()
+	processes := make([]*process, 0, len(s.instances))
+	for _, i := range s.instances {
+		processes = append(processes, &i.process)
+	}
+	return awaitReady(ctx, processes, func(n int) bool { return stage.IsReady(ctx, client, s.instances[n].settings.Ready) })
+}
+
+// serve serves a handler at a free address until ctx ends.
+func serve(ctx context.Context, handler http.Handler) (string, error) {
+	l, err := port.Listen()
+	if err != nil {
+		return "", err
+	}
+	server := &http.Server{Handler: handler}
+	go func() { _ = server.Serve(l) }() // ends with ctx
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+	return l.Addr().String(), nil
 }
 
 // lay gives the sites of all endpoints, always in the same order, since the
@@ -205,13 +219,13 @@
 	return sites
 }
 
-func (s *Soak) awaitReady(ctx context.Context) error {
-	client := s.newClient()
+// awaitReady waits until all processes are ready.
+func awaitReady(ctx context.Context, processes []*process, isReady func(n int) bool) error {
 	deadline := time.Now().Add(startLimit)
-	for _, i := range s.instances {
-		for !stage.IsReady(ctx, client, i.settings.Ready) {
+	for n, p := range processes {
+		for !isReady(n) {
 			if time.Now().After(deadline) || !sleep.For(ctx, watchEvery) {
-				return errors.CombineErrors(errors.Newf("%s was not ready in %s", i.name, startLimit), ctx.Err())
+				return errors.CombineErrors(errors.Newf("%s was not ready in %s", p.name, startLimit), ctx.Err())
 			}
 		}
 	}
--- a/internal/system/system.go
+++ b/internal/system/system.go
@@ -300,17 +300,26 @@
 	s.Memory.SetInstances(list)
 }
 
+// IsReady tells whether the entry at an address knows a configuration.
+func IsReady(ctx context.Context, addr string) bool {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/v1/health", nil)
+	if err != nil {
+		return false
+	}
+	res, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return false
+	}
+	defer res.Body.Close()
+	var h entry.Health
+	return json.NewDecoder(res.Body).Decode(&h) == nil && h.Version > 0
+}
+
 func (n *Node) waitReady(ctx context.Context) error {
 	addr, until := n.Entry.Addr(), time.Now().Add(startTime)
 	for time.Now().Before(until) && ctx.Err() == nil && !n.Ended() {
-		res, err := http.Get("http://" + addr + "/v1/health")
-		if err == nil {
-			var h entry.Health
-			err = json.NewDecoder(res.Body).Decode(&h)
-			_ = res.Body.Close()
-			if err == nil && h.Version > 0 {
-				return nil
-			}
+		if IsReady(ctx, addr) {
+			return nil
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
--- a/process/gateway/instances.go
+++ b/process/gateway/instances.go
@@ -13,7 +13,6 @@
 
 	"github.com/eelgrassdock/eelgrassdock/internal/sleep"
 	"github.com/eelgrassdock/eelgrassdock/process/member"
-	"github.com/eelgrassdock/eelgrassdock/process/mirror"
 )
 
 // The rows of the instances tell a process that starts where others are. Each
@@ -30,23 +29,30 @@
 // ErrConflict marks the error of a write to a row that has changed.
 var ErrConflict = errors.New("row has changed")
 
+// registration is the row of an instance.
+type registration struct {
+	member.Member
+	key     string
+	version int64
+}
+
 // registered reads the rows of all instances. Those that cannot be read are
 // left out.
-func (g *Gateway) registered(ctx context.Context) (map[string]member.Member, []mirror.Row, error) {
+func (g *Gateway) registered(ctx context.Context) ([]registration, error) {
 	rows, err := g.Registered(ctx)
 	if err != nil {
-		return nil, nil, fmt.Errorf("read the rows of the instances: %w", err)
+		return nil, fmt.Errorf("read the rows of the instances: %w", err)
 	}
-	members := map[string]member.Member{}
+	list := make([]registration, 0, len(rows))
 	for _, r := range rows {
 		var m member.Member
 		if err := json.Unmarshal(r.Value, &m); err != nil {
 			g.Log.WithError(err).WithField("event", "instance_unreadable").Warn("row of an instance cannot be read")
 			continue
 		}
-		members[r.Key] = m
+		list = append(list, registration{Member: m, key: r.Key, version: r.Version})
 	}
-	return members, rows, nil
+	return list, nil
 }
 
 // tidy looks after the rows of the region's instances while this is the first of
@@ -81,7 +87,7 @@
 func (g *Gateway) tidyRows(live []member.Member, before map[string]int64) (map[string]int64, error) {
 	ctx, cancel := context.WithTimeout(g.base, tidyLimit)
 	defer cancel()
-	members, rows, err := g.registered(ctx)
+	list, err := g.registered(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -92,16 +98,15 @@
 		}
 	}
 	dead := map[string]int64{}
-	for _, r := range rows {
-		m, readable := members[r.Key]
-		_, lives := missing[m.ID]
-		delete(missing, m.ID)
-		switch version, seen := before[r.Key]; {
-		case lives || !readable || m.Region != g.Settings.Region:
-		case seen && version == r.Version:
-			err = errors.CombineErrors(err, g.deregister(ctx, r.Key, r.Version))
+	for _, r := range list {
+		_, lives := missing[r.ID]
+		delete(missing, r.ID)
+		switch version, seen := before[r.key]; {
+		case lives || r.Region != g.Settings.Region:
+		case seen && version == r.version:
+			err = errors.CombineErrors(err, g.deregister(ctx, r.key, r.version))
 		default:
-			dead[r.Key] = r.Version
+			dead[r.key] = r.version
 		}
 	}
 	for _, m := range missing {
@@ -149,10 +154,10 @@
 func (g *Gateway) unregister() {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(g.base), farewellLimit)
 	defer cancel()
-	members, rows, err := g.registered(ctx)
-	for _, r := range rows {
-		if members[r.Key].ID == g.id {
-			err = g.deregister(ctx, r.Key, r.Version)
+	list, err := g.registered(ctx)
+	for _, r := range list {
+		if r.ID == g.id {
+			err = g.deregister(ctx, r.key, r.version)
 		}
 	}
 	if err != nil {
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -97,14 +97,14 @@
 
 // seeds lists the instances that have registered. Some may be gone.
 func (g *Gateway) seeds(ctx context.Context) ([]member.Member, error) {
-	members, _, err := g.registered(ctx)
+	rows, err := g.registered(ctx)
 	if err != nil {
 		return nil, err
 	}
 	var list []member.Member
-	for _, m := range members {
-		if m.ID != g.id {
-			list = append(list, m)
+	for _, r := range rows {
+		if r.ID != g.id {
+			list = append(list, r.Member)
 		}
 	}
 	return list, nil
