gateway: tests that show a second run of a generation that may run once

The tests script two engines: the first loses the answer before its first event, or its stream breaks although no copy of its memory was acknowledged.

--- a/process/gateway/generate_test.go
+++ b/process/gateway/generate_test.go
@@ -59,6 +59,49 @@
 	require.Equal(t, "first", rec.Header().Get("X-Seal"), "the headers are those of the first engine")
 }
 
+// Guards against a second run of a generation whose answer was lost: an engine
+// that only has room reserved for a copy must not get the request.
+func TestLostAnswerIsNotAskedForAtASecondEngine(t *testing.T) {
+	for name, first := range map[string]func() (*Answer, error){
+		"before the header": func() (*Answer, error) { return nil, connectionLost() },
+		"after the header":  func() (*Answer, error) { return eventStream("first", 1, 0, true), nil },
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newTestGateway(t)
+			w.answer = func(int, Call) (*Answer, error) { return first() }
+			_, err := w.request("/guide/1")
+			require.Equal(t, refusal.Unknown, w.refusalOf(err).Outcome)
+			require.Len(t, w.calls, 1)
+		})
+	}
+}
+
+// Guards against a second run at an engine that never acknowledged the memory of
+// the first one: the generation must be cut.
+func TestGenerationGoesOnOnlyFromAcknowledgedMemory(t *testing.T) {
+	for name, move := range map[string]func(Move) (Moved, error){
+		"no room":       func(Move) (Moved, error) { return Moved{Handle: "h", Failed: true}, nil },
+		"answer lost":   func(Move) (Moved, error) { return Moved{}, connectionLost() },
+		"not yet there": func(Move) (Moved, error) { time.Sleep(time.Hour); return Moved{}, nil },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newTestGateway(t)
+				w.move = move
+				w.answer = func(int, Call) (*Answer, error) {
+					a := eventStream("first", 1, 5, false)
+					a.Body = io.MultiReader(a.Body, delayedFailure{time.Second})
+					return a, nil
+				}
+				rec, err := w.request("/guide/1")
+				require.ErrorIs(t, err, ErrCut)
+				require.Len(t, eventIDs(rec.Body.String()), 5)
+				require.Len(t, w.calls, 1)
+			})
+		})
+	}
+}
+
 // Without a copy, a generation that may not run again is cut. If it started
 // again, the caller would receive pieces of two runs.
 func TestStreamWithoutACopyIsCut(t *testing.T) {
--- a/process/gateway/testgateway_test.go
+++ b/process/gateway/testgateway_test.go
@@ -183,6 +183,14 @@
 
 func (failingReader) Read([]byte) (int, error) { return 0, errors.New("connection reset") }
 
+// delayedFailure is a body that breaks after a time.
+type delayedFailure struct{ delay time.Duration }
+
+func (d delayedFailure) Read([]byte) (int, error) {
+	time.Sleep(d.delay)
+	return 0, errors.New("connection reset")
+}
+
 func refusedAnswer() *Answer {
 	a := plainAnswer(http.StatusServiceUnavailable, "")
 	a.NotRun = true
