gateway: continue a generation only from memory that its engine acknowledged

What callers saw: a generation that may run once ran at two engines, and its caller got 502 (TWICE).

Cause: for each attempt the gateway reserved room at a second engine, named that engine in the request so that the first one would send its memory there, and took the reservation for a copy. Nothing in that protocol tells whether any memory has arrived. After an attempt with unknown outcome, even before the first event, the request went to the second engine with the name of a copy that could not exist, and the gateway relied on a refusal. An engine that loses its answers runs the request instead. The second attempt reserved room at a third engine, so that a request could run at any number of them; continuations are not counted as attempts. A silent engine whose probe failed led to the same send.

Class of the fault: an action that may happen once was repeated because of what was intended (a reservation), not of what was confirmed.

A run has a copy only after the acknowledgement of its own engine. The copy is forgotten if its engine no longer keeps it or has started again. The order of events "outcome unknown, no acknowledged copy, second send" can no longer happen: takeBackup is the only source of a further attempt of such a run after it may have begun, and keepCopy, after the acknowledgement, the only place that sets what takeBackup returns.

--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -71,7 +71,6 @@
 		Since    time.Time // a kept connection must have been used after this time
 		Rank     int
 		Stream   bool
-		Backup   string // address of the endpoint that receives a copy of the memory
 		After    string // ID of the event after which the stream continues
 		Memory   string // memory to continue from, as returned by Backend.Handle
 	}
@@ -123,10 +122,8 @@
 		// identified by the engine it was made from and its handle.
 		Move func(ctx context.Context, m Move) (Moved, error)
 		Free func(ctx context.Context, from roster.Endpoint, handle string) error
-		// Handle returns the value for Call.Memory that identifies the memory of
-		// a generation. For a copy made by Move, e is the engine it was made
-		// from and handle is Moved.Handle. For a copy made through Call.Backup,
-		// e is the engine that holds it and handle is the ID of the request.
+		// Handle returns the value for Call.Memory that identifies a copy made by
+		// Move: e is the engine it was made from and handle is Moved.Handle.
 		Handle func(e roster.Endpoint, handle string) string
 		// CloseConnections closes the kept connections to an address.
 		CloseConnections func(addr string)
--- a/process/gateway/generate.go
+++ b/process/gateway/generate.go
@@ -50,7 +50,7 @@
 		longestGap  time.Duration // longest time between two events
 		lastPassed  time.Time     // time at which the latest event was passed on
 
-		copying atomic.Bool // a notice has started copying of its memory
+		copying atomic.Bool // its memory is being copied
 
 		mu       sync.Mutex
 		endpoint roster.Endpoint
@@ -60,12 +60,14 @@
 		ended    bool
 	}
 
-	// memoryCopy is a copy of a run's memory at another engine, or room
-	// reserved for it.
+	// memoryCopy is a copy of a run's memory at another engine, which was
+	// acknowledged by the run's engine.
 	memoryCopy struct {
 		endpoint roster.Endpoint
 		ticket   placement.Ticket
 		memory   string // identifies the memory, as in Call.Memory
+		from     roster.Endpoint
+		handle   string // of the copy, at from
 	}
 
 	// attempt holds the engine, the event and the memory from which the next
@@ -124,9 +126,6 @@
 		Request: r.j.Request, Endpoint: a.endpoint, Account: r.j.account, Deadline: r.j.deadline,
 		Since: time.Now().Add(-streamMaxIdle), Rank: r.j.rank, Stream: true, After: a.after, Memory: a.memory,
 	}
-	if b := r.reserveBackup(a); b != nil {
-		c.Backup = b.endpoint.Addr
-	}
 	quiet := r.watchSilence(attemptCtx, a.endpoint, cancel)
 	defer quiet.Stop()
 	sent := time.Now()
@@ -147,7 +146,7 @@
 		r.header = answer.Header
 	}
 	r.g.logDecision(r.j, "relaying", logrus.Fields{
-		"endpoint": a.endpoint.ID, "after": a.after, "from": a.memory, "backup": c.Backup, "prompt": r.j.Prompt,
+		"endpoint": a.endpoint.ID, "after": a.after, "from": a.memory, "prompt": r.j.Prompt,
 		"held": sent.Sub(r.begun).Milliseconds(), "waited": time.Since(r.begun).Milliseconds(), "connect": answer.Connect.Milliseconds(),
 	})
 	err = r.relay(answer, quiet)
@@ -217,6 +216,7 @@
 func (r *run) relay(answer *Answer, quiet *time.Timer) error {
 	events := stream.NewEventReader(answer.Body)
 	flush := http.NewResponseController(r.j.w)
+	begun := false
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
@@ -239,6 +239,10 @@
 			r.lastEvent = event.ID
 		}
 		r.progress()
+		if !begun {
+			begun = true
+			r.copyEarly()
+		}
 		quiet.Reset(silenceTimeout)
 	}
 }
--- a/process/gateway/move.go
+++ b/process/gateway/move.go
@@ -107,7 +107,7 @@
 }
 
 // dropCopiesAt releases the copies of runs at an engine. It returns the runs
-// whose own engine is leaving or gone.
+// whose own engine is leaving or gone, and starts new copies of the others.
 func (g *Gateway) dropCopiesAt(copies []*run, endpoint string) (exposed []*run) {
 	for _, r := range copies {
 		r.mu.Lock()
@@ -116,31 +116,52 @@
 		if b != nil && b.endpoint.ID == endpoint {
 			r.dropBackup(b)
 		}
-		if now, ok := g.Roster.Get(at.ID); !ok || now.Leaving {
+		if r.leaves(at) {
 			exposed = append(exposed, r)
+		} else {
+			r.copyEarly()
 		}
 	}
 	return exposed
 }
 
 // protectAll copies the runs that have no usable copy, as far as their engines
-// support it and their routes do not allow a repetition.
+// support it and their routes do not allow a repetition. It renews the usable
+// copies, so that little is missing in them when the engine ends.
 func (g *Gateway) protectAll(list []*run) {
 	slices.SortFunc(list, func(a, b *run) int { return cmp.Compare(b.remaining(), a.remaining()) })
 	for _, r := range list {
 		if b := r.usableCopy(); b != nil {
-			g.spawn(func() { g.Backend.Warm(g.base, b.endpoint.Addr) })
+			g.spawn(func() {
+				g.Backend.Warm(g.base, b.endpoint.Addr)
+				g.refreshCopy(r, b)
+			})
 			continue
 		}
-		if r.engine.Moves && !r.j.route.Repeatable() {
-			r.mu.Lock()
-			at := r.endpoint
-			r.mu.Unlock()
-			g.spawn(func() { g.protect(r, at) })
-		}
+		r.startCopy()
+	}
+}
+
+// copyEarly starts copying the memory of a run that has begun to answer, so that
+// the run can continue if its engine ends without notice.
+func (r *run) copyEarly() {
+	if r.engine.Backups {
+		r.startCopy()
 	}
 }
 
+// startCopy starts copying the memory of a run, unless its engine does not
+// support it or its route allows a repetition.
+func (r *run) startCopy() {
+	if !r.engine.Moves || r.j.route.Repeatable() {
+		return
+	}
+	r.mu.Lock()
+	at := r.endpoint
+	r.mu.Unlock()
+	r.g.spawn(func() { r.g.protect(r, at) })
+}
+
 // remaining returns the expected number of tokens that are still to be
 // produced.
 func (r *run) remaining() float64 {
@@ -150,25 +171,38 @@
 	return estimate.Mean(r.events * r.engine.Stride)
 }
 
-// protect copies the memory of a run whose engine will leave, and has the copy
-// renewed while the run is still at that engine. When its stream ends, the run
-// continues from the copy: the tokens missing in the copy are processed again
-// within one or two steps of the engine. Stopping the run before it is copied
-// would make it idle while its engine transfers the copies of other runs, one
-// at a time. A run whose prompt is still being processed cannot be copied yet,
-// so a failed copy is retried until the run has left the engine or protectLimit
-// has passed. It is not retried if the other engine has no room.
+// protect copies the memory of a run and has the copy renewed while the run is
+// still at that engine. When its stream ends, the run continues from the copy:
+// the tokens missing in the copy are processed again within one or two steps of
+// the engine. Stopping the run before it is copied would make it idle while its
+// engine transfers the copies of other runs, one at a time.
 func (g *Gateway) protect(r *run, from roster.Endpoint) {
-	if !r.copying.CompareAndSwap(false, true) {
-		return // an earlier notice has started it
+	for r.copying.CompareAndSwap(false, true) {
+		urgent := r.leaves(from)
+		g.copyRun(r, from, urgent)
+		r.copying.Store(false)
+		// A notice during the copy found the run busy.
+		if urgent || !r.leaves(from) || !r.isAt(from) || r.usableCopy() != nil {
+			return
+		}
 	}
-	defer r.copying.Store(false)
+}
+
+// copyRun tries to copy the memory of a run. A run whose prompt is still being
+// processed cannot be copied yet, so a failed copy is retried until the run has
+// left the engine or protectLimit has passed. It is not retried if the other
+// engine has no room. An urgent copy, of a run whose engine will leave, is also
+// retried if no engine is suitable.
+func (g *Gateway) copyRun(r *run, from roster.Endpoint, urgent bool) {
 	begun := time.Now()
 	until := begun.Add(protectLimit)
 	for {
-		to, ticket, ok := r.reserveDestination(from)
+		to, ticket, ok := r.reserveDestination(from, urgent)
 		pause := protectPause
 		switch {
+		case !ok && !urgent:
+			counters.Add("copies_no_room", 1)
+			return
 		case !ok:
 			g.logDecision(r.j, "copy_no_room", logrus.Fields{"endpoint": from.ID})
 		default:
@@ -193,12 +227,18 @@
 				return // memory is scarce; copies to further engines would use up more of it
 			}
 		}
-		if time.Now().After(until) || !sleep.For(g.base, pause) || !r.isAt(from) || r.usableCopy() != nil {
+		if time.Now().After(until) || !sleep.For(g.base, pause) || !r.isAt(from) || r.usableCopy() != nil || urgent != r.leaves(from) {
 			return
 		}
 	}
 }
 
+// leaves reports whether an engine has given notice or is gone.
+func (r *run) leaves(e roster.Endpoint) bool {
+	now, ok := r.g.Roster.Get(e.ID)
+	return !ok || now.Leaving
+}
+
 // isAt reports whether the run is active at an engine.
 func (r *run) isAt(e roster.Endpoint) bool {
 	r.mu.Lock()
@@ -209,7 +249,7 @@
 // keepCopy makes a finished copy the copy of its run and starts renewing it,
 // unless the run has ended, moved or got another copy.
 func (g *Gateway) keepCopy(r *run, from, to roster.Endpoint, ticket placement.Ticket, moved Moved, begun time.Time) {
-	b := &memoryCopy{endpoint: to, ticket: ticket, memory: g.Backend.Handle(from, moved.Handle)}
+	b := &memoryCopy{endpoint: to, ticket: ticket, memory: g.Backend.Handle(from, moved.Handle), from: from, handle: moved.Handle}
 	r.mu.Lock()
 	wanted := !r.ended && r.endpoint.ID == from.ID && r.backup == nil
 	if wanted {
@@ -227,30 +267,46 @@
 		"endpoint": from.ID, "to": to.ID, "events": moved.Events, "took": time.Since(begun).Milliseconds(),
 	})
 	g.Backend.Warm(g.base, to.Addr)
-	g.spawn(func() { g.renewCopy(r, b, from, moved.Handle) })
+	g.spawn(func() { g.renewCopy(r, b) })
 }
 
 // renewCopy renews a copy until the run has left its engine. If the run ended
 // without using the copy, it then frees it.
-func (g *Gateway) renewCopy(r *run, b *memoryCopy, from roster.Endpoint, handle string) {
+func (g *Gateway) renewCopy(r *run, b *memoryCopy) {
 	for sleep.For(g.base, max(r.engine.Keep/2, minRenewal)) {
 		r.mu.Lock()
 		used := r.backup != b
 		ended := r.ended
 		r.mu.Unlock()
 		if ended {
-			g.freeCopy(from, handle)
+			g.freeCopy(b.from, b.handle)
 		}
-		if used || ended {
+		if used || ended || !g.refreshCopy(r, b) {
 			return
 		}
-		if moved, err := g.copyMemory(r, from, b.endpoint); err != nil || moved.Failed {
-			g.logDecision(r.j, "copy_lapsed", logrus.Fields{"endpoint": from.ID, "to": b.endpoint.ID, "detail": errorText(err)})
-			return // if the engine has gone, the stream breaks
-		}
 	}
 }
 
+// refreshCopy adds to a copy what the run has produced since, unless another call
+// for the run is in progress. It reports whether the engine of the run still
+// answers for it. A copy that its engine no longer keeps is replaced.
+func (g *Gateway) refreshCopy(r *run, b *memoryCopy) bool {
+	if !r.copying.CompareAndSwap(false, true) {
+		return true
+	}
+	moved, err := g.copyMemory(r, b.from, b.endpoint)
+	r.copying.Store(false)
+	if err == nil && !moved.Failed {
+		return true
+	}
+	g.logDecision(r.j, "copy_lapsed", logrus.Fields{"endpoint": b.from.ID, "to": b.endpoint.ID, "detail": errorText(err)})
+	if err == nil {
+		r.dropBackup(b)
+		r.startCopy()
+	}
+	return false // if the engine of the run has gone, the stream breaks
+}
+
 func (g *Gateway) copyMemory(r *run, from, to roster.Endpoint) (Moved, error) {
 	ctx, cancel := context.WithTimeout(g.base, copyLimit)
 	defer cancel()
@@ -267,14 +323,14 @@
 	}
 }
 
-// reserveDestination reserves room at another engine for the memory of a run
-// whose engine will leave.
-func (r *run) reserveDestination(from roster.Endpoint) (roster.Endpoint, placement.Ticket, bool) {
+// reserveDestination reserves room at another engine for the memory of a run. An
+// urgent copy may go to any place and fill an engine further.
+func (r *run) reserveDestination(from roster.Endpoint, urgent bool) (roster.Endpoint, placement.Ticket, bool) {
 	r.mu.Lock()
 	done := r.events * r.engine.Stride
 	r.mu.Unlock()
 	d := r.enginePool.sched.PlaceCopy(placement.Copy{
-		Account: r.j.route.Name, From: from.ID, Place: from.Place, Prompt: r.j.Prompt, Done: done, Max: r.j.Max, Urgent: true,
+		Account: r.j.route.Name, From: from.ID, Place: from.Place, Prompt: r.j.Prompt, Done: done, Max: r.j.Max, Urgent: urgent, Near: !urgent,
 	}, time.Now())
 	if d.Endpoint == "" {
 		return roster.Endpoint{}, 0, false
@@ -282,8 +338,10 @@
 	e, ok := r.g.Roster.Get(d.Endpoint)
 	if !ok {
 		r.enginePool.release(d.Ticket, 0, false)
+		return e, 0, false
 	}
-	return e, d.Ticket, ok
+	r.g.announce()
+	return e, d.Ticket, true
 }
 
 func (r *run) resumePoint() string {
@@ -293,38 +351,6 @@
 	return r.lastEvent
 }
 
-// reserveBackup reserves room at the engine that receives a copy of the run's
-// memory while it runs. Repeatable runs need no copy.
-func (r *run) reserveBackup(a *attempt) *memoryCopy {
-	if !r.engine.Backups || r.j.route.Repeatable() {
-		return nil
-	}
-	r.mu.Lock()
-	done, old := r.events*r.engine.Stride, r.backup
-	r.mu.Unlock()
-	if old != nil {
-		r.dropBackup(old)
-	}
-	d := r.enginePool.sched.PlaceCopy(placement.Copy{
-		Account: r.j.route.Name, From: a.endpoint.ID, Place: a.endpoint.Place, Prompt: r.j.Prompt, Done: done, Max: r.j.Max, Near: true,
-	}, time.Now())
-	if d.Endpoint == "" {
-		counters.Add("backups_no_room", 1)
-		return nil
-	}
-	e, ok := r.g.Roster.Get(d.Endpoint)
-	if !ok {
-		r.enginePool.release(d.Ticket, 0, false)
-		return nil
-	}
-	b := &memoryCopy{endpoint: e, ticket: d.Ticket, memory: r.g.Backend.Handle(e, r.j.ID)}
-	r.g.announce()
-	r.mu.Lock()
-	r.backup = b
-	r.mu.Unlock()
-	return b
-}
-
 // dropBackup releases the room reserved for a copy, if it is still the run's
 // copy.
 func (r *run) dropBackup(b *memoryCopy) {
@@ -340,7 +366,8 @@
 }
 
 // takeBackup removes the copy from the run and returns the attempt that
-// continues from it, or nil if there is none.
+// continues from it, or nil if there is none. An engine process that started
+// after the copy was made does not have it.
 func (r *run) takeBackup() *attempt {
 	r.mu.Lock()
 	b := r.backup
@@ -349,13 +376,15 @@
 	if b == nil {
 		return nil
 	}
+	if e, ok := r.g.Roster.Get(b.endpoint.ID); ok && e.Born != b.endpoint.Born {
+		r.enginePool.release(b.ticket, 0, false)
+		return nil
+	}
 	return &attempt{endpoint: b.endpoint, ticket: b.ticket, after: r.resumePoint(), memory: b.memory}
 }
 
 // usableCopy returns the run's copy, or nil if there is none or the copy's
-// engine is leaving, gone or unreachable. It does not check whether memory has
-// arrived in room that was reserved for a copy. If none has, the engine refuses
-// to continue from it.
+// engine is leaving, gone or unreachable.
 func (r *run) usableCopy() *memoryCopy {
 	r.mu.Lock()
 	b := r.backup
--- a/version/routing/routing.go
+++ b/version/routing/routing.go
@@ -63,7 +63,7 @@
 		Slots   int           // requests in one batch
 		Tokens  int64         // memory of one engine, in tokens
 		Moves   bool          // a running generation can be moved
-		Backups bool          // the memory of a running generation can be copied
+		Backups bool          // copies may be made before an engine gives notice
 		Stride  int           // tokens in one event
 		Keep    time.Duration // time for which an engine keeps a copy that is not renewed
 	}
