soak: start an endpoint before other faults can reach it

Cause: site.start made the new endpoint current and not busy, and only then called Start, which sets the fields that Row and SetFaults read.

Change: the endpoint becomes current after Start, so a fault finds either the old one, which is busy, or one that has started.

--- a/internal/soak/endpoints.go
+++ b/internal/soak/endpoints.go
@@ -53,10 +53,12 @@
 		Slots: fake.Slots, Work: plainDuration, Seed: p.s.Seed + uint64(p.starts), Began: p.s.recordRun,
 		Ended: func(r fake.Run, whole bool) { p.s.ledger.Ended(r.Request, r.Endpoint, whole) }, Peer: p.s.endpointAt,
 	}
-	p.endpoint, p.link, p.busy = e, link, false
 	p.mu.Unlock()
 	e.Start(l)
 	e.SetFaults(p.s.defaultFaults(p.n))
+	p.mu.Lock()
+	p.endpoint, p.link, p.busy = e, link, false
+	p.mu.Unlock()
 	p.s.store.PutEndpoint(e, false)
 	return nil
 }
