gateway: a copy is used only while its engine is known to hold it

Cause: an acknowledgement was believed for ever. If a renewal got no answer, the copy was no longer renewed, but stayed in use after the time for which engines keep it. The handle of a renewal was ignored, although a copy that was made anew has another one. A copy whose engine left, or started again, while the copy was made was kept and used.

Change: a copy has an expiry, counted from the latest order that was acknowledged. isHeld checks it, and that the engine process is listed, has not announced its leave and is the one that got the copy; keepCopy, usableCopy and takeBackup ask it. Renewals go on after an error; a copy that expired or has another handle is replaced. So "acknowledged, then dropped by its engine, then used" can happen only before the list shows that the engine started again.

--- a/process/gateway/generate.go
+++ b/process/gateway/generate.go
@@ -68,6 +68,9 @@
 		memory   string // identifies the memory, as in Call.Memory
 		from     roster.Endpoint
 		handle   string // of the copy, at from
+		// expiry is the time in Unix nanoseconds until which the engine keeps the
+		// copy, counted from the latest acknowledged order.
+		expiry atomic.Int64
 	}
 
 	// attempt holds the engine, the event and the memory from which the next
--- a/process/gateway/generate_test.go
+++ b/process/gateway/generate_test.go
@@ -66,29 +66,94 @@
 	})
 }
 
-// The engine of the copy no longer keeps the memory. The run must be copied again
-// and continue only from the new copy.
+// The engine of the copy no longer keeps the memory, or made a copy anew. The run
+// must be copied again and continue only from the new copy.
 func TestLapsedCopyIsReplaced(t *testing.T) {
+	for name, renewal := range map[string]Moved{
+		"not kept":  {Handle: "h1", Failed: true},
+		"made anew": {Handle: "h2"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newTestGateway(t)
+				w.move = func(Move) (Moved, error) {
+					w.mu.Lock()
+					defer w.mu.Unlock()
+					if len(w.moves) == 2 {
+						return renewal, nil
+					}
+					return Moved{Handle: fmt.Sprint("h", len(w.moves))}, nil
+				}
+				writer, done := w.startStream(2, 3)
+				_, _ = io.WriteString(writer, "id: 1\ndata: x\n\n")
+				time.Sleep(3 * time.Second)
+				_ = writer.CloseWithError(errors.New("connection reset"))
+				require.Equal(t, strings.Fields("1 2 3"), eventIDs(<-done))
+				synctest.Wait()
+				require.GreaterOrEqual(t, len(w.moves), 3)
+				require.Equal(t, w.moves[0].To, w.moves[1].To, "the renewal")
+				require.Equal(t, w.moves[2].To, w.calls[1].Endpoint)
+				require.Equal(t, w.calls[0].Endpoint.Addr+"/h3", w.calls[1].Memory)
+			})
+		})
+	}
+}
+
+// The copy was acknowledged, but its renewals get no answer. The run must not be
+// sent to its engine when that may have dropped the memory.
+func TestCopyExpiresUnlessRenewed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newTestGateway(t)
-		w.move = func(m Move) (Moved, error) {
+		w.move = func(Move) (Moved, error) {
 			w.mu.Lock()
 			defer w.mu.Unlock()
-			return Moved{Handle: fmt.Sprint("h", len(w.moves)), Failed: len(w.moves) == 2}, nil
+			if len(w.moves) > 1 {
+				return Moved{}, connectionLost()
+			}
+			return Moved{Handle: "h"}, nil
 		}
-		writer, done := w.startStream(2, 3)
-		_, _ = io.WriteString(writer, "id: 1\ndata: x\n\n")
-		time.Sleep(3 * time.Second)
-		_ = writer.CloseWithError(errors.New("connection reset"))
-		require.Equal(t, strings.Fields("1 2 3"), eventIDs(<-done))
-		synctest.Wait()
-		require.GreaterOrEqual(t, len(w.moves), 3)
-		require.Equal(t, w.moves[0].To, w.moves[1].To, "the renewal")
-		require.Equal(t, w.moves[2].To, w.calls[1].Endpoint)
-		require.Equal(t, w.calls[0].Endpoint.Addr+"/h3", w.calls[1].Memory)
+		w.answer = func(int, Call) (*Answer, error) {
+			a := eventStream("first", 1, 5, false)
+			a.Body = io.MultiReader(a.Body, delayedFailure{30 * time.Second, errors.New("connection reset")})
+			return a, nil
+		}
+		_, err := w.request("/guide/1")
+		require.ErrorIs(t, err, ErrCut)
+		require.Len(t, w.calls, 1)
 	})
 }
 
+// The engine of a copy leaves while the copy is made. The run must not be sent
+// there, but copied to another engine.
+func TestCopyToAnEngineThatLeavesMeanwhile(t *testing.T) {
+	for name, leave := range map[string]func(*testGateway, string){
+		"notice": func(w *testGateway, id string) { w.Roster.MarkLeaving(id, roster.FromList) },
+		"gone":   func(w *testGateway, id string) { w.Roster.Remove(id) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newTestGateway(t)
+				w.move = func(Move) (Moved, error) { time.Sleep(time.Second); return Moved{Handle: "h"}, nil }
+				writer, done := w.startStream(2, 3)
+				_, _ = io.WriteString(writer, "id: 1\ndata: x\n\n")
+				time.Sleep(time.Second / 2)
+				w.mu.Lock()
+				to := w.moves[0].To
+				w.mu.Unlock()
+				leave(w, to.ID)
+				w.refreshEnginePools()
+				w.evacuate(to, roster.FromList)
+				time.Sleep(10 * time.Second)
+				_ = writer.CloseWithError(errors.New("connection reset"))
+				require.Equal(t, strings.Fields("1 2 3"), eventIDs(<-done))
+				synctest.Wait()
+				require.NotEqual(t, to.ID, w.calls[1].Endpoint.ID)
+				time.Sleep(time.Minute) // until the last copy is released
+			})
+		})
+	}
+}
+
 // Guards against a second run of a generation whose answer was lost: an engine
 // that only has room reserved for a copy must not get the request.
 func TestLostAnswerIsNotAskedForAtASecondEngine(t *testing.T) {
--- a/process/gateway/lines_test.go
+++ b/process/gateway/lines_test.go
@@ -48,7 +48,7 @@
 	require.Equal(t, "attempt_failed attempt_failed failure_passed_on", eventsOf("/read/1", status(500, 500)))
 	require.Equal(t, "attempt_failed", eventsOf("/book/1", breaks))
 	require.Equal(t, "attempt_failed attempt_failed", eventsOf("/read/1", breaks))
-	require.Equal(t, "relaying served", eventsOf("/guide/1", func(int, Call) (*Answer, error) { return eventStream("s", 1, 3, false), nil }))
+	require.Equal(t, "relaying served", eventsOf("/short/1", func(int, Call) (*Answer, error) { return eventStream("s", 1, 3, false), nil }))
 	require.Equal(t, "attempt_failed", eventsOf("/guide/1", breaks), "there is no copy to continue from")
 	require.Equal(t, "attempt_refused", eventsOf("/guide/1", func(int, Call) (*Answer, error) { return refusedAnswer(), nil }))
 	require.Equal(t, "failure_passed_on", eventsOf("/guide/1", status(http.StatusInternalServerError)))
--- a/process/gateway/move.go
+++ b/process/gateway/move.go
@@ -206,14 +206,17 @@
 		case !ok:
 			g.logDecision(r.j, "copy_no_room", logrus.Fields{"endpoint": from.ID})
 		default:
+			ordered := time.Now()
 			moved, err := g.copyMemory(r, from, to)
-			if err == nil && !moved.Failed {
-				g.keepCopy(r, from, to, ticket, moved, begun)
+			copied := err == nil && !moved.Failed
+			if copied && g.keepCopy(r, from, to, ticket, moved, ordered) {
 				return
 			}
 			r.enginePool.release(ticket, 0, false)
 			detail := noRoom
 			switch {
+			case copied:
+				detail, pause = "the other engine has left", 0
 			case err != nil:
 				detail = err.Error()
 			case errors.Is(r.enginePool.probe(to), ErrUnreachable):
@@ -246,12 +249,18 @@
 	return !r.ended && r.endpoint.ID == e.ID
 }
 
-// keepCopy makes a finished copy the copy of its run and starts renewing it,
-// unless the run has ended, moved or got another copy.
-func (g *Gateway) keepCopy(r *run, from, to roster.Endpoint, ticket placement.Ticket, moved Moved, begun time.Time) {
+// keepCopy makes a finished copy the copy of its run and starts renewing it. It
+// reports false, and keeps the ticket, if the engine of the copy has left
+// meanwhile. The copy was ordered at ordered.
+func (g *Gateway) keepCopy(r *run, from, to roster.Endpoint, ticket placement.Ticket, moved Moved, ordered time.Time) bool {
 	b := &memoryCopy{endpoint: to, ticket: ticket, memory: g.Backend.Handle(from, moved.Handle), from: from, handle: moved.Handle}
+	b.expiry.Store(ordered.Add(r.engine.Keep).UnixNano())
+	if !b.isHeld(g) {
+		return false
+	}
 	r.mu.Lock()
-	wanted := !r.ended && r.endpoint.ID == from.ID && r.backup == nil
+	old := r.backup
+	wanted := !r.ended && r.endpoint.ID == from.ID && (old == nil || !old.isHeld(g))
 	if wanted {
 		r.backup = b
 	}
@@ -260,14 +269,25 @@
 		// The copy expires on its own. Freeing it would also free the copy of
 		// another move of this run.
 		r.enginePool.release(ticket, 0, false)
-		return
+		return true
 	}
-	observe(copyTime, time.Since(begun))
+	if old != nil {
+		r.enginePool.release(old.ticket, 0, false)
+	}
+	observe(copyTime, time.Since(ordered))
 	g.logDecision(r.j, "copied", logrus.Fields{
-		"endpoint": from.ID, "to": to.ID, "events": moved.Events, "took": time.Since(begun).Milliseconds(),
+		"endpoint": from.ID, "to": to.ID, "events": moved.Events, "took": time.Since(ordered).Milliseconds(),
 	})
 	g.Backend.Warm(g.base, to.Addr)
 	g.spawn(func() { g.renewCopy(r, b) })
+	return true
+}
+
+// isHeld reports whether the engine process that holds a copy still does, as far
+// as is known: it has not left or started again, and the copy has not expired.
+func (b *memoryCopy) isHeld(g *Gateway) bool {
+	e, ok := g.Roster.Get(b.endpoint.ID)
+	return ok && !e.Leaving && e.Born == b.endpoint.Born && time.Now().UnixNano() < b.expiry.Load()
 }
 
 // renewCopy renews a copy until the run has left its engine. If the run ended
@@ -281,30 +301,33 @@
 		if ended {
 			g.freeCopy(b.from, b.handle)
 		}
-		if used || ended || !g.refreshCopy(r, b) {
+		if used || ended {
 			return
 		}
+		g.refreshCopy(r, b)
 	}
 }
 
 // refreshCopy adds to a copy what the run has produced since, unless another call
-// for the run is in progress. It reports whether the engine of the run still
-// answers for it. A copy that its engine no longer keeps is replaced.
-func (g *Gateway) refreshCopy(r *run, b *memoryCopy) bool {
+// for the run is in progress. A copy that its engine no longer keeps, or that was
+// made anew, is replaced. One that could not be renewed stays until it expires: if
+// the engine of the run has gone, it is about to be used.
+func (g *Gateway) refreshCopy(r *run, b *memoryCopy) {
 	if !r.copying.CompareAndSwap(false, true) {
-		return true
+		return
 	}
+	ordered := time.Now()
 	moved, err := g.copyMemory(r, b.from, b.endpoint)
 	r.copying.Store(false)
-	if err == nil && !moved.Failed {
-		return true
-	}
-	g.logDecision(r.j, "copy_lapsed", logrus.Fields{"endpoint": b.from.ID, "to": b.endpoint.ID, "detail": errorText(err)})
-	if err == nil {
+	switch {
+	case err == nil && !moved.Failed && moved.Handle == b.handle:
+		b.expiry.Store(ordered.Add(r.engine.Keep).UnixNano())
+		return
+	case err == nil, !b.isHeld(g):
 		r.dropBackup(b)
 		r.startCopy()
 	}
-	return false // if the engine of the run has gone, the stream breaks
+	g.logDecision(r.j, "copy_lapsed", logrus.Fields{"endpoint": b.from.ID, "to": b.endpoint.ID, "detail": errorText(err)})
 }
 
 func (g *Gateway) copyMemory(r *run, from, to roster.Endpoint) (Moved, error) {
@@ -366,8 +389,7 @@
 }
 
 // takeBackup removes the copy from the run and returns the attempt that
-// continues from it, or nil if there is none. An engine process that started
-// after the copy was made does not have it.
+// continues from it, or nil if there is none or it is no longer held.
 func (r *run) takeBackup() *attempt {
 	r.mu.Lock()
 	b := r.backup
@@ -376,23 +398,20 @@
 	if b == nil {
 		return nil
 	}
-	if e, ok := r.g.Roster.Get(b.endpoint.ID); ok && e.Born != b.endpoint.Born {
+	if !b.isHeld(r.g) {
 		r.enginePool.release(b.ticket, 0, false)
 		return nil
 	}
 	return &attempt{endpoint: b.endpoint, ticket: b.ticket, after: r.resumePoint(), memory: b.memory}
 }
 
-// usableCopy returns the run's copy, or nil if there is none or the copy's
-// engine is leaving, gone or unreachable.
+// usableCopy returns the run's copy, or nil if there is none, it is no longer held
+// or its engine is unreachable.
 func (r *run) usableCopy() *memoryCopy {
 	r.mu.Lock()
 	b := r.backup
 	r.mu.Unlock()
-	if b == nil {
-		return nil
-	}
-	if e, ok := r.g.Roster.Get(b.endpoint.ID); !ok || e.Leaving || r.enginePool.isDown(e.ID) {
+	if b == nil || !b.isHeld(r.g) || r.enginePool.isDown(b.endpoint.ID) {
 		return nil
 	}
 	return b
