gateway: an engine that answers a probe badly is not silent

What callers could see: a generation that may run once goes on at a second engine while its first one is still at work.

Cause: any error of one probe counted as silence, also an answer with an error status or one that cannot be decoded, and a connection that the engine refused because it has too many. Such an engine is alive, and may work on.

Change: only a probe that reaches no engine or gets no answer in time counts.

Evidence: TestEngineThatAnswersBadlyIsKept fails before with the error that a part of the answer was cut, as the run was sent on at once.

--- a/process/gateway/generate.go
+++ b/process/gateway/generate.go
@@ -6,6 +6,7 @@
 	"io"
 	"maps"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -167,16 +168,17 @@
 
 // watchSilence starts a timer that cancels an attempt if its engine has sent no
 // event for some time and does not answer a probe either. An engine that
-// answers the probe is only slow. The first event may take as long as the
-// latency target.
+// answers the probe, with whatever answer, is only slow. The first event may take
+// as long as the latency target.
 func (r *run) watchSilence(ctx context.Context, e roster.Endpoint, cancel context.CancelCauseFunc) *time.Timer {
 	var quiet *time.Timer
 	quiet = time.AfterFunc(time.Hour, func() {
 		for ctx.Err() == nil {
 			call, done := context.WithTimeout(ctx, probeLimit)
 			_, err := r.g.Backend.Report(call, e)
+			silent := errors.Is(err, ErrUnreachable) || errors.Is(err, os.ErrDeadlineExceeded) || call.Err() != nil
 			done()
-			if err == nil {
+			if err == nil || !silent {
 				quiet.Reset(silenceTimeout)
 				return
 			}
--- a/process/gateway/generate_test.go
+++ b/process/gateway/generate_test.go
@@ -287,6 +287,32 @@
 	})
 }
 
+// Guards against a second engine working on a generation whose own engine only
+// gave an unusable answer to a probe.
+func TestEngineThatAnswersBadlyIsKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newTestGateway(t)
+		w.Backend.Report = func(context.Context, roster.Endpoint) (Report, error) { return Report{}, errors.New("status 503") }
+		reader, writer := io.Pipe()
+		w.answer = func(int, Call) (*Answer, error) {
+			a := eventStream("first", 1, 0, false)
+			a.Body = reader
+			w.closeWithAttempt(reader)
+			go func() {
+				_, _ = io.WriteString(writer, "id: 1\ndata: x\n\n")
+				time.Sleep(5 * silenceTimeout)
+				_, _ = io.WriteString(writer, "id: 2\ndata: x\n\n")
+				_ = writer.Close()
+			}()
+			return a, nil
+		}
+		rec, err := w.request("/guide/1")
+		require.NoError(t, err)
+		require.Equal(t, strings.Fields("1 2"), eventIDs(rec.Body.String()))
+		require.Len(t, w.calls, 1)
+	})
+}
+
 // A refused connection does not count as an attempt, as nothing was sent:
 // another engine is tried even on a route with one attempt.
 func TestRefusedConnectionIsNoAttempt(t *testing.T) {
