--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -95,6 +95,25 @@
 	}
 }
 
+// Guards against a second run of a request whose answer was lost, at an engine
+// that would have to refuse it but loses answers too.
+func TestLostAnswersRunOnce(t *testing.T) {
+	var plan []Fault
+	for n := range 80 {
+		plan = append(plan, Fault{Kind: Drop, After: quietStart + time.Duration(n)*minFault, Last: maxFault, Target: n})
+		if n%4 == 3 {
+			plan = append(plan, Fault{Kind: Crash, After: quietStart + time.Duration(n)*minFault, Last: minFault, Target: n / 4})
+		}
+	}
+	s := Soak{Binary: build(t), Dir: t.TempDir(), Seed: 18, Duration: 20 * time.Second, Instances: 6, Faults: plan}
+	sum, err := s.Run(context.Background())
+	require.NoError(t, err)
+	require.Empty(t, sum.Details)
+	require.Empty(t, sum.Errors)
+	require.Positive(t, sum.Checks[Once])
+	require.Positive(t, sum.Continued)
+}
+
 // Guards against a soak that cannot fail: each promise is violated on purpose,
 // in the program's settings, in the simulated platform or at the callers, and
 // must be reported.
