gateway: copy a run that continued elsewhere during a call for its copy

What callers see: a generation that went on at a second engine is cut when that one ends too, because it was never copied there.

Cause: the first event at the second engine starts a copy, but a renewal at the first engine may still wait for its answer; the copy is then not made, and nobody tried again.

Change: when such a call returns and its run is at another engine, the run is copied there.

Evidence: TestRunThatContinuesDuringARenewalIsCopied fails before ("Expected value not to be nil" 7 s after the continuation).

--- a/process/gateway/generate_test.go
+++ b/process/gateway/generate_test.go
@@ -19,6 +19,44 @@
 	"github.com/eelgrassdock/eelgrassdock/request/refusal"
 )
 
+// A run continues at a second engine while the renewal of its copy gets no answer
+// from the first one. It must be copied at the second engine.
+func TestRunThatContinuesDuringARenewalIsCopied(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newTestGateway(t)
+		w.move = func(Move) (Moved, error) {
+			w.mu.Lock()
+			n := len(w.moves)
+			w.mu.Unlock()
+			if n == 2 {
+				time.Sleep(copyLimit)
+				return Moved{}, context.DeadlineExceeded
+			}
+			return Moved{Handle: "h"}, nil
+		}
+		w.answer = func(n int, _ Call) (*Answer, error) {
+			delay, err := 2600*time.Millisecond, errors.New("connection reset") // while the first renewal is in progress
+			if n > 0 {
+				delay, err = 20*time.Second, io.EOF
+			}
+			a := eventStream("s", n+1, n+1, false)
+			a.Body = io.MultiReader(a.Body, delayedFailure{delay, err})
+			return a, nil
+		}
+		done := make(chan error)
+		go func() {
+			_, err := w.request("/guide/1")
+			done <- err
+		}()
+		time.Sleep(10 * time.Second)
+		r := w.runsOf("q")[0]
+		require.True(t, r.isAt(w.calls[1].Endpoint))
+		require.NotNil(t, r.usableCopy())
+		require.NoError(t, <-done)
+		time.Sleep(time.Minute)
+	})
+}
+
 // A generation whose engine ends continues from its copy, with the headers of
 // the first engine and each event once, and is copied again there.
 func TestStreamGoesOnFromItsCopy(t *testing.T) {
--- a/process/gateway/move.go
+++ b/process/gateway/move.go
@@ -150,6 +150,18 @@
 	}
 }
 
+// copyAgain starts copying the memory of a run that has continued at another
+// engine while a call for the copy at the first one was in progress, unless the
+// run has ended or has a copy.
+func (r *run) copyAgain() {
+	r.mu.Lock()
+	exposed := !r.ended && r.backup == nil
+	r.mu.Unlock()
+	if exposed {
+		r.copyEarly()
+	}
+}
+
 // startCopy starts copying the memory of a run, unless its engine does not
 // support it or its route allows a repetition.
 func (r *run) startCopy() {
@@ -181,8 +193,12 @@
 		urgent := r.leaves(from)
 		g.copyRun(r, from, urgent)
 		r.copying.Store(false)
+		if !r.isAt(from) {
+			r.copyAgain()
+			return
+		}
 		// A notice during the copy found the run busy.
-		if urgent || !r.leaves(from) || !r.isAt(from) || r.usableCopy() != nil {
+		if urgent || !r.leaves(from) || r.usableCopy() != nil {
 			return
 		}
 	}
@@ -319,6 +335,10 @@
 	ordered := time.Now()
 	moved, err := g.copyMemory(r, b.from, b.endpoint)
 	r.copying.Store(false)
+	if !r.isAt(b.from) {
+		r.copyAgain()
+		return
+	}
 	switch {
 	case err == nil && !moved.Failed && moved.Handle == b.handle:
 		b.expiry.Store(ordered.Add(r.engine.Keep).UnixNano())
