gateway: free the copy of a run when the run ends

What callers see: engines look empty to the instance and refuse work, because copies of ended runs still hold memory and a slot there.

Cause: the room of a copy was released at once when its run ended, the copy itself only at the next renewal, up to half of the time for which engines keep it, and not at all if the run ended while it was copied. A copy that the run had used was freed as well. If the caller left before the header of the answer, the room of an acknowledged copy was never released.

Change: the end of a run wakes the renewal, which frees the copy unless the run continued from it; a copy that completes after the end is freed; the copy is taken only if the caller is still there.

Evidence: before, TestCopyIsFreedWithItsRun (both cases), TestUsedCopyIsNotFreed ("should not contain 'from e0'") and TestRoomOfACopyIsReleasedWhenTheCallerLeaves ("Should be zero, but was 1") fail.

--- a/process/gateway/generate.go
+++ b/process/gateway/generate.go
@@ -51,7 +51,8 @@
 		longestGap  time.Duration // longest time between two events
 		lastPassed  time.Time     // time at which the latest event was passed on
 
-		copying atomic.Bool // its memory is being copied
+		copying atomic.Bool   // its memory is being copied
+		over    chan struct{} // closed when the run is released
 
 		mu       sync.Mutex
 		endpoint roster.Endpoint
@@ -72,6 +73,7 @@
 		// expiry is the time in Unix nanoseconds until which the engine keeps the
 		// copy, counted from the latest acknowledged order.
 		expiry atomic.Int64
+		taken  atomic.Bool // the run has continued from it
 	}
 
 	// attempt holds the engine, the event and the memory from which the next
@@ -89,7 +91,7 @@
 func (g *Gateway) generate(ctx context.Context, j *job, s *routing.Service) error {
 	r := &run{
 		g: g, j: j, engine: s.Engine, enginePool: g.enginePool(j.service, s.Engine), pool: g.countRequest(j.service),
-		begun: time.Now(), lastEvent: j.After,
+		begun: time.Now(), lastEvent: j.After, over: make(chan struct{}),
 	}
 	if g.Stopping() && !j.route.Repeatable() {
 		// The generation would probably outlive this instance.
@@ -297,6 +299,7 @@
 	ticket, backup, tokens := r.ticket, r.backup, r.events*r.engine.Stride
 	r.ticket, r.backup = 0, nil
 	r.mu.Unlock()
+	close(r.over)
 	if ticket != 0 {
 		r.enginePool.release(ticket, tokens, completed)
 	}
@@ -320,9 +323,11 @@
 	if f.Outcome == refusal.NotRun && ctx.Err() == nil {
 		return r.retryElsewhere(ctx, a, f)
 	}
-	if next := r.takeBackup(); next != nil && ctx.Err() == nil {
-		r.hops++
-		return next, nil
+	if ctx.Err() == nil {
+		if next := r.takeBackup(); next != nil {
+			r.hops++
+			return next, nil
+		}
 	}
 	return r.rerun(ctx, a, f)
 }
--- a/process/gateway/generate_test.go
+++ b/process/gateway/generate_test.go
@@ -57,6 +57,76 @@
 	})
 }
 
+// Guards against copies that use memory and a slot of their engine after their run
+// has ended.
+func TestCopyIsFreedWithItsRun(t *testing.T) {
+	for name, took := range map[string]time.Duration{"copied before the end": 0, "copied after the end": 200 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newTestGateway(t)
+				w.move = func(Move) (Moved, error) { time.Sleep(took); return Moved{Handle: "h"}, nil }
+				writer, done := w.startStream(2, 3)
+				_, _ = io.WriteString(writer, "id: 1\ndata: x\n\n")
+				time.Sleep(100 * time.Millisecond)
+				_ = writer.Close()
+				<-done
+				time.Sleep(took)
+				synctest.Wait()
+				require.Equal(t, []string{"h"}, w.freed)
+			})
+		})
+	}
+}
+
+// A copy that a run has used belongs to its second engine and must not be freed.
+func TestUsedCopyIsNotFreed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newTestGateway(t)
+		w.move = func(m Move) (Moved, error) { return Moved{Handle: "from " + m.From.ID}, nil }
+		w.answer = func(n int, _ Call) (*Answer, error) {
+			if n == 0 {
+				return breakingStream("first", 1, 5), nil
+			}
+			return eventStream("second", 6, 9, false), nil
+		}
+		_, err := w.request("/guide/1")
+		require.NoError(t, err)
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		require.NotContains(t, w.freed, "from "+w.calls[0].Endpoint.ID)
+	})
+}
+
+// Guards against room that stays reserved for ever: a copy was acknowledged before
+// the header of the answer came, and the caller left.
+func TestRoomOfACopyIsReleasedWhenTheCallerLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newTestGateway(t)
+		w.answer = func(int, Call) (*Answer, error) {
+			<-w.attempt.Done()
+			return nil, refusal.FromCallError(context.Canceled, true)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error)
+		go func() {
+			_, err := w.requestWith(ctx, &Request{
+				ID: "q", Host: "h", Path: "/guide/1", Header: http.Header{}, Key: "key", Arrived: time.Now(), Prompt: 1000, Max: 400,
+			})
+			done <- err
+		}()
+		synctest.Wait()
+		w.announceLeave(roster.FromList)
+		synctest.Wait()
+		require.NotNil(t, w.runsOf("q")[0].usableCopy())
+		cancel()
+		require.Error(t, <-done)
+		synctest.Wait()
+		for _, l := range w.testEnginePool().sched.Own() {
+			require.Zero(t, l.Runs, l.Endpoint)
+		}
+	})
+}
+
 // A generation whose engine ends continues from its copy, with the headers of
 // the first engine and each event once, and is copied again there.
 func TestStreamGoesOnFromItsCopy(t *testing.T) {
--- a/process/gateway/move.go
+++ b/process/gateway/move.go
@@ -275,16 +275,19 @@
 		return false
 	}
 	r.mu.Lock()
-	old := r.backup
-	wanted := !r.ended && r.endpoint.ID == from.ID && (old == nil || !old.isHeld(g))
+	old, ended := r.backup, r.ended
+	wanted := !ended && r.endpoint.ID == from.ID && (old == nil || !old.isHeld(g))
 	if wanted {
 		r.backup = b
 	}
 	r.mu.Unlock()
 	if !wanted {
-		// The copy expires on its own. Freeing it would also free the copy of
-		// another move of this run.
 		r.enginePool.release(ticket, 0, false)
+		if ended {
+			g.freeCopy(from, moved.Handle)
+		}
+		// Otherwise the copy expires on its own. Freeing it would also free the
+		// copy of another move of this run.
 		return true
 	}
 	if old != nil {
@@ -306,18 +309,26 @@
 	return ok && !e.Leaving && e.Born == b.endpoint.Born && time.Now().UnixNano() < b.expiry.Load()
 }
 
-// renewCopy renews a copy until the run has left its engine. If the run ended
-// without using the copy, it then frees it.
+// renewCopy renews a copy until the run has left its engine or has ended. A copy
+// that the run did not use is then freed.
 func (g *Gateway) renewCopy(r *run, b *memoryCopy) {
-	for sleep.For(g.base, max(r.engine.Keep/2, minRenewal)) {
+	ticker := time.NewTicker(max(r.engine.Keep/2, minRenewal))
+	defer ticker.Stop()
+	for {
+		select {
+		case <-g.base.Done():
+			return
+		case <-r.over:
+			if !b.taken.Load() {
+				g.freeCopy(b.from, b.handle)
+			}
+			return
+		case <-ticker.C:
+		}
 		r.mu.Lock()
-		used := r.backup != b
-		ended := r.ended
+		dropped := r.backup != b
 		r.mu.Unlock()
-		if ended {
-			g.freeCopy(b.from, b.handle)
-		}
-		if used || ended {
+		if dropped {
 			return
 		}
 		g.refreshCopy(r, b)
@@ -422,6 +433,7 @@
 		r.enginePool.release(b.ticket, 0, false)
 		return nil
 	}
+	b.taken.Store(true)
 	return &attempt{endpoint: b.endpoint, ticket: b.ticket, after: r.resumePoint(), memory: b.memory}
 }
 
