gateway: replace a copy that is dropped during a call for it

What callers see: a generation is cut when its engine ends, although another engine had room for its copy.

Cause: the engine of a copy leaves while the copy is renewed. The copy is dropped, the new one finds the run busy, and the renewal did not look again when it was done.

Change: each call for a copy ends with a look at what happened meanwhile: whether the run has moved, lost its copy, or its engine has given notice.

--- a/process/gateway/move.go
+++ b/process/gateway/move.go
@@ -151,17 +151,23 @@
 }
 
 // copyAgain starts copying the memory of a run that has continued at another
-// engine while a call for the copy at the first one was in progress, unless the
-// run has ended or has a copy.
+// engine or lost its copy while a call for the copy was in progress.
 func (r *run) copyAgain() {
 	r.mu.Lock()
-	exposed := !r.ended && r.backup == nil
+	exposed, at := !r.ended && r.backup == nil, r.endpoint
 	r.mu.Unlock()
-	if exposed {
-		r.copyEarly()
+	if exposed && (r.engine.Backups || r.leaves(at)) {
+		r.startCopy()
 	}
 }
 
+// hasCopy reports whether the run has a copy, usable or not.
+func (r *run) hasCopy() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.backup != nil
+}
+
 // startCopy starts copying the memory of a run, unless its engine does not
 // support it or its route allows a repetition.
 func (r *run) startCopy() {
@@ -191,14 +197,16 @@
 func (g *Gateway) protect(r *run, from roster.Endpoint) {
 	for r.copying.CompareAndSwap(false, true) {
 		urgent := r.leaves(from)
-		g.copyRun(r, from, urgent)
+		done := g.copyRun(r, from, urgent)
 		r.copying.Store(false)
-		if !r.isAt(from) {
+		// What happened during the copy found the run busy.
+		switch {
+		case !r.isAt(from):
 			r.copyAgain()
 			return
-		}
-		// A notice during the copy found the run busy.
-		if urgent || !r.leaves(from) || r.usableCopy() != nil {
+		case done && r.hasCopy():
+			return
+		case !done && (urgent || !r.leaves(from)):
 			return
 		}
 	}
@@ -208,8 +216,8 @@
 // processed cannot be copied yet, so a failed copy is retried until the run has
 // left the engine or protectLimit has passed. It is not retried if the other
 // engine has no room. An urgent copy, of a run whose engine will leave, is also
-// retried if no engine is suitable.
-func (g *Gateway) copyRun(r *run, from roster.Endpoint, urgent bool) {
+// retried if no engine is suitable. It reports whether a copy was made.
+func (g *Gateway) copyRun(r *run, from roster.Endpoint, urgent bool) bool {
 	begun := time.Now()
 	until := begun.Add(protectLimit)
 	for {
@@ -218,7 +226,7 @@
 		switch {
 		case !ok && !urgent:
 			counters.Add("copies_no_room", 1)
-			return
+			return false
 		case !ok:
 			g.logDecision(r.j, "copy_no_room", logrus.Fields{"endpoint": from.ID})
 		default:
@@ -226,7 +234,7 @@
 			moved, err := g.copyMemory(r, from, to)
 			copied := err == nil && !moved.Failed
 			if copied && g.keepCopy(r, from, to, ticket, moved, ordered) {
-				return
+				return true
 			}
 			r.enginePool.release(ticket, 0, false)
 			detail := noRoom
@@ -243,11 +251,11 @@
 				"endpoint": from.ID, "to": to.ID, "detail": detail, "took": time.Since(begun).Milliseconds(),
 			})
 			if detail == noRoom {
-				return // memory is scarce; copies to further engines would use up more of it
+				return false // memory is scarce; copies to further engines would use up more of it
 			}
 		}
 		if time.Now().After(until) || !sleep.For(g.base, pause) || !r.isAt(from) || r.usableCopy() != nil || urgent != r.leaves(from) {
-			return
+			return false
 		}
 	}
 }
@@ -346,7 +354,10 @@
 	ordered := time.Now()
 	moved, err := g.copyMemory(r, b.from, b.endpoint)
 	r.copying.Store(false)
-	if !r.isAt(b.from) {
+	r.mu.Lock()
+	current := r.backup == b
+	r.mu.Unlock()
+	if !current {
 		r.copyAgain()
 		return
 	}
