channel: an answer's header ends within 64 KiB

Callers saw: nothing, or 504 at their deadline, while the instance read and kept a header line, header lines or a status line for as long as the endpoint sent them, or skipped interim answers without end. The same for engines' reports and for the store, which use the same connections.

Cause: http.ReadResponse has no limit of its own, and Receive set none; the loop over interim answers had none either.

Change: the reader of a connection fails with ErrSize after maxHeadBytes (64 KiB, the same as for callers' headers) of one header and the interim answers before it. The limit is set at each Receive and does not count bodies. The request's outcome is unknown, as for any answer that cannot be read (502); what may run once is sent once, the connection is closed. TestLongHeader: a header just below the limit still passes, with a body of twice the limit, three times on one connection.

--- a/connection/channel/channel.go
+++ b/connection/channel/channel.go
@@ -12,6 +12,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -19,6 +20,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
 )
 
 const (
@@ -30,8 +32,12 @@
 	probeCount         = 2                // unanswered probes after which the connection is closed
 	readBufferBytes    = 4 << 10          // read buffer of a connection
 	writeTimeout       = 10 * time.Second // for sending a request
+	maxHeadBytes       = 64 << 10         // header of an answer, together with the interim answers before it
 )
 
+// ErrSize is returned for an answer that is longer than a limit.
+var ErrSize = errors.New("answer is too long")
+
 type (
 	// Pool holds idle connections by address. The zero value is ready for use;
 	// exported fields must be set before it.
@@ -58,9 +64,10 @@
 		Fresh bool // no request has been sent on it yet
 
 		conn     net.Conn
-		reader   *bufio.Reader
-		expires  time.Time // not reused from then on, because the endpoint may close it
-		lastUsed time.Time // when the latest answer ended
+		limited  *limitedReader // of conn
+		reader   *bufio.Reader  // of limited
+		expires  time.Time      // not reused from then on, because the endpoint may close it
+		lastUsed time.Time      // when the latest answer ended
 	}
 )
 
@@ -118,7 +125,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w", addr, err)
 	}
-	return &Channel{Addr: addr, Fresh: true, conn: conn, reader: bufio.NewReaderSize(conn, readBufferBytes)}, nil
+	limited := &limitedReader{conn: conn}
+	return &Channel{Addr: addr, Fresh: true, conn: conn, limited: limited, reader: bufio.NewReaderSize(limited, readBufferBytes)}, nil
 }
 
 func dialTCP(ctx context.Context, addr string) (net.Conn, error) {
@@ -230,17 +238,21 @@
 }
 
 // Receive reads the header of the next answer, which is parsed as an answer to r,
-// and skips interim (1xx) ones. The body must be read from the result.
+// and skips interim (1xx) ones. The body must be read from the result; its length
+// is not limited. The error wraps ErrSize if the header, or the interim answers
+// before it, do not end within maxHeadBytes.
 func (c *Channel) Receive(r *http.Request, deadline time.Time) (*http.Response, error) {
 	if err := c.conn.SetReadDeadline(deadline); err != nil {
 		return nil, fmt.Errorf("set read deadline: %w", err)
 	}
+	c.limited.left = maxHeadBytes
 	for {
 		res, err := http.ReadResponse(c.reader, r)
 		if err != nil {
 			return nil, fmt.Errorf("read answer of %s: %w", c.Addr, err)
 		}
 		if res.StatusCode >= http.StatusOK {
+			c.limited.left = math.MaxInt64
 			return res, nil
 		}
 	}
@@ -249,14 +261,31 @@
 // Close closes the connection.
 func (c *Channel) Close() { _ = c.conn.Close() }
 
-// countingWriter counts the bytes that were written to conn.
-type countingWriter struct {
-	conn net.Conn
-	n    int
-}
+type (
+	// countingWriter counts the bytes that were written to conn.
+	countingWriter struct {
+		conn net.Conn
+		n    int
+	}
+
+	// limitedReader reads up to left bytes from conn and then fails with ErrSize.
+	limitedReader struct {
+		conn net.Conn
+		left int64
+	}
+)
 
 func (w *countingWriter) Write(p []byte) (int, error) {
 	n, err := w.conn.Write(p)
 	w.n += n
 	return n, err
 }
+
+func (r *limitedReader) Read(p []byte) (int, error) {
+	if r.left <= 0 {
+		return 0, ErrSize
+	}
+	n, err := r.conn.Read(p[:min(int64(len(p)), r.left)])
+	r.left -= int64(n)
+	return n, err
+}
--- a/connection/channel/channel_test.go
+++ b/connection/channel/channel_test.go
@@ -165,6 +165,31 @@
 	}
 }
 
+// A long header, and some interim answers before it, must be accepted within the
+// limit, and the limit must not count the body or earlier answers.
+func TestLongHeader(t *testing.T) {
+	long := "X-Long: " + strings.Repeat("x", maxHeadBytes-readBufferBytes) + "\r\n"
+	body := strings.Repeat("b", 2*maxHeadBytes)
+	addr := serve(t, func(conn net.Conn, _ int, r *http.Request) bool {
+		if r.URL.Path == "/over" {
+			_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s%sContent-Length: 0\r\n\r\n", long, long)
+			return err == nil
+		}
+		_, err := fmt.Fprintf(conn, "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", long, len(body), body)
+		return err == nil
+	})
+	c, err := (&Pool{}).Get(t.Context(), addr, time.Now())
+	require.NoError(t, err)
+	defer c.Close()
+	for range 3 {
+		got, err := do(t, c, "/")
+		require.NoError(t, err)
+		require.Equal(t, len(body), len(got))
+	}
+	_, err = do(t, c, "/over")
+	require.ErrorIs(t, err, ErrSize)
+}
+
 // CloseExpired must close connections after three quarters of the endpoint's idle
 // timeout, and CloseIdle all idle connections to an address, which another endpoint
 // may have taken over.
