platform: a late answer of another request is skipped whole or not at all

Callers saw: bytes of the body of another request's answer as their own answer, if a late answer was longer than 1 MiB and had bytes there that read as a header with their request's ID. Small chunks cost six times the bytes that the limit names.

Cause: receive read up to 1 MiB of a skipped answer and then read the next header from wherever that ended.

Change: Channel.Limit makes reading fail after so many bytes of the connection, with their framing. How "not run" is recognised is not changed.

--- a/connection/channel/channel.go
+++ b/connection/channel/channel.go
@@ -238,8 +238,8 @@
 }
 
 // Receive reads the header of the next answer, which is parsed as an answer to r,
-// and skips interim (1xx) ones. The body must be read from the result; its length
-// is not limited. The error wraps ErrSize if the header, or the interim answers
+// and skips interim (1xx) ones. The body must be read from the result; Limit
+// limits its length. The error wraps ErrSize if the header, or the interim answers
 // before it, do not end within maxHeadBytes.
 func (c *Channel) Receive(r *http.Request, deadline time.Time) (*http.Response, error) {
 	if err := c.conn.SetReadDeadline(deadline); err != nil {
@@ -258,6 +258,11 @@
 	}
 }
 
+// Limit makes reading the current answer fail with ErrSize after n further bytes
+// of the connection, which include those that frame chunks. The limit ends with
+// the answer.
+func (c *Channel) Limit(n int64) { c.limited.left = n }
+
 // Close closes the connection.
 func (c *Channel) Close() { _ = c.conn.Close() }
 
