gateway: a long answer to a repeatable request is passed on to its end

Callers saw: an answer of more than 1 MiB to a safe request broke off after the first 1 MiB, whenever the route has a latency target and a second replica was still allowed.

Cause: the first attempt runs under a context with 0.8 of the target as its limit. It was cancelled as soon as the first 1 MiB had been read, which closed the connection before the rest was passed on.

Change: if there is a rest, Answer.Follow ties the connection to the request's context, which ends at the request's deadline or when the caller leaves, before the attempt's context is cancelled.

--- a/process/gateway/call.go
+++ b/process/gateway/call.go
@@ -74,6 +74,9 @@
 		}
 		limited, cancel := g.attemptContext(ctx, j, sends)
 		kept, fault := g.try(limited, j, p, e)
+		if kept != nil && kept.rest != nil {
+			kept.rest.Follow(ctx) // the limit of the attempt is for the begin of its answer
+		}
 		cancel()
 		if fault == nil {
 			observe(callTime, time.Since(j.Arrived))
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -85,6 +85,9 @@
 		NotRun        bool          // the endpoint reports that it did not run the request
 		AddressReused bool          // another endpoint now has the address
 		Connect       time.Duration // time to open a new connection, 0 for a kept one
+		// Follow makes the end of ctx break off the body, in place of the end of
+		// the context that Send was given.
+		Follow func(ctx context.Context)
 		// Close releases the connection. The argument whole reports whether the
 		// body was read to its end.
 		Close func(whole bool)
--- a/process/gateway/testgateway_test.go
+++ b/process/gateway/testgateway_test.go
@@ -158,7 +158,7 @@
 func plainAnswer(status int, body string) *Answer {
 	return &Answer{
 		Status: status, Header: http.Header{"X-Seal": {fmt.Sprint(status, body)}}, Body: strings.NewReader(body), Length: int64(len(body)),
-		Close: func(bool) {},
+		Follow: func(context.Context) {}, Close: func(bool) {},
 	}
 }
 
