gateway: a long answer that is replaced by another attempt is closed at once

Callers saw: nothing; a replica that had answered a safe request with a long server error kept its connection until the request ended at another replica.

Cause: the rest of the answer was closed by the cancellation of the attempt's context only.

Evidence: before, Error: Should be true Test: TestReplacedLongAnswerIsClosed

Change: call closes the rest before it makes the next attempt.

--- a/process/gateway/call.go
+++ b/process/gateway/call.go
@@ -104,6 +104,9 @@
 		if !ok || !waitUntil(ctx, at) {
 			return g.giveUp(j, kept, fault, mayHaveRun, e, attempt)
 		}
+		if kept != nil && kept.rest != nil {
+			kept.rest.Close(false)
+		}
 	}
 }
 
--- a/process/gateway/call_test.go
+++ b/process/gateway/call_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -117,6 +118,25 @@
 	require.Len(t, w.calls, 1)
 }
 
+// The connection of a long server error must be closed before the request is
+// sent to another replica, not only when the request ends.
+func TestReplacedLongAnswerIsClosed(t *testing.T) {
+	w := newTestGateway(t)
+	closed := false
+	w.answer = func(n int, _ Call) (*Answer, error) {
+		if n == 0 {
+			a := plainAnswer(http.StatusInternalServerError, strings.Repeat("a", maxBufferedAnswer+1))
+			a.Close = func(whole bool) { closed = !whole }
+			return a, nil
+		}
+		require.True(t, closed)
+		return plainAnswer(http.StatusOK, "yes"), nil
+	}
+	rec, err := w.request("/read/1")
+	require.NoError(t, err)
+	require.Equal(t, "yes", rec.Body.String())
+}
+
 // The route's timeout limits the wait for an answer; a request that was sent by
 // then has an unknown outcome.
 func TestTimeoutOfARoute(t *testing.T) {
