soak: the violated retry budget is seen at a low rate of requests

Cause, from the ledger of traced runs: the routes of the simulated platform try two endpoints per request. With the product's budget lifted, a request ran at most twice (requests by runs: 0:169 1:509 2:178, none above 2), and only every second request to the plain service may be repeated. That is at most 0.5 repeats per request, against 0.2 per request and 52 that are allowed, so a breach needs more than 173 plain requests in one window of 10 s. In addition, the plan takes all three plain replicas away for about 5 s of the 20 s. The route limited the repeats, and the rate of requests decided the verdict. Neither the product nor the check is at fault.

The case now lets the routes try 9 endpoints and has 9 plain replicas. A repeatable request then has up to 8 repeats, which wait for the backoff and use little processor time. A request of every second or third of the 60 callers exceeds the budget. The plan no longer takes all replicas away.

--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -34,6 +34,7 @@
 	plainsEach     = 0.7 // replicas of the plain service per instance
 	callersEach    = 6   // callers per instance
 	minEndpoints   = 3   // minimum number of endpoints of each service
+	budgetReplicas = 9   // plain replicas, and attempts of a request, when Budget is violated on purpose
 	watchInterval  = 50 * time.Millisecond
 	stallThreshold = 400 * time.Millisecond // between two ticks: the machine was too busy for bounds to hold
 	startTimeout   = 30 * time.Second       // until all instances are ready
@@ -144,6 +145,12 @@
 	if s.Pause == 0 {
 		s.Pause = thinkTime
 	}
+	if s.Sabotage == Budget {
+		// With fewer attempts the routes limit the repeats, and only a high rate
+		// of requests exceeds the budget. With these, one repeatable request of
+		// each caller does.
+		s.store.Attempts = budgetReplicas
+	}
 }
 
 // setUp starts the store, the endpoints and the instances, and waits until the
@@ -215,7 +222,11 @@
 		service string
 		each    float64
 	}{{fake.EngineService, enginesEach}, {fake.PlainService, plainsEach}} {
-		for n := range max(int(kind.each*float64(s.Instances)), minEndpoints) {
+		count := max(int(kind.each*float64(s.Instances)), minEndpoints)
+		if s.Sabotage == Budget && kind.service == fake.PlainService {
+			count = max(count, budgetReplicas)
+		}
+		for n := range count {
 			seed := s.Seed + uint64(len(sites))
 			sites = append(sites, &site{
 				s: s, n: n, service: kind.service, place: s.placeNames[n%len(s.placeNames)], random: rand.New(rand.NewPCG(seed, seed)),
