soak: a probe of a revoked key waits until the answer decides

Cause: a probe with a withdrawn key had 1 s for its answer. On a busy machine many answers need longer, and an answer that says nothing about the key (deadline exceeded, canceled, 503 without a replica) counted as a kept promise. In addition, the probe took turns with two others that also wait. So the check could miss a served key.

The probe now runs beside the other two and waits for requestTimeout, as a caller does. Only an answer of an endpoint or a 401 is a check.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -9,6 +9,8 @@
 	"strings"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"github.com/eelgrassdock/eelgrassdock/internal/sleep"
 	"github.com/eelgrassdock/eelgrassdock/platform/fake"
 )
@@ -16,7 +18,7 @@
 const (
 	accountsUsed   = 4
 	requestTimeout = 12 * time.Second // from a caller's request to its deadline
-	queryTimeout   = time.Second      // for a query of instance addresses and for a probe's request
+	queryTimeout   = time.Second      // for a query of instance addresses and for a probe's request of a route
 	maxQueries     = 3                // attempts to query instance addresses before one request
 	overuse        = 3                // one in this many answers to an address query is used for this many times its lifetime
 	maxEvents      = 150
@@ -184,10 +186,20 @@
 	seenAt time.Time // when seen was first observed
 }
 
-// probe runs the checks of one instance in turn until ctx ends.
+// probe runs the checks of one instance until ctx ends: those of routes in turn,
+// and that of keys beside them, because it waits longer for an answer.
 func (s *Soak) probe(ctx context.Context, i *instance) {
 	p := &probe{s: s, i: i, client: s.newClient()}
-	checks := []func(context.Context){p.checkNewest, p.checkReplaced, p.checkRevoked}
+	var keys conc.WaitGroup
+	defer keys.Wait()
+	keys.Go(func() {
+		for sleep.For(ctx, probeInterval) {
+			if i.running() {
+				p.checkRevoked(ctx)
+			}
+		}
+	})
+	checks := []func(context.Context){p.checkNewest, p.checkReplaced}
 	for n := 0; sleep.For(ctx, probeInterval); n++ {
 		if !i.running() {
 			continue
@@ -205,7 +217,7 @@
 	sent := time.Now()
 	due := sent.Sub(at) > configBound && p.s.ledger.Settled(p.i.name, sent)
 	key, owner := permanentKey(0)
-	r := p.send(ctx, fake.VersionPrefix(version)+"x", key, owner)
+	r := p.send(ctx, fake.VersionPrefix(version)+"x", key, owner, queryTimeout)
 	now, _, _ := p.s.operators.state() // a newer version may have removed the route meanwhile
 	if r.Status == http.StatusNotFound && now == version && p.i.startCount() == p.starts {
 		p.s.ledger.Check(Config, !due, "%s lacks version %d after %s", p.i.name, version, sent.Sub(at))
@@ -229,7 +241,7 @@
 	sent := time.Now()
 	due := sent.Sub(at) > configBound && p.s.ledger.Settled(p.i.name, sent)
 	key, owner := permanentKey(0)
-	r := p.send(ctx, fake.VersionPrefix(before)+"x", key, owner)
+	r := p.send(ctx, fake.VersionPrefix(before)+"x", key, owner, queryTimeout)
 	if r.Seal == "" || p.i.startCount() != p.starts {
 		return
 	}
@@ -238,19 +250,23 @@
 		"%s uses version %d after %d", p.i.name, before, version)
 }
 
-// checkRevoked sends a request with a key that was withdrawn.
+// checkRevoked sends a request with a key that was withdrawn. An answer that
+// decides nothing about the key is no check.
 func (p *probe) checkRevoked(ctx context.Context) {
 	sent := time.Now()
 	gone, ok := p.s.operators.withdrawn(sent.Add(-revokeBound))
 	if !ok || !p.s.ledger.Settled(p.i.name, sent) {
 		return
 	}
-	r := p.send(ctx, fake.SafePrefix+"x", gone.key, "visitor")
+	r := p.send(ctx, fake.SafePrefix+"x", gone.key, "visitor", requestTimeout)
+	if r.Seal == "" && r.Status != http.StatusUnauthorized {
+		return
+	}
 	p.s.ledger.Check(Revoked, r.Seal == "", "%s serves key %s, withdrawn %s ago", p.i.name, gone.key, sent.Sub(gone.at))
 }
 
-func (p *probe) send(ctx context.Context, path, key, owner string) fake.Reply {
-	a := fake.Request{ID: fmt.Sprintf("%016x", rand.Uint64()), Path: path, Key: key, Deadline: time.Now().Add(queryTimeout)}
+func (p *probe) send(ctx context.Context, path, key, owner string, timeout time.Duration) fake.Reply {
+	a := fake.Request{ID: fmt.Sprintf("%016x", rand.Uint64()), Path: path, Key: key, Deadline: time.Now().Add(timeout)}
 	p.s.ledger.Sent(a.ID, p.i.name, fake.PlainService, owner, false, time.Now())
 	return a.Do(ctx, p.client, p.i.settings.Callers)
 }
