quarantine: find the parts of prompts that crash engines

Not in use yet.

TestInstancesAgree (rapid) found one fault of an earlier form: an instance that heard that a part is free, but not of the answer that freed it, condemned it again on the same crashes, one level higher each round.

--- /dev/null
+++ b/process/quarantine/wire.go
@@ -0,0 +1,150 @@
+package quarantine
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+const (
+	suspectsPerUpdate = 5 // so that an update fits into one packet
+	answersPerUpdate  = 12
+	verdictsPerUpdate = 12
+	explainedTime     = 10 * time.Second // time for which a suspect is sent whose crash is explained
+	maxLevel          = 1 << 10
+	maxAge            = int64(24 * time.Hour / time.Millisecond)
+)
+
+type (
+	// Update is what one instance tells the others, as one datagram.
+	Update struct {
+		_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
+
+		Suspects []sentSuspect
+		Answers  []sentAnswer
+		Verdicts []sentVerdict
+	}
+
+	// All times are ages or the time left, in milliseconds.
+	sentSuspect struct {
+		_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
+
+		Crash, Request uint64
+		Sent, Ended    int64
+		Begun          bool
+		Parts          []uint64
+	}
+
+	sentAnswer struct {
+		_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
+
+		Part uint64
+		Age  int64
+	}
+
+	sentVerdict struct {
+		_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
+
+		Part  uint64
+		Level int
+		Freed bool
+		Last  int64
+		Left  int64
+	}
+)
+
+// Updates encodes what is new since the last call, and if all is set also what is
+// repeated: the suspects of this instance, its latest answers and all verdicts.
+func (r *Register) Updates(all bool, now time.Time) ([][]byte, error) {
+	if r.view.Load() == nil {
+		return nil, nil
+	}
+	r.mu.Lock()
+	u := r.collect(all, now)
+	r.mu.Unlock()
+	var list [][]byte
+	for len(u.Suspects)+len(u.Answers)+len(u.Verdicts) > 0 {
+		var part Update
+		part.Suspects, u.Suspects = split(u.Suspects, suspectsPerUpdate)
+		part.Answers, u.Answers = split(u.Answers, answersPerUpdate)
+		part.Verdicts, u.Verdicts = split(u.Verdicts, verdictsPerUpdate)
+		data, err := msgpack.Marshal(&part)
+		if err != nil {
+			return nil, fmt.Errorf("encode suspects: %w", err)
+		}
+		list = append(list, data)
+	}
+	return list, nil
+}
+
+// collect returns what is to be sent. The lock must be held.
+func (r *Register) collect(all bool, now time.Time) Update {
+	var u Update
+	age := func(t time.Time) int64 { return now.Sub(t).Milliseconds() }
+	for _, s := range r.suspects {
+		if s.unsent || all && s.own && (!s.explained || now.Sub(s.Ended) < explainedTime) {
+			u.Suspects = append(u.Suspects, sentSuspect{
+				Crash: s.Crash, Request: s.Request, Sent: age(s.Sent), Ended: age(s.Ended), Begun: s.Begun, Parts: s.Parts,
+			})
+			s.unsent = false
+		}
+	}
+	for p, a := range r.answers {
+		if a.unsent || all && a.sends > 0 {
+			u.Answers = append(u.Answers, sentAnswer{Part: p, Age: age(a.at)})
+			if !a.unsent {
+				a.sends--
+			}
+			a.unsent = false
+		}
+	}
+	for _, v := range r.verdicts {
+		// Verdicts that will soon be forgotten are not passed on: they would come
+		// back from the instances that forget them a little later.
+		if v.unsent || all && now.Sub(v.Until) < verdictMemory/2 {
+			u.Verdicts = append(u.Verdicts, sentVerdict{Part: v.Part, Level: v.Level, Freed: v.Freed, Last: age(v.Last), Left: -age(v.Until)})
+			v.unsent = false
+		}
+	}
+	return u
+}
+
+// Merge decodes an update of another instance and applies it. Values out of their
+// bounds are ignored.
+func (r *Register) Merge(data []byte, now time.Time) error {
+	var u Update
+	if err := msgpack.Unmarshal(data, &u); err != nil {
+		return fmt.Errorf("decode suspects: %w", err)
+	}
+	defer r.update(now)()
+	at := func(age int64) time.Time { return now.Add(-time.Duration(age) * time.Millisecond) }
+	recent := func(age int64) bool { return age >= 0 && age <= Memory.Milliseconds() }
+	for _, a := range u.Answers {
+		if recent(a.Age) {
+			r.addAnswer(a.Part, &answer{at: at(a.Age)})
+		}
+	}
+	for _, v := range u.Verdicts {
+		left, last := v.Left, v.Last
+		if v.Level < 1 || v.Level > maxLevel || left > MaxHold.Milliseconds() || left < -verdictMemory.Milliseconds() || last < 0 ||
+			last > maxAge {
+			continue
+		}
+		r.addVerdict(&verdict{Verdict: Verdict{Part: v.Part, Level: v.Level, Freed: v.Freed, Last: at(last), Until: at(-left)}}, Adopted)
+	}
+	for _, s := range u.Suspects {
+		if !recent(s.Ended) || s.Sent < s.Ended || s.Sent > maxAge || len(s.Parts) < 2 || len(s.Parts) > maxParts {
+			continue
+		}
+		r.addSuspect(&suspect{Suspect: Suspect{
+			Crash: s.Crash, Request: s.Request, Sent: at(s.Sent), Ended: at(s.Ended), Begun: s.Begun, Parts: s.Parts,
+		}})
+	}
+	return nil
+}
+
+func split[T any](list []T, n int) (head, tail []T) {
+	n = min(n, len(list))
+	return list[:n], list[n:]
+}
