gateway: log and exchange the evidence of engine crashes

The logs could not tell which request an engine crashed on, nor that crashes seen by several instances have a part of their prompts in common. A request that is at an engine without an event when it ends the connection is now reported if the host then refuses connections and the engine gave no notice (crash_suspect, with the parts of the prompt); verdicts are logged too (part_judged). Instances exchange suspects beside their loads. Nothing is refused yet.

--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -34,6 +34,7 @@
 	"github.com/eelgrassdock/eelgrassdock/process/logging"
 	"github.com/eelgrassdock/eelgrassdock/process/member"
 	"github.com/eelgrassdock/eelgrassdock/process/mirror"
+	"github.com/eelgrassdock/eelgrassdock/process/quarantine"
 	"github.com/eelgrassdock/eelgrassdock/process/roster"
 	"github.com/eelgrassdock/eelgrassdock/request/refusal"
 	"github.com/eelgrassdock/eelgrassdock/version/routing"
@@ -60,6 +61,7 @@
 		Prompt   int       // length in tokens, 0 if not stated
 		Max      int       // maximum number of tokens to produce, 0 if not stated
 		After    string    // ID of the last event that the caller has received
+		Parts    []string  // IDs of the parts of the prompt, in order; the last belongs to the request or its session
 	}
 
 	// Call is one attempt to send a request to one endpoint.
@@ -117,7 +119,8 @@
 		// error is a *refusal.Error.
 		Send func(ctx context.Context, c Call) (*Answer, error)
 		// Report requests an engine's state. The error of an engine to which no
-		// connection can be opened is marked ErrUnreachable.
+		// connection can be opened is marked ErrUnreachable, and also ErrRefused if
+		// its host refused the connection.
 		Report func(ctx context.Context, e roster.Endpoint) (Report, error)
 		// Move copies a generation's memory. Free releases a copy, which is
 		// identified by the engine it was made from and its handle.
@@ -153,17 +156,19 @@
 		// Trim closes connections that were idle for too long. It may be nil.
 		Trim func()
 
-		Tables      routing.Keeper
-		Roster      roster.Roster
-		lengths     length.Learner
-		enginePools sync.Map // service ID to *enginePool
-		pools       sync.Map // service ID to *pool
-		runs        runRegistry
-		sampler     logging.Sampler
-		board       loads.Board
-		notices     chan loads.Notice // findings to send to other instances
-		loadChanged chan struct{}     // signals that this instance's load has changed
-		feeds       map[string]*feed  // by table
+		Tables          routing.Keeper
+		Roster          roster.Roster
+		lengths         length.Learner
+		enginePools     sync.Map // service ID to *enginePool
+		pools           sync.Map // service ID to *pool
+		runs            runRegistry
+		sampler         logging.Sampler
+		board           loads.Board
+		notices         chan loads.Notice // findings to send to other instances
+		loadChanged     chan struct{}     // signals that this instance's load has changed
+		quarantine      quarantine.Register
+		suspectsChanged chan struct{}    // signals that quarantine has something to send
+		feeds           map[string]*feed // by table
 
 		id           string
 		stored       atomic.Pointer[storedTable]
--- a/process/gateway/generate.go
+++ b/process/gateway/generate.go
@@ -16,6 +16,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/eelgrassdock/eelgrassdock/process/placement"
+	"github.com/eelgrassdock/eelgrassdock/process/quarantine"
 	"github.com/eelgrassdock/eelgrassdock/process/roster"
 	"github.com/eelgrassdock/eelgrassdock/request/refusal"
 	"github.com/eelgrassdock/eelgrassdock/request/stream"
@@ -49,6 +50,8 @@
 		firstDelay  time.Duration // from the request's arrival to its first event
 		longestGap  time.Duration // longest time between two events
 		lastPassed  time.Time     // time at which the latest event was passed on
+		parts       []uint64      // of the prompt, as in package quarantine
+		current     attemptState
 
 		copying atomic.Bool // a notice has started copying of its memory
 
@@ -83,7 +86,7 @@
 func (g *Gateway) generate(ctx context.Context, j *job, s *routing.Service) error {
 	r := &run{
 		g: g, j: j, engine: s.Engine, enginePool: g.enginePool(j.service, s.Engine), pool: g.countRequest(j.service),
-		begun: time.Now(), lastEvent: j.After,
+		begun: time.Now(), lastEvent: j.After, parts: quarantine.Hash(j.service, j.Parts),
 	}
 	if g.Stopping() && !j.route.Repeatable() {
 		// The generation would probably outlive this instance.
@@ -130,6 +133,7 @@
 	quiet := r.watchSilence(attemptCtx, a.endpoint, cancel)
 	defer quiet.Stop()
 	sent := time.Now()
+	r.current = attemptState{sent: sent}
 	answer, err := r.g.Backend.Send(attemptCtx, c)
 	if err != nil {
 		return r.handleSendError(ctx, a, silenceError(attemptCtx, refusal.From(err)))
@@ -143,6 +147,7 @@
 		return r.handlePlainAnswer(ctx, a, answer)
 	}
 	r.sends++
+	r.current.answering = true
 	if r.header == nil || a.memory == "" {
 		r.header = answer.Header
 	}
@@ -238,6 +243,7 @@
 		if event.ID != "" {
 			r.lastEvent = event.ID
 		}
+		r.noteFirstEvent()
 		r.progress()
 		quiet.Reset(silenceTimeout)
 	}
@@ -303,6 +309,7 @@
 		r.sends++
 	}
 	r.logAttempt("attempt_failed", a, logrus.Fields{"reason": f.Reason, "outcome": f.Outcome.String(), "detail": f.Detail})
+	r.checkCrash(a, f)
 	if a.memory != "" {
 		// The copy is not tried again: an engine gives it to the first attempt
 		// that names it, and an engine that was not reached is taken as gone.
@@ -390,11 +397,13 @@
 	r.mu.Unlock()
 	r.logAttempt("stream_broken", a, logrus.Fields{"detail": err.Error(), "events": events, "backup": copied})
 	r.enginePool.suspect(a.endpoint.ID)
+	f := refusal.FromCallError(err, true)
+	r.checkCrash(a, f)
 	if next := r.takeBackup(); next != nil {
 		r.hops++
 		return next, nil
 	}
-	return r.rerun(ctx, a, refusal.FromCallError(err, true))
+	return r.rerun(ctx, a, f)
 }
 
 // finalError returns the error that ends a request: ErrCut if a part of the
--- a/process/gateway/health.go
+++ b/process/gateway/health.go
@@ -23,6 +23,10 @@
 // connection.
 var ErrUnreachable = errors.New("no connection to the endpoint")
 
+// ErrRefused marks the error of a Backend function if the host of the endpoint
+// refused a connection: no process listens at the address.
+var ErrRefused = errors.New("connection refused")
+
 // startCheck starts probing an engine that failed or that another instance
 // reported as unreachable, unless it is being probed already. While the engine
 // is unreachable, it gets no requests and no copies, and copies there do not
--- a/process/gateway/loads.go
+++ b/process/gateway/loads.go
@@ -51,12 +51,14 @@
 		case <-ticker.C:
 			all = true
 			g.board.Expire(time.Now())
+			g.quarantine.Expire(time.Now())
 		case notice := <-g.notices:
 			data, err := sender.Notices(notice)
 			if err != nil {
 				g.Log.WithError(err).Error("notice to other instances cannot be encoded")
 			}
 			datagrams = append(datagrams, data)
+		case <-g.suspectsChanged:
 		case <-g.loadChanged:
 			sleep.For(g.base, batchDelay)
 		}
@@ -65,6 +67,7 @@
 			g.Log.WithError(err).Error("load cannot be encoded")
 		}
 		datagrams = append(datagrams, changes...)
+		datagrams = append(datagrams, g.suspectUpdates(&sender, all)...)
 		for _, m := range g.members.Members() {
 			host, _, err := net.SplitHostPort(m.Probe)
 			if err != nil || m.ID == g.id {
@@ -111,7 +114,7 @@
 	if err != nil {
 		return err
 	}
-	g.board.OnChange, g.board.OnNotice = g.onRemoteLoad, g.onNotice
+	g.board.OnChange, g.board.OnNotice, g.board.OnSuspects = g.onRemoteLoad, g.onNotice, g.onSuspects
 	g.spawn(func() { g.exchangeLoads(socket) })
 	g.Log.WithFields(logrus.Fields{"event": "loads", "addr": socket.Addr()}).Debug("exchanging loads with other instances")
 	return nil
--- /dev/null
+++ b/process/gateway/quarantine.go
@@ -0,0 +1,122 @@
+package gateway
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/eelgrassdock/eelgrassdock/process/loads"
+	"github.com/eelgrassdock/eelgrassdock/process/quarantine"
+	"github.com/eelgrassdock/eelgrassdock/process/roster"
+	"github.com/eelgrassdock/eelgrassdock/request/refusal"
+)
+
+const crashProbes = 3 // connections that are tried after an engine ended one: kept ones may have ended as well
+
+// attemptState tells how far an attempt of a run has come.
+type attemptState struct {
+	sent      time.Time
+	answering bool // the engine has sent the head of its answer
+	passed    bool // an event was passed on
+}
+
+// watchSuspects connects the register of suspects to the log and to the exchange
+// with the other instances.
+func (g *Gateway) watchSuspects() {
+	g.suspectsChanged = make(chan struct{}, 1)
+	g.quarantine.Changed = g.onVerdict
+	g.quarantine.Unsent = func() {
+		select {
+		case g.suspectsChanged <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// suspectUpdates returns the datagrams that tell the other instances what the
+// register has to send.
+func (g *Gateway) suspectUpdates(sender *loads.Sender, all bool) (datagrams [][]byte) {
+	updates, err := g.quarantine.Updates(all, time.Now())
+	for _, u := range updates {
+		data, e := sender.Suspects(u)
+		if e != nil {
+			err = e
+			continue
+		}
+		datagrams = append(datagrams, data)
+	}
+	if err != nil {
+		g.Log.WithError(err).Error("suspects cannot be encoded")
+	}
+	return datagrams
+}
+
+// onSuspects handles an update of another instance.
+func (g *Gateway) onSuspects(data []byte) {
+	if err := g.quarantine.Merge(data, time.Now()); err != nil {
+		counters.Add("suspects_malformed", 1)
+	}
+}
+
+func (g *Gateway) onVerdict(c quarantine.Change) {
+	counters.Add("parts_"+c.Reason, 1)
+	g.Log.WithFields(logrus.Fields{
+		"event": "part_judged", "part": strconv.FormatUint(c.Part, 16), "verdict": c.Reason, "trials": c.Level - 1,
+		"hold": time.Until(c.Until).Milliseconds(),
+	}).Warn("verdict on a part of prompts")
+}
+
+// noteFirstEvent records that an engine has survived beginning to answer this
+// prompt, at the first event of an attempt.
+func (r *run) noteFirstEvent() {
+	if !r.current.passed {
+		r.current.passed = true
+		r.g.quarantine.Begun(r.parts, time.Now())
+	}
+}
+
+// checkCrash reports the run as a suspect if its engine ended the connection of an
+// attempt before the first event and has crashed. It waits for the result if the
+// engine had begun to answer, and then reports whether it has crashed.
+func (r *run) checkCrash(a *attempt, f *refusal.Error) bool {
+	state, ended := r.current, time.Now()
+	if f.Reason != refusal.Broken || state.passed {
+		return false
+	}
+	if state.answering {
+		return r.reportCrash(a.endpoint, state, ended)
+	}
+	r.g.spawn(func() { r.reportCrash(a.endpoint, state, ended) })
+	return false
+}
+
+func (r *run) reportCrash(e roster.Endpoint, p attemptState, ended time.Time) bool {
+	if !r.enginePool.hasCrashed(e) {
+		return false
+	}
+	counters.Add("crash_suspects", 1)
+	r.g.logDecision(r.j, "crash_suspect", logrus.Fields{"endpoint": e.ID, "answering": p.answering, "parts": r.j.Parts})
+	r.g.quarantine.Report(quarantine.Suspect{
+		Crash:   quarantine.ID(e.ID, strconv.FormatInt(e.Born, 10)),
+		Request: quarantine.ID("request", r.j.ID),
+		Sent:    p.sent, Ended: ended, Begun: p.answering, Parts: r.parts,
+	}, time.Now())
+	return true
+}
+
+// hasCrashed reports whether an engine that has just ended a connection is gone
+// without notice: its host refuses a new connection. An engine that is silent or
+// cut off may be running, and one that answers has only closed the connection.
+func (p *enginePool) hasCrashed(e roster.Endpoint) bool {
+	if now, ok := p.g.Roster.Get(e.ID); !ok || now.Leaving {
+		return false
+	}
+	for range crashProbes {
+		if err := p.probe(e); err == nil || errors.Is(err, ErrUnreachable) {
+			return errors.Is(err, ErrRefused)
+		}
+	}
+	return false
+}
--- a/process/loads/loads.go
+++ b/process/loads/loads.go
@@ -55,6 +55,9 @@
 		OnChange func(Load)
 		// OnNotice is called with each notice received from another instance.
 		OnNotice func(Notice)
+		// OnSuspects is called with each update of the suspects of another
+		// instance (package quarantine), in any order and possibly repeatedly.
+		OnSuspects func(data []byte)
 
 		mu    sync.Mutex
 		peers map[string]*peer
@@ -75,10 +78,11 @@
 	message struct {
 		_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
 
-		From    string
-		Seq     uint64
-		Loads   []Load
-		Notices []Notice
+		From     string
+		Seq      uint64
+		Loads    []Load
+		Notices  []Notice
+		Suspects []byte // absent in datagrams of older versions, which ignore it
 	}
 
 	// Sender encodes the datagrams of one instance. It is not safe for concurrent
@@ -102,6 +106,16 @@
 	return data, nil
 }
 
+// Suspects encodes an update of the suspects of this instance as one datagram.
+func (s *Sender) Suspects(update []byte) ([]byte, error) {
+	s.seq++
+	data, err := msgpack.Marshal(&message{From: s.From, Seq: s.seq, Suspects: update})
+	if err != nil {
+		return nil, fmt.Errorf("encode suspects: %w", err)
+	}
+	return data, nil
+}
+
 // Changes encodes the loads whose Runs or Sent differ from those sent before, and
 // if all is set every load with runs, as datagrams of at most maxPerDatagram loads.
 func (s *Sender) Changes(own []Load, all bool) ([][]byte, error) {
@@ -172,6 +186,9 @@
 	for _, n := range notices {
 		b.OnNotice(n)
 	}
+	if len(m.Suspects) > 0 {
+		b.OnSuspects(m.Suspects)
+	}
 	return nil
 }
 
