gateway: failing test for parts of prompts that crash engines

TestDeadlyPartStopsReachingEngines: three instances before four engines that crash when they begin an answer on a part.

--- a/process/gateway/testgateway_test.go
+++ b/process/gateway/testgateway_test.go
@@ -36,6 +36,7 @@
 	answer      func(n int, c Call) (*Answer, error)
 	move        func(m Move) (Moved, error)
 	unreachable map[string]bool // endpoints that cannot be reached
+	crashed     map[string]bool // endpoints whose host refuses connections
 	reports     int             // number of reports requested
 }
 
@@ -47,7 +48,7 @@
 func newTestGateway(t testing.TB) *testGateway {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	w := &testGateway{t: t, unreachable: map[string]bool{}}
+	w := &testGateway{t: t, unreachable: map[string]bool{}, crashed: map[string]bool{}}
 	w.Gateway = &Gateway{
 		Settings: Settings{
 			Name: "i1", Place: "p0", Region: "r0", Places: map[string]string{"p0": "r0", "p1": "r1"},
@@ -70,6 +71,9 @@
 			w.mu.Lock()
 			defer w.mu.Unlock()
 			w.reports++
+			if w.crashed[e.ID] {
+				return Report{}, errors.Mark(errors.Mark(errors.New("connection refused"), ErrRefused), ErrUnreachable)
+			}
 			if w.unreachable[e.ID] {
 				return Report{}, errors.Mark(errors.New("connection refused"), ErrUnreachable)
 			}
@@ -84,6 +88,7 @@
 		Handle:           func(e roster.Endpoint, handle string) string { return e.Addr + "/" + handle },
 		CloseConnections: func(string) {}, Warm: func(context.Context, string) {},
 	}
+	w.watchSuspects()
 	ctx, cancel := context.WithCancel(t.Context())
 	w.base, w.cancel = ctx, cancel
 	t.Cleanup(cancel)
