loads: send suspects in datagrams of their own

Found by a test that decodes a datagram in the form of the version before ("number of fields in array-encoded struct has changed"). Suspects now travel in datagrams that begin with a byte which msgpack never uses; an older instance drops and counts them. TestDatagramsKeepTheirForm guards the form of loads.

--- a/process/gateway/loads.go
+++ b/process/gateway/loads.go
@@ -67,7 +67,7 @@
 			g.Log.WithError(err).Error("load cannot be encoded")
 		}
 		datagrams = append(datagrams, changes...)
-		datagrams = append(datagrams, g.suspectUpdates(&sender, all)...)
+		datagrams = append(datagrams, g.suspectUpdates(all)...)
 		for _, m := range g.members.Members() {
 			host, _, err := net.SplitHostPort(m.Probe)
 			if err != nil || m.ID == g.id {
--- a/process/gateway/quarantine.go
+++ b/process/gateway/quarantine.go
@@ -37,19 +37,14 @@
 
 // suspectUpdates returns the datagrams that tell the other instances what the
 // register has to send.
-func (g *Gateway) suspectUpdates(sender *loads.Sender, all bool) (datagrams [][]byte) {
+func (g *Gateway) suspectUpdates(all bool) (datagrams [][]byte) {
 	updates, err := g.quarantine.Updates(all, time.Now())
-	for _, u := range updates {
-		data, e := sender.Suspects(u)
-		if e != nil {
-			err = e
-			continue
-		}
-		datagrams = append(datagrams, data)
-	}
 	if err != nil {
 		g.Log.WithError(err).Error("suspects cannot be encoded")
 	}
+	for _, u := range updates {
+		datagrams = append(datagrams, loads.Suspects(u))
+	}
 	return datagrams
 }
 
--- a/process/gateway/quarantine_test.go
+++ b/process/gateway/quarantine_test.go
@@ -66,7 +66,6 @@
 
 // exchange sends the suspects of one instance to the others.
 func (f *fleet) exchange(w *testGateway) {
-	sender := loads.Sender{From: w.id}
 	ticker := time.NewTicker(loads.RefreshInterval)
 	defer ticker.Stop()
 	for {
@@ -79,7 +78,7 @@
 			w.quarantine.Expire(time.Now())
 		case <-w.suspectsChanged:
 		}
-		for _, data := range w.suspectUpdates(&sender, all) {
+		for _, data := range w.suspectUpdates(all) {
 			for _, o := range f.list() {
 				if o != w {
 					_ = o.board.Receive(data, time.Now())
--- a/process/loads/loads.go
+++ b/process/loads/loads.go
@@ -22,6 +22,10 @@
 	// Lifetime is the time after which a load that was not renewed expires.
 	Lifetime = 3 * RefreshInterval
 
+	// suspectsTag is the first byte of a datagram with suspects. It cannot occur in
+	// msgpack, so that an instance of an older version drops the datagram.
+	suspectsTag = 0xc1
+
 	maxPerDatagram = 32 // loads in one datagram, so that it fits into one packet
 )
 
@@ -78,11 +82,10 @@
 	message struct {
 		_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
 
-		From     string
-		Seq      uint64
-		Loads    []Load
-		Notices  []Notice
-		Suspects []byte // absent in datagrams of older versions, which ignore it
+		From    string
+		Seq     uint64
+		Loads   []Load
+		Notices []Notice
 	}
 
 	// Sender encodes the datagrams of one instance. It is not safe for concurrent
@@ -106,15 +109,8 @@
 	return data, nil
 }
 
-// Suspects encodes an update of the suspects of this instance as one datagram.
-func (s *Sender) Suspects(update []byte) ([]byte, error) {
-	s.seq++
-	data, err := msgpack.Marshal(&message{From: s.From, Seq: s.seq, Suspects: update})
-	if err != nil {
-		return nil, fmt.Errorf("encode suspects: %w", err)
-	}
-	return data, nil
-}
+// Suspects returns the datagram with an update of the suspects of this instance.
+func Suspects(update []byte) []byte { return append([]byte{suspectsTag}, update...) }
 
 // Changes encodes the loads whose Runs or Sent differ from those sent before, and
 // if all is set every load with runs, as datagrams of at most maxPerDatagram loads.
@@ -149,6 +145,10 @@
 // Receive decodes a datagram, applies it and runs the callbacks. A datagram is
 // dropped if it or a later one of the same instance has arrived already.
 func (b *Board) Receive(data []byte, now time.Time) error {
+	if len(data) > 0 && data[0] == suspectsTag {
+		b.OnSuspects(data[1:])
+		return nil
+	}
 	var m message
 	if err := msgpack.Unmarshal(data, &m); err != nil {
 		return fmt.Errorf("decode loads: %w", err)
@@ -186,9 +186,6 @@
 	for _, n := range notices {
 		b.OnNotice(n)
 	}
-	if len(m.Suspects) > 0 {
-		b.OnSuspects(m.Suspects)
-	}
 	return nil
 }
 
--- a/process/loads/loads_test.go
+++ b/process/loads/loads_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"github.com/vmihailenco/msgpack/v5"
 	"pgregory.net/rapid"
 )
 
@@ -12,7 +13,7 @@
 
 func newBoard() (*Board, map[string]Load) {
 	sums := map[string]Load{}
-	return &Board{OnNotice: func(Notice) {}, OnChange: func(l Load) {
+	return &Board{OnNotice: func(Notice) {}, OnSuspects: func([]byte) {}, OnChange: func(l Load) {
 		l.Sent += sums[l.Endpoint].Sent
 		sums[l.Endpoint] = l
 	}}, sums
@@ -137,6 +138,38 @@
 	require.Equal(t, []Notice{notice}, told)
 }
 
+// Updates of suspects arrive as they were sent, whatever the order, and an instance of
+// an older version, which reads every datagram as loads, drops them.
+func TestSuspectsArrive(t *testing.T) {
+	b, _ := newBoard()
+	var got []string
+	b.OnSuspects = func(data []byte) { got = append(got, string(data)) }
+	for _, text := range []string{"b", "a", "a", ""} {
+		require.NoError(t, b.Receive(Suspects([]byte(text)), epoch))
+	}
+	require.Equal(t, []string{"b", "a", "a", ""}, got)
+	var m message
+	require.Error(t, msgpack.Unmarshal(Suspects([]byte("a")), &m))
+}
+
+// Guards against a change of the datagrams that instances of other versions cannot
+// read: while a release is rolled out, both versions run.
+func TestDatagramsKeepTheirForm(t *testing.T) {
+	type released struct {
+		_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
+
+		From    string
+		Seq     uint64
+		Loads   []Load
+		Notices []Notice
+	}
+	list, err := (&Sender{From: "x"}).Changes([]Load{{Endpoint: "e", Runs: 1}}, true)
+	require.NoError(t, err)
+	var m released
+	require.NoError(t, msgpack.Unmarshal(list[0], &m))
+	require.Equal(t, 1, m.Loads[0].Runs)
+}
+
 // Guards against a panic on malformed datagrams.
 func FuzzTake(f *testing.F) {
 	list, _ := (&Sender{From: "x"}).Changes([]Load{{Endpoint: "e", Runs: 1}}, true)
