gateway: keep parts of prompts that crash engines away from them

Cause: nothing linked one crash to the next. Each instance took a crash for a fault of the engine, avoided that engine, and placed the next request with the part, or the same request once more, at another one.

Why it works: the register of suspects names the part by the third independent crash, at all instances within the time of a datagram. A request with it is refused as not run before it waits for an engine and before each further send. A request that had begun when its engine crashed is not sent to another one at all, whatever is known of its parts. A run that has passed events goes on from its copy: it has shown that its parts are sound.

The test gateway set the context of the latest call without its lock, which the race detector saw with several requests at once.

Found on the way: errors.Is of cockroachdb/errors takes errors of the same type and text as equal, so a sentinel with the text "connection refused" matched every such error; ErrRefused has a text of its own.

--- a/internal/diagnosis/diagnosis.go
+++ b/internal/diagnosis/diagnosis.go
@@ -284,6 +284,8 @@
 		return "no engine or replica could take the request: " + end.Text + tail
 	case "stopping":
 		return "the instance was stopping" + tail
+	case "quarantined":
+		return "a part of the prompt had crashed engines; the lines crash_suspect name the prompts" + tail
 	case "timeout", "deadline":
 		if tried {
 			return "endpoint " + attempt.get("endpoint") + " gave no answer in time" + tail
--- a/process/gateway/generate.go
+++ b/process/gateway/generate.go
@@ -52,6 +52,7 @@
 		lastPassed  time.Time     // time at which the latest event was passed on
 		parts       []uint64      // of the prompt, as in package quarantine
 		current     attemptState
+		trial       bool // the next attempt tries a part that has crashed engines
 
 		copying atomic.Bool // a notice has started copying of its memory
 
@@ -94,11 +95,17 @@
 	}
 	g.runs.add(r)
 	defer r.release()
+	if err := r.checkParts(nil); err != nil {
+		return err
+	}
 	next, err := r.place(ctx)
 	if err != nil {
 		return err
 	}
 	for {
+		if err := r.checkParts(next); err != nil {
+			return err
+		}
 		again, err := r.attempt(ctx, next)
 		if again == nil {
 			return err
@@ -398,7 +405,9 @@
 	r.logAttempt("stream_broken", a, logrus.Fields{"detail": err.Error(), "events": events, "backup": copied})
 	r.enginePool.suspect(a.endpoint.ID)
 	f := refusal.FromCallError(err, true)
-	r.checkCrash(a, f)
+	if r.checkCrash(a, f) && !r.headWritten {
+		return nil, r.finalError(f) // it would probably crash the next engine as well
+	}
 	if next := r.takeBackup(); next != nil {
 		r.hops++
 		return next, nil
--- a/process/gateway/health.go
+++ b/process/gateway/health.go
@@ -24,8 +24,8 @@
 var ErrUnreachable = errors.New("no connection to the endpoint")
 
 // ErrRefused marks the error of a Backend function if the host of the endpoint
-// refused a connection: no process listens at the address.
-var ErrRefused = errors.New("connection refused")
+// refused a connection.
+var ErrRefused = errors.New("no process listens at the endpoint's address")
 
 // startCheck starts probing an engine that failed or that another instance
 // reported as unreachable, unless it is being probed already. While the engine
--- a/process/gateway/quarantine.go
+++ b/process/gateway/quarantine.go
@@ -63,6 +63,50 @@
 	}).Warn("verdict on a part of prompts")
 }
 
+// checkParts returns a refusal if the prompt holds a part that crashes engines, and
+// releases the room of attempt a, which is nil before the request waits for an
+// engine. A request that is admitted as a trial is sent once. A run that has passed
+// events continues: it has shown that its parts are sound where it began.
+func (r *run) checkParts(a *attempt) error {
+	until, held := r.g.quarantine.Held(r.parts)
+	now := time.Now()
+	switch {
+	case !held, r.headWritten:
+		return nil
+	case a == nil && r.g.quarantine.Try(r.parts, r.g.trialRank, now):
+		r.trial = true
+		return nil
+	case a != nil && r.trial:
+		r.trial = false
+		return nil
+	}
+	if a != nil {
+		r.enginePool.release(a.ticket, 0, false)
+	}
+	f := refusal.New(refusal.Quarantined, refusal.NotRun, "a part of the prompt has crashed engines")
+	if f.RetryAt = retryTime(now); until.After(f.RetryAt) {
+		f.RetryAt = until
+	}
+	return refusal.Downgrade(f, r.sends > 0)
+}
+
+// trialRank returns the position of this instance in the order in which the live
+// instances may try a part again. All instances that know the same members compute
+// the same order.
+func (g *Gateway) trialRank(part uint64) (rank int) {
+	if g.members == nil {
+		return 0
+	}
+	key := strconv.FormatUint(part, 16)
+	own := quarantine.ID(g.id, key)
+	for _, m := range g.members.Members() {
+		if m.ID != g.id && quarantine.ID(m.ID, key) < own {
+			rank++
+		}
+	}
+	return rank
+}
+
 // noteFirstEvent records that an engine has survived beginning to answer this
 // prompt, at the first event of an attempt.
 func (r *run) noteFirstEvent() {
--- a/process/gateway/quarantine_test.go
+++ b/process/gateway/quarantine_test.go
@@ -13,6 +13,9 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/eelgrassdock/eelgrassdock/process/loads"
+	"github.com/eelgrassdock/eelgrassdock/process/quarantine"
+	"github.com/eelgrassdock/eelgrassdock/process/roster"
+	"github.com/eelgrassdock/eelgrassdock/request/refusal"
 )
 
 const (
@@ -147,13 +150,29 @@
 	f.n++
 	id := fmt.Sprint("q", f.n)
 	f.mu.Unlock()
-	_, err := w.requestWith(f.t.Context(), &Request{
-		ID: id, Method: http.MethodPost, Host: "h", Path: path, Target: path, Header: http.Header{}, Key: "key", Arrived: time.Now(),
-		Prompt: 1000, Max: 400, Parts: append(slices.Clone(parts), id),
-	})
+	r := promptRequest(path, append(slices.Clone(parts), id)...)
+	r.ID = id
+	_, err := w.requestWith(f.t.Context(), r)
 	return err
 }
 
+// promptRequest returns request q with a prompt.
+func promptRequest(path string, parts ...string) *Request {
+	return &Request{
+		ID: "q", Method: http.MethodPost, Host: "h", Path: path, Target: path, Header: http.Header{}, Key: "key", Arrived: time.Now(),
+		Prompt: 1000, Max: 400, Parts: parts,
+	}
+}
+
+// condemn reports as many crashes with a part of a prompt as condemn it.
+func (w *testGateway) condemn(part string) {
+	id := quarantine.Hash(engineService, []string{part})[0]
+	for n := range uint64(quarantine.Crashes) {
+		at := time.Now().Add(time.Duration(n) * time.Second)
+		w.quarantine.Report(quarantine.Suspect{Crash: n, Request: n, Sent: at, Ended: at, Begun: true, Parts: []uint64{id, n}}, at)
+	}
+}
+
 // reachedSince returns how many requests with a deadly part reached an engine
 // after a time.
 func (f *fleet) reachedSince(at time.Time) (n int) {
@@ -224,3 +243,206 @@
 		})
 	}
 }
+
+// condemn has requests with the deadly part crash engines until all instances refuse
+// them, and returns the refusal.
+func (f *fleet) condemn() *refusal.Error {
+	f.t.Helper()
+	for range 20 {
+		for _, w := range f.list() {
+			_ = f.request(w, "/guide/1", "first", deadly)
+		}
+		time.Sleep(time.Second)
+		if _, held := f.instances[0].quarantine.Held(quarantine.Hash(engineService, []string{deadly, "x"})); held {
+			return f.instances[0].refusalOf(f.request(f.instances[0], "/guide/1", "first", deadly))
+		}
+	}
+	f.t.Fatal("the part is not condemned")
+	return nil
+}
+
+// Guards against a refusal that is no promise: a request with a condemned part has
+// not run, is refused at once, and is told when the part is tried again.
+func TestCondemnedPartIsRefusedAsNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3)
+		defer close(f.stop)
+		fault := f.condemn()
+		require.Equal(t, refusal.Quarantined, fault.Reason)
+		require.Equal(t, refusal.NotRun, fault.Outcome)
+		until, _ := f.instances[0].quarantine.Held(quarantine.Hash(engineService, []string{deadly, "x"}))
+		require.Equal(t, until, fault.RetryAt)
+		begun := time.Now()
+		for _, w := range f.list() {
+			require.Equal(t, refusal.Quarantined, w.refusalOf(f.request(w, "/short/1", "other", deadly, "more")).Reason, "another route and prompt")
+			require.NoError(t, f.request(w, "/guide/1", "first", "second"), "sound request with the same first part")
+		}
+		require.Less(t, time.Since(begun), 2*time.Second)
+	})
+}
+
+// Guards against a verdict that an instance does not know because it started later.
+func TestStartedInstanceLearnsTheVerdict(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2)
+		defer close(f.stop)
+		_ = f.condemn()
+		w := f.add()
+		time.Sleep(loads.RefreshInterval + time.Millisecond)
+		require.Equal(t, refusal.Quarantined, w.refusalOf(f.request(w, "/guide/1", "first", deadly)).Reason)
+	})
+}
+
+// Guards against a wrong verdict that stays: once the part is sound, one request
+// tries it, and all instances serve it then.
+func TestSoundPartIsFreed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3)
+		defer close(f.stop)
+		_ = f.condemn()
+		f.mu.Lock()
+		f.deadly, f.reached = nil, nil
+		f.mu.Unlock()
+		time.Sleep(quarantine.FirstHold)
+		for _, w := range f.list() {
+			_ = f.request(w, "/guide/1", "first", deadly)
+		}
+		time.Sleep(loads.RefreshInterval)
+		for _, w := range f.list() {
+			require.NoError(t, f.request(w, "/guide/1", "first", deadly))
+		}
+	})
+}
+
+// Guards against a verdict on sound prompts when many engines fail, together or one
+// after the other, while they work on them.
+func TestMassCrashCondemnsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3)
+		defer close(f.stop)
+		random := rand.New(rand.NewPCG(3, 4))
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			for n := range 8 {
+				time.Sleep(2*time.Second + 70*time.Millisecond)
+				for i := range 4 {
+					if n%2 == 0 || n%4 == i {
+						f.crash(fmt.Sprint("e", i))
+					}
+				}
+			}
+		}()
+		f.play(random, "/guide/1", 0, 25*time.Second)
+		<-done
+		require.Len(t, f.crashes, 20)
+		for _, w := range f.list() {
+			_, _, verdicts := w.quarantine.Size()
+			require.Zero(t, verdicts)
+		}
+	})
+}
+
+// Guards against evidence from engines that did not crash: a connection that ended
+// at an engine that runs on, that cannot be reached or that gave notice.
+func TestOnlyCrashesAreEvidence(t *testing.T) {
+	for name, prepare := range map[string]func(w *testGateway, id string){
+		"runs on":     func(*testGateway, string) {},
+		"unreachable": func(w *testGateway, id string) { w.unreachable[id] = true },
+		"notice": func(w *testGateway, id string) {
+			w.crashed[id] = true
+			w.Roster.MarkLeaving(id, roster.FromReport)
+		},
+		"removed": func(w *testGateway, id string) {
+			w.crashed[id] = true
+			w.Roster.Remove(id)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newTestGateway(t)
+			w.answer = func(_ int, c Call) (*Answer, error) {
+				w.mu.Lock()
+				defer w.mu.Unlock()
+				prepare(w, c.Endpoint.ID)
+				return eventStream("s", 1, 0, true), nil
+			}
+			_, err := w.requestWith(t.Context(), promptRequest("/guide/1", "a", "b"))
+			require.Error(t, err)
+			suspects, _, _ := w.quarantine.Size()
+			require.Zero(t, suspects)
+		})
+	}
+}
+
+// Guards against a request that crashes one engine after the other by being sent
+// again: one that had begun when its engine crashed is not repeated, one that only
+// waited there is.
+func TestSuspectIsNotSentAgain(t *testing.T) {
+	for _, begun := range []bool{true, false} {
+		w := newTestGateway(t)
+		w.answer = func(n int, c Call) (*Answer, error) {
+			if n > 0 {
+				return eventStream("s", 1, 3, false), nil
+			}
+			w.mu.Lock()
+			w.crashed[c.Endpoint.ID] = true
+			w.mu.Unlock()
+			if begun {
+				return eventStream("s", 1, 0, true), nil
+			}
+			return nil, connectionLost()
+		}
+		_, err := w.request("/short/1")
+		if !begun {
+			require.NoError(t, err)
+			require.Len(t, w.calls, 2)
+			continue
+		}
+		require.Equal(t, refusal.Unknown, w.refusalOf(err).Outcome)
+		require.Len(t, w.calls, 1)
+	}
+}
+
+// Guards against a second send of a request whose part was condemned after the
+// first: the refusal must not promise that it has not run.
+func TestCondemnedPartIsNotSentAgain(t *testing.T) {
+	w := newTestGateway(t)
+	w.answer = func(int, Call) (*Answer, error) {
+		w.condemn("a")
+		return nil, connectionLost()
+	}
+	_, err := w.requestWith(t.Context(), promptRequest("/short/1", "a", "b"))
+	fault := w.refusalOf(err)
+	require.Equal(t, refusal.Quarantined, fault.Reason)
+	require.Equal(t, refusal.Unknown, fault.Outcome)
+	require.Len(t, w.calls, 1)
+	require.Zero(t, w.testEnginePool().sched.Own()[0].Runs, "the room at the second engine must be free again")
+}
+
+// Guards against a sound generation that is cut because a part of its prompt was
+// condemned after it began: it continues from its copy.
+func TestBegunGenerationContinues(t *testing.T) {
+	w := newTestGateway(t)
+	w.answer = func(n int, _ Call) (*Answer, error) {
+		if n == 1 {
+			return eventStream("s", 3, 5, false), nil
+		}
+		a := eventStream("s", 1, 2, true)
+		body := a.Body
+		a.Body = readerFunc(func(p []byte) (int, error) {
+			k, err := body.Read(p)
+			if err != nil {
+				w.condemn("a")
+			}
+			return k, err
+		})
+		return a, nil
+	}
+	rec, err := w.requestWith(t.Context(), promptRequest("/guide/1", "a", "b"))
+	require.NoError(t, err)
+	require.Len(t, eventIDs(rec.Body.String()), 5)
+}
+
+type readerFunc func(p []byte) (int, error)
+
+func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
--- a/process/gateway/testgateway_test.go
+++ b/process/gateway/testgateway_test.go
@@ -124,17 +124,19 @@
 	w.mu.Lock()
 	n := len(w.calls)
 	w.calls = append(w.calls, c)
+	w.attempt = ctx
 	w.mu.Unlock()
 	if ctx.Err() != nil {
 		return nil, refusal.FromCallError(ctx.Err(), true)
 	}
-	w.attempt = ctx
 	return w.answer(n, c)
 }
 
 // closeWithAttempt breaks a body when the attempt is canceled, as closing its
 // connection would.
 func (w *testGateway) closeWithAttempt(body *io.PipeReader) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	context.AfterFunc(w.attempt, func() { _ = body.CloseWithError(errors.New("connection closed")) })
 }
 
--- a/request/refusal/refusal.go
+++ b/request/refusal/refusal.go
@@ -96,6 +96,7 @@
 	Store          Reason = "store"           // platform store unavailable
 	Stale          Reason = "stale"           // configuration too old for a strict service
 	Stopping       Reason = "stopping"        // entry is stopping
+	Quarantined    Reason = "quarantined"     // a part of the prompt has crashed engines
 	Canceled       Reason = "canceled"        // the caller left
 	Internal       Reason = "internal"        // error in the entry itself
 )
@@ -105,7 +106,7 @@
 	All = []Reason{
 		BadRequest, TooLarge, LongHeader, BadKey, BadToken, Forbidden, NoService, NoKey, KeyExpired, KeyBarred, KeyReused, KeyTaken,
 		RateLimit, ActiveLimit, TokenLimit, Deadline, Overload, NoEndpoint, Leaving, Rejected, Dial, Broken,
-		Timeout, Garbage, GenerationLost, Budget, Store, Stale, Stopping, Canceled, Internal,
+		Timeout, Garbage, GenerationLost, Budget, Store, Stale, Stopping, Quarantined, Canceled, Internal,
 	}
 
 	refusals = newCounters("refusals")
