quarantine: count the span of a crash from the head of its answer

Spans from send to crash hold the time that a request waits at its engine. What tries an engine is the begin of the answer: the span now begins there, and crashes within 250 ms of each other count once, so that engines that end for one cause still do.

--- a/process/gateway/generate.go
+++ b/process/gateway/generate.go
@@ -140,7 +140,7 @@
 	quiet := r.watchSilence(attemptCtx, a.endpoint, cancel)
 	defer quiet.Stop()
 	sent := time.Now()
-	r.current = attemptState{sent: sent}
+	r.current = attemptState{since: sent}
 	answer, err := r.g.Backend.Send(attemptCtx, c)
 	if err != nil {
 		return r.handleSendError(ctx, a, silenceError(attemptCtx, refusal.From(err)))
@@ -154,7 +154,7 @@
 		return r.handlePlainAnswer(ctx, a, answer)
 	}
 	r.sends++
-	r.current.answering = true
+	r.current = attemptState{since: time.Now(), answering: true}
 	if r.header == nil || a.memory == "" {
 		r.header = answer.Header
 	}
--- a/process/gateway/quarantine.go
+++ b/process/gateway/quarantine.go
@@ -17,9 +17,9 @@
 
 // attemptState tells how far an attempt of a run has come.
 type attemptState struct {
-	sent      time.Time
-	answering bool // the engine has sent the head of its answer
-	passed    bool // an event was passed on
+	since     time.Time // when the attempt was sent, or its head received
+	answering bool      // the engine has sent the head of its answer
+	passed    bool      // an event was passed on
 }
 
 // watchSuspects connects the register of suspects to the log and to the exchange
@@ -140,7 +140,7 @@
 	r.g.quarantine.Report(quarantine.Suspect{
 		Crash:   quarantine.ID(e.ID, strconv.FormatInt(e.Born, 10)),
 		Request: quarantine.ID("request", r.j.ID),
-		Sent:    p.sent, Ended: ended, Begun: p.answering, Parts: r.parts,
+		Since:   p.since, Ended: ended, Begun: p.answering, Parts: r.parts,
 	}, time.Now())
 	return true
 }
--- a/process/gateway/quarantine_test.go
+++ b/process/gateway/quarantine_test.go
@@ -169,7 +169,7 @@
 	id := quarantine.Hash(engineService, []string{part})[0]
 	for n := range uint64(quarantine.Crashes) {
 		at := time.Now().Add(time.Duration(n) * time.Second)
-		w.quarantine.Report(quarantine.Suspect{Crash: n, Request: n, Sent: at, Ended: at, Begun: true, Parts: []uint64{id, n}}, at)
+		w.quarantine.Report(quarantine.Suspect{Crash: n, Request: n, Since: at, Ended: at, Begun: true, Parts: []uint64{id, n}}, at)
 	}
 }
 
--- a/process/quarantine/judge.go
+++ b/process/quarantine/judge.go
@@ -26,8 +26,8 @@
 	if old := r.suspects[s.key()]; old != nil {
 		old.Begun = old.Begun || s.Begun
 		old.own = old.own || s.own
-		if s.Sent.Before(old.Sent) {
-			old.Sent = s.Sent
+		if s.Since.Before(old.Since) {
+			old.Since = s.Since
 		}
 		if s.Ended.Before(old.Ended) {
 			old.Ended = s.Ended
@@ -214,7 +214,10 @@
 	followers := map[uint64]bool{}
 	for _, s := range list {
 		i := slices.Index(s.charged(), part)
-		if i < 0 || !r.isCharged(s, part) || s.Sent.Before(last) || followers[s.Parts[i+1]] {
+		if i < 0 || !r.isCharged(s, part) || followers[s.Parts[i+1]] {
+			continue
+		}
+		if s.Since.Before(last) || s.Ended.Before(last.Add(crashSpread)) {
 			continue
 		}
 		followers[s.Parts[i+1]], last = true, s.Ended
--- a/process/quarantine/quarantine.go
+++ b/process/quarantine/quarantine.go
@@ -3,13 +3,13 @@
 //
 // An instance reports each request that was at an engine when it crashed and
 // had passed no event there: a Suspect. A part of a prompt is condemned once
-// several crashes speak against it. They must be independent: their spans from
-// send to crash do not overlap, so that engines that end together count once,
-// and the part is followed by something else in each prompt, so that prompts
-// that go on in the same way speak against what follows. The last part of a
-// prompt is never charged. An answer that begins on a part voids all earlier
-// suspicion of it, and a crash that a condemned part explains speaks against no
-// other part.
+// several crashes speak against it. They must be independent: some time lies
+// between them and the spans before them do not overlap, so that engines that end
+// together count once, and the part is followed by something else in each prompt,
+// so that prompts that go on in the same way speak against what follows. The last
+// part of a prompt is never charged. An answer that begins on a part voids all
+// earlier suspicion of it, and a crash that a condemned part explains speaks
+// against no other part.
 //
 // A request with a condemned part is refused, except for a trial: one request in
 // the whole system after a hold that doubles with each trial. If its answer
@@ -45,6 +45,7 @@
 
 	verdictMemory = 10 * time.Minute        // time for which a verdict is kept after its hold
 	beginDelay    = 1500 * time.Millisecond // time in which a request that the engine had begun to answer becomes known to all instances
+	crashSpread   = 250 * time.Millisecond  // time within which engines that end for one cause end
 	maxParts      = 16                      // parts of one prompt that are examined: the last ones
 	maxSuspects   = 256
 	maxOwn        = 32 // suspects of this instance
@@ -67,7 +68,7 @@
 	Suspect struct {
 		Crash   uint64 // identifies the engine and its start
 		Request uint64
-		Sent    time.Time
+		Since   time.Time // when the engine began to answer, or if it had not, when the request was sent
 		Ended   time.Time // when the engine ended the connection
 		Begun   bool      // the engine had begun to answer: others count only if it had begun none
 		Parts   []uint64  // of the prompt, in order, with the last
--- a/process/quarantine/quarantine_test.go
+++ b/process/quarantine/quarantine_test.go
@@ -18,10 +18,9 @@
 // prompt returns parts with these numbers.
 func prompt(parts ...uint64) []uint64 { return parts }
 
-// crash reports a request that had begun when its engine crashed, sent half a
-// second before.
+// crash reports a request that its engine had begun to answer when it crashed.
 func crash(r *Register, n uint64, at time.Time, parts ...uint64) {
-	r.Report(Suspect{Crash: n, Request: n, Sent: at.Add(-500 * time.Millisecond), Ended: at, Begun: true, Parts: parts}, at)
+	r.Report(Suspect{Crash: n, Request: n, Since: at.Add(-50 * time.Millisecond), Ended: at, Begun: true, Parts: parts}, at)
 }
 
 func isHeld(r *Register, parts ...uint64) bool {
@@ -78,7 +77,7 @@
 func TestEnginesThatEndTogetherCountOnce(t *testing.T) {
 	r := &Register{}
 	for n := range uint64(20) {
-		crash(r, n, after(time.Duration(n)*20*time.Millisecond), 1, 20+n, 100+n)
+		crash(r, n, after(time.Duration(n)*10*time.Millisecond), 1, 20+n, 100+n)
 	}
 	require.False(t, isHeld(r, 1, 30, 99))
 	require.False(t, isHeld(r, 20, 99))
@@ -104,7 +103,7 @@
 	r := &Register{}
 	for n := range uint64(9) {
 		at := after(time.Duration(n) * time.Second)
-		waiting := Suspect{Crash: n, Request: 50 + n, Sent: at.Add(-time.Millisecond), Ended: at, Parts: prompt(8, 60+n, 70+n)}
+		waiting := Suspect{Crash: n, Request: 50 + n, Since: at.Add(-time.Millisecond), Ended: at, Parts: prompt(8, 60+n, 70+n)}
 		if n%2 == 0 {
 			r.Report(waiting, at)
 		}
@@ -124,7 +123,7 @@
 	r := &Register{}
 	for n := range uint64(3) {
 		at := after(time.Duration(n) * time.Second)
-		r.Report(Suspect{Crash: n, Request: n, Sent: at.Add(-time.Millisecond), Ended: at, Parts: prompt(8, 70+n)}, at)
+		r.Report(Suspect{Crash: n, Request: n, Since: at.Add(-time.Millisecond), Ended: at, Parts: prompt(8, 70+n)}, at)
 	}
 	require.False(t, isHeld(r, 8, 99), "the begun request may not be known yet")
 	r.Expire(after(2*time.Second + beginDelay))
@@ -266,7 +265,7 @@
 				r.Try(parts, first, now)
 			default:
 				r.Report(Suspect{
-					Crash: rapid.Uint64Range(1, 40).Draw(t, "crash"), Request: n, Sent: now.Add(-300 * time.Millisecond), Ended: now,
+					Crash: rapid.Uint64Range(1, 40).Draw(t, "crash"), Request: n, Since: now.Add(-300 * time.Millisecond), Ended: now,
 					Begun: rapid.Bool().Draw(t, "begun"), Parts: parts,
 				}, now)
 			}
--- a/process/quarantine/wire.go
+++ b/process/quarantine/wire.go
@@ -31,7 +31,7 @@
 		_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
 
 		Crash, Request uint64
-		Sent, Ended    int64
+		Since, Ended   int64
 		Begun          bool
 		Parts          []uint64
 	}
@@ -85,7 +85,7 @@
 	for _, s := range r.suspects {
 		if s.unsent || all && s.own && (!s.explained || now.Sub(s.Ended) < explainedTime) {
 			u.Suspects = append(u.Suspects, sentSuspect{
-				Crash: s.Crash, Request: s.Request, Sent: age(s.Sent), Ended: age(s.Ended), Begun: s.Begun, Parts: s.Parts,
+				Crash: s.Crash, Request: s.Request, Since: age(s.Since), Ended: age(s.Ended), Begun: s.Begun, Parts: s.Parts,
 			})
 			s.unsent = false
 		}
@@ -134,11 +134,11 @@
 		r.addVerdict(&verdict{Verdict: Verdict{Part: v.Part, Level: v.Level, Freed: v.Freed, Last: at(last), Until: at(-left)}}, Adopted)
 	}
 	for _, s := range u.Suspects {
-		if !recent(s.Ended) || s.Sent < s.Ended || s.Sent > maxAge || len(s.Parts) < 2 || len(s.Parts) > maxParts {
+		if !recent(s.Ended) || s.Since < s.Ended || s.Since > maxAge || len(s.Parts) < 2 || len(s.Parts) > maxParts {
 			continue
 		}
 		r.addSuspect(&suspect{Suspect: Suspect{
-			Crash: s.Crash, Request: s.Request, Sent: at(s.Sent), Ended: at(s.Ended), Begun: s.Begun, Parts: s.Parts,
+			Crash: s.Crash, Request: s.Request, Since: at(s.Since), Ended: at(s.Ended), Begun: s.Begun, Parts: s.Parts,
 		}})
 	}
 	return nil
