gateway: a stream without any event is not complete

An answer without length and chunks ends with its connection, so an engine that crashes before its first event leaves a clean end, which was passed on as an empty success and was no evidence of the crash. Cause: the end of a stream was taken as complete whatever had come before. TestCrashBeforeTheFirstEventIsNoAnswer failed ("want a refusal, got <nil>"). A generation has at least one event, so a stream that ends before it was broken off; only a caller that resumes after an event may have none left to come.

--- a/process/gateway/generate.go
+++ b/process/gateway/generate.go
@@ -30,7 +30,10 @@
 	firstEvent     = "0"                    // ID that stands for the position before the first event
 )
 
-var errSilent = errors.New("engine is silent and does not answer")
+var (
+	errSilent   = errors.New("engine is silent and does not answer")
+	errNoEvents = errors.New("stream ended before its first event")
+)
 
 type (
 	// run relays one generation to the caller.
@@ -232,6 +235,9 @@
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
+			if !r.headWritten && r.j.After == "" {
+				return errNoEvents
+			}
 			r.writeHead()
 			return nil
 		}
--- a/process/gateway/quarantine_test.go
+++ b/process/gateway/quarantine_test.go
@@ -446,3 +446,28 @@
 type readerFunc func(p []byte) (int, error)
 
 func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
+
+// Guards against a crash that looks like a complete answer: an answer without length
+// and chunks ends with its connection, also if the engine has crashed before the first
+// event. The caller must not get an empty success, and the crash is evidence.
+func TestCrashBeforeTheFirstEventIsNoAnswer(t *testing.T) {
+	w := newTestGateway(t)
+	w.answer = func(_ int, c Call) (*Answer, error) {
+		w.mu.Lock()
+		w.crashed[c.Endpoint.ID] = true
+		w.mu.Unlock()
+		return eventStream("s", 1, 0, false), nil
+	}
+	rec, err := w.requestWith(t.Context(), promptRequest("/guide/1", "a", "b"))
+	require.Equal(t, refusal.Unknown, w.refusalOf(err).Outcome)
+	require.Empty(t, rec.Header().Get("X-Seal"))
+	suspects, _, _ := w.quarantine.Size()
+	require.Equal(t, 1, suspects)
+
+	w.crashed = nil
+	w.answer = func(int, Call) (*Answer, error) { return eventStream("s", 4, 3, false), nil }
+	r := promptRequest("/short/1", "a", "b")
+	r.After = "3"
+	_, err = w.requestWith(t.Context(), r)
+	require.NoError(t, err, "the caller has all events and resumes to learn of the end")
+}
