gateway: withdraw requests whose part is condemned before their answer begins

What callers saw: engines went on ending for a second after the verdict, under requests that had been sent before it. Cause: the verdict was looked up before each send only. Now a verdict ends the attempts that hold the part and have passed no event; the caller gets 502, because the request may have run, and the engine is not suspected. TestCondemnedRequestsAreWithdrawn guards it.

--- a/process/gateway/generate.go
+++ b/process/gateway/generate.go
@@ -65,6 +65,7 @@
 		backup   *memoryCopy
 		events   int
 		ended    bool
+		withdraw context.CancelCauseFunc // ends the current attempt
 	}
 
 	// memoryCopy is a copy of a run's memory at another engine, or room
@@ -132,7 +133,7 @@
 func (r *run) attempt(ctx context.Context, a *attempt) (*attempt, error) {
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	r.switchTo(a)
+	r.switchTo(a, cancel)
 	c := Call{
 		Request: r.j.Request, Endpoint: a.endpoint, Account: r.j.account, Deadline: r.j.deadline,
 		Since: time.Now().Add(-streamMaxIdle), Rank: r.j.rank, Stream: true, After: a.after, Memory: a.memory,
@@ -145,6 +146,9 @@
 	sent := time.Now()
 	r.current = attemptState{since: sent}
 	answer, err := r.g.Backend.Send(attemptCtx, c)
+	if err != nil && isWithdrawn(attemptCtx) {
+		return nil, r.withdrawn(a)
+	}
 	if err != nil {
 		return r.handleSendError(ctx, a, silenceError(attemptCtx, refusal.From(err)))
 	}
@@ -175,6 +179,9 @@
 		})
 		return nil, nil
 	}
+	if isWithdrawn(attemptCtx) {
+		return nil, r.withdrawn(a)
+	}
 	return r.handleBrokenStream(ctx, a, err)
 }
 
@@ -213,11 +220,11 @@
 }
 
 // switchTo makes the engine of an attempt the current engine of the run and
-// releases the room at the previous one.
-func (r *run) switchTo(a *attempt) {
+// releases the room at the previous one. The function withdraw ends the attempt.
+func (r *run) switchTo(a *attempt, withdraw context.CancelCauseFunc) {
 	r.mu.Lock()
 	old, tokens := r.ticket, r.events*r.engine.Stride
-	r.endpoint, r.ticket = a.endpoint, a.ticket
+	r.endpoint, r.ticket, r.withdraw = a.endpoint, a.ticket, withdraw
 	r.mu.Unlock()
 	if a.memory != "" {
 		r.enginePool.sched.Adopt(a.ticket)
--- a/process/gateway/quarantine.go
+++ b/process/gateway/quarantine.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"context"
+	"slices"
 	"strconv"
 	"time"
 
@@ -13,6 +15,8 @@
 	"github.com/eelgrassdock/eelgrassdock/request/refusal"
 )
 
+var errCondemned = errors.New("a part of the prompt was condemned")
+
 const crashProbes = 3 // connections that are tried after an engine ended one: kept ones may have ended as well
 
 // attemptState tells how far an attempt of a run has come.
@@ -61,6 +65,29 @@
 		"event": "part_judged", "part": strconv.FormatUint(c.Part, 16), "verdict": c.Reason, "trials": c.Level - 1,
 		"hold": time.Until(c.Until).Milliseconds(),
 	}).Warn("verdict on a part of prompts")
+	if c.Reason == quarantine.Condemned || c.Reason == quarantine.Adopted {
+		g.withdraw(c.Part)
+	}
+}
+
+// withdraw ends the attempts with a part of a prompt that was condemned after they
+// were sent, as long as they have passed no event: their engines have not yet begun
+// to answer.
+func (g *Gateway) withdraw(part uint64) {
+	g.runs.each(func(r *run) {
+		if r.events == 0 && r.withdraw != nil && slices.Contains(r.parts, part) {
+			r.withdraw(errCondemned)
+		}
+	})
+}
+
+// isWithdrawn reports whether an attempt was ended by withdraw.
+func isWithdrawn(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errCondemned) }
+
+// withdrawn returns the refusal of a withdrawn attempt. Its engine may have run it.
+func (r *run) withdrawn(a *attempt) error {
+	r.logAttempt("withdrawn", a, logrus.Fields{"parts": r.j.Parts})
+	return r.finalError(refusal.New(refusal.Quarantined, refusal.Unknown, "a part of the prompt has crashed engines"))
 }
 
 // checkParts returns a refusal if the prompt holds a part that crashes engines, and
--- a/process/gateway/quarantine_test.go
+++ b/process/gateway/quarantine_test.go
@@ -243,3 +243,40 @@
 	_, err = w.requestWith(t.Context(), r)
 	require.NoError(t, err, "the caller has all events and resumes to learn of the end")
 }
+
+// Guards against engines that crash on requests that were sent before their part was
+// condemned: they are withdrawn as long as no answer has begun. The engine did
+// nothing wrong and stays in use, and requests without the part stay there.
+func TestCondemnedRequestsAreWithdrawn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newTestGateway(t)
+		w.answer = func(int, Call) (*Answer, error) {
+			w.mu.Lock()
+			ctx := w.attempt
+			w.mu.Unlock()
+			select {
+			case <-ctx.Done():
+				return nil, refusal.FromCallError(ctx.Err(), true)
+			case <-time.After(time.Second):
+				return eventStream("s", 1, 3, false), nil
+			}
+		}
+		results := make(chan error, 2)
+		send := func(parts ...string) {
+			_, err := w.requestWith(t.Context(), promptRequest("/short/1", parts...))
+			results <- err
+		}
+		go send("a", "b")
+		synctest.Wait()
+		go send("c", "d")
+		synctest.Wait()
+		w.condemn("a")
+		synctest.Wait()
+		fault := w.refusalOf(<-results)
+		require.Equal(t, refusal.Quarantined, fault.Reason)
+		require.Equal(t, refusal.Unknown, fault.Outcome, "it may have run")
+		require.NoError(t, <-results)
+		require.Len(t, w.calls, 2)
+		require.Empty(t, w.testEnginePool().failures)
+	})
+}
