--- a/process/gateway/generate.go
+++ b/process/gateway/generate.go
@@ -17,6 +17,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/eelgrassdock/eelgrassdock/process/placement"
+	"github.com/eelgrassdock/eelgrassdock/process/quarantine"
 	"github.com/eelgrassdock/eelgrassdock/process/roster"
 	"github.com/eelgrassdock/eelgrassdock/request/refusal"
 	"github.com/eelgrassdock/eelgrassdock/request/stream"
@@ -30,7 +31,10 @@
 	firstEvent     = "0"                    // ID that stands for the position before the first event
 )
 
-var errSilent = errors.New("engine is silent and does not answer")
+var (
+	errSilent   = errors.New("engine is silent and does not answer")
+	errNoEvents = errors.New("stream ended before its first event")
+)
 
 type (
 	// run relays one generation to the caller.
@@ -50,6 +54,9 @@
 		firstDelay  time.Duration // from the request's arrival to its first event
 		longestGap  time.Duration // longest time between two events
 		lastPassed  time.Time     // time at which the latest event was passed on
+		parts       []uint64      // of the prompt, as in package quarantine
+		current     attemptState
+		trial       bool // the next attempt tries a part that has crashed engines
 
 		copying atomic.Bool   // its memory is being copied
 		over    chan struct{} // closed when the run is released
@@ -60,6 +67,7 @@
 		backup   *memoryCopy
 		events   int
 		ended    bool
+		withdraw context.CancelCauseFunc // ends the current attempt
 	}
 
 	// memoryCopy is a copy of a run's memory at another engine, which was
@@ -91,7 +99,7 @@
 func (g *Gateway) generate(ctx context.Context, j *job, s *routing.Service) error {
 	r := &run{
 		g: g, j: j, engine: s.Engine, enginePool: g.enginePool(j.service, s.Engine), pool: g.countRequest(j.service),
-		begun: time.Now(), lastEvent: j.After, over: make(chan struct{}),
+		begun: time.Now(), lastEvent: j.After, parts: quarantine.Hash(j.service, j.Parts), over: make(chan struct{}),
 	}
 	if g.Stopping() && !j.route.Repeatable() {
 		// The generation would probably outlive this instance.
@@ -99,11 +107,17 @@
 	}
 	g.runs.add(r)
 	defer r.release()
+	if err := r.checkParts(nil); err != nil {
+		return err
+	}
 	next, err := r.place(ctx)
 	if err != nil {
 		return err
 	}
 	for {
+		if err := r.checkParts(next); err != nil {
+			return err
+		}
 		again, err := r.attempt(ctx, next)
 		if again == nil {
 			return err
@@ -127,7 +141,7 @@
 func (r *run) attempt(ctx context.Context, a *attempt) (*attempt, error) {
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	r.switchTo(a)
+	r.switchTo(a, cancel)
 	c := Call{
 		Request: r.j.Request, Endpoint: a.endpoint, Account: r.j.account, Deadline: r.j.deadline,
 		Since: time.Now().Add(-streamMaxIdle), Rank: r.j.rank, Stream: true, After: a.after, Memory: a.memory,
@@ -135,7 +149,11 @@
 	quiet := r.watchSilence(attemptCtx, a.endpoint, cancel)
 	defer quiet.Stop()
 	sent := time.Now()
+	r.current = attemptState{since: sent}
 	answer, err := r.g.Backend.Send(attemptCtx, c)
+	if err != nil && isWithdrawn(attemptCtx) {
+		return nil, r.withdrawn(a)
+	}
 	if err != nil {
 		return r.handleSendError(ctx, a, silenceError(attemptCtx, refusal.From(err)))
 	}
@@ -148,6 +166,7 @@
 		return r.handlePlainAnswer(ctx, a, answer)
 	}
 	r.sends++
+	r.current = attemptState{since: time.Now(), answering: true}
 	if r.header == nil || a.memory == "" {
 		r.header = answer.Header
 	}
@@ -165,6 +184,9 @@
 		})
 		return nil, nil
 	}
+	if isWithdrawn(attemptCtx) {
+		return nil, r.withdrawn(a)
+	}
 	return r.handleBrokenStream(ctx, a, err)
 }
 
@@ -204,11 +226,11 @@
 }
 
 // switchTo makes the engine of an attempt the current engine of the run and
-// releases the room at the previous one.
-func (r *run) switchTo(a *attempt) {
+// releases the room at the previous one. The function withdraw ends the attempt.
+func (r *run) switchTo(a *attempt, withdraw context.CancelCauseFunc) {
 	r.mu.Lock()
 	old, tokens := r.ticket, r.events*r.engine.Stride
-	r.endpoint, r.ticket = a.endpoint, a.ticket
+	r.endpoint, r.ticket, r.withdraw = a.endpoint, a.ticket, withdraw
 	r.mu.Unlock()
 	if a.memory != "" {
 		r.enginePool.sched.Adopt(a.ticket)
@@ -227,6 +249,9 @@
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
+			if !r.headWritten && r.j.After == "" {
+				return errNoEvents
+			}
 			r.writeHead()
 			return nil
 		}
@@ -245,6 +270,7 @@
 		if event.ID != "" {
 			r.lastEvent = event.ID
 		}
+		r.noteFirstEvent()
 		r.progress()
 		if !begun {
 			begun = true
@@ -315,6 +341,7 @@
 		r.sends++
 	}
 	r.logAttempt("attempt_failed", a, logrus.Fields{"reason": f.Reason, "outcome": f.Outcome.String(), "detail": f.Detail})
+	r.checkCrash(a, f)
 	if a.memory != "" {
 		// The copy is not tried again: an engine gives it to the first attempt
 		// that names it, and an engine that was not reached is taken as gone.
@@ -404,11 +431,15 @@
 	r.mu.Unlock()
 	r.logAttempt("stream_broken", a, logrus.Fields{"detail": err.Error(), "events": events, "backup": copied})
 	r.enginePool.suspect(a.endpoint.ID)
+	f := refusal.FromCallError(err, true)
+	if r.checkCrash(a, f) && !r.headWritten {
+		return nil, r.finalError(f) // it would probably crash the next engine as well
+	}
 	if next := r.takeBackup(); next != nil {
 		r.hops++
 		return next, nil
 	}
-	return r.rerun(ctx, a, refusal.FromCallError(err, true))
+	return r.rerun(ctx, a, f)
 }
 
 // finalError returns the error that ends a request: ErrCut if a part of the
--- a/process/loads/loads.go
+++ b/process/loads/loads.go
@@ -22,6 +22,10 @@
 	// Lifetime is the time after which a load that was not renewed expires.
 	Lifetime = 3 * RefreshInterval
 
+	// suspectsTag is the first byte of a datagram with suspects. It cannot occur in
+	// msgpack, so that an instance of an older version drops the datagram.
+	suspectsTag = 0xc1
+
 	maxPerDatagram = 32 // loads in one datagram, so that it fits into one packet
 )
 
@@ -55,6 +59,9 @@
 		OnChange func(Load)
 		// OnNotice is called with each notice received from another instance.
 		OnNotice func(Notice)
+		// OnSuspects is called with each update of the suspects of another
+		// instance (package quarantine), in any order and possibly repeatedly.
+		OnSuspects func(data []byte)
 
 		mu    sync.Mutex
 		peers map[string]*peer
@@ -102,6 +109,9 @@
 	return data, nil
 }
 
+// Suspects returns the datagram with an update of the suspects of this instance.
+func Suspects(update []byte) []byte { return append([]byte{suspectsTag}, update...) }
+
 // Changes encodes the loads whose Runs or Sent differ from those sent before, and
 // if all is set every load with runs, as datagrams of at most maxPerDatagram loads.
 func (s *Sender) Changes(own []Load, all bool) ([][]byte, error) {
@@ -135,6 +145,10 @@
 // Receive decodes a datagram, applies it and runs the callbacks. A datagram is
 // dropped if it or a later one of the same instance has arrived already.
 func (b *Board) Receive(data []byte, now time.Time) error {
+	if len(data) > 0 && data[0] == suspectsTag {
+		b.OnSuspects(data[1:])
+		return nil
+	}
 	var m message
 	if err := msgpack.Unmarshal(data, &m); err != nil {
 		return fmt.Errorf("decode loads: %w", err)
