--- a/process/gateway/generate.go
+++ b/process/gateway/generate.go
@@ -6,6 +6,7 @@
 	"io"
 	"maps"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -57,7 +58,8 @@
 		current     attemptState
 		trial       bool // the next attempt tries a part that has crashed engines
 
-		copying atomic.Bool // a notice has started copying of its memory
+		copying atomic.Bool   // its memory is being copied
+		over    chan struct{} // closed when the run is released
 
 		mu       sync.Mutex
 		endpoint roster.Endpoint
@@ -68,12 +70,18 @@
 		withdraw context.CancelCauseFunc // ends the current attempt
 	}
 
-	// memoryCopy is a copy of a run's memory at another engine, or room
-	// reserved for it.
+	// memoryCopy is a copy of a run's memory at another engine, which was
+	// acknowledged by the run's engine.
 	memoryCopy struct {
 		endpoint roster.Endpoint
 		ticket   placement.Ticket
 		memory   string // identifies the memory, as in Call.Memory
+		from     roster.Endpoint
+		handle   string // of the copy, at from
+		// expiry is the time in Unix nanoseconds until which the engine keeps the
+		// copy, counted from the latest acknowledged order.
+		expiry atomic.Int64
+		taken  atomic.Bool // the run has continued from it
 	}
 
 	// attempt holds the engine, the event and the memory from which the next
@@ -91,7 +99,8 @@
 func (g *Gateway) generate(ctx context.Context, j *job, s *routing.Service) error {
 	r := &run{
 		g: g, j: j, engine: s.Engine, enginePool: g.enginePool(j.service, s.Engine), pool: g.countRequest(j.service),
-		begun: time.Now(), lastEvent: j.After, parts: quarantine.Hash(j.service, j.Parts),
+		begun: time.Now(), lastEvent: j.After, over: make(chan struct{}),
+		parts: quarantine.Hash(j.service, j.Parts),
 	}
 	if g.Stopping() && !j.route.Repeatable() {
 		// The generation would probably outlive this instance.
@@ -138,9 +147,6 @@
 		Request: r.j.Request, Endpoint: a.endpoint, Account: r.j.account, Deadline: r.j.deadline,
 		Since: time.Now().Add(-streamMaxIdle), Rank: r.j.rank, Stream: true, After: a.after, Memory: a.memory,
 	}
-	if b := r.reserveBackup(a); b != nil {
-		c.Backup = b.endpoint.Addr
-	}
 	quiet := r.watchSilence(attemptCtx, a.endpoint, cancel)
 	defer quiet.Stop()
 	sent := time.Now()
@@ -166,7 +172,7 @@
 		r.header = answer.Header
 	}
 	r.g.logDecision(r.j, "relaying", logrus.Fields{
-		"endpoint": a.endpoint.ID, "after": a.after, "from": a.memory, "backup": c.Backup, "prompt": r.j.Prompt,
+		"endpoint": a.endpoint.ID, "after": a.after, "from": a.memory, "prompt": r.j.Prompt,
 		"held": sent.Sub(r.begun).Milliseconds(), "waited": time.Since(r.begun).Milliseconds(), "connect": answer.Connect.Milliseconds(),
 	})
 	err = r.relay(answer, quiet)
@@ -187,16 +193,17 @@
 
 // watchSilence starts a timer that cancels an attempt if its engine has sent no
 // event for some time and does not answer a probe either. An engine that
-// answers the probe is only slow. The first event may take as long as the
-// latency target.
+// answers the probe, with whatever answer, is only slow. The first event may take
+// as long as the latency target.
 func (r *run) watchSilence(ctx context.Context, e roster.Endpoint, cancel context.CancelCauseFunc) *time.Timer {
 	var quiet *time.Timer
 	quiet = time.AfterFunc(time.Hour, func() {
 		for ctx.Err() == nil {
 			call, done := context.WithTimeout(ctx, probeLimit)
 			_, err := r.g.Backend.Report(call, e)
+			silent := errors.Is(err, ErrUnreachable) || errors.Is(err, os.ErrDeadlineExceeded) || call.Err() != nil
 			done()
-			if err == nil {
+			if err == nil || !silent {
 				quiet.Reset(silenceTimeout)
 				return
 			}
@@ -239,6 +246,7 @@
 func (r *run) relay(answer *Answer, quiet *time.Timer) error {
 	events := stream.NewEventReader(answer.Body)
 	flush := http.NewResponseController(r.j.w)
+	begun := false
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
@@ -265,6 +273,10 @@
 		}
 		r.noteFirstEvent()
 		r.progress()
+		if !begun {
+			begun = true
+			r.copyEarly()
+		}
 		quiet.Reset(silenceTimeout)
 	}
 }
@@ -314,6 +326,7 @@
 	ticket, backup, tokens := r.ticket, r.backup, r.events*r.engine.Stride
 	r.ticket, r.backup = 0, nil
 	r.mu.Unlock()
+	close(r.over)
 	if ticket != 0 {
 		r.enginePool.release(ticket, tokens, completed)
 	}
@@ -338,9 +351,11 @@
 	if f.Outcome == refusal.NotRun && ctx.Err() == nil {
 		return r.retryElsewhere(ctx, a, f)
 	}
-	if next := r.takeBackup(); next != nil && ctx.Err() == nil {
-		r.hops++
-		return next, nil
+	if ctx.Err() == nil {
+		if next := r.takeBackup(); next != nil {
+			r.hops++
+			return next, nil
+		}
 	}
 	return r.rerun(ctx, a, f)
 }
--- a/process/gateway/move.go
+++ b/process/gateway/move.go
@@ -107,7 +107,7 @@
 }
 
 // dropCopiesAt releases the copies of runs at an engine. It returns the runs
-// whose own engine is leaving or gone.
+// whose own engine is leaving or gone, and starts new copies of the others.
 func (g *Gateway) dropCopiesAt(copies []*run, endpoint string) (exposed []*run) {
 	for _, r := range copies {
 		r.mu.Lock()
@@ -116,31 +116,70 @@
 		if b != nil && b.endpoint.ID == endpoint {
 			r.dropBackup(b)
 		}
-		if now, ok := g.Roster.Get(at.ID); !ok || now.Leaving {
+		if r.leaves(at) {
 			exposed = append(exposed, r)
+		} else {
+			r.copyEarly()
 		}
 	}
 	return exposed
 }
 
 // protectAll copies the runs that have no usable copy, as far as their engines
-// support it and their routes do not allow a repetition.
+// support it and their routes do not allow a repetition. It renews the usable
+// copies, so that little is missing in them when the engine ends.
 func (g *Gateway) protectAll(list []*run) {
 	slices.SortFunc(list, func(a, b *run) int { return cmp.Compare(b.remaining(), a.remaining()) })
 	for _, r := range list {
 		if b := r.usableCopy(); b != nil {
-			g.spawn(func() { g.Backend.Warm(g.base, b.endpoint.Addr) })
+			g.spawn(func() {
+				g.Backend.Warm(g.base, b.endpoint.Addr)
+				g.refreshCopy(r, b)
+			})
 			continue
 		}
-		if r.engine.Moves && !r.j.route.Repeatable() {
-			r.mu.Lock()
-			at := r.endpoint
-			r.mu.Unlock()
-			g.spawn(func() { g.protect(r, at) })
-		}
+		r.startCopy()
+	}
+}
+
+// copyEarly starts copying the memory of a run that has begun to answer, so that
+// the run can continue if its engine ends without notice.
+func (r *run) copyEarly() {
+	if r.engine.Backups {
+		r.startCopy()
+	}
+}
+
+// copyAgain starts copying the memory of a run that has continued at another
+// engine or lost its copy while a call for the copy was in progress.
+func (r *run) copyAgain() {
+	r.mu.Lock()
+	exposed, at := !r.ended && r.backup == nil, r.endpoint
+	r.mu.Unlock()
+	if exposed && (r.engine.Backups || r.leaves(at)) {
+		r.startCopy()
 	}
 }
 
+// hasCopy reports whether the run has a copy, usable or not.
+func (r *run) hasCopy() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.backup != nil
+}
+
+// startCopy starts copying the memory of a run, unless its engine does not
+// support it or its route allows a repetition.
+func (r *run) startCopy() {
+	if !r.engine.Moves || r.j.route.Repeatable() {
+		return
+	}
+	r.mu.Lock()
+	at := r.endpoint
+	r.mu.Unlock()
+	r.g.spawn(func() { r.g.protect(r, at) })
+}
+
 // remaining returns the expected number of tokens that are still to be
 // produced.
 func (r *run) remaining() float64 {
@@ -150,36 +189,58 @@
 	return estimate.Mean(r.events * r.engine.Stride)
 }
 
-// protect copies the memory of a run whose engine will leave, and has the copy
-// renewed while the run is still at that engine. When its stream ends, the run
-// continues from the copy: the tokens missing in the copy are processed again
-// within one or two steps of the engine. Stopping the run before it is copied
-// would make it idle while its engine transfers the copies of other runs, one
-// at a time. A run whose prompt is still being processed cannot be copied yet,
-// so a failed copy is retried until the run has left the engine or protectLimit
-// has passed. It is not retried if the other engine has no room.
+// protect copies the memory of a run and has the copy renewed while the run is
+// still at that engine. When its stream ends, the run continues from the copy:
+// the tokens missing in the copy are processed again within one or two steps of
+// the engine. Stopping the run before it is copied would make it idle while its
+// engine transfers the copies of other runs, one at a time.
 func (g *Gateway) protect(r *run, from roster.Endpoint) {
-	if !r.copying.CompareAndSwap(false, true) {
-		return // an earlier notice has started it
+	for r.copying.CompareAndSwap(false, true) {
+		urgent := r.leaves(from)
+		done := g.copyRun(r, from, urgent)
+		r.copying.Store(false)
+		// What happened during the copy found the run busy.
+		switch {
+		case !r.isAt(from):
+			r.copyAgain()
+			return
+		case done && r.hasCopy():
+			return
+		case !done && (urgent || !r.leaves(from)):
+			return
+		}
 	}
-	defer r.copying.Store(false)
+}
+
+// copyRun tries to copy the memory of a run. A run whose prompt is still being
+// processed cannot be copied yet, so a failed copy is retried until the run has
+// left the engine or protectLimit has passed. It is not retried if the other
+// engine has no room. An urgent copy, of a run whose engine will leave, is also
+// retried if no engine is suitable. It reports whether a copy was made.
+func (g *Gateway) copyRun(r *run, from roster.Endpoint, urgent bool) bool {
 	begun := time.Now()
 	until := begun.Add(protectLimit)
 	for {
-		to, ticket, ok := r.reserveDestination(from)
+		to, ticket, ok := r.reserveDestination(from, urgent)
 		pause := protectPause
 		switch {
+		case !ok && !urgent:
+			counters.Add("copies_no_room", 1)
+			return false
 		case !ok:
 			g.logDecision(r.j, "copy_no_room", logrus.Fields{"endpoint": from.ID})
 		default:
+			ordered := time.Now()
 			moved, err := g.copyMemory(r, from, to)
-			if err == nil && !moved.Failed {
-				g.keepCopy(r, from, to, ticket, moved, begun)
-				return
+			copied := err == nil && !moved.Failed
+			if copied && g.keepCopy(r, from, to, ticket, moved, ordered) {
+				return true
 			}
 			r.enginePool.release(ticket, 0, false)
 			detail := noRoom
 			switch {
+			case copied:
+				detail, pause = "the other engine has left", 0
 			case err != nil:
 				detail = err.Error()
 			case errors.Is(r.enginePool.probe(to), ErrUnreachable):
@@ -190,15 +251,21 @@
 				"endpoint": from.ID, "to": to.ID, "detail": detail, "took": time.Since(begun).Milliseconds(),
 			})
 			if detail == noRoom {
-				return // memory is scarce; copies to further engines would use up more of it
+				return false // memory is scarce; copies to further engines would use up more of it
 			}
 		}
-		if time.Now().After(until) || !sleep.For(g.base, pause) || !r.isAt(from) || r.usableCopy() != nil {
-			return
+		if time.Now().After(until) || !sleep.For(g.base, pause) || !r.isAt(from) || r.usableCopy() != nil || urgent != r.leaves(from) {
+			return false
 		}
 	}
 }
 
+// leaves reports whether an engine has given notice or is gone.
+func (r *run) leaves(e roster.Endpoint) bool {
+	now, ok := r.g.Roster.Get(e.ID)
+	return !ok || now.Leaving
+}
+
 // isAt reports whether the run is active at an engine.
 func (r *run) isAt(e roster.Endpoint) bool {
 	r.mu.Lock()
@@ -206,49 +273,103 @@
 	return !r.ended && r.endpoint.ID == e.ID
 }
 
-// keepCopy makes a finished copy the copy of its run and starts renewing it,
-// unless the run has ended, moved or got another copy.
-func (g *Gateway) keepCopy(r *run, from, to roster.Endpoint, ticket placement.Ticket, moved Moved, begun time.Time) {
-	b := &memoryCopy{endpoint: to, ticket: ticket, memory: g.Backend.Handle(from, moved.Handle)}
+// keepCopy makes a finished copy the copy of its run and starts renewing it. It
+// reports false, and keeps the ticket, if the engine of the copy has left
+// meanwhile. The copy was ordered at ordered.
+func (g *Gateway) keepCopy(r *run, from, to roster.Endpoint, ticket placement.Ticket, moved Moved, ordered time.Time) bool {
+	b := &memoryCopy{endpoint: to, ticket: ticket, memory: g.Backend.Handle(from, moved.Handle), from: from, handle: moved.Handle}
+	b.expiry.Store(ordered.Add(r.engine.Keep).UnixNano())
+	if !b.isHeld(g) {
+		return false
+	}
 	r.mu.Lock()
-	wanted := !r.ended && r.endpoint.ID == from.ID && r.backup == nil
+	old, ended := r.backup, r.ended
+	wanted := !ended && r.endpoint.ID == from.ID && (old == nil || !old.isHeld(g))
 	if wanted {
 		r.backup = b
 	}
 	r.mu.Unlock()
 	if !wanted {
-		// The copy expires on its own. Freeing it would also free the copy of
-		// another move of this run.
 		r.enginePool.release(ticket, 0, false)
-		return
+		if ended {
+			g.freeCopy(from, moved.Handle)
+		}
+		// Otherwise the copy expires on its own. Freeing it would also free the
+		// copy of another move of this run.
+		return true
 	}
-	observe(copyTime, time.Since(begun))
+	if old != nil {
+		r.enginePool.release(old.ticket, 0, false)
+	}
+	observe(copyTime, time.Since(ordered))
 	g.logDecision(r.j, "copied", logrus.Fields{
-		"endpoint": from.ID, "to": to.ID, "events": moved.Events, "took": time.Since(begun).Milliseconds(),
+		"endpoint": from.ID, "to": to.ID, "events": moved.Events, "took": time.Since(ordered).Milliseconds(),
 	})
 	g.Backend.Warm(g.base, to.Addr)
-	g.spawn(func() { g.renewCopy(r, b, from, moved.Handle) })
+	g.spawn(func() { g.renewCopy(r, b) })
+	return true
 }
 
-// renewCopy renews a copy until the run has left its engine. If the run ended
-// without using the copy, it then frees it.
-func (g *Gateway) renewCopy(r *run, b *memoryCopy, from roster.Endpoint, handle string) {
-	for sleep.For(g.base, max(r.engine.Keep/2, minRenewal)) {
+// isHeld reports whether the engine process that holds a copy still does, as far
+// as is known: it has not left or started again, and the copy has not expired.
+func (b *memoryCopy) isHeld(g *Gateway) bool {
+	e, ok := g.Roster.Get(b.endpoint.ID)
+	return ok && !e.Leaving && e.Born == b.endpoint.Born && time.Now().UnixNano() < b.expiry.Load()
+}
+
+// renewCopy renews a copy until the run has left its engine or has ended. A copy
+// that the run did not use is then freed.
+func (g *Gateway) renewCopy(r *run, b *memoryCopy) {
+	ticker := time.NewTicker(max(r.engine.Keep/2, minRenewal))
+	defer ticker.Stop()
+	for {
+		select {
+		case <-g.base.Done():
+			return
+		case <-r.over:
+			if !b.taken.Load() {
+				g.freeCopy(b.from, b.handle)
+			}
+			return
+		case <-ticker.C:
+		}
 		r.mu.Lock()
-		used := r.backup != b
-		ended := r.ended
+		dropped := r.backup != b
 		r.mu.Unlock()
-		if ended {
-			g.freeCopy(from, handle)
-		}
-		if used || ended {
+		if dropped {
 			return
 		}
-		if moved, err := g.copyMemory(r, from, b.endpoint); err != nil || moved.Failed {
-			g.logDecision(r.j, "copy_lapsed", logrus.Fields{"endpoint": from.ID, "to": b.endpoint.ID, "detail": errorText(err)})
-			return // if the engine has gone, the stream breaks
-		}
+		g.refreshCopy(r, b)
+	}
+}
+
+// refreshCopy adds to a copy what the run has produced since, unless another call
+// for the run is in progress. A copy that its engine no longer keeps, or that was
+// made anew, is replaced. One that could not be renewed stays until it expires: if
+// the engine of the run has gone, it is about to be used.
+func (g *Gateway) refreshCopy(r *run, b *memoryCopy) {
+	if !r.copying.CompareAndSwap(false, true) {
+		return
+	}
+	ordered := time.Now()
+	moved, err := g.copyMemory(r, b.from, b.endpoint)
+	r.copying.Store(false)
+	r.mu.Lock()
+	current := r.backup == b
+	r.mu.Unlock()
+	if !current {
+		r.copyAgain()
+		return
+	}
+	switch {
+	case err == nil && !moved.Failed && moved.Handle == b.handle:
+		b.expiry.Store(ordered.Add(r.engine.Keep).UnixNano())
+		return
+	case err == nil, !b.isHeld(g):
+		r.dropBackup(b)
+		r.startCopy()
 	}
+	g.logDecision(r.j, "copy_lapsed", logrus.Fields{"endpoint": b.from.ID, "to": b.endpoint.ID, "detail": errorText(err)})
 }
 
 func (g *Gateway) copyMemory(r *run, from, to roster.Endpoint) (Moved, error) {
@@ -267,14 +388,14 @@
 	}
 }
 
-// reserveDestination reserves room at another engine for the memory of a run
-// whose engine will leave.
-func (r *run) reserveDestination(from roster.Endpoint) (roster.Endpoint, placement.Ticket, bool) {
+// reserveDestination reserves room at another engine for the memory of a run. An
+// urgent copy may go to any place and fill an engine further.
+func (r *run) reserveDestination(from roster.Endpoint, urgent bool) (roster.Endpoint, placement.Ticket, bool) {
 	r.mu.Lock()
 	done := r.events * r.engine.Stride
 	r.mu.Unlock()
 	d := r.enginePool.sched.PlaceCopy(placement.Copy{
-		Account: r.j.route.Name, From: from.ID, Place: from.Place, Prompt: r.j.Prompt, Done: done, Max: r.j.Max, Urgent: true,
+		Account: r.j.route.Name, From: from.ID, Place: from.Place, Prompt: r.j.Prompt, Done: done, Max: r.j.Max, Urgent: urgent, Near: !urgent,
 	}, time.Now())
 	if d.Endpoint == "" {
 		return roster.Endpoint{}, 0, false
@@ -282,8 +403,10 @@
 	e, ok := r.g.Roster.Get(d.Endpoint)
 	if !ok {
 		r.enginePool.release(d.Ticket, 0, false)
+		return e, 0, false
 	}
-	return e, d.Ticket, ok
+	r.g.announce()
+	return e, d.Ticket, true
 }
 
 func (r *run) resumePoint() string {
@@ -293,38 +416,6 @@
 	return r.lastEvent
 }
 
-// reserveBackup reserves room at the engine that receives a copy of the run's
-// memory while it runs. Repeatable runs need no copy.
-func (r *run) reserveBackup(a *attempt) *memoryCopy {
-	if !r.engine.Backups || r.j.route.Repeatable() {
-		return nil
-	}
-	r.mu.Lock()
-	done, old := r.events*r.engine.Stride, r.backup
-	r.mu.Unlock()
-	if old != nil {
-		r.dropBackup(old)
-	}
-	d := r.enginePool.sched.PlaceCopy(placement.Copy{
-		Account: r.j.route.Name, From: a.endpoint.ID, Place: a.endpoint.Place, Prompt: r.j.Prompt, Done: done, Max: r.j.Max, Near: true,
-	}, time.Now())
-	if d.Endpoint == "" {
-		counters.Add("backups_no_room", 1)
-		return nil
-	}
-	e, ok := r.g.Roster.Get(d.Endpoint)
-	if !ok {
-		r.enginePool.release(d.Ticket, 0, false)
-		return nil
-	}
-	b := &memoryCopy{endpoint: e, ticket: d.Ticket, memory: r.g.Backend.Handle(e, r.j.ID)}
-	r.g.announce()
-	r.mu.Lock()
-	r.backup = b
-	r.mu.Unlock()
-	return b
-}
-
 // dropBackup releases the room reserved for a copy, if it is still the run's
 // copy.
 func (r *run) dropBackup(b *memoryCopy) {
@@ -340,7 +431,7 @@
 }
 
 // takeBackup removes the copy from the run and returns the attempt that
-// continues from it, or nil if there is none.
+// continues from it, or nil if there is none or it is no longer held.
 func (r *run) takeBackup() *attempt {
 	r.mu.Lock()
 	b := r.backup
@@ -349,21 +440,21 @@
 	if b == nil {
 		return nil
 	}
+	if !b.isHeld(r.g) {
+		r.enginePool.release(b.ticket, 0, false)
+		return nil
+	}
+	b.taken.Store(true)
 	return &attempt{endpoint: b.endpoint, ticket: b.ticket, after: r.resumePoint(), memory: b.memory}
 }
 
-// usableCopy returns the run's copy, or nil if there is none or the copy's
-// engine is leaving, gone or unreachable. It does not check whether memory has
-// arrived in room that was reserved for a copy. If none has, the engine refuses
-// to continue from it.
+// usableCopy returns the run's copy, or nil if there is none, it is no longer held
+// or its engine is unreachable.
 func (r *run) usableCopy() *memoryCopy {
 	r.mu.Lock()
 	b := r.backup
 	r.mu.Unlock()
-	if b == nil {
-		return nil
-	}
-	if e, ok := r.g.Roster.Get(b.endpoint.ID); !ok || e.Leaving || r.enginePool.isDown(e.ID) {
+	if b == nil || !b.isHeld(r.g) || r.enginePool.isDown(b.endpoint.ID) {
 		return nil
 	}
 	return b
