--- a/process/gateway/generate.go
+++ b/process/gateway/generate.go
@@ -99,7 +99,8 @@
 func (g *Gateway) generate(ctx context.Context, j *job, s *routing.Service) error {
 	r := &run{
 		g: g, j: j, engine: s.Engine, enginePool: g.enginePool(j.service, s.Engine), pool: g.countRequest(j.service),
-		begun: time.Now(), lastEvent: j.After, parts: quarantine.Hash(j.service, j.Parts), over: make(chan struct{}),
+		begun: time.Now(), lastEvent: j.After, over: make(chan struct{}),
+		parts: quarantine.Hash(j.service, j.Parts),
 	}
 	if g.Stopping() && !j.route.Repeatable() {
 		// The generation would probably outlive this instance.
--- a/process/gateway/quarantine_test.go
+++ b/process/gateway/quarantine_test.go
@@ -192,31 +192,23 @@
 // Guards against a sound generation that is cut because a part of its prompt was
 // condemned after it began: it continues from its copy.
 func TestBegunGenerationContinues(t *testing.T) {
-	w := newTestGateway(t)
-	w.answer = func(n int, _ Call) (*Answer, error) {
-		if n == 1 {
-			return eventStream("s", 3, 5, false), nil
-		}
-		a := eventStream("s", 1, 2, true)
-		body := a.Body
-		a.Body = readerFunc(func(p []byte) (int, error) {
-			k, err := body.Read(p)
-			if err != nil {
-				w.condemn("a")
+	synctest.Test(t, func(t *testing.T) {
+		w := newTestGateway(t)
+		w.answer = func(n int, _ Call) (*Answer, error) {
+			if n == 1 {
+				return eventStream("s", 3, 5, false), nil
 			}
-			return k, err
-		})
-		return a, nil
-	}
-	rec, err := w.requestWith(t.Context(), promptRequest("/guide/1", "a", "b"))
-	require.NoError(t, err)
-	require.Len(t, eventIDs(rec.Body.String()), 5)
+			return breakingStream("s", 1, 2), nil
+		}
+		time.AfterFunc(time.Second/2, func() { w.condemn("a") })
+		rec, err := w.requestWith(t.Context(), promptRequest("/guide/1", "a", "b"))
+		require.NoError(t, err)
+		require.Len(t, eventIDs(rec.Body.String()), 5)
+		_, held := w.quarantine.Held(quarantine.Hash(engineService, []string{"a"}))
+		require.True(t, held)
+	})
 }
 
-type readerFunc func(p []byte) (int, error)
-
-func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
-
 // Guards against a crash that looks like a complete answer: an answer without length
 // and chunks ends with its connection, also if the engine has crashed before the first
 // event. The caller must not get an empty success, and the crash is evidence.
