quarantine: a sound part behind a deadly one does not hide it

What callers see: engines go on crashing (BUDGET), and nobody is refused.

Cause: crashes speak against a part independently only if what follows it differs. If the same shared part follows in each prompt, the deadly part was never condemned; the one behind it cannot be, as sound requests are answered on it.

Change: parts on which an answer has begun since the crash are passed over in that comparison; they are sound, and the prompts differ further on.

Evidence: before, TestSoundFollowerHidesNoPart fails, and TestDeadlyPartBeforeSharedPartsStopsReachingEngines with 20 and 16 late requests for one and two parts behind the deadly one; three are allowed.

--- a/process/gateway/quarantine_test.go
+++ b/process/gateway/quarantine_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -31,6 +33,31 @@
 	}
 }
 
+// Guards against the same if the deadly part is followed by one of few sound parts
+// that other requests share.
+func TestDeadlyPartBeforeSharedPartsStopsReachingEngines(t *testing.T) {
+	for _, seconds := range []int{1, 2, 4} {
+		t.Run(fmt.Sprint(seconds, " second parts"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 3)
+				defer close(f.stop)
+				random := rand.New(rand.NewPCG(1, 2))
+				var wg sync.WaitGroup
+				for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+					w := f.list()[random.IntN(3)]
+					parts := []string{"first", fmt.Sprint("s", random.IntN(seconds))}
+					if random.Float64() < 0.15 {
+						parts = slices.Insert(parts, 1, deadly)
+					}
+					wg.Go(func() { _ = f.request(w, "/guide/1", parts...) })
+				}
+				wg.Wait()
+				require.LessOrEqual(t, f.reachedSince(f.fifth()), 3, "%d crashes", len(f.crashes))
+			})
+		})
+	}
+}
+
 // Guards against a refusal that is no promise: a request with a condemned part has
 // not run, is refused at once, and is told when the part is tried again.
 func TestCondemnedPartIsRefusedAsNotRun(t *testing.T) {
--- a/process/quarantine/judge.go
+++ b/process/quarantine/judge.go
@@ -214,16 +214,31 @@
 	followers := map[uint64]bool{}
 	for _, s := range list {
 		i := slices.Index(s.charged(), part)
-		if i < 0 || !r.isCharged(s, part) || followers[s.Parts[i+1]] {
+		if i < 0 || !r.isCharged(s, part) {
+			continue
+		}
+		next := r.follower(s, i)
+		if followers[next] {
 			continue
 		}
 		if s.Since.Before(last) || s.Ended.Before(last.Add(crashSpread)) {
 			continue
 		}
-		followers[s.Parts[i+1]], last = true, s.Ended
+		followers[next], last = true, s.Ended
 		if len(followers) == Crashes {
 			return last, true
 		}
 	}
 	return last, false
 }
+
+// follower returns what comes after the i-th part in the prompt of a suspect. It
+// leaves out parts on which answers have begun since the crash: they are sound, so
+// that prompts which go on with them may differ further on.
+func (r *Register) follower(s *suspect, i int) uint64 {
+	next := i + 1
+	for next < len(s.Parts)-1 && !r.isCharged(s, s.Parts[next]) {
+		next++
+	}
+	return s.Parts[next]
+}
--- a/process/quarantine/quarantine_test.go
+++ b/process/quarantine/quarantine_test.go
@@ -117,6 +117,19 @@
 	require.False(t, isHeld(r, 8, 99))
 }
 
+// Guards against a deadly part that is never condemned because the same sound part
+// follows it in each prompt.
+func TestSoundFollowerHidesNoPart(t *testing.T) {
+	r := &Register{}
+	for n := range uint64(4) {
+		at := after(time.Duration(n) * time.Second)
+		crash(r, n, at, 1, 2, 3, 1000+n)
+		r.Begun(prompt(1, 3, 5000+n), at.Add(200*time.Millisecond))
+	}
+	require.True(t, isHeld(r, 1, 2, 3, 99))
+	require.False(t, isHeld(r, 1, 3, 98))
+}
+
 // Guards against engines that crash before they send a head: if none of the
 // requests of a crash had one, all of them are suspects.
 func TestWithoutABegunRequestAllAreSuspects(t *testing.T) {
