quarantine: a deadly first part is found behind condemned followers

What callers see: engines go on crashing, and requests with sound parts are refused.

Cause: if a deadly part comes with few followers in bursts, a follower is condemned in its place. From then on its crashes were explained and no longer spoke against the deadly part; the same happened with the next follower.

Change: an explained crash still counts for a part if the condemned part is the one that follows it in that prompt. Several such verdicts condemn the part before them; a condemned part is not judged again.

Evidence: TestFirstPartIsCondemnedAfterItsFollowers fails before (not held after 17 requests); now the part is condemned by the ninth crash.

--- a/process/quarantine/judge.go
+++ b/process/quarantine/judge.go
@@ -170,7 +170,7 @@
 	explained := map[uint64]bool{}
 	for _, s := range r.suspects {
 		for _, p := range s.charged() {
-			if v := r.verdicts[p]; v != nil && !v.Freed {
+			if r.isCondemned(p) {
 				explained[s.Crash] = true
 			}
 		}
@@ -180,6 +180,12 @@
 	}
 }
 
+// isCondemned reports whether a part is condemned and not free again.
+func (r *Register) isCondemned(part uint64) bool {
+	v := r.verdicts[part]
+	return v != nil && !v.Freed
+}
+
 // guiltiest returns the part to condemn, if there is one, and the time of the crash
 // that completes the grounds. Among several, it is the one that comes last in its prompt,
 // since those before it are shared with more requests.
@@ -187,7 +193,7 @@
 	list := make([]*suspect, 0, len(r.suspects))
 	positions := map[uint64]int{}
 	for _, s := range r.suspects {
-		if s.explained || !s.Begun && now.Sub(s.Ended) < beginDelay {
+		if !s.Begun && now.Sub(s.Ended) < beginDelay {
 			continue
 		}
 		list = append(list, s)
@@ -198,7 +204,7 @@
 	slices.SortFunc(list, compare)
 	best := -1
 	for p, position := range positions {
-		if position < best || position == best && p > part {
+		if r.isCondemned(p) || position < best || position == best && p > part {
 			continue
 		}
 		if at, found := r.grounds(p, list); found {
@@ -209,7 +215,9 @@
 }
 
 // grounds returns the time of the crash at which independent crashes suffice to
-// condemn a part. The list is in the order of time.
+// condemn a part. The list is in the order of time. A crash that a condemned part
+// explains counts only if that part follows: it may have been condemned in place of
+// the one before it, and several such verdicts show that.
 func (r *Register) grounds(part uint64, list []*suspect) (last time.Time, ok bool) {
 	followers := map[uint64]bool{}
 	for _, s := range list {
@@ -218,7 +226,7 @@
 			continue
 		}
 		next := r.follower(s, i)
-		if followers[next] {
+		if followers[next] || s.explained && !r.isCondemned(next) {
 			continue
 		}
 		if s.Since.Before(last) || s.Ended.Before(last.Add(crashSpread)) {
--- a/process/quarantine/quarantine_test.go
+++ b/process/quarantine/quarantine_test.go
@@ -130,6 +130,21 @@
 	require.False(t, isHeld(r, 1, 3, 98))
 }
 
+// Guards against a deadly first part in whose place one part after the other that
+// follows it is condemned.
+func TestFirstPartIsCondemnedAfterItsFollowers(t *testing.T) {
+	r := &Register{}
+	crashes := uint64(0)
+	for n, follower := range []uint64{20, 20, 20, 21, 20, 21, 21, 20, 22, 22, 22, 23, 23, 23, 24, 24, 24} {
+		if now := after(time.Duration(n) * time.Second / 2); !isHeld(r, 1, follower, 1000) {
+			crashes++
+			crash(r, crashes, now, 1, follower, 1000+crashes)
+		}
+	}
+	require.True(t, isHeld(r, 1, 30, 99))
+	require.LessOrEqual(t, crashes, uint64(9))
+}
+
 // Guards against engines that crash before they send a head: if none of the
 // requests of a crash had one, all of them are suspects.
 func TestWithoutABegunRequestAllAreSuspects(t *testing.T) {
