gateway: a stream whose first event is being written is not withdrawn

What callers see: an answer breaks off after its first event, because a part of its prompt was condemned in that moment. Found by review.

Cause: the run was marked as begun only after the event had been written and flushed to the caller, which may take long.

Change: the first event is recorded, and the attempt can no longer be withdrawn, before it is written.

Evidence: TestStreamIsNotWithdrawnDuringItsFirstEvent fails before ("answer broke off").

--- a/process/gateway/generate.go
+++ b/process/gateway/generate.go
@@ -259,6 +259,7 @@
 		if err != nil {
 			return fmt.Errorf("stream of %s: %w", r.endpoint.ID, err)
 		}
+		r.noteFirstEvent()
 		r.writeHead()
 		if _, err := r.j.w.Write(event.Raw); err != nil {
 			return errors.Wrap(ErrCut, "caller left: "+err.Error())
@@ -271,7 +272,6 @@
 		if event.ID != "" {
 			r.lastEvent = event.ID
 		}
-		r.noteFirstEvent()
 		r.progress()
 		if !begun {
 			begun = true
--- a/process/gateway/quarantine.go
+++ b/process/gateway/quarantine.go
@@ -135,12 +135,16 @@
 }
 
 // noteFirstEvent records that an engine has survived beginning to answer this
-// prompt, at the first event of an attempt.
+// prompt, at the first event of an attempt. The attempt is then not withdrawn.
 func (r *run) noteFirstEvent() {
-	if !r.current.passed {
-		r.current.passed = true
-		r.g.quarantine.Begun(r.parts, time.Now())
-	}
+	if r.current.passed {
+		return
+	}
+	r.current.passed = true
+	r.mu.Lock()
+	r.withdraw = nil
+	r.mu.Unlock()
+	r.g.quarantine.Begun(r.parts, time.Now())
 }
 
 // checkCrash reports the run as a suspect if its engine ended the connection of an
--- a/process/gateway/quarantine_test.go
+++ b/process/gateway/quarantine_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"io"
 	"math/rand/v2"
+	"net/http/httptest"
 	"slices"
 	"sync"
 	"testing"
@@ -236,6 +238,44 @@
 	})
 }
 
+// Guards against a stream that is cut because a part of its prompt is condemned while
+// its first event is written to a slow caller.
+func TestStreamIsNotWithdrawnDuringItsFirstEvent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newTestGateway(t)
+		reader, writer := io.Pipe()
+		w.answer = func(int, Call) (*Answer, error) {
+			w.closeWithAttempt(reader)
+			a := eventStream("s", 1, 0, false)
+			a.Body = reader
+			return a, nil
+		}
+		go func() {
+			_, _ = io.WriteString(writer, "id: 1\ndata: x\n\n")
+			time.Sleep(time.Second)
+			_, _ = io.WriteString(writer, "id: 2\ndata: x\n\n")
+			_ = writer.Close()
+		}()
+		rec := &hookedCaller{ResponseRecorder: httptest.NewRecorder(), flushed: sync.OnceFunc(func() {
+			w.condemn("a")
+			time.Sleep(100 * time.Millisecond)
+		})}
+		require.NoError(t, w.Serve(t.Context(), rec, promptRequest("/guide/1", "a", "b")))
+		require.Len(t, eventIDs(rec.Body.String()), 2)
+	})
+}
+
+// hookedCaller is a caller that calls flushed with each flush.
+type hookedCaller struct {
+	*httptest.ResponseRecorder
+	flushed func()
+}
+
+func (c *hookedCaller) FlushError() error {
+	c.flushed()
+	return nil
+}
+
 // Guards against a crash that looks like a complete answer: an answer without length
 // and chunks ends with its connection, also if the engine has crashed before the first
 // event. The caller must not get an empty success, and the crash is evidence.
