quarantine: a condemned part is seen in long prompts

Found by review.

Cause: of each prompt only the last 16 parts were hashed, for the look-up too.

Change: the last 256 parts are looked up; the last 16 are charged with a crash and travel, as before.

--- a/process/quarantine/quarantine.go
+++ b/process/quarantine/quarantine.go
@@ -46,7 +46,8 @@
 	verdictMemory = 10 * time.Minute        // time for which a verdict is kept after its hold
 	beginDelay    = 1500 * time.Millisecond // time in which a request that the engine had begun to answer becomes known to all instances
 	crashSpread   = 250 * time.Millisecond  // time within which engines that end for one cause end
-	maxParts      = 16                      // parts of one prompt that are examined: the last ones
+	maxParts      = 16                      // parts of one prompt that are charged with a crash: the last ones
+	maxLookup     = 256                     // parts of one prompt that are looked up: the last ones
 	maxSuspects   = 256
 	maxOwn        = 32 // suspects of this instance
 	maxAnswers    = 256
@@ -139,8 +140,8 @@
 
 // Hash identifies the parts of a prompt for the engines of one service.
 func Hash(service string, parts []string) []uint64 {
-	if len(parts) > maxParts {
-		parts = parts[len(parts)-maxParts:]
+	if len(parts) > maxLookup {
+		parts = parts[len(parts)-maxLookup:]
 	}
 	list := make([]uint64, 0, len(parts))
 	for _, p := range parts {
@@ -165,6 +166,7 @@
 	if len(s.Parts) < 2 {
 		return // the last part is never charged
 	}
+	s.Parts = s.Parts[max(len(s.Parts)-maxParts, 0):]
 	defer r.update(now)()
 	r.evictOwn()
 	r.addSuspect(&suspect{Suspect: s, own: true, unsent: true})
