quarantine: an answer that changes nothing is not judged

Cost: the first event of each answer on a watched part judged all evidence anew under the lock, for two minutes after a crash, even if an earlier answer had voided the suspicion.

Change: Begun looks first whether the answer matters for any part.

--- a/process/quarantine/bench_test.go
+++ b/process/quarantine/bench_test.go
@@ -41,3 +41,20 @@
 		crash(r, n, after(time.Duration(n)*time.Second/4), n%300, 1000+n, 10000+n)
 	}
 }
+
+// BenchmarkAnswer measures the first event of an answer on a part that an earlier
+// answer has cleared, with as many suspects as an instance keeps.
+func BenchmarkAnswer(b *testing.B) {
+	r := &Register{}
+	update := r.update(epoch)
+	for n := range uint64(maxSuspects) {
+		at := after(time.Duration(n) * time.Millisecond)
+		r.addSuspect(&suspect{Suspect: Suspect{
+			Crash: n, Request: n, Since: at.Add(-50 * time.Millisecond), Ended: at, Begun: true, Parts: []uint64{1, 1000 + n, 2000 + n, 3000 + n},
+		}})
+	}
+	update()
+	for b.Loop() {
+		r.Begun([]uint64{1, 5, 6}, after(time.Minute))
+	}
+}
--- a/process/quarantine/quarantine.go
+++ b/process/quarantine/quarantine.go
@@ -23,6 +23,7 @@
 
 import (
 	"encoding/binary"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -197,6 +198,12 @@
 	if v == nil || !v.watches(parts) {
 		return
 	}
+	r.mu.Lock()
+	relevant := slices.ContainsFunc(parts, r.matters)
+	r.mu.Unlock()
+	if !relevant {
+		return // suspicion of these parts is void already
+	}
 	defer r.update(now)()
 	for _, p := range parts {
 		if r.matters(p) {
