gateway: a trial that no engine ran is given back

What callers see: a part of prompts that is sound again stays refused, twice as long after each trial, although nothing was tried. Found by review.

Cause: admitting a request as a trial raised the level and the hold at once. If no engine had room, an engine refused it or the caller left, the trial was spent.

Change: a request on trial that ends as not run gives the trial back: the hold ends at once, at all instances, and the next request takes the trial.

Evidence: TestRefusedTrialIsRepeated fails before (the part is still refused 6 s later).

--- a/process/gateway/generate.go
+++ b/process/gateway/generate.go
@@ -57,6 +57,7 @@
 		parts       []uint64      // of the prompt, as in package quarantine
 		current     attemptState
 		trial       bool // the next attempt tries a part that has crashed engines
+		onTrial     bool // the request was admitted as a trial
 
 		copying atomic.Bool   // its memory is being copied
 		over    chan struct{} // closed when the run is released
@@ -96,7 +97,7 @@
 
 // generate sends a request to an engine and relays its events to the caller, at
 // further engines if necessary.
-func (g *Gateway) generate(ctx context.Context, j *job, s *routing.Service) error {
+func (g *Gateway) generate(ctx context.Context, j *job, s *routing.Service) (err error) {
 	r := &run{
 		g: g, j: j, engine: s.Engine, enginePool: g.enginePool(j.service, s.Engine), pool: g.countRequest(j.service),
 		begun: time.Now(), lastEvent: j.After, over: make(chan struct{}),
@@ -108,6 +109,7 @@
 	}
 	g.runs.add(r)
 	defer r.release()
+	defer func() { r.endTrial(err) }()
 	if err := r.checkParts(nil); err != nil {
 		return err
 	}
--- a/process/gateway/quarantine.go
+++ b/process/gateway/quarantine.go
@@ -101,7 +101,7 @@
 	case !held, r.headWritten:
 		return nil
 	case a == nil && r.g.quarantine.Try(r.parts, r.g.trialRank, now):
-		r.trial = true
+		r.trial, r.onTrial = true, true
 		return nil
 	case a != nil && r.trial:
 		r.trial = false
@@ -117,6 +117,14 @@
 	return refusal.Downgrade(f, r.sends > 0)
 }
 
+// endTrial gives a trial back if the request was not run: no engine had room, or the
+// caller left. The parameter err is the result of the request.
+func (r *run) endTrial(err error) {
+	if r.onTrial && err != nil && !errors.Is(err, ErrCut) && refusal.From(err).Outcome == refusal.NotRun {
+		r.g.quarantine.Return(r.parts, time.Now())
+	}
+}
+
 // trialRank returns the position of this instance in the order in which the live
 // instances may try a part again. All instances that know the same members compute
 // the same order.
--- a/process/gateway/quarantine_test.go
+++ b/process/gateway/quarantine_test.go
@@ -142,6 +142,31 @@
 	})
 }
 
+// Guards against a verdict that stays because its trial was spent on a request that
+// no engine ran.
+func TestRefusedTrialIsRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3)
+		defer close(f.stop)
+		_ = f.condemn()
+		f.mu.Lock()
+		f.deadly = nil
+		f.mu.Unlock()
+		time.Sleep(quarantine.FirstHold + 3*quarantine.TrialStep)
+		served := map[*testGateway]func(int, Call) (*Answer, error){}
+		for _, w := range f.list() {
+			served[w] = w.answer
+			w.answer = func(int, Call) (*Answer, error) { return refusedAnswer(), nil }
+		}
+		require.Error(t, f.request(f.instances[0], "/guide/1", "first", deadly))
+		for w, answer := range served {
+			w.answer = answer
+		}
+		time.Sleep(3 * quarantine.TrialStep)
+		require.NoError(t, f.request(f.instances[1], "/guide/1", "first", deadly))
+	})
+}
+
 // Guards against evidence from engines that did not crash: a connection that ended
 // at an engine that runs on, that cannot be reached or that gave notice.
 func TestOnlyCrashesAreEvidence(t *testing.T) {
--- a/process/quarantine/quarantine.go
+++ b/process/quarantine/quarantine.go
@@ -270,6 +270,17 @@
 	return true
 }
 
+// Return gives back a trial whose request has reached no engine, so that another
+// request may take it at once.
+func (r *Register) Return(parts []uint64, now time.Time) {
+	defer r.update(now)()
+	for _, p := range parts {
+		if v := r.verdicts[p]; v != nil && !v.Freed && now.Before(v.Until) {
+			v.Until, v.unsent = now, true
+		}
+	}
+}
+
 // Expire forgets what is too old and judges what has become clear.
 func (r *Register) Expire(now time.Time) {
 	if v := r.view.Load(); v == nil {
