--- a/process/gateway/move.go
+++ b/process/gateway/move.go
@@ -274,8 +274,8 @@
 }
 
 // keepCopy makes a finished copy the copy of its run and starts renewing it. It
-// reports false, and keeps the ticket, if the engine of the copy has left
-// meanwhile. The copy was ordered at ordered.
+// reports false, and leaves the ticket to the caller, if the engine of the copy has
+// left meanwhile. The copy was ordered at ordered.
 func (g *Gateway) keepCopy(r *run, from, to roster.Endpoint, ticket placement.Ticket, moved Moved, ordered time.Time) bool {
 	b := &memoryCopy{endpoint: to, ticket: ticket, memory: g.Backend.Handle(from, moved.Handle), from: from, handle: moved.Handle}
 	b.expiry.Store(ordered.Add(r.engine.Keep).UnixNano())
