--- a/process/gateway/call.go
+++ b/process/gateway/call.go
@@ -146,7 +146,7 @@
 	if j.route.Kind == routing.Once {
 		since = begun.Add(-onceMaxIdle)
 	}
-	answer, err := g.Backend.Send(ctx, Call{
+	answer, err := g.send(ctx, Call{
 		Request: j.Request, Endpoint: e, Account: j.account, Deadline: j.deadline, Since: since, Rank: j.rank, After: j.After,
 	})
 	if err != nil {
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -86,6 +86,11 @@
 		NotRun        bool          // the endpoint reports that it did not run the request
 		AddressReused bool          // another endpoint now has the address
 		Connect       time.Duration // time to open a new connection, 0 for a kept one
+		// Limit is the rate in requests per second that the endpoint accepts from
+		// all instances together, nil if the answer names none. InvalidLimit is
+		// what it names instead if that is not a rate.
+		Limit        *float64
+		InvalidLimit string
 		// Follow makes the end of ctx break off the body, in place of the end of
 		// the context that Send was given.
 		Follow func(ctx context.Context)
@@ -156,23 +161,25 @@
 		// Trim closes connections that were idle for too long. It may be nil.
 		Trim func()
 
-		Tables          routing.Keeper
-		Roster          roster.Roster
-		lengths         length.Learner
-		enginePools     sync.Map // service ID to *enginePool
-		pools           sync.Map // service ID to *pool
-		runs            runRegistry
-		sampler         logging.Sampler
-		board           loads.Board
-		notices         chan loads.Notice // findings to send to other instances
-		loadChanged     chan struct{}     // signals that this instance's load has changed
-		quarantine      quarantine.Register
-		suspectsChanged chan struct{}    // signals that quarantine has something to send
-		feeds           map[string]*feed // by table
+		Tables        routing.Keeper
+		Roster        roster.Roster
+		lengths       length.Learner
+		enginePools   sync.Map // service ID to *enginePool
+		pools         sync.Map // service ID to *pool
+		runs          runRegistry
+		sampler       logging.Sampler
+		board         loads.Board
+		notices       chan loads.Notice // findings to send to other instances
+		loadChanged   chan struct{}     // signals that this instance's load has changed
+		quarantine    quarantine.Register
+		updatesUnsent chan struct{}    // signals that there are updates for the other instances
+		namedLimits   sync.Map         // endpoint ID to the limit that its latest answer named
+		feeds         map[string]*feed // by table
 
 		id           string
 		stored       atomic.Pointer[storedTable]
 		members      *member.Node
+		listMembers  func() []member.Member // live instances; nil before Start
 		peers        peer.Pool
 		stopping     atomic.Pointer[stopping]
 		reloaded     atomic.Pointer[Settings] // settings after a reload, nil before
--- a/process/gateway/generate.go
+++ b/process/gateway/generate.go
@@ -153,7 +153,7 @@
 	defer quiet.Stop()
 	sent := time.Now()
 	r.current = attemptState{since: sent}
-	answer, err := r.g.Backend.Send(attemptCtx, c)
+	answer, err := r.g.send(attemptCtx, c)
 	if err != nil && isWithdrawn(attemptCtx) {
 		return nil, r.withdrawn(a)
 	}
--- a/process/gateway/loads.go
+++ b/process/gateway/loads.go
@@ -50,15 +50,14 @@
 			return
 		case <-ticker.C:
 			all = true
-			g.board.Expire(time.Now())
-			g.quarantine.Expire(time.Now())
+			g.expire(time.Now())
 		case notice := <-g.notices:
 			data, err := sender.Notices(notice)
 			if err != nil {
 				g.Log.WithError(err).Error("notice to other instances cannot be encoded")
 			}
 			datagrams = append(datagrams, data)
-		case <-g.suspectsChanged:
+		case <-g.updatesUnsent:
 		case <-g.loadChanged:
 			sleep.For(g.base, batchDelay)
 		}
@@ -67,8 +66,8 @@
 			g.Log.WithError(err).Error("load cannot be encoded")
 		}
 		datagrams = append(datagrams, changes...)
-		datagrams = append(datagrams, g.suspectUpdates(all)...)
-		for _, m := range g.members.Members() {
+		datagrams = append(datagrams, g.updates(all)...)
+		for _, m := range g.listMembers() {
 			host, _, err := net.SplitHostPort(m.Probe)
 			if err != nil || m.ID == g.id {
 				continue
@@ -82,6 +81,29 @@
 	}
 }
 
+// sendUpdates schedules sending the unsent updates to the other instances.
+func (g *Gateway) sendUpdates() {
+	select {
+	case g.updatesUnsent <- struct{}{}:
+	default:
+	}
+}
+
+// updates returns the datagrams that tell the other instances what this one has found
+// out about endpoints. With all, it includes what is repeated once a second.
+func (g *Gateway) updates(all bool) [][]byte { return g.suspectUpdates(all) }
+
+// receiveUpdates connects the board to the parts that use what it receives.
+func (g *Gateway) receiveUpdates() {
+	g.board.OnChange, g.board.OnNotice, g.board.OnSuspects = g.onRemoteLoad, g.onNotice, g.onSuspects
+}
+
+// expire forgets what other instances have not renewed. It is called once a second.
+func (g *Gateway) expire(now time.Time) {
+	g.board.Expire(now)
+	g.quarantine.Expire(now)
+}
+
 // ownLoad returns the load that this instance puts on each engine.
 func (g *Gateway) ownLoad() []loads.Load {
 	var list []loads.Load
@@ -114,7 +136,7 @@
 	if err != nil {
 		return err
 	}
-	g.board.OnChange, g.board.OnNotice, g.board.OnSuspects = g.onRemoteLoad, g.onNotice, g.onSuspects
+	g.receiveUpdates()
 	g.spawn(func() { g.exchangeLoads(socket) })
 	g.Log.WithFields(logrus.Fields{"event": "loads", "addr": socket.Addr()}).Debug("exchanging loads with other instances")
 	return nil
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -232,10 +232,10 @@
 
 // instanceCount returns the number of live instances, including this one.
 func (g *Gateway) instanceCount() int {
-	if g.members == nil {
+	if g.listMembers == nil {
 		return 1
 	}
-	return max(len(g.members.Members()), 1)
+	return max(len(g.listMembers()), 1)
 }
 
 // Locate returns the addresses that callers in a place should use: those of
--- a/process/gateway/quarantine.go
+++ b/process/gateway/quarantine.go
@@ -29,14 +29,8 @@
 // watchSuspects connects the register of suspects to the log and to the exchange
 // with the other instances.
 func (g *Gateway) watchSuspects() {
-	g.suspectsChanged = make(chan struct{}, 1)
 	g.quarantine.Changed = g.onVerdict
-	g.quarantine.Unsent = func() {
-		select {
-		case g.suspectsChanged <- struct{}{}:
-		default:
-		}
-	}
+	g.quarantine.Unsent = g.sendUpdates
 }
 
 // suspectUpdates returns the datagrams that tell the other instances what the
@@ -129,12 +123,12 @@
 // instances may try a part again. All instances that know the same members compute
 // the same order.
 func (g *Gateway) trialRank(part uint64) (rank int) {
-	if g.members == nil {
+	if g.listMembers == nil {
 		return 0
 	}
 	key := strconv.FormatUint(part, 16)
 	own := quarantine.ID(g.id, key)
-	for _, m := range g.members.Members() {
+	for _, m := range g.listMembers() {
 		if m.ID != g.id && quarantine.ID(m.ID, key) < own {
 			rank++
 		}
--- a/process/gateway/run.go
+++ b/process/gateway/run.go
@@ -39,7 +39,9 @@
 	g.base, g.cancel = context.WithCancel(ctx)
 	g.Roster.Changed, g.Roster.OnLeaving = g.onEndpointsChanged, g.onEndpointLeaves
 	g.members = &member.Node{Self: g.self(), Seeds: g.seeds, Payload: g.payload, OnPayload: g.onPayload, Changed: g.membersChanged}
+	g.listMembers = g.members.Members
 	g.loadChanged, g.notices = make(chan struct{}, 1), make(chan loads.Notice, noticeQueue)
+	g.updatesUnsent = make(chan struct{}, 1)
 	g.watchSuspects()
 	if _, err := g.listenPeers(); err != nil {
 		return err
--- a/process/gateway/testfleet_test.go
+++ b/process/gateway/testfleet_test.go
@@ -49,7 +49,7 @@
 	w := newTestGateway(f.t)
 	w.id = fmt.Sprint("i", len(f.instances))
 	w.answer = func(_ int, c Call) (*Answer, error) { return f.send(w, c) }
-	w.board.OnSuspects = w.onSuspects
+	w.receiveUpdates()
 	f.mu.Lock()
 	f.instances = append(f.instances, w)
 	f.mu.Unlock()
@@ -74,10 +74,10 @@
 			return
 		case <-ticker.C:
 			all = true
-			w.quarantine.Expire(time.Now())
-		case <-w.suspectsChanged:
+			w.expire(time.Now())
+		case <-w.updatesUnsent:
 		}
-		for _, data := range w.suspectUpdates(all) {
+		for _, data := range w.updates(all) {
 			for _, o := range f.list() {
 				if o != w {
 					_ = o.board.Receive(data, time.Now())
--- a/process/gateway/testgateway_test.go
+++ b/process/gateway/testgateway_test.go
@@ -55,6 +55,7 @@
 			Retry: Retry{Ratio: 0.2, Window: 10, Slack: 50},
 		},
 		Log: log, id: "i1-x", loadChanged: make(chan struct{}, 1), notices: make(chan loads.Notice, noticeQueue),
+		updatesUnsent: make(chan struct{}, 1),
 	}
 	w.Backend = Backend{
 		Send: w.send,
