gateway: instances keep the limit that an endpoint names together

Callers saw no failure; the endpoint did: a replica in need that named a limit of 2.8 requests a second got 54 requests in 4 s (22 allowed).

Cause: nothing read the header. Every choice of an endpoint counted work in flight and memory, never a rate that the endpoint itself asks for, and requests to an endpoint had several paths (attempts, continuations, reports, orders to copy), none of which could have kept one.

package ratelimit holds the limits of all endpoints. All instances learn a limit from the one that got the answer, by datagram at once and repeated each second, ordered by a version of the endpoint's record. The rate is divided without messages: at most 1 + rate holders, by rendezvous hashing among the instances of the endpoint's region, send at even intervals of holders/rate seconds; the others send nothing there. That bounds any t seconds by rate*t + rate + 1 requests, also with 81 instances, where one request of each would exceed the 37 that are allowed. An answer without a limit ends it only if its request ran and was sent after the limit was last named. The record is dropped with the endpoint's process.

Every send takes a grant: plain attempts in pickReplica, generations in acquire, continuations in attempt, reports, moves and frees before they are sent. If all endpoints that can be used have limits, a request waits for a grant that is due in time, the less urgent for less long, and is otherwise refused at once as not run, with the time of the next grant.

Order of events that can no longer happen: a limit is named, heard, and a request goes out without a grant; or two instances that agree on the members use the same part. Members that are lost keep their part for 10 s and an instance that starts has none for 3 s, so that a wrong view leaves parts unused first.

TestInstancesKeepTheLimitOfAnEndpoint failed before (45 to 119 requests in 4 s, 5 to 37 allowed, nine cases up to 81 instances) and passes now; it waits a second more at its end for copies in progress.

--- a/internal/diagnosis/diagnosis.go
+++ b/internal/diagnosis/diagnosis.go
@@ -284,6 +284,8 @@
 		return "no engine or replica could take the request: " + end.Text + tail
 	case "stopping":
 		return "the instance was stopping" + tail
+	case "endpoint_limit":
+		return "all endpoints that could be used had named limits; the lines limit_named say which" + tail
 	case "quarantined":
 		return "a part of the prompt had crashed engines; the lines crash_suspect name the prompts" + tail
 	case "timeout", "deadline":
--- a/process/gateway/call.go
+++ b/process/gateway/call.go
@@ -61,19 +61,24 @@
 func (g *Gateway) call(ctx context.Context, j *job) error {
 	p := g.countRequest(j.service)
 	var (
+		kept       *bufferedAnswer // of the latest attempt
+		e          roster.Endpoint // of the latest attempt
 		tried      []string
 		mayHaveRun bool // an attempt may have run
 		sends      int
 	)
 	for attempt := 1; ; attempt++ {
-		e, ok := p.balance.Pick(g.Roster.List(j.service), tried)
-		if !ok {
-			fault := refusal.New(refusal.NoEndpoint, refusal.NotRun, "no replica of service "+j.service+" can be used")
-			fault.RetryAt = retryTime(time.Now())
-			return refusal.Downgrade(fault, mayHaveRun)
+		next, refused := g.pickReplica(ctx, j, p, tried)
+		if refused != nil && kept != nil && kept.rest == nil {
+			return g.finish(j, kept, e, attempt-1)
 		}
+		if refused != nil {
+			return refusal.Downgrade(refused, mayHaveRun)
+		}
+		e = next
 		limited, cancel := g.attemptContext(ctx, j, sends)
-		kept, fault := g.try(limited, j, p, e)
+		var fault *fault
+		kept, fault = g.try(limited, j, p, e)
 		if kept != nil && kept.rest != nil {
 			kept.rest.Follow(ctx) // the limit of the attempt is for the begin of its answer
 		}
--- a/process/gateway/enginepool.go
+++ b/process/gateway/enginepool.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -51,7 +53,7 @@
 	d.sched = &placement.Scheduler{
 		Service: service, Region: g.Settings.Region, EntryPlace: g.Settings.Place, Length: &g.lengths,
 		Seed: xxhash.Sum64String(g.id + service), Violation: g.logViolation, Chunked: true,
-		MemoryCost: memoryCost, FarCost: farCost,
+		MemoryCost: memoryCost, FarCost: farCost, Limited: g.limitOf,
 	}
 	d.dispatcher.Service, d.dispatcher.Sched = service, d.sched
 	actual, _ := g.enginePools.LoadOrStore(service, d)
@@ -118,32 +120,72 @@
 	request := placement.Request{
 		Account: j.route.Name, Prompt: j.Prompt, Max: j.Max, Rank: j.rank, Arrived: now, Deadline: until, Exclude: tried,
 	}
-	item := &queue.Item{
-		Account: j.account, Rank: queue.MaxRank - j.rank, Arrived: now, Deadline: until, Cost: float64(j.Prompt),
+	for {
+		if err := p.checkLimits(j, tried, until); err != nil {
+			return roster.Endpoint{}, 0, err
+		}
+		item := &queue.Item{
+			Account: j.account, Rank: queue.MaxRank - j.rank, Arrived: now, Deadline: until, Cost: float64(j.Prompt),
+		}
+		decision, err := p.dispatcher.Reserve(ctx, request, item)
+		if err != nil {
+			return roster.Endpoint{}, 0, err
+		}
+		if decision.Endpoint == "" {
+			return roster.Endpoint{}, 0, p.notPlaced(j, tried, now)
+		}
+		e, ok := p.g.Roster.Get(decision.Endpoint)
+		switch {
+		case !ok:
+			p.sched.Done(decision.Ticket, 0, false, time.Now())
+			return e, 0, refusal.New(refusal.NoEndpoint, refusal.NotRun, "the engine has left")
+		case p.g.limits.Take(e.ID, time.Now()):
+			p.g.announce()
+			return e, decision.Ticket, nil
+		}
+		p.sched.Done(decision.Ticket, 0, false, time.Now()) // another request took the grant
 	}
-	decision, err := p.dispatcher.Reserve(ctx, request, item)
-	if err != nil {
-		return roster.Endpoint{}, 0, err
+}
+
+// checkLimits returns a refusal if all engines that can be used have limits and these
+// allow no more requests by until than are waiting already.
+func (p *enginePool) checkLimits(j *job, tried []string, until time.Time) error {
+	if !p.g.limits.Any() {
+		return nil
 	}
-	if decision.Endpoint == "" {
-		reason, detail := refusal.NoEndpoint, "no engine of service "+p.service+" can be used"
-		if len(p.g.Roster.List(p.service)) > 0 {
-			reason, detail = refusal.Overload, "no engine of service "+p.service+" had memory for the request in time"
+	now := time.Now()
+	list := p.g.Roster.List(p.service)
+	best, next := p.g.nextGrant(list, tried, now)
+	due := 0
+	for _, e := range list {
+		if !e.Leaving && !slices.Contains(tried, e.ID) {
+			due = min(due+p.g.limits.Due(e.ID, until, now), math.MaxInt32)
 		}
-		fault := refusal.New(reason, refusal.NotRun, detail)
-		fault.RetryAt = retryTime(time.Now())
-		p.g.logDecision(j, "not_placed", logrus.Fields{
-			"reason": reason, "waited": time.Since(now).Milliseconds(), "queue": p.dispatcher.Queue.Len(),
-		})
-		return roster.Endpoint{}, 0, fault
 	}
-	e, ok := p.g.Roster.Get(decision.Endpoint)
-	if !ok {
-		p.sched.Done(decision.Ticket, 0, false, time.Now())
-		return e, 0, refusal.New(refusal.NoEndpoint, refusal.NotRun, "the engine has left")
+	if best.ID == "" || due > p.dispatcher.Queue.Len() {
+		return nil
 	}
-	p.g.announce()
-	return e, decision.Ticket, nil
+	if !next.After(until) {
+		next = until
+	}
+	return p.g.refuseLimited(j, next, now)
+}
+
+// notPlaced returns the refusal of a request that has waited for an engine since begun.
+func (p *enginePool) notPlaced(j *job, tried []string, begun time.Time) error {
+	if err := p.checkLimits(j, tried, time.Now()); err != nil {
+		return err
+	}
+	reason, detail := refusal.NoEndpoint, "no engine of service "+p.service+" can be used"
+	if len(p.g.Roster.List(p.service)) > 0 {
+		reason, detail = refusal.Overload, "no engine of service "+p.service+" had memory for the request in time"
+	}
+	fault := refusal.New(reason, refusal.NotRun, detail)
+	fault.RetryAt = retryTime(time.Now())
+	p.g.logDecision(j, "not_placed", logrus.Fields{
+		"reason": reason, "waited": time.Since(begun).Milliseconds(), "queue": p.dispatcher.Queue.Len(),
+	})
+	return fault
 }
 
 func (p *enginePool) release(t placement.Ticket, tokens int, completed bool) {
--- a/process/gateway/feed.go
+++ b/process/gateway/feed.go
@@ -207,7 +207,7 @@
 			g.spawn(func() {
 				ctx, cancel := context.WithTimeout(g.base, probeLimit)
 				defer cancel()
-				r, err := g.Backend.Report(ctx, e)
+				r, err := g.report(ctx, e)
 				switch {
 				case err != nil:
 					counters.Add("reports_failed", 1) // if the engine has ended, its stream breaks
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -35,6 +35,7 @@
 	"github.com/eelgrassdock/eelgrassdock/process/member"
 	"github.com/eelgrassdock/eelgrassdock/process/mirror"
 	"github.com/eelgrassdock/eelgrassdock/process/quarantine"
+	"github.com/eelgrassdock/eelgrassdock/process/ratelimit"
 	"github.com/eelgrassdock/eelgrassdock/process/roster"
 	"github.com/eelgrassdock/eelgrassdock/request/refusal"
 	"github.com/eelgrassdock/eelgrassdock/version/routing"
@@ -172,8 +173,8 @@
 		notices       chan loads.Notice // findings to send to other instances
 		loadChanged   chan struct{}     // signals that this instance's load has changed
 		quarantine    quarantine.Register
-		updatesUnsent chan struct{}    // signals that there are updates for the other instances
-		namedLimits   sync.Map         // endpoint ID to the limit that its latest answer named
+		updatesUnsent chan struct{} // signals that there are updates for the other instances
+		limits        ratelimit.Limiter
 		feeds         map[string]*feed // by table
 
 		id           string
--- a/process/gateway/generate.go
+++ b/process/gateway/generate.go
@@ -28,6 +28,7 @@
 	streamMaxIdle  = 2 * time.Second        // longest idle time of a connection that a stream may use
 	silenceTimeout = time.Second            // time without an event after which an engine is probed
 	probeLimit     = 400 * time.Millisecond // timeout of a probe; covers a new connection between regions
+	continueWait   = 4 * time.Second        // longest wait of a continuation for an engine with a limit; callers give up about then
 	firstEvent     = "0"                    // ID that stands for the position before the first event
 )
 
@@ -151,6 +152,11 @@
 	}
 	quiet := r.watchSilence(attemptCtx, a.endpoint, cancel)
 	defer quiet.Stop()
+	if a.memory != "" && !r.g.limits.Wait(ctx, a.endpoint.ID, earlier(r.j.deadline, time.Now().Add(continueWait))) {
+		f := refusal.New(refusal.EndpointLimit, refusal.NotRun, "no request to the engine with the copy is due in time")
+		r.logAttempt("attempt_failed", a, logrus.Fields{"reason": f.Reason, "outcome": f.Outcome.String(), "detail": f.Detail})
+		return r.rerun(ctx, a, f)
+	}
 	sent := time.Now()
 	r.current = attemptState{since: sent}
 	answer, err := r.g.send(attemptCtx, c)
@@ -202,7 +208,7 @@
 	quiet = time.AfterFunc(time.Hour, func() {
 		for ctx.Err() == nil {
 			call, done := context.WithTimeout(ctx, probeLimit)
-			_, err := r.g.Backend.Report(call, e)
+			_, err := r.g.report(call, e)
 			silent := errors.Is(err, ErrUnreachable) || errors.Is(err, os.ErrDeadlineExceeded) || call.Err() != nil
 			done()
 			if err == nil || !silent {
--- a/process/gateway/health.go
+++ b/process/gateway/health.go
@@ -105,7 +105,7 @@
 func (p *enginePool) probe(e roster.Endpoint) error {
 	ctx, cancel := context.WithTimeout(p.g.base, probeLimit)
 	defer cancel()
-	_, err := p.g.Backend.Report(ctx, e)
+	_, err := p.g.report(ctx, e)
 	return err
 }
 
--- a/process/gateway/limit_test.go
+++ b/process/gateway/limit_test.go
@@ -12,10 +12,12 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/eelgrassdock/eelgrassdock/process/member"
 	"github.com/eelgrassdock/eelgrassdock/process/roster"
+	"github.com/eelgrassdock/eelgrassdock/request/refusal"
 )
 
 // Figures of the users' rule on limits.
@@ -25,6 +27,8 @@
 	limitHeard   = 500 * time.Millisecond // from an answer with a limit until its instance counts
 	limitFactor  = 1.5
 	limitSlack   = 5
+
+	askTime = 3 * time.Second // from a request to its deadline
 )
 
 // limitedFleet is a fleet whose endpoints name limits, and which records what reaches
@@ -34,6 +38,7 @@
 	random *rand.Rand // of load
 
 	mu       sync.Mutex
+	asked    int                // requests so far
 	limits   map[string]float64 // named from now on, by endpoint
 	first    map[string]time.Time
 	heard    map[string]time.Time // by instance and endpoint
@@ -122,6 +127,18 @@
 	return a, nil
 }
 
+// ask sends a request with a deadline to an instance.
+func (f *limitedFleet) ask(w *testGateway, path string) error {
+	f.mu.Lock()
+	f.asked++
+	id := fmt.Sprint("r", f.asked)
+	f.mu.Unlock()
+	r := promptRequest(path, id)
+	r.ID, r.Deadline = id, r.Arrived.Add(askTime)
+	_, err := w.requestWith(f.t.Context(), r)
+	return err
+}
+
 // load sends requests to instances at random times, rate a second to all together, and
 // returns how many failed. With skew, all of them go to the first instance.
 func (f *limitedFleet) load(path string, rate float64, d time.Duration, skew bool) (sent, failed int) {
@@ -138,7 +155,7 @@
 		}
 		sent++
 		wg.Go(func() {
-			if f.request(w, path) != nil {
+			if f.ask(w, path) != nil {
 				mu.Lock()
 				defer mu.Unlock()
 				failed++
@@ -146,6 +163,7 @@
 		})
 	}
 	wg.Wait()
+	time.Sleep(time.Second) // until copies in progress have ended
 	return sent, failed
 }
 
@@ -207,3 +225,114 @@
 		})
 	}
 }
+
+// Guards against a limit that stays in force, at any instance, after the endpoint has
+// ceased to name it.
+func TestLimitEndsAtAllInstances(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newLimitedFleet(t, 7)
+		defer close(f.stop)
+		f.name("d0", 1)
+		f.load("/read/1", 43, 10*time.Second, false)
+		for _, w := range f.list() {
+			require.True(t, w.limits.Limited("d0"))
+		}
+		f.name("d0", -1)
+		f.load("/read/1", 43, 5*time.Second, false)
+		for _, w := range f.list() {
+			require.False(t, w.limits.Limited("d0"))
+		}
+	})
+}
+
+// Guards against requests that wait for endpoints which cannot take them, and against a
+// limit of which most is unused, when all endpoints of a service have named one.
+func TestAllEndpointsHaveLimits(t *testing.T) {
+	for _, path := range []string{"/read/1", "/short/1"} {
+		t.Run(path, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const limit, seconds = 3.0, 20
+				endpoints := []string{"d0", "d1", "d2", "d3"}
+				if path == "/short/1" {
+					endpoints = []string{"e0", "e1", "e2", "e3"}
+				}
+				f := newLimitedFleet(t, 7)
+				defer close(f.stop)
+				for _, e := range endpoints {
+					f.name(e, limit)
+				}
+				f.load(path, 43, limitContact, false)
+				before := 0
+				for _, e := range endpoints {
+					before += len(f.arrivals[e])
+				}
+				sent, failed := f.load(path, 43, seconds*time.Second, false)
+				served := 0
+				for _, e := range endpoints {
+					f.requireKept(e, limit)
+					served += len(f.arrivals[e])
+				}
+				served -= before
+				t.Logf("%d of %d served, %d refused; %.2f of the limits used", served, sent, failed, float64(served)/(4*limit*seconds))
+				require.Greater(t, float64(served), 4*limit*seconds/2)
+				require.Positive(t, failed)
+
+				w, begun := f.instances[0], time.Now()
+				var (
+					wg     sync.WaitGroup
+					mu     sync.Mutex
+					atOnce int
+				)
+				for range 40 {
+					wg.Go(func() {
+						err := f.ask(w, path)
+						if err == nil {
+							return
+						}
+						refused := w.refusalOf(err)
+						assert.Equal(t, refusal.EndpointLimit, refused.Reason)
+						assert.Equal(t, refusal.NotRun, refused.Outcome)
+						assert.True(t, refused.RetryAt.After(time.Now()))
+						mu.Lock()
+						defer mu.Unlock()
+						if time.Since(begun) == 0 {
+							atOnce++
+						}
+					})
+				}
+				wg.Wait()
+				require.Positive(t, atOnce)
+			})
+		})
+	}
+}
+
+// Guards against a limit that ends, or is raised, because of an answer to a request that
+// was sent before the endpoint named it.
+func TestAnswersCrossALimit(t *testing.T) {
+	w := newTestGateway(t)
+	e, ok := w.Roster.Get("d0")
+	require.True(t, ok)
+	rate := func(r float64) *Answer { return &Answer{Status: http.StatusOK, Limit: &r} }
+	begun := time.Now()
+	w.recordLimit(e, rate(2), begun)
+	w.recordLimit(e, &Answer{Status: http.StatusOK}, begun)
+	require.True(t, w.limits.Limited("d0"))
+	w.recordLimit(e, rate(9), begun)
+	require.InDelta(t, 2, w.limits.List(time.Now())[0].Rate, 0)
+	later := time.Now()
+	for name, a := range map[string]*Answer{
+		"refusal": {Status: http.StatusServiceUnavailable, NotRun: true}, "failure": {Status: http.StatusInternalServerError},
+		"invalid": {Status: http.StatusOK, InvalidLimit: "many"}, "other endpoint": {Status: http.StatusMisdirectedRequest, NotRun: true, AddressReused: true},
+	} {
+		w.recordLimit(e, a, later)
+		require.True(t, w.limits.Limited("d0"), name)
+	}
+	w.recordLimit(e, &Answer{Status: http.StatusOK}, later)
+	require.False(t, w.limits.Limited("d0"))
+	w.recordLimit(e, rate(2), begun)
+	require.True(t, w.limits.Limited("d0"), "a late answer with a limit is believed")
+	w.Roster.Set(roster.Endpoint{ID: "d0", Service: plainService, Addr: "10.0.1.0:1", Place: "p0", Slots: 6, Born: 5})
+	w.onEndpointsChanged(plainService)
+	require.False(t, w.limits.Limited("d0"), "an endpoint that has started again has no limit")
+}
--- a/process/gateway/loads.go
+++ b/process/gateway/loads.go
@@ -91,17 +91,20 @@
 
 // updates returns the datagrams that tell the other instances what this one has found
 // out about endpoints. With all, it includes what is repeated once a second.
-func (g *Gateway) updates(all bool) [][]byte { return g.suspectUpdates(all) }
+func (g *Gateway) updates(all bool) [][]byte {
+	return append(g.suspectUpdates(all), g.limitUpdates(all)...)
+}
 
 // receiveUpdates connects the board to the parts that use what it receives.
 func (g *Gateway) receiveUpdates() {
-	g.board.OnChange, g.board.OnNotice, g.board.OnSuspects = g.onRemoteLoad, g.onNotice, g.onSuspects
+	g.board.OnChange, g.board.OnNotice, g.board.OnSuspects, g.board.OnLimits = g.onRemoteLoad, g.onNotice, g.onSuspects, g.onLimits
 }
 
 // expire forgets what other instances have not renewed. It is called once a second.
 func (g *Gateway) expire(now time.Time) {
 	g.board.Expire(now)
 	g.quarantine.Expire(now)
+	g.setLimitMembers(now)
 }
 
 // ownLoad returns the load that this instance puts on each engine.
--- a/process/gateway/move.go
+++ b/process/gateway/move.go
@@ -375,12 +375,18 @@
 func (g *Gateway) copyMemory(r *run, from, to roster.Endpoint) (Moved, error) {
 	ctx, cancel := context.WithTimeout(g.base, copyLimit)
 	defer cancel()
+	if !g.limits.Take(from.ID, time.Now()) {
+		return Moved{}, errLimited
+	}
 	return g.Backend.Move(ctx, Move{Run: r.j.ID, From: from, To: to})
 }
 
 // freeCopy frees a copy that is no longer needed. If that fails, the copy
 // expires on its own.
 func (g *Gateway) freeCopy(from roster.Endpoint, handle string) {
+	if !g.limits.Take(from.ID, time.Now()) {
+		return
+	}
 	ctx, cancel := context.WithTimeout(g.base, freeLimit)
 	defer cancel()
 	if err := g.Backend.Free(ctx, from, handle); err != nil {
--- a/process/gateway/run.go
+++ b/process/gateway/run.go
@@ -42,7 +42,9 @@
 	g.listMembers = g.members.Members
 	g.loadChanged, g.notices = make(chan struct{}, 1), make(chan loads.Notice, noticeQueue)
 	g.updatesUnsent = make(chan struct{}, 1)
+	g.limits.Start = time.Now()
 	g.watchSuspects()
+	g.watchLimits()
 	if _, err := g.listenPeers(); err != nil {
 		return err
 	}
@@ -128,6 +130,7 @@
 
 func (g *Gateway) onEndpointsChanged(service string) {
 	g.pool(service).balance.Retain(g.Roster.List(service))
+	g.retainLimits()
 	g.refreshEnginePool(service)
 }
 
--- a/process/gateway/testgateway_test.go
+++ b/process/gateway/testgateway_test.go
@@ -90,6 +90,7 @@
 		CloseConnections: func(string) {}, Warm: func(context.Context, string) {},
 	}
 	w.watchSuspects()
+	w.watchLimits()
 	ctx, cancel := context.WithCancel(t.Context())
 	w.base, w.cancel = ctx, cancel
 	t.Cleanup(cancel)
--- a/process/loads/loads.go
+++ b/process/loads/loads.go
@@ -25,6 +25,9 @@
 	// suspectsTag is the first byte of a datagram with suspects. It cannot occur in
 	// msgpack, so that an instance of an older version drops the datagram.
 	suspectsTag = 0xc1
+	// limitsTag is the first byte of a datagram with limits. It encodes no array, so
+	// that an instance of an older version drops the datagram.
+	limitsTag = 0xc2
 
 	maxPerDatagram = 32 // loads in one datagram, so that it fits into one packet
 )
@@ -62,6 +65,9 @@
 		// OnSuspects is called with each update of the suspects of another
 		// instance (package quarantine), in any order and possibly repeatedly.
 		OnSuspects func(data []byte)
+		// OnLimits is called with each update of the limits that endpoints name
+		// (package ratelimit), in any order and possibly repeatedly.
+		OnLimits func(data []byte)
 
 		mu    sync.Mutex
 		peers map[string]*peer
@@ -112,6 +118,9 @@
 // Suspects returns the datagram with an update of the suspects of this instance.
 func Suspects(update []byte) []byte { return append([]byte{suspectsTag}, update...) }
 
+// Limits returns the datagram with an update of the limits that endpoints name.
+func Limits(update []byte) []byte { return append([]byte{limitsTag}, update...) }
+
 // Changes encodes the loads whose Runs or Sent differ from those sent before, and
 // if all is set every load with runs, as datagrams of at most maxPerDatagram loads.
 func (s *Sender) Changes(own []Load, all bool) ([][]byte, error) {
@@ -149,6 +158,10 @@
 		b.OnSuspects(data[1:])
 		return nil
 	}
+	if len(data) > 0 && data[0] == limitsTag {
+		b.OnLimits(data[1:])
+		return nil
+	}
 	var m message
 	if err := msgpack.Unmarshal(data, &m); err != nil {
 		return fmt.Errorf("decode loads: %w", err)
--- a/process/placement/choose.go
+++ b/process/placement/choose.go
@@ -93,6 +93,9 @@
 			continue
 		}
 		wait = true
+		if limited, ready := s.limitOf(e); limited && !ready {
+			continue
+		}
 		used += e.others + e.used
 		total += e.total
 		var risk, cost float64
@@ -114,6 +117,14 @@
 	return s.pick(lowest, &o), false
 }
 
+// limitOf returns the result of Limited for an endpoint.
+func (s *Scheduler) limitOf(e *endpoint) (limited, ready bool) {
+	if s.Limited == nil {
+		return false, true
+	}
+	return s.Limited(e.ID)
+}
+
 // pick returns a random one of the candidates whose cost exceeds the lowest by
 // no more than a slack for work that peers may have sent since the last reports.
 func (s *Scheduler) pick(lowest float64, o *inputs) *endpoint {
--- a/process/placement/copy.go
+++ b/process/placement/copy.go
@@ -71,7 +71,7 @@
 	s.scratch = s.scratch[:0]
 	lowest := math.Inf(1)
 	for _, e := range s.list {
-		if !s.usable(e, req) || c.Near && e.Place != c.Place {
+		if limited, _ := s.limitOf(e); limited || !s.usable(e, req) || c.Near && e.Place != c.Place {
 			continue
 		}
 		risk, cost := s.evaluate(e, &o)
--- a/process/placement/placement.go
+++ b/process/placement/placement.go
@@ -138,6 +138,10 @@
 		// compared with an empty one. It spreads generations before memory gets
 		// scarce.
 		MemoryCost float64
+		// Limited reports whether an endpoint has named a limit on its requests, and
+		// whether one may be sent to it now. No copies are placed at such an
+		// endpoint. If nil, no endpoint has a limit.
+		Limited func(endpoint string) (limited, ready bool)
 		// FarCost is the cost of an endpoint in another region, in seconds of stall,
 		// in addition to the cost of the bytes; 0.03 if zero.
 		FarCost float64
--- /dev/null
+++ b/process/ratelimit/ratelimit.go
@@ -0,0 +1,453 @@
+// Package ratelimit keeps the requests that all instances together send to an
+// endpoint within a rate that the endpoint names in its answers.
+//
+// A rate is in force until an answer to a later request names none. All instances
+// learn it from the one that got the answer, and it is divided without messages:
+// the endpoint's limit has a few holders, chosen by rendezvous hashing among the
+// instances of the endpoint's region, and each holder sends at evenly spaced times,
+// at its part of the rate. The other instances send nothing to the endpoint.
+//
+// # Bound
+//
+// There are at most 1 + rate holders (rate in requests per second), and one that
+// sends every holders/rate seconds sends at most once more than its part in any
+// time. Instances that agree on the members therefore send at most
+// rate*t + rate + 1 requests in any t seconds, however many instances there are.
+// With one holder for each instance, the first request of each would exceed that.
+//
+// Instances differ in their views of the members for a short time. A member stays
+// in the view of an instance for memberLifetime after it was last seen, so that an
+// instance that loses contact with the others does not take their parts at once,
+// and an instance takes no part within settleTime of its start.
+package ratelimit
+
+import (
+	"cmp"
+	"context"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// MinRate is the lowest rate in requests per second that is applied. Only the
+	// endpoint's answers show that a limit has ended, so that a few requests must
+	// reach it even if it names a rate of zero.
+	MinRate = 0.25
+
+	memberLifetime = 10 * time.Second // for which a member counts after it was last seen
+	settleTime     = 3 * time.Second  // from the start of an instance until it knows the members
+)
+
+type (
+	// Endpoint is one process of an endpoint.
+	Endpoint struct {
+		ID     string
+		Born   int64  // as in roster.Endpoint
+		Region string // in which its holders are chosen
+	}
+
+	// Member is a live instance.
+	Member struct {
+		ID     string
+		Region string
+	}
+
+	// Change reports that a limit was named, has another rate or has ended.
+	Change struct {
+		Endpoint string
+		Rate     float64       // in requests per second, 0 if the limit has ended
+		Lasted   time.Duration // how long the limit was in force; 0 unless it has ended
+		Granted  int64         // requests of this instance to the endpoint since it began
+		Source   string        // Answer or Instance
+	}
+
+	// Limiter holds the limits of all endpoints. Its exported fields are set before
+	// use; the methods are safe for concurrent use. The zero value is an instance
+	// without other members.
+	Limiter struct {
+		// Start is when this instance started.
+		Start time.Time
+		// Changed is called with each change, without locks held; it may be nil.
+		Changed func(Change)
+		// Unsent is called when Updates has something to return; it may be nil.
+		Unsent func()
+
+		limited atomic.Int32 // limits in force
+		mu      sync.Mutex
+		limits  map[string]*limit // by endpoint
+		id      string            // of this instance
+		members map[string]seenMember
+		views   int  // changes of the members so far
+		settled bool // settleTime has passed
+	}
+
+	seenMember struct {
+		region string
+		at     time.Time
+	}
+
+	// limit is what is known of one endpoint. It is kept after the limit has ended,
+	// so that a late update cannot bring the limit back.
+	limit struct {
+		Endpoint
+		rate    float64       // 0 if none is in force
+		version uint64        // rises with each change at any instance
+		learned time.Time     // when the rate was last named; answers to earlier requests do not end it
+		since   time.Time     // when the limit came into force or ended
+		changed chan struct{} // closed at the next change
+		unsent  bool
+		granted int64
+
+		interval time.Duration // between the requests of this instance, 0 if it is no holder
+		view     int           // Limiter.views for which interval was computed
+		next     time.Time     // earliest time of the next request
+	}
+)
+
+// Sources of a Change.
+const (
+	Answer   = "answer"
+	Instance = "instance"
+)
+
+// SetMembers records the ID of this instance and the live instances, with this one.
+// It is called about once a second.
+func (l *Limiter) SetMembers(id string, list []Member, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.id = id
+	if l.members == nil {
+		l.members = map[string]seenMember{}
+	}
+	for _, m := range list {
+		if _, ok := l.members[m.ID]; !ok {
+			l.views++
+		}
+		l.members[m.ID] = seenMember{region: m.Region, at: now}
+	}
+	for id, m := range l.members {
+		if now.Sub(m.at) > memberLifetime {
+			delete(l.members, id)
+			l.views++
+		}
+	}
+}
+
+// Named records that an endpoint named a rate in its answer to a request that was
+// sent at a time. A lower rate than the one in force is applied whenever the request
+// was sent.
+func (l *Limiter) Named(e Endpoint, rate float64, sent, now time.Time) {
+	l.observe(e, min(max(rate, MinRate), math.MaxFloat64), sent, now)
+}
+
+// Unnamed records that an endpoint named no rate in its answer to a request that was
+// sent at a time.
+func (l *Limiter) Unnamed(e Endpoint, sent, now time.Time) {
+	if l.Limited(e.ID) {
+		l.observe(e, 0, sent, now)
+	}
+}
+
+func (l *Limiter) observe(e Endpoint, rate float64, sent, now time.Time) {
+	l.mu.Lock()
+	x := l.find(e)
+	if looser(rate, x.rate) && sent.Before(x.learned) {
+		l.mu.Unlock()
+		return
+	}
+	if rate > 0 {
+		x.learned = now
+	}
+	var changes []Change
+	if rate != x.rate {
+		x.version++
+		x.unsent = true
+		changes = append(changes, l.set(x, rate, Answer, now))
+	}
+	l.mu.Unlock()
+	l.report(changes)
+}
+
+// looser reports whether a rate allows more than another one; 0 is no limit.
+func looser(a, b float64) bool {
+	return b > 0 && (a == 0 || a > b)
+}
+
+// find returns the record of an endpoint, a new one if there is none or it is of an
+// earlier process. The lock must be held.
+func (l *Limiter) find(e Endpoint) *limit {
+	x := l.limits[e.ID]
+	if x != nil && x.Born == e.Born {
+		return x
+	}
+	if l.limits == nil {
+		l.limits = map[string]*limit{}
+	}
+	if x != nil {
+		l.drop(x)
+	}
+	x = &limit{Endpoint: e, changed: make(chan struct{}), view: -1}
+	l.limits[e.ID] = x
+	return x
+}
+
+// drop deletes a record. The lock must be held.
+func (l *Limiter) drop(x *limit) {
+	delete(l.limits, x.ID)
+	close(x.changed)
+	if x.rate > 0 {
+		l.limited.Add(-1)
+	}
+}
+
+// set puts a rate in force. The lock must be held.
+func (l *Limiter) set(x *limit, rate float64, source string, now time.Time) Change {
+	c := Change{Endpoint: x.ID, Rate: rate, Source: source}
+	switch {
+	case x.rate == 0:
+		l.limited.Add(1)
+		x.since, x.granted = now, 0
+	case rate == 0:
+		l.limited.Add(-1)
+		c.Lasted, x.since = now.Sub(x.since), now
+	}
+	c.Granted = x.granted
+	x.rate, x.view = rate, -1
+	x.notify()
+	return c
+}
+
+// notify voids the grants for later times. The lock must be held.
+func (x *limit) notify() {
+	close(x.changed)
+	x.changed = make(chan struct{})
+}
+
+func (l *Limiter) report(changes []Change) {
+	if len(changes) == 0 {
+		return
+	}
+	if l.Unsent != nil {
+		l.Unsent()
+	}
+	for _, c := range changes {
+		if l.Changed != nil {
+			l.Changed(c)
+		}
+	}
+}
+
+// Retain drops what is known of endpoints for which listed is false: those that have
+// left or started again.
+func (l *Limiter) Retain(listed func(e Endpoint) bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, x := range l.limits {
+		if !listed(x.Endpoint) {
+			l.drop(x)
+		}
+	}
+}
+
+// Limited reports whether a limit of an endpoint is in force.
+func (l *Limiter) Limited(endpoint string) bool {
+	if !l.Any() {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	x := l.limits[endpoint]
+	return x != nil && x.rate > 0
+}
+
+// Any reports whether a limit of any endpoint is in force.
+func (l *Limiter) Any() bool { return l.limited.Load() > 0 }
+
+// Take grants one request to an endpoint now, and reports whether it did. A request
+// to an endpoint without a limit is always granted.
+func (l *Limiter) Take(endpoint string, now time.Time) bool {
+	return l.take(endpoint, now, true)
+}
+
+// Ready reports whether Take would grant a request.
+func (l *Limiter) Ready(endpoint string, now time.Time) bool {
+	return l.take(endpoint, now, false)
+}
+
+func (l *Limiter) take(endpoint string, now time.Time, grant bool) bool {
+	if !l.Any() {
+		return true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	x := l.limits[endpoint]
+	if x == nil || x.rate == 0 {
+		return true
+	}
+	l.divide(x, now)
+	if x.interval == 0 || now.Before(x.next) {
+		return false
+	}
+	if grant {
+		x.next = now.Add(x.interval)
+		x.granted++
+	}
+	return true
+}
+
+// Next returns when Take will grant the next request to an endpoint: a time in the
+// past if it would do so now, and false if this instance may not send to it.
+func (l *Limiter) Next(endpoint string, now time.Time) (time.Time, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	x := l.limits[endpoint]
+	if x == nil || x.rate == 0 {
+		return time.Time{}, true
+	}
+	l.divide(x, now)
+	return x.next, x.interval > 0
+}
+
+// Due returns how many requests of this instance to an endpoint will be granted by a
+// time; many if the endpoint has no limit.
+func (l *Limiter) Due(endpoint string, until, now time.Time) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	x := l.limits[endpoint]
+	if x == nil || x.rate == 0 {
+		return math.MaxInt32
+	}
+	l.divide(x, now)
+	if x.interval == 0 || x.next.After(until) {
+		return 0
+	}
+	return 1 + int(until.Sub(x.next)/x.interval)
+}
+
+// Wait waits for a grant of one request to an endpoint, and reports whether it was
+// granted. Requests are granted in the order of the calls. It fails at once if the
+// grant would come after a time, and when ctx ends.
+func (l *Limiter) Wait(ctx context.Context, endpoint string, until time.Time) bool {
+	for {
+		at, changed, ok := l.reserve(endpoint, until, time.Now())
+		if !ok {
+			return false
+		}
+		timer := time.NewTimer(time.Until(at))
+		select {
+		case <-timer.C:
+			l.count(endpoint)
+			return true
+		case <-changed:
+			// The place in the order was one of the previous rate.
+			timer.Stop()
+		case <-ctx.Done():
+			timer.Stop()
+			l.cancel(endpoint, at)
+			return false
+		}
+	}
+}
+
+// reserve grants the next request to an endpoint, for a time not after until. The
+// grant is void if changed is closed before that time.
+func (l *Limiter) reserve(endpoint string, until, now time.Time) (at time.Time, changed <-chan struct{}, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	x := l.limits[endpoint]
+	if x == nil || x.rate == 0 {
+		return now, nil, true
+	}
+	l.divide(x, now)
+	at = x.next
+	if at.Before(now) {
+		at = now
+	}
+	if x.interval == 0 || at.After(until) {
+		return at, nil, false
+	}
+	x.next = at.Add(x.interval)
+	return at, x.changed, true
+}
+
+// count records that a request was granted.
+func (l *Limiter) count(endpoint string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if x := l.limits[endpoint]; x != nil {
+		x.granted++
+	}
+}
+
+// cancel takes a grant back if no later one depends on it.
+func (l *Limiter) cancel(endpoint string, at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if x := l.limits[endpoint]; x != nil && x.interval > 0 && x.next.Equal(at.Add(x.interval)) {
+		x.next = at
+	}
+}
+
+// divide computes the part of this instance in a limit. A new part begins at a random
+// time within its interval, so that the holders do not send together. When the
+// interval changes, grants for later times are void, and the next one follows the
+// latest request at the new interval. The lock must be held.
+func (l *Limiter) divide(x *limit, now time.Time) {
+	if !l.settled && !now.Before(l.Start.Add(settleTime)) {
+		l.settled = true
+		l.views++
+	}
+	if x.view == l.views {
+		return
+	}
+	x.view = l.views
+	var interval time.Duration
+	if n, holds := l.holders(x); holds {
+		interval = max(time.Duration(float64(n)/x.rate*float64(time.Second)), 1)
+	}
+	switch old := x.interval; {
+	case interval == old:
+		return
+	case old == 0:
+		x.next = now.Add(time.Duration(rand.Float64() * float64(interval)))
+	default:
+		last := x.next.Add(-old)
+		if ahead := last.Sub(now); ahead > 0 {
+			last = last.Add(-(ahead/old + 1) * old)
+		}
+		x.next = last.Add(interval)
+	}
+	x.interval = interval
+	x.notify()
+}
+
+// holders returns the number of holders of a limit and whether this instance is one.
+// An instance that has just started is none. The lock must be held.
+func (l *Limiter) holders(x *limit) (n int, holds bool) {
+	if !l.settled {
+		return 0, false
+	}
+	var near, all []string
+	for id, m := range l.members {
+		all = append(all, id)
+		if m.region == x.Region {
+			near = append(near, id)
+		}
+	}
+	if len(near) == 0 {
+		near = all
+	}
+	if len(near) == 0 {
+		return 1, true
+	}
+	n = int(min(1+x.rate, float64(len(near))))
+	rank := func(id string) uint64 { return xxhash.Sum64String(x.ID + " " + id) }
+	slices.SortFunc(near, func(a, b string) int { return cmp.Compare(rank(a), rank(b)) })
+	return n, slices.Contains(near[:n], l.id)
+}
--- a/request/refusal/refusal.go
+++ b/request/refusal/refusal.go
@@ -97,6 +97,7 @@
 	Stale          Reason = "stale"           // configuration too old for a strict service
 	Stopping       Reason = "stopping"        // entry is stopping
 	Quarantined    Reason = "quarantined"     // a part of the prompt has crashed engines
+	EndpointLimit  Reason = "endpoint_limit"  // every usable endpoint has named a limit, and no request to one is due in time
 	Canceled       Reason = "canceled"        // the caller left
 	Internal       Reason = "internal"        // error in the entry itself
 )
@@ -106,7 +107,7 @@
 	All = []Reason{
 		BadRequest, TooLarge, LongHeader, BadKey, BadToken, Forbidden, NoService, NoKey, KeyExpired, KeyBarred, KeyReused, KeyTaken,
 		RateLimit, ActiveLimit, TokenLimit, Deadline, Overload, NoEndpoint, Leaving, Rejected, Dial, Broken,
-		Timeout, Garbage, GenerationLost, Budget, Store, Stale, Stopping, Quarantined, Canceled, Internal,
+		Timeout, Garbage, GenerationLost, Budget, Store, Stale, Stopping, Quarantined, EndpointLimit, Canceled, Internal,
 	}
 
 	refusals = newCounters("refusals")
