soak: endpoints name limits

The stand-in endpoints name a limit on request (Server fault Limit) and report each request that reaches them, control calls too. The ledger adds up what an endpoint gets from all instances that were not disturbed, and checks the users' rule: 4 s after the first answer with a limit, no 4 s have more than one and a half times what it allows and 5. The faults of this kind are drawn from a stream of their own, so that the other faults of a seed stay the same. The check is broken on purpose in TestSoakReportsEachBrokenPromise (limits that are not named) and in TestLedgerSeesEachBreach.

--- a/internal/soak/endpoints.go
+++ b/internal/soak/endpoints.go
@@ -50,7 +50,7 @@
 	p.starts++
 	e := &fake.Endpoint{
 		ID: fmt.Sprintf("%s-%s-%d", p.service, listen[len(listen)-5:], p.starts), Service: p.service, Addr: link.addr, Place: p.place,
-		Slots: fake.Slots, Work: plainDuration, Seed: p.s.Seed + uint64(p.starts), Began: p.s.recordRun,
+		Slots: fake.Slots, Work: plainDuration, Seed: p.s.Seed + uint64(p.starts), Began: p.s.recordRun, Reached: p.s.ledger.Reached,
 		Ended: func(r fake.Run, whole bool) { p.s.ledger.Ended(r.Request, r.Endpoint, whole) }, Peer: p.s.endpointAt,
 	}
 	p.mu.Unlock()
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -20,10 +20,11 @@
 	Config  = "config"  // a configuration is in force after configBound and never reverts
 	Budget  = "budget"  // repeated runs stay within the retry budget of all instances together
 	Revoked = "revoked" // a revoked key is refused after revokeBound
+	Limits  = "limits"  // all instances together keep the limit that an endpoint names
 )
 
 // Promises lists every promise.
-var Promises = []string{Order, Own, NotRun, Once, Single, Leaving, Planned, Config, Budget, Revoked}
+var Promises = []string{Order, Own, NotRun, Once, Single, Leaving, Planned, Config, Budget, Revoked, Limits}
 
 // Bounds of the promises, as the platform's specification states them, and
 // tolerances of the checks.
@@ -37,7 +38,11 @@
 	budgetWindow = 10 * time.Second
 	budgetSlack  = 52
 	maxOverlap   = 500 * time.Millisecond // time for an engine to notice that its reader has disconnected
-	maxDetails   = 5                      // breaches of one promise that are reported in detail
+	limitContact = 4 * time.Second        // from the first answer with a limit until it applies
+	limitWindow  = 4 * time.Second
+	limitFactor  = 1.5
+	limitSlack   = 5
+	maxDetails   = 5 // breaches of one promise that are reported in detail
 )
 
 type (
@@ -62,6 +67,14 @@
 		breaches  map[string]int64
 		details   []Breach
 		continued int64
+		limits    map[string]*limited // by endpoint
+	}
+
+	// limited is the state of an endpoint that names a limit.
+	limited struct {
+		rate  float64
+		since time.Time
+		times []time.Time // of the requests in the last limitWindow that count
 	}
 
 	// request is the state of one request.
@@ -85,6 +98,7 @@
 		l.requests, l.leaving = map[string]*request{}, map[string]time.Time{}
 		l.disturbed, l.planned = map[string]time.Time{}, map[string]time.Time{}
 		l.sent, l.repeats = map[string][]time.Time{}, map[string][]time.Time{}
+		l.limits = map[string]*limited{}
 		l.checks, l.breaches = map[string]int64{}, map[string]int64{}
 	}
 }
@@ -173,6 +187,35 @@
 	l.leaving[endpoint] = at
 }
 
+// Reached records a request that arrives at an endpoint, whose limit is rate requests
+// per second, 0 for none. The request is empty for a control call. Requests of
+// instances that were disturbed do not count.
+func (l *Ledger) Reached(id, endpoint string, rate float64) {
+	at := time.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.initMaps()
+	x := l.limits[endpoint]
+	if rate == 0 {
+		delete(l.limits, endpoint)
+		return
+	}
+	if x == nil || x.rate != rate {
+		x = &limited{rate: rate, since: at}
+		l.limits[endpoint] = x
+	}
+	if r := l.requests[id]; r != nil && !l.undisturbed(r.instance, at) {
+		return
+	}
+	x.times = slices.DeleteFunc(x.times, func(t time.Time) bool { return at.Sub(t) >= limitWindow })
+	x.times = append(x.times, at)
+	if at.Sub(x.since) < limitContact {
+		return
+	}
+	most := limitFactor*rate*limitWindow.Seconds() + limitSlack
+	l.check(Limits, float64(len(x.times)) <= most, "%s got %d requests in %s at a limit of %v, %.0f are allowed", endpoint, len(x.times), limitWindow, rate, most)
+}
+
 // Sent records a request that a caller sends to an instance.
 func (l *Ledger) Sent(id, instance, service, account string, once bool, at time.Time) {
 	l.mu.Lock()
--- a/internal/soak/ledger_test.go
+++ b/internal/soak/ledger_test.go
@@ -48,6 +48,19 @@
 			sent(l, "q", false)
 			l.Began("q", "a", "club", false, now)
 		}},
+		"more than the limit": {Limits, func(l *Ledger) {
+			l.Reached("", "a", 0.1)
+			time.Sleep(limitContact)
+			for range 6 {
+				l.Reached("", "a", 0.1)
+			}
+		}, func(l *Ledger) {
+			l.Reached("", "a", 0.1)
+			time.Sleep(limitContact)
+			for range 5 {
+				l.Reached("", "a", 0.1)
+			}
+		}},
 		"never sent": {Own, func(l *Ledger) { l.Began("q", "a", "club", false, now) }, func(*Ledger) {}},
 		"two engines": {Single, func(l *Ledger) {
 			sent(l, "q", true)
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -28,6 +28,7 @@
 	Drop     = "drop"     // an endpoint loses answers
 	Change   = "change"   // the configuration is replaced
 	Withdraw = "withdraw" // the configuration is replaced and a key revoked
+	Limit    = "limit"    // an endpoint names a limit on its requests
 )
 
 const (
@@ -37,6 +38,11 @@
 	phaseTime    = 12 * time.Second       // length of a phase; mild faults and all kinds take turns
 	minFault     = 300 * time.Millisecond // shortest duration of a fault
 	maxFault     = 4 * time.Second        // longest duration of a fault
+
+	meanLongGap = 6 * time.Second // between the faults of longKinds
+	minLong     = 8 * time.Second // shortest duration of one
+	maxLong     = 14 * time.Second
+	longStream  = 21 // second half of the seed of longKinds
 )
 
 // Kinds of faults to draw from; a kind that is listed n times is n times as
@@ -54,6 +60,8 @@
 	entryKinds = []string{
 		Kill, Kill, Pause, Stop, Stop, Herd, Refuse, Lose, Slow, Garble, Garble, Garble, Crash, Crash, Grey, Grey, Drop, Drop, Reclaim, Reclaim,
 	}
+	// longKinds are drawn apart from the others, so that these stay the same for a seed.
+	longKinds = []string{Limit}
 )
 
 // Fault is one planned fault.
@@ -72,7 +80,21 @@
 // Plan returns the faults of a Soak. They depend only on the seed and the
 // duration.
 func Plan(seed uint64, total time.Duration) []Fault {
-	return drawPlan(seed, total, mildKinds, allKinds)
+	plan := append(drawPlan(seed, total, mildKinds, allKinds), drawLong(seed, total)...)
+	slices.SortStableFunc(plan, func(a, b Fault) int { return int(a.After - b.After) })
+	return plan
+}
+
+// drawLong draws random faults of longKinds.
+func drawLong(seed uint64, total time.Duration) (plan []Fault) {
+	random := rand.New(rand.NewPCG(seed, longStream))
+	for at := quietStart; at < total-quietEnd; at += time.Duration(random.ExpFloat64() * float64(meanLongGap)) {
+		plan = append(plan, Fault{
+			Kind: longKinds[random.IntN(len(longKinds))], After: at, Target: random.IntN(1 << 16),
+			Last: minLong + time.Duration(random.Int64N(int64(maxLong-minLong))),
+		})
+	}
+	return slices.DeleteFunc(plan, func(f Fault) bool { return f.After+f.Last > total-quietEnd })
 }
 
 // EntryPlan returns the faults of an Entries soak. They depend only on the seed
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -39,6 +39,8 @@
 	stallThreshold = 400 * time.Millisecond // between two ticks: the machine was too busy for bounds to hold
 	startTimeout   = 30 * time.Second       // until all instances are ready
 	slowStoreDelay = 300 * time.Millisecond // added by a slow store
+	minLimit       = 1.0                    // lowest limit that an endpoint names, in requests per second
+	limitSteps     = 5                      // number of different limits, one request per second apart
 	herdInterval   = 2                      // a Herd fault spares one instance in this many, so about half of them
 )
 
@@ -334,6 +336,8 @@
 		p.injectFaults(fake.EndpointFaults{Cut: faultShare, Stray: faultShare}, f.Last)
 	case Drop:
 		p.injectFaults(fake.EndpointFaults{Lose: faultShare}, f.Last)
+	case Limit:
+		p.injectFaults(fake.EndpointFaults{Limit: minLimit + float64(f.Target%limitSteps)}, f.Last)
 	case Change, Withdraw:
 		if err := s.operators.change(f.Kind == Withdraw); err != nil {
 			s.recordError(err)
@@ -405,6 +409,8 @@
 		return fake.EndpointFaults{IgnoreCancel: true, Cut: faultShare}
 	case Budget:
 		return fake.EndpointFaults{Fail: 1}
+	case Limits:
+		return fake.EndpointFaults{Limit: minLimit, LimitHidden: true}
 	}
 	return fake.EndpointFaults{}
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -37,7 +38,7 @@
 			kinds[f.Kind] = true
 		}
 	}
-	for _, kind := range allKinds {
+	for _, kind := range append(slices.Clone(allKinds), longKinds...) {
 		require.True(t, kinds[kind], kind)
 	}
 }
@@ -88,7 +89,7 @@
 			require.Empty(t, sum.Details)
 			require.Empty(t, sum.Errors)
 			require.True(t, sum.Kept)
-			for _, promise := range []string{Order, Own, NotRun, Once, Leaving, Config} {
+			for _, promise := range []string{Order, Own, NotRun, Once, Leaving, Config, Limits} {
 				require.Positive(t, sum.Checks[promise], promise)
 			}
 		})
