--- a/process/mirror/mirror.go
+++ b/process/mirror/mirror.go
@@ -42,10 +42,13 @@
 	}
 
 	// Page is a response of the store: rows, and the table's version as of this
-	// response.
+	// response. Era rises by one each time that the store comes back from an older
+	// copy of itself, whose versions are then given out again; it is 0 if it is not
+	// known.
 	Page struct {
 		Rows    []Row
 		Version int64
+		Era     int64
 	}
 
 	// Table keeps a copy of one table up to date. Its exported fields must be set
@@ -78,6 +81,7 @@
 		versions   map[string]int64
 		missing    map[string]time.Time // when rows that an outage removed are dropped
 		after      int64
+		era        int64
 		answeredAt time.Time
 		gotChanges bool // the latest response had changes
 		lost       bool
@@ -185,9 +189,20 @@
 	}
 }
 
+// noteEra logs that the store has come back from an older copy.
+func (t *Table) noteEra(page Page) {
+	if t.era > 0 && page.Era > t.era {
+		t.Log.WithFields(logrus.Fields{
+			"event": "store_restored", "table": t.Name, "era": page.Era, "before": t.after, "version": page.Version,
+		}).Warn("store has come back from an older copy")
+	}
+	t.era = max(t.era, page.Era)
+}
+
 // applyPage applies the result of a poll. A response with a lower version than
 // an earlier one is ignored.
 func (t *Table) applyPage(page Page) {
+	t.noteEra(page)
 	if page.Version < t.after {
 		t.markAnswered(t.after)
 		return
@@ -217,6 +232,7 @@
 
 // applyTable replaces the copy with the result of a read of the whole table.
 func (t *Table) applyTable(page Page) {
+	t.noteEra(page)
 	listed := make(map[string]bool, len(page.Rows))
 	for _, r := range page.Rows {
 		listed[r.Key] = true
