--- a/process/mirror/mirror_test.go
+++ b/process/mirror/mirror_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"testing"
@@ -27,6 +28,27 @@
 	lists   int
 	follows int
 	news    chan struct{}
+	era     int64
+	copies  []storeCopy // oldest first
+}
+
+// storeCopy is the state of a store at a moment.
+type storeCopy struct {
+	rows    map[string]Row
+	version int64
+}
+
+// keep makes a copy of the present state, and restore returns to the latest one.
+func (s *store) keep() {
+	s.set(func() { s.copies = append(s.copies, storeCopy{rows: maps.Clone(s.rows), version: s.version}) })
+}
+
+func (s *store) restore() {
+	s.set(func() {
+		c := s.copies[len(s.copies)-1]
+		s.rows, s.version, s.log, s.oldest, s.away = maps.Clone(c.rows), c.version, nil, c.version, false
+		s.era++
+	})
 }
 
 func (s *store) put(key, value string, gone bool) {
@@ -58,7 +80,7 @@
 		return Page{}, errors.New("away")
 	}
 	s.lists++
-	page := Page{Version: s.version}
+	page := Page{Version: s.version, Era: s.era}
 	for _, r := range s.rows {
 		page.Rows = append(page.Rows, r)
 	}
@@ -72,8 +94,8 @@
 	deadline := time.After(wait)
 	for {
 		s.mu.Lock()
-		away, silent, gone, news := s.away, s.silent, after < s.oldest, s.news
-		page := Page{Version: s.version}
+		away, silent, gone, news := s.away, s.silent, after < s.oldest || after > s.version, s.news
+		page := Page{Version: s.version, Era: s.era}
 		for _, r := range s.log {
 			if r.Version > after {
 				page.Rows = append(page.Rows, r)
@@ -109,7 +131,7 @@
 }
 
 func start(t *testing.T) *world {
-	w := &world{store: store{rows: map[string]Row{}, news: make(chan struct{})}, known: map[string]string{}}
+	w := &world{store: store{rows: map[string]Row{}, news: make(chan struct{}), era: 1}, known: map[string]string{}}
 	log := logrus.New()
 	log.SetOutput(t.Output())
 	w.table = &Table{
@@ -220,6 +242,49 @@
 	})
 }
 
+// Guards against changes that are ignored after the store has come back from an older
+// copy, because its versions are given out again.
+func TestChangesAfterARestoration(t *testing.T) {
+	for _, away := range []time.Duration{0, time.Second, 5 * time.Second} {
+		for _, changes := range []int{1, 3, 10} {
+			t.Run(fmt.Sprint(away, changes), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					w := start(t)
+					w.put("config", "1", false)
+					w.put("ends", "1", false)
+					w.put("stays", "1", false)
+					w.keep()
+					for n := range 5 {
+						w.put("config", fmt.Sprint("2.", n), false)
+					}
+					w.put("ends", "", true)
+					w.put("new", "1", false)
+					w.put("lost", "1", false)
+					w.after(5 * time.Second)
+					require.Equal(t, map[string]string{"config": "2.4", "stays": "1", "new": "1", "lost": "1"}, w.known)
+
+					w.set(func() { w.away = true })
+					w.after(away)
+					w.restore()
+					w.after(time.Second)
+					w.put("new", "1", false) // its writer writes it again
+					for n := range changes {
+						w.put("config", fmt.Sprint("3.", n), false)
+						w.after(300 * time.Millisecond)
+					}
+					w.after(time.Second)
+					require.Equal(t, fmt.Sprint("3.", changes-1), w.known["config"])
+					require.Equal(t, "1", w.known["new"])
+					require.NotContains(t, w.known, "ends", "a row of the copy that was deleted after it was made")
+					w.put("ends", "", true) // the platform removes it, since nobody renews it
+					w.after(5 * time.Second)
+					require.Equal(t, map[string]string{"config": fmt.Sprint("3.", changes-1), "stays": "1", "new": "1"}, w.known)
+				})
+			})
+		}
+	}
+}
+
 // A response with an older state than an earlier one must change nothing.
 func TestStaleAnswersAreIgnored(t *testing.T) {
 	w := &world{known: map[string]string{}}
