mirror: versions of the store are ordered by era

Cause: when the store comes back from an older copy, its versions go back and are given out again, and every comparison of versions across that moment is wrong: a changed row, or a whole page, with a version that is not above the latest one seen was ignored.

Pages carry the era of the store's answer. A page of a later era is not applied but makes the whole table be read, which replaces all versions; a page of an earlier era, or of none once one is known, is an error. Rows that are missing then are kept for ReturnGrace, as after an outage. Deletions are remembered for a minute. The changes that instances pass on to each other are those of one era: a poll names its era and is answered with the later one, or refused by an instance that is behind; an instance of the build before asks the store itself.

Order of events that can no longer happen: row at version n of one era, restoration, row at a version up to n of the next era ignored.

--- a/process/gateway/feed.go
+++ b/process/gateway/feed.go
@@ -43,6 +43,7 @@
 		rows       []mirror.Row
 		from       int64 // rows holds all changes after this version; -1 before the first answer
 		version    int64
+		era        int64     // of rows, from and version
 		lastDirect time.Time // time of the latest answer that came from the store and not from a peer
 		lost       bool
 		changed    chan struct{}
@@ -50,9 +51,10 @@
 	}
 
 	// Poll is a request to an instance for the changes of a table after a
-	// version.
+	// version of an era.
 	Poll struct {
 		Table string
+		Era   int64
 		After int64
 		Wait  time.Duration
 	}
@@ -86,6 +88,13 @@
 	} else {
 		t.Seen = f.setVersion
 	}
+	restored := t.Restored
+	t.Restored = func(era int64) {
+		f.restart(era)
+		if restored != nil {
+			restored(era)
+		}
+	}
 	t.Lost = f.fail
 	t.Follow = func(ctx context.Context, after int64, wait time.Duration) (mirror.Page, error) {
 		if source, ok := g.feedSource(f); ok {
@@ -114,9 +123,18 @@
 	}
 }
 
+// restart drops the changes of earlier eras. The answer that follows holds the whole
+// table.
+func (f *feed) restart(era int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.era, f.rows, f.from, f.version = era, nil, -1, 0
+}
+
 func (f *feed) setVersion(version int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.era = f.table.Era()
 	if f.from < 0 {
 		f.from = version // the first answer holds the whole table
 	}
@@ -224,10 +242,11 @@
 	ctx, cancel := context.WithTimeout(ctx, peerWait+peerMargin)
 	defer cancel()
 	var c Changes
-	if err := g.peers.Call(ctx, source.RPC, "Peers.Follow", Poll{Table: f.table.Name, After: after, Wait: peerWait}, &c); err != nil {
+	poll := Poll{Table: f.table.Name, Era: f.table.Era(), After: after, Wait: peerWait}
+	if err := g.peers.Call(ctx, source.RPC, "Peers.Follow", poll, &c); err != nil {
 		return c.Page, err
 	}
-	if !c.Follows {
+	if !c.Follows || c.Page.Era < poll.Era {
 		return c.Page, errNotFollowing
 	}
 	return c.Page, nil
@@ -243,9 +262,9 @@
 	deadline := time.NewTimer(min(poll.Wait, peerWait))
 	defer deadline.Stop()
 	for {
-		page, follows, changed := f.changes(poll.After)
+		page, follows, changed := f.changes(poll.Era, poll.After)
 		reply.Page, reply.Follows = page, follows
-		if !follows || page.Version > poll.After {
+		if !follows || page.Era > poll.Era || page.Version > poll.After {
 			return nil
 		}
 		select {
@@ -259,14 +278,19 @@
 	}
 }
 
-// changes returns the changes after a version. It returns false if this feed is
-// not up to date with the store or no longer holds all these changes. The
-// channel is closed at the next answer or failure of the store.
-func (f *feed) changes(after int64) (page mirror.Page, follows bool, changed <-chan struct{}) {
+// changes returns the changes after a version of an era; in a later era, it returns
+// only that era. It returns false if this feed is not up to date with the store, is in an
+// earlier era or no longer holds all these changes. The channel is closed at the next
+// answer or failure of the store.
+func (f *feed) changes(era, after int64) (page mirror.Page, follows bool, changed <-chan struct{}) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	follows = !f.lost && time.Since(f.lastDirect) < feedMaxAge && f.from >= 0 && after >= f.from
-	if !follows {
+	follows = !f.lost && time.Since(f.lastDirect) < feedMaxAge && f.from >= 0
+	page.Era = f.era
+	switch {
+	case follows && era > 0 && f.era > era:
+		return page, true, f.changed
+	case !follows || f.era != era || after < f.from:
 		return page, false, f.changed
 	}
 	page.Version = max(f.version, after)
--- a/process/mirror/mirror.go
+++ b/process/mirror/mirror.go
@@ -8,6 +8,14 @@
 //
 // A row that is missing when the table is read after an outage is kept for
 // ReturnGrace, because its writer may not have reached the store yet.
+//
+// The store may come back from an older copy of itself (a restoration). What was
+// written since is gone, its versions are given out again, and its era rises. Pages
+// are therefore ordered by era first: versions of different eras are not compared,
+// the whole table is read again in the new era, and pages of an earlier one are
+// errors. A row that is missing then counts as missing after an outage. A row that
+// had been deleted since the copy was made is back in the table; it is ignored for
+// ReviveGrace unless it changes, so that whoever removed it can remove it again.
 package mirror
 
 import (
@@ -27,8 +35,12 @@
 	minPause    = 100 * time.Millisecond // before the retry of a failed call
 	maxPause    = time.Second            // longest pause; all instances share the store's rate limits
 	outageAfter = 2 * time.Second        // a longer time without a response is an outage
+	deletedTime = time.Minute            // for which deletions are remembered; copies are some seconds old
 )
 
+// ErrEra reports a page of an earlier era than one before it, or of an unknown one.
+var ErrEra = errors.New("page of an earlier era of the store")
+
 // ErrGone reports that the store no longer keeps the requested changes.
 var ErrGone = errors.New("changes are no longer kept")
 
@@ -67,9 +79,14 @@
 		// ReturnGrace is how long rows that are missing after an outage are kept, so
 		// that their writers can write them again.
 		ReturnGrace time.Duration
+		// ReviveGrace is how long rows that had been deleted before a restoration are
+		// ignored after it.
+		ReviveGrace time.Duration
 		// Changed is called with new, changed and deleted rows. The versions of
-		// one row only increase from call to call.
+		// one row only increase from call to call, except after Restored.
 		Changed func(rows []Row)
+		// Restored is called before the first rows of a new era. It may be nil.
+		Restored func(era int64)
 		// Seen is called after each response of the store with the version of the
 		// table, Lost at the first failure after a response.
 		Seen func(version int64)
@@ -80,6 +97,8 @@
 
 		versions   map[string]int64
 		missing    map[string]time.Time // when rows that an outage removed are dropped
+		deleted    map[string]time.Time // when rows were deleted, for deletedTime
+		revived    map[string]revived   // rows of an older copy that are ignored
 		after      int64
 		era        int64
 		answeredAt time.Time
@@ -87,6 +106,12 @@
 		lost       bool
 		outage     bool // cleared when the whole table has been read
 	}
+
+	// revived is a row that had been deleted before a restoration.
+	revived struct {
+		row   Row
+		until time.Time
+	}
 )
 
 func (t *Table) now() time.Time {
@@ -96,15 +121,25 @@
 	return time.Now()
 }
 
+// Era returns the era of the latest page that was applied, 0 if it is not known. It may
+// be called from the functions of t.
+func (t *Table) Era() int64 { return t.era }
+
+func (t *Table) init() {
+	t.versions, t.missing = map[string]int64{}, map[string]time.Time{}
+	t.deleted, t.revived = map[string]time.Time{}, map[string]revived{}
+}
+
 // Run reads and follows the table until ctx ends. Failed calls are repeated
 // after a random pause that doubles with each failure up to a limit.
 func (t *Table) Run(ctx context.Context) {
-	t.versions, t.missing = map[string]int64{}, map[string]time.Time{}
+	t.init()
 	t.after, t.answeredAt = -1, t.now()
 	pause := minPause
 	for ctx.Err() == nil {
 		err := t.step(ctx)
 		t.dropMissing()
+		t.acceptRevived()
 		if err == nil {
 			pause = minPause
 			continue
@@ -130,8 +165,7 @@
 		if err != nil {
 			return err
 		}
-		t.applyTable(page)
-		return nil
+		return t.applyTable(page)
 	}
 	if t.gotChanges && t.BatchDelay > 0 {
 		sleep.For(ctx, t.BatchDelay)
@@ -140,6 +174,9 @@
 	for _, at := range t.missing {
 		wait = min(wait, max(at.Sub(t.now()), minPause))
 	}
+	for _, r := range t.revived {
+		wait = min(wait, max(r.until.Sub(t.now()), minPause))
+	}
 	call, cancel := context.WithTimeout(ctx, wait+pollMargin)
 	defer cancel()
 	page, err := t.Follow(call, t.after, wait)
@@ -152,8 +189,7 @@
 	if err != nil {
 		return err
 	}
-	t.applyPage(page)
-	return nil
+	return t.applyPage(page)
 }
 
 // markFailed records a failed call. At the first failure after a response, it
@@ -189,27 +225,44 @@
 	}
 }
 
-// noteEra logs that the store has come back from an older copy.
-func (t *Table) noteEra(page Page) {
-	if t.era > 0 && page.Era > t.era {
-		t.Log.WithFields(logrus.Fields{
-			"event": "store_restored", "table": t.Name, "era": page.Era, "before": t.after, "version": page.Version,
-		}).Warn("store has come back from an older copy")
-	}
-	t.era = max(t.era, page.Era)
-}
-
 // applyPage applies the result of a poll. A response with a lower version than
-// an earlier one is ignored.
-func (t *Table) applyPage(page Page) {
-	t.noteEra(page)
-	if page.Version < t.after {
+// an earlier one is ignored. The changes of a later era are not applied: they lack
+// those that the older copy did not have.
+func (t *Table) applyPage(page Page) error {
+	switch {
+	case page.Era < t.era:
+		return ErrEra
+	case page.Era > t.era && t.era > 0:
+		t.after = -1
+		return nil
+	case page.Version < t.after:
 		t.markAnswered(t.after)
-		return
+		return nil
 	}
+	t.era = page.Era
 	t.after, t.gotChanges = page.Version, len(page.Rows) > 0
 	t.apply(page.Rows)
 	t.markAnswered(page.Version)
+	return nil
+}
+
+// restored prepares the copy for the first rows of a new era. Any version of a row is
+// newer than those of the earlier one.
+func (t *Table) restored(page Page) {
+	t.Log.WithFields(logrus.Fields{"event": "store_restored", "table": t.Name, "era": page.Era, "version": page.Version}).
+		Warn("store has come back from an older copy")
+	for key := range t.versions {
+		t.versions[key] = 0
+	}
+	clear(t.revived)
+	for _, r := range page.Rows {
+		if at, ok := t.deleted[r.Key]; ok && t.ReviveGrace > 0 && t.now().Sub(at) < deletedTime {
+			t.revived[r.Key] = revived{row: r, until: t.now().Add(t.ReviveGrace)}
+		}
+	}
+	if t.Restored != nil {
+		t.Restored(page.Era)
+	}
 }
 
 // apply passes the rows that are newer than the copy to Changed.
@@ -219,9 +272,15 @@
 		if r.Version <= t.versions[r.Key] {
 			continue
 		}
+		if old, ok := t.revived[r.Key]; ok && r.Version <= old.row.Version {
+			continue
+		}
 		delete(t.missing, r.Key)
+		delete(t.revived, r.Key)
+		delete(t.deleted, r.Key)
 		if t.versions[r.Key] = r.Version; r.Gone {
 			delete(t.versions, r.Key)
+			t.deleted[r.Key] = t.now()
 		}
 		changed = append(changed, r)
 	}
@@ -231,8 +290,15 @@
 }
 
 // applyTable replaces the copy with the result of a read of the whole table.
-func (t *Table) applyTable(page Page) {
-	t.noteEra(page)
+func (t *Table) applyTable(page Page) error {
+	if page.Era < t.era {
+		return ErrEra
+	}
+	restored := page.Era > t.era && t.era > 0
+	if restored {
+		t.restored(page)
+	}
+	t.era = page.Era
 	listed := make(map[string]bool, len(page.Rows))
 	for _, r := range page.Rows {
 		listed[r.Key] = true
@@ -241,7 +307,7 @@
 	for key := range t.versions {
 		switch {
 		case listed[key]:
-		case t.outage && t.ReturnGrace > 0:
+		case (t.outage || restored) && t.ReturnGrace > 0:
 			if t.missing[key].IsZero() {
 				t.missing[key] = t.now().Add(t.ReturnGrace)
 			}
@@ -253,6 +319,7 @@
 	t.apply(gone)
 	t.apply(page.Rows)
 	t.markAnswered(page.Version)
+	return nil
 }
 
 // dropMissing removes the rows that were not written again in time after an
@@ -271,3 +338,24 @@
 	}
 	t.apply(gone)
 }
+
+// acceptRevived passes on the rows of an older copy that nobody has removed in time, and
+// forgets old deletions.
+func (t *Table) acceptRevived() {
+	if t.lost {
+		return
+	}
+	var rows []Row
+	for key, r := range t.revived {
+		if !t.now().Before(r.until) {
+			delete(t.revived, key)
+			rows = append(rows, r.row)
+		}
+	}
+	t.apply(rows)
+	for key, at := range t.deleted {
+		if t.now().Sub(at) >= deletedTime {
+			delete(t.deleted, key)
+		}
+	}
+}
--- a/process/mirror/mirror_test.go
+++ b/process/mirror/mirror_test.go
@@ -135,7 +135,7 @@
 	log := logrus.New()
 	log.SetOutput(t.Output())
 	w.table = &Table{
-		Name: "t", List: w.list, Follow: w.follow, Wait: 3 * time.Second, ReturnGrace: 2500 * time.Millisecond,
+		Name: "t", List: w.list, Follow: w.follow, Wait: 3 * time.Second, ReturnGrace: 2500 * time.Millisecond, ReviveGrace: 6 * time.Second,
 		BatchDelay: 250 * time.Millisecond, Log: log, Lost: func(error) { w.lost++ },
 		Changed: func(rows []Row) {
 			for _, r := range rows {
@@ -254,6 +254,7 @@
 					w.put("ends", "1", false)
 					w.put("stays", "1", false)
 					w.keep()
+					w.after(time.Second)
 					for n := range 5 {
 						w.put("config", fmt.Sprint("2.", n), false)
 					}
@@ -289,9 +290,10 @@
 func TestStaleAnswersAreIgnored(t *testing.T) {
 	w := &world{known: map[string]string{}}
 	var got []Row
-	x := &Table{Changed: func(rows []Row) { got = append(got, rows...) }, Log: logrus.New(), versions: map[string]int64{}, missing: map[string]time.Time{}}
-	x.applyPage(Page{Version: 10, Rows: []Row{{Key: "a", Version: 10}}})
-	x.applyPage(Page{Version: 4, Rows: []Row{{Key: "a", Version: 4}}})
+	x := &Table{Changed: func(rows []Row) { got = append(got, rows...) }, Log: logrus.New()}
+	x.init()
+	require.NoError(t, x.applyPage(Page{Version: 10, Rows: []Row{{Key: "a", Version: 10}}}))
+	require.NoError(t, x.applyPage(Page{Version: 4, Rows: []Row{{Key: "a", Version: 4}}}))
 	require.Equal(t, int64(10), x.after)
 	require.True(t, slices.ContainsFunc(got, func(r Row) bool { return r.Version == 10 }))
 	require.Len(t, got, 1)
