gateway: rows of instances after the store has come back from an older copy

An instance wrote its row only at its start; the rest was left to the look after the rows each 15 to 45 s. That look deletes a row that it has seen at the same version twice, and after a restoration the same version may be that of another process.

Each instance writes its row again within a second when a table reports a new era, once for each era, unless it stops. The look compares era and version.

TestRowsAfterARestoration fails without either change (the row of i2-y deleted, i1 not written). The tests of limits set the members of a fleet before its instances run: the race detector found a write of the test beside a read.

--- a/process/gateway/feed.go
+++ b/process/gateway/feed.go
@@ -91,6 +91,7 @@
 	restored := t.Restored
 	t.Restored = func(era int64) {
 		f.restart(era)
+		g.onRestored(era)
 		if restored != nil {
 			restored(era)
 		}
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -158,7 +158,7 @@
 		Register   func(ctx context.Context, key string, value []byte, fresh bool) error
 		Deregister func(ctx context.Context, key string, version int64) error
 		// Registered reads the rows of all instances from the store.
-		Registered func(ctx context.Context) ([]mirror.Row, error)
+		Registered func(ctx context.Context) (mirror.Page, error)
 		// Trim closes connections that were idle for too long. It may be nil.
 		Trim func()
 
@@ -184,6 +184,7 @@
 		peers        peer.Pool
 		stopping     atomic.Pointer[stopping]
 		reloaded     atomic.Pointer[Settings] // settings after a reload, nil before
+		storeEra     atomic.Int64             // latest era of the store in which this instance has written its row again
 		fetching     atomic.Bool              // a routing table is being fetched from a peer
 		memberLogDue atomic.Bool              // a log line about the live instances is scheduled
 		active       atomic.Int64             // number of running requests
--- a/process/gateway/instances.go
+++ b/process/gateway/instances.go
@@ -21,46 +21,70 @@
 // the live instance with the lowest ID in each region deletes such rows of its
 // region, and writes the rows of live instances whose row is missing. It does
 // not touch the rows of other regions, so a region that is cut off keeps its
-// rows.
+// rows. When the store has come back from an older copy, each instance writes its
+// row again, and rows of instances that have left are deleted as above.
 
 const (
 	cleanUpInterval = 30 * time.Second // mean interval; a row is deleted if it has no live instance at two checks in a row
 	cleanUpLimit    = 2 * time.Second  // for the calls to the store of one check
+	reregisterTime  = time.Second      // within which all instances write their rows after a restoration of the store
 )
 
 // ErrConflict marks the error of a write whose condition on the row failed.
 var ErrConflict = errors.New("row has changed")
 
-// registration is the row of an instance in the store.
-type registration struct {
-	member.Member
-	key     string
-	version int64
-}
+type (
+	// registration is the row of an instance in the store.
+	registration struct {
+		member.Member
+		key     string
+		version rowVersion
+	}
+
+	// rowVersion is the version of a row, which the store may give out again in
+	// another era.
+	rowVersion struct {
+		era, version int64
+	}
+)
 
 // registered reads the rows of all instances. It logs and skips rows that
 // cannot be decoded.
 func (g *Gateway) registered(ctx context.Context) ([]registration, error) {
-	rows, err := g.Registered(ctx)
+	page, err := g.Registered(ctx)
 	if err != nil {
 		return nil, fmt.Errorf("read the rows of the instances: %w", err)
 	}
-	list := make([]registration, 0, len(rows))
-	for _, r := range rows {
+	list := make([]registration, 0, len(page.Rows))
+	for _, r := range page.Rows {
 		var m member.Member
 		if err := json.Unmarshal(r.Value, &m); err != nil {
 			g.Log.WithError(err).WithField("event", "instance_unreadable").Warn("row of an instance cannot be decoded")
 			continue
 		}
-		list = append(list, registration{Member: m, key: r.Key, version: r.Version})
+		list = append(list, registration{Member: m, key: r.Key, version: rowVersion{page.Era, r.Version}})
 	}
 	return list, nil
 }
 
+// onRestored writes the row of this instance again, once in each era, because the copy
+// from which the store has come back may lack it.
+func (g *Gateway) onRestored(era int64) {
+	old := g.storeEra.Load()
+	if era <= old || !g.storeEra.CompareAndSwap(old, era) {
+		return
+	}
+	g.spawn(func() {
+		if sleep.For(g.base, jitter(reregisterTime)) {
+			g.register()
+		}
+	})
+}
+
 // cleanUpRows maintains the rows of the region's instances whenever this
 // instance is the first of the region.
 func (g *Gateway) cleanUpRows() {
-	var dead map[string]int64
+	var dead map[string]rowVersion
 	for sleep.For(g.base, cleanUpInterval/2+jitter(cleanUpInterval)) {
 		live := slices.DeleteFunc(slices.Clone(g.members.Members()), func(m member.Member) bool { return m.Region != g.Settings.Region })
 		if !g.isFirst(live) {
@@ -87,7 +111,7 @@
 // previous check either and have not changed since, and writes the missing rows
 // of live instances. It returns the versions of the remaining rows without a
 // live instance, by key; before is this result of the previous check.
-func (g *Gateway) cleanUpOnce(live []member.Member, before map[string]int64) (map[string]int64, error) {
+func (g *Gateway) cleanUpOnce(live []member.Member, before map[string]rowVersion) (map[string]rowVersion, error) {
 	ctx, cancel := context.WithTimeout(g.base, cleanUpLimit)
 	defer cancel()
 	list, err := g.registered(ctx)
@@ -100,14 +124,14 @@
 			missing[m.ID] = m
 		}
 	}
-	dead := map[string]int64{}
+	dead := map[string]rowVersion{}
 	for _, r := range list {
 		_, lives := missing[r.ID]
 		delete(missing, r.ID)
 		switch version, seen := before[r.key]; {
 		case lives || r.Region != g.Settings.Region:
 		case seen && version == r.version:
-			err = errors.CombineErrors(err, g.deregister(ctx, r.key, r.version))
+			err = errors.CombineErrors(err, g.deregister(ctx, r.key, r.version.version))
 		default:
 			dead[r.key] = r.version
 		}
@@ -164,7 +188,7 @@
 	list, err := g.registered(ctx)
 	for _, r := range list {
 		if r.ID == g.id {
-			err = g.deregister(ctx, r.key, r.version)
+			err = g.deregister(ctx, r.key, r.version.version)
 		}
 	}
 	if err != nil {
--- a/process/gateway/instances_test.go
+++ b/process/gateway/instances_test.go
@@ -21,6 +21,7 @@
 type rowStore struct {
 	rows    map[string]mirror.Row
 	version int64
+	era     int64
 	reads   int
 }
 
@@ -33,9 +34,9 @@
 func (s *rowStore) attach(g *Gateway) {
 	s.rows = map[string]mirror.Row{}
 	conflict := func() error { return cockroach.Mark(errors.New("412"), ErrConflict) }
-	g.Registered = func(context.Context) ([]mirror.Row, error) {
+	g.Registered = func(context.Context) (mirror.Page, error) {
 		s.reads++
-		return slices.Collect(maps.Values(s.rows)), nil
+		return mirror.Page{Rows: slices.Collect(maps.Values(s.rows)), Era: s.era}, nil
 	}
 	g.Register = func(_ context.Context, key string, value []byte, fresh bool) error {
 		if _, ok := s.rows[key]; ok && fresh {
@@ -126,3 +127,39 @@
 	w.unregister()
 	require.Empty(t, s.keys())
 }
+
+// Guards against the deletion of a live instance's row whose version a dead row had
+// before the store came back from an older copy, and against instances that stay
+// without a row after that.
+func TestRowsAfterARestoration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newTestGateway(t)
+		var s rowStore
+		s.attach(w.Gateway)
+		live := []member.Member{{ID: w.id, Region: "r0"}}
+		s.era = 1
+		s.put("i1", member.Member{ID: w.id, Region: "r0"})
+		s.put("i2", member.Member{ID: "i2-x", Region: "r0"})
+		dead, err := w.cleanUpOnce(live, nil)
+		require.NoError(t, err)
+
+		s.era, s.version = 2, 0 // an older copy
+		clear(s.rows)
+		s.put("i3", member.Member{ID: "i3-x", Region: "r0"})
+		s.put("i2", member.Member{ID: "i2-y", Region: "r0"}) // a process that is not known here yet, at the same version
+		dead, err = w.cleanUpOnce(live, dead)
+		require.NoError(t, err)
+		require.Contains(t, s.keys(), "i2")
+		require.Len(t, dead, 2)
+
+		delete(s.rows, "i1")
+		w.Settings.Name = "i1"
+		w.onRestored(2)
+		w.onRestored(2)
+		writes := s.version
+		time.Sleep(2 * reregisterTime)
+		synctest.Wait()
+		require.Contains(t, s.keys(), "i1")
+		require.Equal(t, writes+1, s.version)
+	})
+}
--- a/process/gateway/limit_test.go
+++ b/process/gateway/limit_test.go
@@ -53,6 +53,7 @@
 		fleet: newFleet(t, 0), random: rand.New(rand.NewPCG(21, 1)), limits: map[string]float64{}, first: map[string]time.Time{},
 		heard: map[string]time.Time{}, arrivals: map[string][]time.Time{}, counted: map[string][]time.Time{},
 	}
+	f.members = f.all
 	for range n {
 		f.add()
 	}
@@ -62,7 +63,6 @@
 
 func (f *limitedFleet) add() *testGateway {
 	w := f.fleet.add()
-	w.listMembers = f.members
 	w.answer = func(_ int, c Call) (*Answer, error) {
 		plain := plainAnswer(http.StatusOK, "x")
 		if c.Stream {
@@ -82,7 +82,7 @@
 	return w
 }
 
-func (f *limitedFleet) members() (list []member.Member) {
+func (f *limitedFleet) all() (list []member.Member) {
 	for _, w := range f.list() {
 		list = append(list, member.Member{ID: w.id, Region: "r0"})
 	}
@@ -167,6 +167,16 @@
 	return sent, failed
 }
 
+// arrived returns how many requests have reached endpoints so far.
+func (f *limitedFleet) arrived(endpoints []string) (n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, e := range endpoints {
+		n += len(f.arrivals[e])
+	}
+	return n
+}
+
 // most returns the largest number of times within limitWindow of each other.
 func most(list []time.Time) (most int) {
 	slices.SortFunc(list, time.Time.Compare)
@@ -262,17 +272,12 @@
 					f.name(e, limit)
 				}
 				f.load(path, 43, limitContact, false)
-				before := 0
-				for _, e := range endpoints {
-					before += len(f.arrivals[e])
-				}
+				before := f.arrived(endpoints)
 				sent, failed := f.load(path, 43, seconds*time.Second, false)
-				served := 0
+				served := f.arrived(endpoints) - before
 				for _, e := range endpoints {
 					f.requireKept(e, limit)
-					served += len(f.arrivals[e])
 				}
-				served -= before
 				t.Logf("%d of %d served, %d refused; %.2f of the limits used", served, sent, failed, float64(served)/(4*limit*seconds))
 				require.Greater(t, float64(served), 4*limit*seconds/2)
 				require.Positive(t, failed)
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -163,14 +163,14 @@
 }
 
 // register writes the row of this instance to the store, and retries until that
-// succeeds.
+// succeeds or the instance stops.
 func (g *Gateway) register() {
 	row, err := json.Marshal(g.self())
 	if err != nil {
 		g.Log.WithError(err).Error("row of this instance cannot be encoded")
 		return
 	}
-	for {
+	for !g.Stopping() {
 		ctx, cancel := context.WithTimeout(g.base, registerLimit)
 		err := g.Register(ctx, g.Settings.Name, row, false)
 		cancel()
--- a/process/gateway/peers_test.go
+++ b/process/gateway/peers_test.go
@@ -42,7 +42,7 @@
 		return errors.CombineErrors(ctx.Err(), errors.New("away"))
 	}
 	g.Register = func(ctx context.Context, _ string, _ []byte, _ bool) error { return away(ctx) }
-	g.Registered = func(ctx context.Context) ([]mirror.Row, error) { return nil, away(ctx) }
+	g.Registered = func(ctx context.Context) (mirror.Page, error) { return mirror.Page{}, away(ctx) }
 	g.Deregister = func(ctx context.Context, _ string, _ int64) error { return away(ctx) }
 	if list == nil {
 		list = func(ctx context.Context) (mirror.Page, error) { return mirror.Page{}, away(ctx) }
--- a/process/gateway/run_test.go
+++ b/process/gateway/run_test.go
@@ -25,8 +25,10 @@
 			Send: func(string, []byte) error { return nil },
 		}
 		deregistered := false
-		w.Registered = func(context.Context) ([]mirror.Row, error) {
-			return []mirror.Row{{Key: w.Settings.Name, Value: []byte(`{"id":"i1-x"}`), Version: 7}, {Key: "i2", Value: []byte(`{"id":"i2-x"}`)}}, nil
+		w.Registered = func(context.Context) (mirror.Page, error) {
+			return mirror.Page{Rows: []mirror.Row{
+				{Key: w.Settings.Name, Value: []byte(`{"id":"i1-x"}`), Version: 7}, {Key: "i2", Value: []byte(`{"id":"i2-x"}`)},
+			}}, nil
 		}
 		w.Deregister = func(_ context.Context, key string, version int64) error {
 			require.Equal(t, w.Settings.Name, key)
@@ -68,7 +70,7 @@
 			Self: member.Member{ID: w.id, Addr: "127.0.0.1:1", Probe: "127.0.0.1:2", RPC: "127.0.0.1:3"},
 			Send: func(string, []byte) error { return nil },
 		}
-		w.Registered = func(context.Context) ([]mirror.Row, error) { return nil, nil }
+		w.Registered = func(context.Context) (mirror.Page, error) { return mirror.Page{}, nil }
 		w.active.Store(1)
 		begun := time.Now()
 		w.Stop(func() {})
--- a/process/gateway/testfleet_test.go
+++ b/process/gateway/testfleet_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/eelgrassdock/eelgrassdock/process/loads"
+	"github.com/eelgrassdock/eelgrassdock/process/member"
 	"github.com/eelgrassdock/eelgrassdock/process/quarantine"
 	"github.com/eelgrassdock/eelgrassdock/request/refusal"
 )
@@ -26,6 +27,7 @@
 	t         *testing.T
 	instances []*testGateway
 	stop      chan struct{}
+	members   func() []member.Member // known to all instances; may be nil
 
 	mu      sync.Mutex
 	deadly  map[string]bool
@@ -50,6 +52,7 @@
 	w.id = fmt.Sprint("i", len(f.instances))
 	w.answer = func(_ int, c Call) (*Answer, error) { return f.send(w, c) }
 	w.receiveUpdates()
+	w.listMembers = f.members
 	f.mu.Lock()
 	f.instances = append(f.instances, w)
 	f.mu.Unlock()
