soak: the store comes back from an older copy

The stand-in store can return to its state of some seconds ago: its versions go back, its history is gone, and the era in all its answers rises. The fault Restore takes it away, restores it, and writes the newest configuration and the rows of the endpoints again; rows of endpoints that have ended expire. Other programs write to the store before each change, because otherwise what is written again raises its versions above those of before at once, and nothing is seen.

--- a/internal/soak/endpoints.go
+++ b/internal/soak/endpoints.go
@@ -32,6 +32,8 @@
 	endpoint *fake.Endpoint
 	link     *relay
 	busy     bool // the endpoint is about to leave, or the next one to start
+	leaving  bool // the endpoint is listed as leaving
+	ended    bool // the endpoint has ended, and the next one has not started
 	starts   int  // endpoints started so far
 }
 
@@ -57,9 +59,9 @@
 	e.Start(l)
 	e.SetFaults(p.s.defaultFaults(p.n))
 	p.mu.Lock()
-	p.endpoint, p.link, p.busy = e, link, false
-	p.mu.Unlock()
+	p.endpoint, p.link, p.busy, p.leaving, p.ended = e, link, false, false, false
 	p.s.store.PutEndpoint(e, false)
+	p.mu.Unlock()
 	return nil
 }
 
@@ -90,7 +92,10 @@
 		return
 	}
 	if p.s.Sabotage != Leaving {
+		p.mu.Lock()
+		p.leaving = true
 		p.s.store.PutEndpoint(e, true)
+		p.mu.Unlock()
 	}
 	p.s.ledger.Leaves(e.ID, time.Now())
 	// To break the promise Leaving on purpose, the endpoint is not listed as leaving
@@ -101,10 +106,28 @@
 		notice = reclaimNotice
 	}
 	sleep.For(p.s.ctx, notice)
+	p.end(e, link)
+	p.s.store.RemoveEndpoint(e.ID)
+	p.restart()
+}
+
+// end ends the endpoint.
+func (p *site) end(e *fake.Endpoint, link *relay) {
+	p.mu.Lock()
+	p.ended = true
+	p.mu.Unlock()
 	e.Kill()
 	link.close()
-	p.s.store.RemoveEndpoint(e)
-	p.restart()
+}
+
+// writeAgain writes the row of the endpoint again unless it has ended, as endpoints do
+// when the store has lost their rows.
+func (p *site) writeAgain() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.ended {
+		p.s.store.PutEndpoint(p.endpoint, p.leaving)
+	}
 }
 
 // crash ends the endpoint without notice, removes its row after rowTTL, and
@@ -115,10 +138,9 @@
 		return
 	}
 	p.s.ledger.Disturb(e.ID, time.Now())
-	e.Kill()
-	link.close()
+	p.end(e, link)
 	sleep.For(p.s.ctx, rowTTL)
-	p.s.store.RemoveEndpoint(e)
+	p.s.store.RemoveEndpoint(e.ID)
 	p.restart()
 }
 
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -4,13 +4,19 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"strconv"
 	"sync"
 	"time"
 
+	"github.com/eelgrassdock/eelgrassdock/internal/sleep"
 	"github.com/eelgrassdock/eelgrassdock/platform/fake"
 )
 
-const routeTimeout = 8 * time.Second // longest time for an answer
+const (
+	routeTimeout = 8 * time.Second // longest time for an answer
+	foreignTable = "other"         // table of other programs
+	foreignRows  = 20              // rows that they write before each change
+)
 
 // operators stores configurations and remembers when each was stored.
 type operators struct {
@@ -18,6 +24,7 @@
 
 	mu          sync.Mutex
 	accounts    fake.Accounts
+	stored      fake.Accounts // as in the stored configuration
 	version     int64
 	at          time.Time // when version was stored
 	previous    int64     // version before the current one
@@ -67,10 +74,16 @@
 			stored[visitorKey(n)] = "visitor"
 		}
 	}
+	// Other programs write too. Otherwise what is written again after a Restore fault
+	// would raise the store's versions above those of before at once.
+	for n := range foreignRows {
+		o.s.store.Put(foreignTable, strconv.Itoa(n), nil)
+	}
 	if o.s.Sabotage != Config || o.version == 0 {
 		if err := o.s.store.Configure(version, stored, routeTimeout); err != nil {
 			return err
 		}
+		o.stored = stored
 	}
 	o.accounts = accounts
 	o.previous, o.version, o.at = o.version, version, time.Now()
@@ -80,6 +93,16 @@
 	return nil
 }
 
+// restore makes the store come back from an older copy of itself, and after a delay
+// stores the newest configuration again. No other one is stored meanwhile.
+func (o *operators) restore(age, delay time.Duration) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.s.store.Restore(age)
+	sleep.For(o.s.ctx, delay)
+	return o.s.store.Configure(o.version, o.stored, routeTimeout)
+}
+
 func visitorKey(n int) string { return fmt.Sprint("visitor", n) }
 
 // state returns the current version, the previous one, and when the current one
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -29,6 +29,7 @@
 	Change   = "change"   // the configuration is replaced
 	Withdraw = "withdraw" // the configuration is replaced and a key revoked
 	Limit    = "limit"    // an endpoint names a limit on its requests
+	Restore  = "restore"  // the store is away and comes back from an older copy
 )
 
 const (
@@ -61,7 +62,7 @@
 		Kill, Kill, Pause, Stop, Stop, Herd, Refuse, Lose, Slow, Garble, Garble, Garble, Crash, Crash, Grey, Grey, Drop, Drop, Reclaim, Reclaim,
 	}
 	// longKinds are drawn apart from the others, so that these stay the same for a seed.
-	longKinds = []string{Limit}
+	longKinds = []string{Limit, Restore}
 )
 
 // Fault is one planned fault.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -249,3 +249,23 @@
 	}
 	return sum
 }
+
+// Guards against a configuration that is not in force, or reverts, after the store has
+// come back from an older copy and gives its versions out again.
+func TestChangesAfterTheStoreIsRestored(t *testing.T) {
+	var plan []Fault
+	at := quietStart
+	for range 3 {
+		plan = append(plan, Fault{Kind: Change, After: at, Last: minFault})
+		at += 2 * minFault
+	}
+	const copyAge = 4 // seconds, so that the copy has none of these changes
+	plan = append(plan, Fault{Kind: Restore, After: at, Last: minLong, Target: copyAge}, Fault{Kind: Withdraw, After: at + 4*time.Second, Last: minFault})
+	s := Soak{Binary: build(t), Dir: t.TempDir(), Seed: 21, Duration: at + 12*time.Second, Instances: 5, Faults: plan}
+	sum, err := s.Run(context.Background())
+	require.NoError(t, err)
+	require.Empty(t, sum.Details)
+	require.Empty(t, sum.Errors)
+	require.Positive(t, sum.Checks[Config])
+	require.Positive(t, sum.Checks[Revoked])
+}
