--- a/process/gateway/instances_test.go
+++ b/process/gateway/instances_test.go
@@ -154,9 +154,9 @@
 
 		delete(s.rows, "i1")
 		w.Settings.Name = "i1"
+		writes := s.version
 		w.onRestored(2)
 		w.onRestored(2)
-		writes := s.version
 		time.Sleep(2 * reregisterTime)
 		synctest.Wait()
 		require.Contains(t, s.keys(), "i1")
