operator: the test of silent entries runs on virtual time

The test gives each entry 10 ms of wall time to answer; on a busy machine the entry that answers at once is late too. It now runs in a synctest bubble, where only the silent entry can be late; its claims are unchanged.

--- a/process/operator/executor_test.go
+++ b/process/operator/executor_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -359,56 +360,58 @@
 // have it did not answer, and against tables that omit which entries did not
 // answer.
 func TestFanOut(t *testing.T) {
-	f := newFixture()
-	own := Table{Columns: []Column{{"id", Text}, {"tokens", Number}}, Rows: [][]Value{{TextOf("s1"), NumberOf(5)}, {TextOf("s2"), NumberOf(7)}}}
-	f.Sources.Streams = func() Table { return own }
-	f.Ask = func(ctx context.Context, entry string, q Query) (Table, error) {
-		if entry == "n3" {
-			<-ctx.Done()
-			return Table{}, ctx.Err()
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture()
+		own := Table{Columns: []Column{{"id", Text}, {"tokens", Number}}, Rows: [][]Value{{TextOf("s1"), NumberOf(5)}, {TextOf("s2"), NumberOf(7)}}}
+		f.Sources.Streams = func() Table { return own }
+		f.Ask = func(ctx context.Context, entry string, q Query) (Table, error) {
+			if entry == "n3" {
+				<-ctx.Done()
+				return Table{}, ctx.Err()
+			}
+			return Sources{Entry: entry, Streams: func() Table { return own }}.Answer(q)
 		}
-		return Sources{Entry: entry, Streams: func() Table { return own }}.Answer(q)
-	}
-	f.Timeout = 10 * time.Millisecond
-	answer, err := f.Run(t.Context(), "ann", "show streams where tokens > 5 or entry = n2 order by tokens desc, entry limit 3", nil)
-	require.NoError(t, err)
-	var b bytes.Buffer
-	require.NoError(t, Write(&b, *answer.Table))
-	require.Equal(t, "entry  id  tokens\nn1     s2       7\nn2     s2       7\nn2     s1       5\n(3 rows)\nno answer from: n3\n", b.String())
+		f.Timeout = 10 * time.Millisecond
+		answer, err := f.Run(t.Context(), "ann", "show streams where tokens > 5 or entry = n2 order by tokens desc, entry limit 3", nil)
+		require.NoError(t, err)
+		var b bytes.Buffer
+		require.NoError(t, Write(&b, *answer.Table))
+		require.Equal(t, "entry  id  tokens\nn1     s2       7\nn2     s2       7\nn2     s1       5\n(3 rows)\nno answer from: n3\n", b.String())
 
-	_, err = f.Run(t.Context(), "ann", "show streams where tokns > 5", nil)
-	require.ErrorContains(t, err, "did you mean \"tokens\"?\n  show streams where tokns > 5\n                     ^")
+		_, err = f.Run(t.Context(), "ann", "show streams where tokns > 5", nil)
+		require.ErrorContains(t, err, "did you mean \"tokens\"?\n  show streams where tokns > 5\n                     ^")
 
-	has := "n2"
-	f.Cancel = func(_ context.Context, entry, _ string) (bool, error) {
-		if entry == "n3" {
-			return false, context.DeadlineExceeded
+		has := "n2"
+		f.Cancel = func(_ context.Context, entry, _ string) (bool, error) {
+			if entry == "n3" {
+				return false, context.DeadlineExceeded
+			}
+			return entry == has, nil
 		}
-		return entry == has, nil
-	}
-	answer, err = f.Run(t.Context(), "ann", "cancel stream s1", nil)
-	require.NoError(t, err)
-	require.Nil(t, answer.Pending)
-	has = ""
-	answer, err = f.Run(t.Context(), "ann", "cancel stream s1", nil)
-	require.NoError(t, err)
-	require.Equal(t, []string{"n3"}, answer.Pending.Entries)
+		answer, err = f.Run(t.Context(), "ann", "cancel stream s1", nil)
+		require.NoError(t, err)
+		require.Nil(t, answer.Pending)
+		has = ""
+		answer, err = f.Run(t.Context(), "ann", "cancel stream s1", nil)
+		require.NoError(t, err)
+		require.Equal(t, []string{"n3"}, answer.Pending.Entries)
 
-	calls := 0
-	f.Cancel = func(_ context.Context, entry, _ string) (bool, error) {
-		if entry != "n3" {
-			return false, nil
+		calls := 0
+		f.Cancel = func(_ context.Context, entry, _ string) (bool, error) {
+			if entry != "n3" {
+				return false, nil
+			}
+			if calls++; calls < 3 {
+				return false, context.DeadlineExceeded
+			}
+			return true, nil
 		}
-		if calls++; calls < 3 {
-			return false, context.DeadlineExceeded
-		}
-		return true, nil
-	}
-	answer, err = f.Run(t.Context(), "ann", "cancel stream s1 wait 1m", nil)
-	require.NoError(t, err)
-	require.Nil(t, answer.Pending)
-	require.Contains(t, answer.Text, "entry n3")
-	f.Cancel = func(context.Context, string, string) (bool, error) { return false, nil }
-	_, err = f.Run(t.Context(), "ann", "cancel stream s1", nil)
-	require.ErrorContains(t, err, "no stream is named")
+		answer, err = f.Run(t.Context(), "ann", "cancel stream s1 wait 1m", nil)
+		require.NoError(t, err)
+		require.Nil(t, answer.Pending)
+		require.Contains(t, answer.Text, "entry n3")
+		f.Cancel = func(context.Context, string, string) (bool, error) { return false, nil }
+		_, err = f.Run(t.Context(), "ann", "cancel stream s1", nil)
+		require.ErrorContains(t, err, "no stream is named")
+	})
 }
