--- a/process/mirror/mirror.go
+++ b/process/mirror/mirror.go
@@ -38,7 +38,8 @@
 	deletedTime = time.Minute            // for which deletions are remembered; copies are some seconds old
 )
 
-// ErrEra reports a page of an earlier era than one before it, or of an unknown one.
+// ErrEra reports a page of an earlier era than one before it, of an unknown one, or of
+// several eras.
 var ErrEra = errors.New("page of an earlier era of the store")
 
 // ErrGone reports that the store no longer keeps the requested changes.
