gateway: log what is known of a silent engine

LOST: the line engine_silent named only the endpoint and the error of the probe. It could not tell an engine that has ended from one that is silent, nor a request that can go on elsewhere from one that cannot.

The line now has the time since the latest event, whether the engine's host refuses connections, whether the engine is still listed or leaving, whether the generation has a copy, may be repeated, and has passed events. engine_silences counts the lines. The watch has a file and a type of its own; what it decides is unchanged.

--- a/process/gateway/generate.go
+++ b/process/gateway/generate.go
@@ -6,7 +6,6 @@
 	"io"
 	"maps"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -26,14 +25,11 @@
 
 const (
 	streamMaxIdle  = 2 * time.Second        // longest idle time of a connection that a stream may use
-	silenceTimeout = time.Second            // time without an event after which an engine is probed
-	probeLimit     = 400 * time.Millisecond // timeout of a probe; covers a new connection between regions
 	continueWait   = 4 * time.Second        // longest wait of a continuation for an engine with a limit; callers give up about then
 	firstEvent     = "0"                    // ID that stands for the position before the first event
 )
 
 var (
-	errSilent   = errors.New("engine is silent and does not answer")
 	errNoEvents = errors.New("stream ended before its first event")
 )
 
@@ -151,7 +147,7 @@
 		Since: time.Now().Add(-streamMaxIdle), Rank: r.j.rank, Stream: true, After: a.after, Memory: a.memory,
 	}
 	quiet := r.watchSilence(attemptCtx, a.endpoint, cancel)
-	defer quiet.Stop()
+	defer quiet.stop()
 	if a.memory != "" && !r.g.limits.Wait(ctx, a.endpoint.ID, earlier(r.j.deadline, time.Now().Add(continueWait))) {
 		f := refusal.New(refusal.EndpointLimit, refusal.NotRun, "no request to the engine with the copy is due in time")
 		r.logAttempt("attempt_failed", a, logrus.Fields{"reason": f.Reason, "outcome": f.Outcome.String(), "detail": f.Detail})
@@ -199,41 +195,6 @@
 	return r.handleBrokenStream(ctx, a, err)
 }
 
-// watchSilence starts a timer that cancels an attempt if its engine has sent no
-// event for some time and does not answer a probe either. An engine that
-// answers the probe, with whatever answer, is only slow. The first event may take
-// as long as the latency target.
-func (r *run) watchSilence(ctx context.Context, e roster.Endpoint, cancel context.CancelCauseFunc) *time.Timer {
-	var quiet *time.Timer
-	quiet = time.AfterFunc(time.Hour, func() {
-		for ctx.Err() == nil {
-			call, done := context.WithTimeout(ctx, probeLimit)
-			_, err := r.g.report(call, e)
-			silent := errors.Is(err, ErrUnreachable) || errors.Is(err, os.ErrDeadlineExceeded) || call.Err() != nil
-			done()
-			if err == nil || !silent {
-				quiet.Reset(silenceTimeout)
-				return
-			}
-			if ctx.Err() == nil {
-				r.g.logDecision(r.j, "engine_silent", logrus.Fields{"endpoint": e.ID, "detail": err.Error()})
-				cancel(errSilent)
-			}
-		}
-	})
-	quiet.Reset(max(r.j.route.Aim, silenceTimeout)) // the function uses quiet, so it may run only after the assignment
-	return quiet
-}
-
-// silenceError returns the error of an attempt that was canceled by
-// watchSilence, and f for other attempts.
-func silenceError(ctx context.Context, f *refusal.Error) *refusal.Error {
-	if errors.Is(context.Cause(ctx), errSilent) {
-		return refusal.New(refusal.Timeout, refusal.Unknown, errSilent.Error())
-	}
-	return f
-}
-
 // switchTo makes the engine of an attempt the current engine of the run and
 // releases the room at the previous one. The function withdraw ends the attempt.
 func (r *run) switchTo(a *attempt, withdraw context.CancelCauseFunc) {
@@ -251,7 +212,7 @@
 
 // relay passes events on to the caller until the stream ends. It returns nil if
 // the stream ended completely.
-func (r *run) relay(answer *Answer, quiet *time.Timer) error {
+func (r *run) relay(answer *Answer, quiet *silenceWatch) error {
 	events := stream.NewEventReader(answer.Body)
 	flush := http.NewResponseController(r.j.w)
 	begun := false
@@ -285,7 +246,7 @@
 			begun = true
 			r.copyEarly()
 		}
-		quiet.Reset(silenceTimeout)
+		quiet.event()
 	}
 }
 
