gateway: a failing test of engines that are silent for a while

What callers saw: a stream that is cut, or a refusal with unknown outcome, while the engine is sound.

Requests without a copy or resumption end without an answer, the others go on at a second engine while the first one still works on them.

--- /dev/null
+++ b/process/gateway/silence_test.go
@@ -0,0 +1,180 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/eelgrassdock/eelgrassdock/process/roster"
+	"github.com/eelgrassdock/eelgrassdock/request/refusal"
+)
+
+const (
+	scriptEvents   = 10                     // of each stream of silentEngines
+	scriptInterval = 100 * time.Millisecond // between two events
+)
+
+// silentEngines are engines that send nothing and answer nothing from a time
+// until another one, and then go on where they were. A connection that was
+// closed meanwhile is noticed after that.
+type silentEngines struct {
+	w           *testGateway
+	silentFrom  time.Time
+	silentUntil time.Time
+	ids         []string // engines that fall silent; the one that is used first if nil
+	all         bool     // all engines fall silent
+
+	mu      sync.Mutex
+	active  map[string]bool // engines that work on the request
+	overlap time.Duration   // for which an engine worked on the request beside another one
+	started []string        // engines that ran the request, in order
+}
+
+// awaken waits while an engine is silent. It reports whether ctx has not ended.
+func (x *silentEngines) awaken(ctx context.Context, id string) bool {
+	for ctx.Err() == nil && x.isSilent(id) {
+		select {
+		case <-time.After(time.Until(x.silentUntil)):
+		case <-ctx.Done():
+		}
+	}
+	return ctx.Err() == nil
+}
+
+func (x *silentEngines) isSilent(id string) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	now := time.Now()
+	return (x.all || slices.Contains(x.ids, id)) && !now.Before(x.silentFrom) && now.Before(x.silentUntil)
+}
+
+// begin records that an engine starts to work on the request and returns the
+// function that records the end.
+func (x *silentEngines) begin(id string) (end func()) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.ids == nil {
+		x.ids = []string{id}
+	}
+	x.started = append(x.started, id)
+	x.active[id] = true
+	begun, beside := time.Now(), len(x.active) > 1
+	return func() {
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		delete(x.active, id)
+		if beside || len(x.active) > 0 {
+			x.overlap = max(x.overlap, time.Since(begun))
+		}
+	}
+}
+
+// install makes the gateway's endpoints fall silent.
+func (x *silentEngines) install() {
+	x.active = map[string]bool{}
+	x.w.Backend.Report = func(ctx context.Context, e roster.Endpoint) (Report, error) {
+		if !x.awaken(ctx, e.ID) {
+			return Report{}, ctx.Err()
+		}
+		return Report{}, nil
+	}
+	x.w.Backend.Send = x.send
+}
+
+// send runs a request at an engine, from the event after which it continues.
+func (x *silentEngines) send(ctx context.Context, c Call) (*Answer, error) {
+	x.w.mu.Lock()
+	x.w.calls = append(x.w.calls, c)
+	x.w.mu.Unlock()
+	id := c.Endpoint.ID
+	if x.isSilent(id) {
+		select {
+		case <-time.After(min(dialPause, time.Until(x.silentUntil))):
+		case <-ctx.Done():
+		}
+		if x.isSilent(id) {
+			return nil, refusal.New(refusal.Dial, refusal.NotRun, "connection timed out")
+		}
+	}
+	first := 1
+	if c.After != "" && c.After != firstEvent {
+		_, _ = fmt.Sscan(c.After, &first)
+		first++
+	}
+	end := x.begin(id)
+	head := make(chan struct{})
+	reader, writer := io.Pipe()
+	context.AfterFunc(ctx, func() { _ = reader.CloseWithError(errors.New("connection closed")) })
+	go func() {
+		defer end()
+		// The engine works on while it is silent: a closed connection is noticed
+		// only when it reads again.
+		if x.awaken(x.w.base, id); ctx.Err() != nil {
+			return
+		}
+		close(head)
+		for n := first; n <= scriptEvents; n++ {
+			time.Sleep(scriptInterval)
+			if x.awaken(x.w.base, id); ctx.Err() != nil {
+				return
+			}
+			if _, err := fmt.Fprintf(writer, "id: %d\ndata: %s\n\n", n, id); err != nil {
+				return
+			}
+		}
+		_ = writer.Close()
+	}()
+	select {
+	case <-head:
+	case <-ctx.Done():
+		return nil, refusal.FromCallError(ctx.Err(), true)
+	}
+	return &Answer{
+		Status: http.StatusOK, Header: http.Header{"Content-Type": {"text/event-stream"}}, Body: reader, Length: -1, Close: func(bool) {},
+	}, nil
+}
+
+// dialPause is the time after which a connection to a silent engine fails.
+const dialPause = 400 * time.Millisecond
+
+// Guards against requests that are cut, or run at a second engine beside the first
+// one, because their engine is silent for a while and goes on.
+func TestSilentEngineKeepsItsRequests(t *testing.T) {
+	for _, path := range []string{"guide", "guide with a copy", "short"} {
+		for _, at := range []time.Duration{0, 50 * time.Millisecond, 350 * time.Millisecond} {
+			for _, pause := range []time.Duration{
+				300 * time.Millisecond, 800 * time.Millisecond, 1200 * time.Millisecond, 1500 * time.Millisecond, 2 * time.Second, 3 * time.Second,
+			} {
+				for _, all := range []bool{false, true} {
+					t.Run(fmt.Sprintf("%s, %v after %v, all %v", path, pause, at, all), func(t *testing.T) {
+						synctest.Test(t, func(t *testing.T) { testSilentEngine(t, path, at, pause, all) })
+					})
+				}
+			}
+		}
+	}
+}
+
+func testSilentEngine(t *testing.T, path string, at, pause time.Duration, all bool) {
+	w := newTestGateway(t)
+	w.Tables.Current().Services[0].Engine.Backups = path == "guide with a copy"
+	w.refreshEnginePools()
+	x := &silentEngines{w: w, silentFrom: time.Now().Add(at), silentUntil: time.Now().Add(at + pause), all: all && at > 0}
+	x.install()
+	rec, err := w.request("/" + strings.Fields(path)[0] + "/1")
+	require.NoError(t, err)
+	require.Equal(t, strings.Fields("1 2 3 4 5 6 7 8 9 10"), eventIDs(rec.Body.String()))
+	time.Sleep(10 * time.Second)
+	require.Len(t, x.started, 1, "engines that ran the request")
+	require.Zero(t, x.overlap)
+}
