--- a/process/gateway/generate.go
+++ b/process/gateway/generate.go
@@ -24,14 +24,12 @@
 )
 
 const (
-	streamMaxIdle  = 2 * time.Second        // longest idle time of a connection that a stream may use
-	continueWait   = 4 * time.Second        // longest wait of a continuation for an engine with a limit; callers give up about then
-	firstEvent     = "0"                    // ID that stands for the position before the first event
+	streamMaxIdle = 2 * time.Second // longest idle time of a connection that a stream may use
+	continueWait  = 4 * time.Second // longest wait of a continuation for an engine with a limit; callers give up about then
+	firstEvent    = "0"             // ID that stands for the position before the first event
 )
 
-var (
-	errNoEvents = errors.New("stream ended before its first event")
-)
+var errNoEvents = errors.New("stream ended before its first event")
 
 type (
 	// run relays one generation to the caller.
--- a/process/gateway/silence.go
+++ b/process/gateway/silence.go
@@ -101,4 +101,3 @@
 	}
 	return f
 }
-
