gateway: silence alone ends no request

What callers saw: a request ended without an answer (its stream cut, or a refusal with unknown outcome) although its engine was sound, or it ran at a second engine while the first one still worked on it.

Cause: an engine that had sent nothing for a second and did not answer one probe of 0.4 s was taken as gone. A sound engine may be silent for that long. A request that had nowhere else to go on was ended as well, which could win nothing.

Change: a watch probes a silent engine until it answers or sends an event. The attempt ends only if the engine's process has ended (its host refuses connections; the list drops it, or shows a later start, while it is silent), or if the silence has lasted for as long as the list tolerates (three beats, 3 s at least) and the request can go on: from a copy at an engine that answers, or as a repetition with an attempt and budget left and another engine that answers. Until then a silent engine gets no new work, but its copies are kept; they are replaced when it counts as gone, or at once if the run's own engine is leaving. An engine that answers again is used at once: silence is no failure that counts.

A request leaves an engine whose host refuses connections after 1.0 to 1.4 s, one that the list drops after 3.0 s, a silent one after three beats; one with no copy, attempt, budget or answering engine left waits for its engine (TestRequestLeavesAnEngineThatHasEnded, TestRequestWithoutAlternativeWaitsForItsEngine).

--- a/process/gateway/enginepool.go
+++ b/process/gateway/enginepool.go
@@ -39,17 +39,22 @@
 	dispatcher dispatch.Dispatcher
 	start      sync.Once
 
-	mu       sync.Mutex
-	failures map[string]int  // failures in a row, by engine
-	checking map[string]bool // engines that are being probed
-	down     map[string]bool // engines among them that cannot be reached
+	mu           sync.Mutex
+	failures     map[string]int       // failures in a row, by engine
+	suspectUntil map[string]time.Time // end of the suspicion after the latest failure
+	checking     map[string]bool      // engines that are being probed
+	down         map[string]bool      // engines among them that do not answer
+	gone         map[string]bool      // engines among them whose process has ended or counts as lost
 }
 
 func (g *Gateway) enginePool(service string, engine *routing.Engine) *enginePool {
 	if d, ok := g.enginePools.Load(service); ok {
 		return d.(*enginePool)
 	}
-	d := &enginePool{g: g, service: service, failures: map[string]int{}, checking: map[string]bool{}, down: map[string]bool{}}
+	d := &enginePool{
+		g: g, service: service, failures: map[string]int{}, suspectUntil: map[string]time.Time{},
+		checking: map[string]bool{}, down: map[string]bool{}, gone: map[string]bool{},
+	}
 	d.sched = &placement.Scheduler{
 		Service: service, Region: g.Settings.Region, EntryPlace: g.Settings.Place, Length: &g.lengths,
 		Seed: xxhash.Sum64String(g.id + service), Violation: g.logViolation, Chunked: true,
@@ -72,7 +77,8 @@
 	endpoints := make([]placement.Endpoint, 0, len(list))
 	for _, e := range list {
 		endpoints = append(endpoints, placement.Endpoint{
-			ID: e.ID, Place: e.Place, Region: p.g.Settings.RegionOf(e.Place), Tokens: engine.Tokens, Drain: e.Leaving,
+			ID: e.ID, Place: e.Place, Region: p.g.Settings.RegionOf(e.Place), Tokens: engine.Tokens,
+			Drain: e.Leaving || p.isGone(e.ID),
 		})
 	}
 	p.sched.SetEndpoints(endpoints)
@@ -201,8 +207,10 @@
 	p.mu.Lock()
 	n := p.failures[id]
 	p.failures[id] = n + 1
+	until := time.Now().Add(min(suspectTime<<min(n, 10), maxSuspectTime))
+	p.suspectUntil[id] = until
 	p.mu.Unlock()
-	p.sched.Suspect(id, time.Now().Add(min(suspectTime<<min(n, 10), maxSuspectTime)))
+	p.sched.Suspect(id, until)
 	p.startCheck(id, true)
 }
 
--- a/process/gateway/generate.go
+++ b/process/gateway/generate.go
@@ -158,7 +158,7 @@
 		return nil, r.withdrawn(a)
 	}
 	if err != nil {
-		return r.handleSendError(ctx, a, silenceError(attemptCtx, refusal.From(err)))
+		return r.handleSendError(ctx, a, lossError(attemptCtx, refusal.From(err)))
 	}
 	r.g.checkAddress(a.endpoint, answer)
 	if answer.NotRun {
@@ -190,7 +190,7 @@
 	if isWithdrawn(attemptCtx) {
 		return nil, r.withdrawn(a)
 	}
-	return r.handleBrokenStream(ctx, a, err)
+	return r.handleBrokenStream(ctx, a, err, lossError(attemptCtx, refusal.FromCallError(err, true)))
 }
 
 // switchTo makes the engine of an attempt the current engine of the run and
@@ -389,17 +389,17 @@
 	return nil, r.g.finish(r.j, kept, a.endpoint, r.sends)
 }
 
-// handleBrokenStream decides how to proceed after a stream ended early.
-func (r *run) handleBrokenStream(ctx context.Context, a *attempt, err error) (*attempt, error) {
+// handleBrokenStream decides how to proceed after a stream ended early, with err. The
+// request would be refused with f.
+func (r *run) handleBrokenStream(ctx context.Context, a *attempt, err error, f *refusal.Error) (*attempt, error) {
 	if errors.Is(err, ErrCut) || ctx.Err() != nil {
 		return nil, r.finalError(refusal.FromCallError(errors.CombineErrors(ctx.Err(), err), true))
 	}
 	r.mu.Lock()
 	events, copied := r.events, r.backup != nil
 	r.mu.Unlock()
-	r.logAttempt("stream_broken", a, logrus.Fields{"detail": err.Error(), "events": events, "backup": copied})
+	r.logAttempt("stream_broken", a, logrus.Fields{"detail": f.Detail, "events": events, "backup": copied})
 	r.enginePool.suspect(a.endpoint.ID)
-	f := refusal.FromCallError(err, true)
 	if r.checkCrash(a, f) && !r.headWritten {
 		return nil, r.finalError(f) // it would probably crash the next engine as well
 	}
--- a/process/gateway/health.go
+++ b/process/gateway/health.go
@@ -16,6 +16,7 @@
 	minCheckPause     = 200 * time.Millisecond // pause before the second probe of an engine; doubles with each further one
 	maxCheckPause     = 2 * time.Second        // longest pause between two probes
 	maxUnclearAnswers = 3                      // errors in a row, other than a failed connection, after which probing stops
+	maxOthers         = 2                      // engines that are probed to find one that answers
 	noticeQueue       = 64                     // capacity of the queue of findings to send
 )
 
@@ -27,9 +28,9 @@
 // refused a connection.
 var ErrRefused = errors.New("no process listens at the endpoint's address")
 
-// startCheck starts probing an engine that failed or that another instance
-// reported as unreachable, unless it is being probed already. While the engine
-// is unreachable, it gets no requests and no copies, and copies there do not
+// startCheck starts probing an engine that failed or is silent, or that another
+// instance reported as unreachable, unless it is being probed already. While the
+// engine does not answer, it gets no requests and no copies, and copies there do not
 // count as usable. Once it answers, only the outcomes of requests decide about
 // it. With notify, a finding of this instance is sent to the other instances.
 func (p *enginePool) startCheck(id string, notify bool) {
@@ -41,16 +42,25 @@
 		return
 	}
 	p.g.spawn(func() {
+		begun := time.Now()
 		reachable := p.awaitReachable(id, notify)
 		p.mu.Lock()
-		down := p.down[id]
+		down, gone, until := p.down[id], p.gone[id], p.suspectUntil[id]
 		delete(p.down, id)
+		delete(p.gone, id)
 		delete(p.checking, id)
 		p.mu.Unlock()
-		if down {
-			p.g.Log.WithFields(logrus.Fields{"event": "endpoint_checked", "endpoint": id, "reachable": reachable}).
-				Info("stopped probing an unreachable endpoint")
+		if !down {
+			return
 		}
+		if gone {
+			p.g.refreshEnginePool(p.service)
+		}
+		p.sched.Suspect(id, until)
+		p.dispatcher.Offer()
+		p.g.Log.WithFields(logrus.Fields{
+			"event": "endpoint_checked", "endpoint": id, "reachable": reachable, "lost": gone, "took": time.Since(begun).Milliseconds(),
+		}).Info("stopped probing an unreachable endpoint")
 	})
 }
 
@@ -58,20 +68,23 @@
 // whether it answered. It stops after maxUnclearAnswers errors in a row that do
 // not show whether the engine can be reached.
 func (p *enginePool) awaitReachable(id string, notify bool) bool {
-	pause := minCheckPause
+	pause, begun := minCheckPause, time.Now()
 	for unclear := 0; unclear < maxUnclearAnswers; pause = min(2*pause, maxCheckPause) {
 		e, ok := p.g.Roster.Get(id)
 		if !ok || e.Leaving {
 			return false // it gets no new work in any case
 		}
-		err := p.probe(e)
+		err := p.probe(p.g.base, e)
 		switch {
 		case err == nil:
 			return true
-		case errors.Is(err, ErrUnreachable):
+		case isSilence(err):
 			unclear = 0
 			p.sched.Suspect(id, time.Now().Add(pause+2*probeLimit))
 			p.markUnreachable(e, err, notify)
+			if errors.Is(err, ErrRefused) || time.Since(begun) >= p.g.lossTime() {
+				p.markGone(e, err)
+			}
 		default:
 			unclear++
 		}
@@ -82,8 +95,8 @@
 	return false
 }
 
-// markUnreachable records that an engine cannot be reached. It drops the copies
-// held there, and replaces those of runs whose own engine is leaving or gone.
+// markUnreachable records that an engine does not answer, and copies the runs that
+// have a copy there while their own engine is leaving or gone.
 func (p *enginePool) markUnreachable(e roster.Endpoint, err error, notify bool) {
 	p.mu.Lock()
 	known := p.down[e.ID]
@@ -95,20 +108,75 @@
 	_, copies := p.g.runs.runsAt(e.ID)
 	p.g.Log.WithError(err).WithFields(logrus.Fields{"event": "endpoint_unreachable", "endpoint": e.ID, "copies": len(copies)}).
 		Warn("endpoint cannot be reached")
-	p.g.protectAll(p.g.dropCopiesAt(copies, e.ID))
+	p.g.protectAll(exposedRuns(copies))
 	if notify {
 		p.g.sendNotice(loads.Notice{Endpoint: e.ID, Born: e.Born, Gone: true})
 	}
 }
 
-// probe requests a report from an engine and returns the error.
-func (p *enginePool) probe(e roster.Endpoint) error {
-	ctx, cancel := context.WithTimeout(p.g.base, probeLimit)
+// markGone records that the process of an engine has ended, as far as can be seen:
+// requests do not wait for the engine, and the copies held there are replaced.
+func (p *enginePool) markGone(e roster.Endpoint, err error) {
+	p.mu.Lock()
+	known := p.gone[e.ID]
+	p.gone[e.ID] = true
+	p.mu.Unlock()
+	if known {
+		return
+	}
+	_, copies := p.g.runs.runsAt(e.ID)
+	p.g.Log.WithError(err).WithFields(logrus.Fields{
+		"event": "endpoint_gone", "endpoint": e.ID, "copies": len(copies), "refused": errors.Is(err, ErrRefused),
+	}).Warn("endpoint has ended or is silent for as long as one that has")
+	p.g.refreshEnginePool(p.service)
+	p.g.protectAll(p.g.dropCopiesAt(copies, e.ID))
+}
+
+// probe requests a report from an engine and returns the error, which isSilence
+// recognizes if the engine did not answer in time.
+func (p *enginePool) probe(ctx context.Context, e roster.Endpoint) error {
+	ctx, cancel := context.WithTimeout(ctx, probeLimit)
 	defer cancel()
 	_, err := p.g.report(ctx, e)
+	if err != nil && ctx.Err() != nil {
+		return errors.CombineErrors(ctx.Err(), err) // the end of ctx closes the connection, which is the cause of err
+	}
 	return err
 }
 
+// avoid keeps new work from an engine that has not answered: for suspectTime, and for
+// as long as it does not answer a probe. Unlike suspect it records no failure.
+func (p *enginePool) avoid(id string) {
+	p.sched.Suspect(id, time.Now().Add(suspectTime))
+	p.startCheck(id, true)
+}
+
+// hasOther reports whether another engine than the given one answers a probe. It
+// probes no more than maxOthers.
+func (p *enginePool) hasOther(ctx context.Context, id string) bool {
+	probes := 0
+	for _, e := range p.g.Roster.List(p.service) {
+		if e.ID == id || e.Leaving || p.isDown(e.ID) {
+			continue
+		}
+		if !isSilence(p.probe(ctx, e)) {
+			return true
+		}
+		p.avoid(e.ID)
+		if probes++; probes == maxOthers {
+			break
+		}
+	}
+	return false
+}
+
+// isGone reports whether markGone was called for an engine that is being probed.
+func (p *enginePool) isGone(id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.gone[id]
+}
+
 // isDown reports whether an engine is known to be unreachable.
 func (p *enginePool) isDown(id string) bool {
 	p.mu.Lock()
--- a/process/gateway/move.go
+++ b/process/gateway/move.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/eelgrassdock/eelgrassdock/internal/sleep"
@@ -125,6 +124,19 @@
 	return exposed
 }
 
+// exposedRuns returns the runs of a list whose own engine is leaving or gone.
+func exposedRuns(list []*run) (exposed []*run) {
+	for _, r := range list {
+		r.mu.Lock()
+		at := r.endpoint
+		r.mu.Unlock()
+		if r.leaves(at) {
+			exposed = append(exposed, r)
+		}
+	}
+	return exposed
+}
+
 // protectAll copies the runs that have no usable copy, as far as their engines
 // support it and their routes do not allow a repetition. It renews the usable
 // copies, so that little is missing in them when the engine ends.
@@ -243,8 +255,8 @@
 				detail, pause = "the other engine has left", 0
 			case err != nil:
 				detail = err.Error()
-			case errors.Is(r.enginePool.probe(to), ErrUnreachable):
-				r.enginePool.suspect(to.ID)
+			case isSilence(r.enginePool.probe(g.base, to)):
+				r.enginePool.avoid(to.ID)
 				detail, pause = ErrUnreachable.Error(), 0
 			}
 			g.logDecision(r.j, "copy_failed", logrus.Fields{
@@ -284,7 +296,7 @@
 	}
 	r.mu.Lock()
 	old, ended := r.backup, r.ended
-	wanted := !ended && r.endpoint.ID == from.ID && (old == nil || !old.isHeld(g))
+	wanted := !ended && r.endpoint.ID == from.ID && (old == nil || !old.isHeld(g) || r.enginePool.isDown(old.endpoint.ID))
 	if wanted {
 		r.backup = b
 	}
--- a/process/gateway/quarantine.go
+++ b/process/gateway/quarantine.go
@@ -186,7 +186,7 @@
 		return false
 	}
 	for range crashProbes {
-		if err := p.probe(e); err == nil || errors.Is(err, ErrUnreachable) {
+		if err := p.probe(p.g.base, e); err == nil || errors.Is(err, ErrUnreachable) {
 			return errors.Is(err, ErrRefused)
 		}
 	}
--- a/process/gateway/silence_test.go
+++ b/process/gateway/silence_test.go
@@ -79,6 +79,13 @@
 	}
 }
 
+// engine returns the engine that falls silent.
+func (x *silentEngines) engine() string {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.ids[0]
+}
+
 // install makes the gateway's endpoints fall silent.
 func (x *silentEngines) install() {
 	x.active = map[string]bool{}
@@ -178,3 +185,99 @@
 	require.Len(t, x.started, 1, "engines that ran the request")
 	require.Zero(t, x.overlap)
 }
+
+// Guards against requests that stay at an engine whose process has ended without
+// closing its connections.
+func TestRequestLeavesAnEngineThatHasEnded(t *testing.T) {
+	const last = 400 * time.Millisecond // from the start to the fourth event, the last one of the engine
+	for name, test := range map[string]struct {
+		end      func(w *testGateway, id string)
+		from, to time.Duration // after which the request is at the second engine
+	}{
+		"its host refuses connections": {
+			func(w *testGateway, id string) {
+				w.mu.Lock()
+				defer w.mu.Unlock()
+				w.crashed[id] = true
+			}, silenceTimeout, silenceTimeout + probeLimit,
+		},
+		"the list drops it": {func(w *testGateway, id string) { w.Roster.Remove(id) }, minLossTime, minLossTime + probeLimit + silencePause},
+		"the list shows a new start": {func(w *testGateway, id string) {
+			e, _ := w.Roster.Get(id)
+			e.Born++
+			w.Roster.Set(e)
+		}, minLossTime, minLossTime + probeLimit + silencePause},
+		"nothing but silence": {func(*testGateway, string) {}, 4 * time.Second, 4*time.Second + probeLimit + silencePause},
+	} {
+		for _, path := range []string{"guide", "short"} {
+			t.Run(name+", "+path, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					w := newTestGateway(t)
+					w.Settings.Beat = 1333
+					x := &silentEngines{w: w, silentFrom: time.Now().Add(last + scriptInterval/2), silentUntil: time.Now().Add(time.Hour)}
+					x.install()
+					silentReport := w.Backend.Report
+					w.Backend.Report = func(ctx context.Context, e roster.Endpoint) (Report, error) {
+						w.mu.Lock()
+						crashed := w.crashed[e.ID]
+						w.mu.Unlock()
+						if crashed {
+							return Report{}, errors.Mark(errors.Mark(errors.New("connection refused"), ErrRefused), ErrUnreachable)
+						}
+						return silentReport(ctx, e)
+					}
+					begun := time.Now()
+					go func() {
+						time.Sleep(last + scriptInterval/2)
+						test.end(w, x.engine())
+					}()
+					rec, err := w.request("/" + path + "/1")
+					require.NoError(t, err)
+					require.Equal(t, strings.Fields("1 2 3 4 5 6 7 8 9 10"), eventIDs(rec.Body.String()))
+					moved := time.Since(begun) - last - (scriptEvents-4)*scriptInterval
+					require.GreaterOrEqual(t, moved, test.from)
+					require.LessOrEqual(t, moved, test.to)
+				})
+			})
+		}
+	}
+}
+
+// Guards against requests that are ended because of silence although they have nowhere
+// else to go on: their engine may answer before their deadline.
+func TestRequestWithoutAlternativeWaitsForItsEngine(t *testing.T) {
+	for name, set := range map[string]func(w *testGateway) string{
+		"no copy": func(w *testGateway) string {
+			w.Tables.Current().Services[0].Engine.Backups = false
+			return "guide"
+		},
+		"all engines are silent": func(*testGateway) string { return "short" },
+		"no attempt is left": func(w *testGateway) string {
+			w.Tables.Current().Routes[1].Attempts = 1
+			return "short"
+		},
+		"no retry budget is left": func(w *testGateway) string {
+			budget := &w.pool(engineService).policy.Budget
+			budget.Resize(w.budgetSize())
+			for budget.Take() {
+			}
+			return "short"
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newTestGateway(t)
+				path := set(w)
+				x := &silentEngines{
+					w: w, silentFrom: time.Now().Add(350 * time.Millisecond), silentUntil: time.Now().Add(20 * time.Second),
+					all: name == "all engines are silent",
+				}
+				x.install()
+				rec, err := w.request("/" + path + "/1")
+				require.NoError(t, err)
+				require.Equal(t, strings.Fields("1 2 3 4 5 6 7 8 9 10"), eventIDs(rec.Body.String()))
+				require.Len(t, x.started, 1)
+			})
+		})
+	}
+}
--- a/process/gateway/testgateway_test.go
+++ b/process/gateway/testgateway_test.go
@@ -134,6 +134,13 @@
 	return w.answer(n, c)
 }
 
+// called returns the nth call, counted from 0.
+func (w *testGateway) called(n int) Call {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.calls[n]
+}
+
 // closeWithAttempt breaks a body when the attempt is canceled, as closing its
 // connection would.
 func (w *testGateway) closeWithAttempt(body *io.PipeReader) {
