gateway: requests wait for silent engines

What callers saw: while all engines of a service were silent for a second, and up to 8 s afterwards, requests were refused at once that could have been served.

Cause: an engine to which no connection could be opened in 0.4 s was suspected as one that fails requests: for 1, 2, 4 and 8 s, doubled by each of the requests that met the same silence. With all engines suspected there was nothing to wait for, and a request did not return to an engine that it had failed to connect to.

Change: a failed connection is no failure of the engine; it is avoided for as long as it does not answer a probe. Requests wait for suspected engines (placement.Scheduler.AwaitSuspects) as long as they wait for memory, 0.6 of the latency target, and may go to one that did not accept a connection before. An engine that refuses connections or counts as lost is closed to requests, which are then refused at once. The entry keeps its rule.

--- a/process/gateway/enginepool.go
+++ b/process/gateway/enginepool.go
@@ -57,7 +57,7 @@
 	}
 	d.sched = &placement.Scheduler{
 		Service: service, Region: g.Settings.Region, EntryPlace: g.Settings.Place, Length: &g.lengths,
-		Seed: xxhash.Sum64String(g.id + service), Violation: g.logViolation, Chunked: true,
+		Seed: xxhash.Sum64String(g.id + service), Violation: g.logViolation, Chunked: true, AwaitSuspects: true,
 		MemoryCost: memoryCost, FarCost: farCost, Limited: g.limitOf,
 	}
 	d.dispatcher.Service, d.dispatcher.Sched = service, d.sched
@@ -108,15 +108,19 @@
 	}
 }
 
+// queueTime returns the time for which a request may wait for an engine.
+func (j *job) queueTime() time.Duration {
+	if j.route.Aim > 0 {
+		return time.Duration(float64(j.route.Aim) * queueTimeShare)
+	}
+	return defaultQueueTime
+}
+
 // acquire waits for an engine and reserves room for the request there. An error
 // is a *refusal.Error with outcome NotRun.
 func (p *enginePool) acquire(ctx context.Context, j *job, tried []string) (roster.Endpoint, placement.Ticket, error) {
 	now := time.Now()
-	hold := defaultQueueTime
-	if j.route.Aim > 0 {
-		hold = time.Duration(float64(j.route.Aim) * queueTimeShare)
-	}
-	until := now.Add(hold)
+	until := now.Add(j.queueTime())
 	if j.deadline.Before(until) {
 		until = j.deadline
 	}
--- a/process/gateway/generate.go
+++ b/process/gateway/generate.go
@@ -304,8 +304,10 @@
 
 // handleSendError decides how to proceed after an attempt without an answer.
 func (r *run) handleSendError(ctx context.Context, a *attempt, f *refusal.Error) (*attempt, error) {
-	r.enginePool.suspect(a.endpoint.ID)
-	if f.Reason != refusal.Dial {
+	if f.Reason == refusal.Dial {
+		r.enginePool.avoid(a.endpoint.ID)
+	} else {
+		r.enginePool.suspect(a.endpoint.ID)
 		r.sends++
 	}
 	r.logAttempt("attempt_failed", a, logrus.Fields{"reason": f.Reason, "outcome": f.Outcome.String(), "detail": f.Detail})
@@ -344,7 +346,11 @@
 // retryElsewhere returns an attempt at another engine. It must be called only
 // if the request did not run at this engine or may run again.
 func (r *run) retryElsewhere(ctx context.Context, a *attempt, f *refusal.Error) (*attempt, error) {
-	r.tried = append(r.tried, a.endpoint.ID)
+	if f.Reason != refusal.Dial || time.Since(r.begun) >= r.j.queueTime() {
+		// An engine that could not be connected to is avoided for a while, but may
+		// take the request later.
+		r.tried = append(r.tried, a.endpoint.ID)
+	}
 	if r.sends >= max(r.j.route.Attempts, 1) {
 		return nil, r.finalError(f)
 	}
--- a/process/gateway/silence_test.go
+++ b/process/gateway/silence_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/eelgrassdock/eelgrassdock/process/roster"
@@ -281,3 +282,34 @@
 		})
 	}
 }
+
+// Guards against refusals of requests that arrive while all engines are silent, and
+// after that: the engines answer in time.
+func TestRequestsWaitForSilentEngines(t *testing.T) {
+	for _, path := range []string{"guide", "short"} {
+		t.Run(path, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newTestGateway(t)
+				for i := range w.Tables.Current().Routes {
+					w.Tables.Current().Routes[i].Aim = 1800 * time.Millisecond
+				}
+				x := &silentEngines{w: w, silentFrom: time.Now(), silentUntil: time.Now().Add(time.Second), all: true}
+				x.install()
+				var wg sync.WaitGroup
+				for n := range 20 { // one each 100 ms, also after the silence
+					wg.Go(func() {
+						time.Sleep(time.Duration(n) * 100 * time.Millisecond)
+						id := fmt.Sprint("q", n)
+						rec, err := w.requestWith(t.Context(), &Request{
+							ID: id, Method: http.MethodPost, Host: "h", Path: "/" + path + "/1", Target: "/" + path + "/1", Header: http.Header{},
+							Key: "key", Arrived: time.Now(), Prompt: 1000, Max: 400,
+						})
+						assert.NoError(t, err, "request %d", n)
+						assert.Len(t, eventIDs(rec.Body.String()), scriptEvents, "request %d", n)
+					})
+				}
+				wg.Wait()
+			})
+		})
+	}
+}
--- a/process/placement/baseline.go
+++ b/process/placement/baseline.go
@@ -5,10 +5,15 @@
 // The baseline policies send work immediately to the endpoint that their rule
 // selects, and leave queueing to the engine.
 
-// usable reports whether an endpoint may get new work.
+// usable reports whether an endpoint may get new work now.
 func (s *Scheduler) usable(e *endpoint, req *Request) bool {
-	return !e.closed && e.suspect <= s.nanos &&
-		(len(req.Exclude) == 0 || !slices.Contains(req.Exclude, e.ID))
+	return s.isOpen(e, req) && e.suspect <= s.nanos
+}
+
+// isOpen reports whether an endpoint may get new work, now or once it is no longer
+// suspected.
+func (s *Scheduler) isOpen(e *endpoint, req *Request) bool {
+	return !e.closed && (len(req.Exclude) == 0 || !slices.Contains(req.Exclude, e.ID))
 }
 
 // roundRobin returns the next usable endpoint of the list.
--- a/process/placement/choose.go
+++ b/process/placement/choose.go
@@ -89,7 +89,11 @@
 	lowest := math.Inf(1)
 	var used, total float64
 	for _, e := range s.list {
-		if !s.usable(e, req) {
+		if !s.isOpen(e, req) {
+			continue
+		}
+		if e.suspect > s.nanos {
+			wait = wait || s.AwaitSuspects
 			continue
 		}
 		wait = true
--- a/process/placement/placement.go
+++ b/process/placement/placement.go
@@ -130,6 +130,9 @@
 		// of other generations. A long prompt then delays no step by much and is
 		// not separated from other work.
 		Chunked bool
+		// AwaitSuspects makes requests wait for suspected endpoints if no other one is
+		// open. Without it they are not placed.
+		AwaitSuspects bool
 		// Ahead holds the horizons at which memory is predicted, in tokens ahead
 		// and in ascending order; zero means 8, 16, 64, 128. They should cover a
 		// few seconds at the speed of the engines.
--- a/process/placement/placement_test.go
+++ b/process/placement/placement_test.go
@@ -146,6 +146,29 @@
 	}
 }
 
+// Guards against requests that are not placed although a suspected endpoint may take
+// them, and against waiting for endpoints that will not.
+func TestRequestsWaitForSuspects(t *testing.T) {
+	s := fleet(3, Current)
+	s.AwaitSuspects = true
+	list := endpoints(3)
+	list[0].Drain = true
+	s.SetEndpoints(list)
+	s.Suspect("e001", start.Add(time.Minute))
+	s.Suspect("e002", start.Add(time.Second))
+	req := request(10, start)
+	if d := s.Place(req, start); !d.Wait || d.None || d.Endpoint != "" {
+		t.Errorf("decision %+v while endpoints are suspected", d)
+	}
+	if d := s.Place(req, start.Add(time.Second)); d.Endpoint != "e002" {
+		t.Errorf("decision %+v after the suspicion", d)
+	}
+	req.Exclude = []string{"e001", "e002"}
+	if d := s.Place(req, start); !d.None || d.Wait {
+		t.Errorf("decision %+v if all endpoints are drained or excluded", d)
+	}
+}
+
 // Guards against a late report replacing a newer one that says that the endpoint
 // is leaving. After staleAfter, an earlier time must be accepted, because the
 // endpoint may have restarted with an earlier clock.
