gateway: a run waits for the silent engine that has the copy of its memory

What callers saw: a stream is cut although its memory is at a second engine, if that one is silent for a moment when the first one ends.

Cause: an engine to which no connection could be opened in 0.4 s was taken as gone, together with the copy. Nothing had been sent to it.

Evidence: TestRunContinuesAtASilentEngine fails before the change with pauses of 0.5, 1.5 and 2.5 s (answer broke off).

Change: a continuation that could not connect is tried again every 0.6 s, until the engine refuses connections, leaves, starts again, or has been silent for as long as one that counts as lost.

Measured: the streams of the test are whole.

--- a/process/gateway/generate.go
+++ b/process/gateway/generate.go
@@ -87,6 +87,7 @@
 		ticket   placement.Ticket
 		after    string
 		memory   string
+		until    time.Time // by which the engine with the memory must accept a connection
 	}
 )
 
@@ -313,8 +314,11 @@
 	r.logAttempt("attempt_failed", a, logrus.Fields{"reason": f.Reason, "outcome": f.Outcome.String(), "detail": f.Detail})
 	r.checkCrash(a, f)
 	if a.memory != "" {
-		// The copy is not tried again: an engine gives it to the first attempt
-		// that names it, and an engine that was not reached is taken as gone.
+		if f.Reason == refusal.Dial && r.awaitCopy(ctx, a) {
+			return a, nil
+		}
+		// A copy that was named in a request is not tried again: its engine gives it
+		// to the first attempt that names it.
 		return r.rerun(ctx, a, f)
 	}
 	if f.Outcome == refusal.NotRun && ctx.Err() == nil {
--- a/process/gateway/move.go
+++ b/process/gateway/move.go
@@ -463,7 +463,9 @@
 		return nil
 	}
 	b.taken.Store(true)
-	return &attempt{endpoint: b.endpoint, ticket: b.ticket, after: r.resumePoint(), memory: b.memory}
+	return &attempt{
+		endpoint: b.endpoint, ticket: b.ticket, after: r.resumePoint(), memory: b.memory, until: time.Now().Add(r.g.lossTime()),
+	}
 }
 
 // usableCopy returns the run's copy, or nil if there is none, it is no longer held
--- a/process/gateway/silence.go
+++ b/process/gateway/silence.go
@@ -174,3 +174,14 @@
 	}
 	return f
 }
+
+// awaitCopy waits before a further attempt to continue at the engine that has a copy
+// of the run's memory, which accepted no connection. It reports false if that engine
+// has ended or has been silent for too long.
+func (r *run) awaitCopy(ctx context.Context, a *attempt) bool {
+	if time.Now().After(a.until) || !sleep.For(ctx, silencePause) {
+		return false
+	}
+	now, ok := r.g.Roster.Get(a.endpoint.ID)
+	return ok && !now.Leaving && now.Born == a.endpoint.Born && !r.enginePool.isGone(a.endpoint.ID)
+}
--- a/process/gateway/silence_test.go
+++ b/process/gateway/silence_test.go
@@ -39,6 +39,7 @@
 	active  map[string]bool // engines that work on the request
 	overlap time.Duration   // for which an engine worked on the request beside another one
 	started []string        // engines that ran the request, in order
+	bodies  map[string]*io.PipeReader
 }
 
 // awaken waits while an engine is silent. It reports whether ctx has not ended.
@@ -89,7 +90,7 @@
 
 // install makes the gateway's endpoints fall silent.
 func (x *silentEngines) install() {
-	x.active = map[string]bool{}
+	x.active, x.bodies = map[string]bool{}, map[string]*io.PipeReader{}
 	x.w.Backend.Report = func(ctx context.Context, e roster.Endpoint) (Report, error) {
 		if !x.awaken(ctx, e.ID) {
 			return Report{}, ctx.Err()
@@ -122,6 +123,9 @@
 	end := x.begin(id)
 	head := make(chan struct{})
 	reader, writer := io.Pipe()
+	x.mu.Lock()
+	x.bodies[id] = reader
+	x.mu.Unlock()
 	context.AfterFunc(ctx, func() { _ = reader.CloseWithError(errors.New("connection closed")) })
 	go func() {
 		defer end()
@@ -313,3 +317,50 @@
 		})
 	}
 }
+
+// Guards against a stream that is cut because the engine with the copy of its memory
+// is silent when its own engine ends.
+func TestRunContinuesAtASilentEngine(t *testing.T) {
+	for _, pause := range []time.Duration{500 * time.Millisecond, 1500 * time.Millisecond, 2500 * time.Millisecond} {
+		t.Run(pause.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newTestGateway(t)
+				x := &silentEngines{w: w}
+				x.install()
+				go func() {
+					time.Sleep(350 * time.Millisecond)
+					r := w.runsOf("q")[0]
+					x.mu.Lock()
+					defer x.mu.Unlock()
+					x.ids = []string{r.usableCopy().endpoint.ID}
+					x.silentFrom, x.silentUntil = time.Now(), time.Now().Add(pause)
+					_ = x.bodies[r.endpoint.ID].CloseWithError(errors.New("connection reset"))
+				}()
+				rec, err := w.request("/guide/1")
+				require.NoError(t, err)
+				require.Equal(t, strings.Fields("1 2 3 4 5 6 7 8 9 10"), eventIDs(rec.Body.String()))
+				require.Len(t, x.started, 2)
+			})
+		})
+	}
+}
+
+// Guards against a continuation that is tried for ever at an engine that has ended.
+func TestContinuationEndsWithItsEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newTestGateway(t)
+		w.answer = func(n int, _ Call) (*Answer, error) {
+			if n > 0 {
+				w.mu.Lock()
+				defer w.mu.Unlock()
+				w.crashed[w.calls[1].Endpoint.ID] = true
+				return nil, dialFailed()
+			}
+			return breakingStream("first", 1, 2), nil
+		}
+		begun := time.Now()
+		_, err := w.request("/guide/1")
+		require.ErrorIs(t, err, ErrCut)
+		require.Less(t, time.Since(begun), time.Second+probeLimit+2*silencePause)
+	})
+}
