entry: a call or a generation has a connection of its own

Callers of process/entry got the result of an order that had run three times, or "not run" for one that had run. net/http matches answers to requests by their order alone, so a rejection (X-Not-Run) that a replica sends once more on a kept connection was the answer to the next request, which then went to another replica.

Before (replicas that repeat a rejection on connections that have carried a request; the client, the generation, the whole entry):

--- FAIL: TestEarlierRefusalIsNotBelieved (connection/service) expected: 0 (unknown) actual: 1 rejected (not run): status 503 --- FAIL: TestEarlierRefusalIsNotBelieved (connection/engine) expected: 0 (unknown) actual: 1 rejected (not run): status 503 --- FAIL: TestEarlierRefusal (process/entry) "3" is not less than or equal to "1" ran twice

engine.ProvesNotRun is the one place that says what proves it: the header, on a connection that has carried no other request. Conn.Do, Generate, Resume and Cancel close their connections, and the entry has another HTTP client for polls and orders, which keep theirs. Each call so costs a handshake; this was not measured.

go test -race ./connection/... ./process/entry ./client ./standin: ok.

--- a/connection/engine/engine.go
+++ b/connection/engine/engine.go
@@ -6,7 +6,8 @@
 // it from any token on. Every frame carries the engine's boot, the ID of the
 // engine process, so that a restarted engine is not mistaken for the one before.
 // An engine that rejects a request before executing it sends the header
-// X-Not-Run: true; nothing else it sends proves that a request has not run.
+// X-Not-Run: true; nothing else it sends proves that a request has not run. See
+// ProvesNotRun.
 package engine
 
 import (
@@ -28,7 +29,7 @@
 )
 
 const (
-	// NotRunHeader on an answer proves that the request was not executed.
+	// NotRunHeader on an answer states that the request was not executed.
 	NotRunHeader = "X-Not-Run"
 	// BootHeader names the engine process that answers.
 	BootHeader = "X-Boot"
@@ -84,7 +85,9 @@
 	}
 
 	// Conn is a client of one engine. Addr is its IP address and port; HTTP must
-	// be set; a Timeout of it would also end streams. AnswerTimeout limits how
+	// be set; a Timeout of it would also end streams. Generate and Resume close
+	// their connections, but Load, Events and Order keep theirs, so the requests of
+	// the two groups should have different clients. AnswerTimeout limits how
 	// long Generate and Resume wait for the header of the engine's answer; zero
 	// means until the context ends.
 	Conn struct {
@@ -110,9 +113,18 @@
 	return b.ReadCloser.Close()
 }
 
+// ProvesNotRun reports whether an answer with the header h proves that its request
+// was not executed. HTTP matches answers to requests by their order alone, so an
+// earlier answer that is sent once more is taken for the answer to the next request on
+// the connection. The proof therefore requires that the connection has carried no other
+// request, as told by httptrace.GotConnInfo.
+func ProvesNotRun(h http.Header, conn httptrace.GotConnInfo) bool {
+	return h.Get(NotRunHeader) == "true" && !conn.Reused
+}
+
 // Generate starts a generation and returns a reader of its frames. An error is a
-// *refusal.Error, with outcome NotRun only if no connection was obtained or the
-// engine stated it. The end of ctx ends the stream but not the generation.
+// *refusal.Error, with outcome NotRun only if no connection was obtained or
+// ProvesNotRun holds. The end of ctx ends the stream but not the generation.
 func (c *Conn) Generate(ctx context.Context, req Request) (*Reader, error) {
 	body, err := json.Marshal(req)
 	if err != nil {
@@ -131,7 +143,7 @@
 
 // Cancel ends a generation. It is no error if the engine no longer has it.
 func (c *Conn) Cancel(ctx context.Context, gen string) error {
-	res, err := c.do(ctx, http.MethodDelete, "/generate/"+url.PathEscape(gen), nil)
+	res, err := c.do(ctx, http.MethodDelete, "/generate/"+url.PathEscape(gen), nil, true)
 	if err != nil {
 		return fmt.Errorf("cancel generation: %w", err)
 	}
@@ -142,7 +154,7 @@
 // a caller that has disconnected from this entry may be reading the generation
 // through another one.
 func (c *Conn) CancelIdle(ctx context.Context, gen string) error {
-	res, err := c.do(ctx, http.MethodDelete, "/generate/"+url.PathEscape(gen)+"?idle=true", nil)
+	res, err := c.do(ctx, http.MethodDelete, "/generate/"+url.PathEscape(gen)+"?idle=true", nil, true)
 	if err != nil {
 		return fmt.Errorf("cancel idle generation: %w", err)
 	}
@@ -182,7 +194,7 @@
 // readJSON sends a request and decodes the answer into v unless it is nil. A status
 // other than 200 is an error.
 func (c *Conn) readJSON(ctx context.Context, method, path string, body []byte, v any) error {
-	res, err := c.do(ctx, method, path, body)
+	res, err := c.do(ctx, method, path, body, false)
 	if err != nil {
 		return err
 	}
@@ -203,8 +215,9 @@
 	return nil
 }
 
-// do sends a request at most once and returns the answer.
-func (c *Conn) do(ctx context.Context, method, path string, body []byte) (*http.Response, error) {
+// do sends a request at most once and returns the answer. If last is true, the
+// connection is closed after it.
+func (c *Conn) do(ctx context.Context, method, path string, body []byte, last bool) (*http.Response, error) {
 	var content io.Reader
 	if body != nil {
 		content = bytes.NewReader(body)
@@ -215,6 +228,7 @@
 	}
 	// Without GetBody net/http cannot send the body a second time.
 	req.GetBody = nil
+	req.Close = last
 	req.Header["User-Agent"] = noUserAgent
 	return c.HTTP.Do(req)
 }
@@ -225,22 +239,22 @@
 	if c.AnswerTimeout > 0 {
 		defer time.AfterFunc(c.AnswerTimeout, func() { cancel(errAnswerTimeout) }).Stop()
 	}
-	var sent bool
+	var conn httptrace.GotConnInfo
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { sent = true },
+		GotConn: func(info httptrace.GotConnInfo) { conn = info },
 	})
-	res, err := c.do(ctx, method, path, body)
+	res, err := c.do(ctx, method, path, body, true)
 	if err != nil {
 		if errors.Is(context.Cause(ctx), errAnswerTimeout) {
 			err = errAnswerTimeout
 		}
 		cancel(nil)
-		return nil, refusal.FromCallError(err, sent)
+		return nil, refusal.FromCallError(err, conn.Conn != nil)
 	}
 	answer := cancelBody{ReadCloser: res.Body, cancel: func() { cancel(nil) }}
 	if res.StatusCode != http.StatusOK {
 		defer func() { _ = answer.Close() }()
-		return nil, statusError(res)
+		return nil, statusError(res, conn)
 	}
 	if check.Boot == "" {
 		check.Boot = res.Header.Get(BootHeader)
@@ -248,14 +262,15 @@
 	return newReader(answer, check), nil
 }
 
-// statusError converts an answer with a status other than 200 to a refusal.
-func statusError(res *http.Response) error {
+// statusError converts an answer with a status other than 200, received on conn, to a
+// refusal.
+func statusError(res *http.Response, conn httptrace.GotConnInfo) error {
 	text, _ := io.ReadAll(io.LimitReader(res.Body, 512))
 	detail := fmt.Sprintf("status %d: %s", res.StatusCode, bytes.TrimSpace(text))
 	if res.StatusCode == http.StatusNotFound || res.StatusCode == http.StatusGone {
 		return refusal.New(refusal.GenerationLost, refusal.Unknown, detail)
 	}
-	if res.Header.Get(NotRunHeader) == "true" {
+	if ProvesNotRun(res.Header, conn) {
 		return refusal.New(refusal.Rejected, refusal.NotRun, detail)
 	}
 	return refusal.New(refusal.Garbage, refusal.Unknown, detail)
--- a/connection/service/service.go
+++ b/connection/service/service.go
@@ -3,8 +3,8 @@
 // A call is sent at most once: the body cannot be rewound, so net/http never
 // repeats it, and redirects are not followed. An answer that was read in full has
 // outcome Run, even if its status is an error or a redirect. A failure before a
-// connection was obtained, or an answer with the header X-Not-Run: true, has
-// outcome NotRun. Everything else has outcome Unknown.
+// connection was obtained, or an answer with the header X-Not-Run: true for which
+// engine.ProvesNotRun holds, has outcome NotRun. Everything else has outcome Unknown.
 package service
 
 import (
@@ -57,7 +57,8 @@
 	}
 
 	// Conn is a client of one replica. Addr is its IP address and port; HTTP is
-	// http.DefaultClient if nil.
+	// http.DefaultClient if nil. Do closes its connections, but Health keeps them,
+	// so the two should have different clients.
 	Conn struct {
 		Addr string
 		HTTP *http.Client
@@ -71,15 +72,16 @@
 func (c *Conn) Do(ctx context.Context, call Call) (Answer, error) {
 	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
 	defer cancel()
-	var sent bool
+	var conn httptrace.GotConnInfo
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { sent = true },
+		GotConn: func(info httptrace.GotConnInfo) { conn = info },
 	})
 	req, err := http.NewRequestWithContext(ctx, call.Method, "http://"+c.Addr+call.Path, oneShotBody{bytes.NewReader(call.Body)})
 	if err != nil {
 		return Answer{}, refusal.New(refusal.BadRequest, refusal.NotRun, err.Error())
 	}
 	req.ContentLength = int64(len(call.Body))
+	req.Close = true
 	if call.Header != nil {
 		req.Header = call.Header.Clone()
 	}
@@ -87,12 +89,16 @@
 	req.Header.Set(DeadlineHeader, call.Deadline.UTC().Format(time.RFC3339Nano))
 	res, err := direct.Client(c.HTTP).Do(req)
 	if err != nil {
-		return Answer{}, refusal.FromCallError(err, sent)
+		return Answer{}, refusal.FromCallError(err, conn.Conn != nil)
 	}
 	defer res.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes+1))
 	if res.Header.Get(engine.NotRunHeader) == "true" {
-		return Answer{}, refusal.New(refusal.Rejected, refusal.NotRun, fmt.Sprintf("status %d: %.200s", res.StatusCode, body))
+		detail := fmt.Sprintf("status %d: %.200s", res.StatusCode, body)
+		if !engine.ProvesNotRun(res.Header, conn) {
+			return Answer{}, refusal.New(refusal.Garbage, refusal.Unknown, "rejection without proof: "+detail)
+		}
+		return Answer{}, refusal.New(refusal.Rejected, refusal.NotRun, detail)
 	}
 	if err != nil {
 		return Answer{}, refusal.FromCallError(err, true)
--- a/process/entry/call.go
+++ b/process/entry/call.go
@@ -138,7 +138,7 @@
 			return claim.Result{}, refusal.Downgrade(err, mayHaveRun)
 		}
 		act.Endpoint.Store(&endpoint.ID)
-		conn := &service.Conn{Addr: endpoint.Addr, HTTP: e.http}
+		conn := &service.Conn{Addr: endpoint.Addr, HTTP: e.requests}
 		answer, err := conn.Do(ctx, out)
 		if err == nil {
 			e.recordSuccess(s.ID)
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -71,7 +71,8 @@
 	Violation func(rule, detail string)
 
 	id         string
-	http       *http.Client
+	polls      *http.Client // connections to endpoints that carry many polls and orders
+	requests   *http.Client // connections to endpoints that carry one request each
 	peers      peer.Pool
 	pools      sync.Map // service ID to *enginePool
 	retries    sync.Map // service ID to *retry.Policy
@@ -127,7 +128,7 @@
 	return time.Now()
 }
 
-// prepare sets the identity, the defaults and the HTTP client of the entry.
+// prepare sets the identity, the defaults and the HTTP clients of the entry.
 func (e *Entry) prepare() {
 	e.id = e.Settings.Name + "-" + uuid.NewString()[:8]
 	e.serving, e.expire = context.WithCancel(context.Background())
@@ -140,16 +141,15 @@
 		d := &net.Dialer{Timeout: dialTimeout}
 		dial = d.DialContext
 	}
-	e.http = &http.Client{
-		Transport: &http.Transport{
-			DialContext:         dial,
-			MaxIdleConnsPerHost: 64,
-			IdleConnTimeout:     idleConn,
-			ReadBufferSize:      1 << 10,
-			WriteBufferSize:     1 << 10,
-			DisableCompression:  true,
-		},
+	transport := &http.Transport{
+		DialContext:         dial,
+		MaxIdleConnsPerHost: 64,
+		IdleConnTimeout:     idleConn,
+		ReadBufferSize:      1 << 10,
+		WriteBufferSize:     1 << 10,
+		DisableCompression:  true,
 	}
+	e.polls, e.requests = &http.Client{Transport: transport}, &http.Client{Transport: transport.Clone()}
 }
 
 // Run serves until ctx ends, then stops gracefully. It returns nil if the stop
@@ -217,5 +217,6 @@
 	e.ended = true
 	e.mu.Unlock()
 	e.wg.Wait()
-	e.http.CloseIdleConnections()
+	e.polls.CloseIdleConnections()
+	e.requests.CloseIdleConnections()
 }
--- a/process/entry/job.go
+++ b/process/entry/job.go
@@ -216,7 +216,7 @@
 
 // engine returns a client of the engine at an endpoint.
 func (e *Entry) engine(endpoint *config.Endpoint) *engine.Conn {
-	return &engine.Conn{Addr: endpoint.Addr, HTTP: e.http, AnswerTimeout: e.stall()}
+	return &engine.Conn{Addr: endpoint.Addr, HTTP: e.requests, AnswerTimeout: e.stall()}
 }
 
 func (e *Entry) stall() time.Duration {
--- a/process/entry/orders.go
+++ b/process/entry/orders.go
@@ -47,10 +47,10 @@
 			},
 			Desired: func() []order.Desired { return e.desired(duty) },
 			Observe: func(ctx context.Context, d order.Desired) (engine.Report, error) {
-				return (&engine.Conn{Addr: d.Addr, HTTP: e.http}).Load(ctx)
+				return (&engine.Conn{Addr: d.Addr, HTTP: e.polls}).Load(ctx)
 			},
 			Send: func(ctx context.Context, d order.Desired, o engine.Order) error {
-				return (&engine.Conn{Addr: d.Addr, HTTP: e.http}).Order(ctx, o)
+				return (&engine.Conn{Addr: d.Addr, HTTP: e.polls}).Order(ctx, o)
 			},
 			Violation: func(s string) { e.violation("order", s) },
 			Now:       e.Now, Log: e.Log,
--- a/process/entry/watch.go
+++ b/process/entry/watch.go
@@ -154,7 +154,7 @@
 func (p *enginePool) pollEngine(ctx context.Context, w *watch, seq int64) int64 {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
-	conn := &engine.Conn{Addr: w.endpoint.Addr, HTTP: p.e.http}
+	conn := &engine.Conn{Addr: w.endpoint.Addr, HTTP: p.e.polls}
 	r, err := conn.Load(ctx)
 	w.down.Store(err != nil)
 	if err != nil {
@@ -191,7 +191,7 @@
 func (p *enginePool) pollPlain(ctx context.Context, w *watch) {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
-	h, err := (&service.Conn{Addr: w.endpoint.Addr, HTTP: p.e.http}).Health(ctx)
+	h, err := (&service.Conn{Addr: w.endpoint.Addr, HTTP: p.e.polls}).Health(ctx)
 	w.down.Store(err != nil)
 	if err == nil {
 		w.leaving.Store(h.Leaving)
