--- /dev/null
+++ b/process/gateway/relay.go
@@ -0,0 +1,128 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/eelgrassdock/eelgrassdock/request/refusal"
+	"github.com/eelgrassdock/eelgrassdock/request/stream"
+)
+
+var errNoEvents = errors.New("stream ended before its first event")
+
+// relay passes events on to the caller until the stream ends. It returns nil if
+// the stream ended completely.
+func (r *run) relay(answer *Answer, quiet *time.Timer) error {
+	events := stream.NewEventReader(answer.Body)
+	flush := http.NewResponseController(r.j.w)
+	begun := false
+	for {
+		event, err := events.Next()
+		if errors.Is(err, io.EOF) {
+			if !r.headWritten && r.j.After == "" {
+				return errNoEvents
+			}
+			r.writeHead()
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("stream of %s: %w", r.endpoint.ID, err)
+		}
+		r.noteFirstEvent()
+		r.writeHead()
+		if _, err := r.j.w.Write(event.Raw); err != nil {
+			return errors.Wrap(ErrCut, "caller left: "+err.Error())
+		}
+		if !events.Pending() {
+			if err := flush.Flush(); err != nil {
+				return errors.Wrap(ErrCut, "caller left: "+err.Error())
+			}
+		}
+		if event.ID != "" {
+			r.lastEvent = event.ID
+		}
+		r.progress()
+		if !begun {
+			begun = true
+			r.copyEarly()
+		}
+		quiet.Reset(silenceTimeout)
+	}
+}
+
+// writeHead writes the headers of the engine where the generation began, once.
+func (r *run) writeHead() {
+	if r.headWritten {
+		return
+	}
+	r.headWritten = true
+	maps.Copy(r.j.w.Header(), r.header)
+	r.j.w.WriteHeader(http.StatusOK)
+	r.firstDelay, r.lastPassed = time.Since(r.j.Arrived), time.Now()
+	observe(firstTime, r.firstDelay)
+	r.enginePool.sched.Started(r.ticket, r.lastPassed)
+	r.enginePool.clearFailures(r.endpoint.ID)
+}
+
+func (r *run) progress() {
+	now := time.Now()
+	r.longestGap, r.lastPassed = max(r.longestGap, now.Sub(r.lastPassed)), now
+	r.mu.Lock()
+	r.events++
+	tokens, ticket, backup := r.events*r.engine.Stride, r.ticket, r.backup
+	r.mu.Unlock()
+	if r.events&3 != 1 {
+		return // every fourth event is enough: the scheduler's estimate changes little between them
+	}
+	r.enginePool.sched.Progress(ticket, tokens, now)
+	if backup != nil {
+		r.enginePool.sched.Progress(backup.ticket, tokens, now)
+	}
+}
+
+// handlePlainAnswer passes on an answer that is not an event stream.
+func (r *run) handlePlainAnswer(ctx context.Context, a *attempt, answer *Answer) (*attempt, error) {
+	r.sends++
+	kept, err := bufferAnswer(answer)
+	var f *refusal.Error
+	switch {
+	case err != nil:
+		f = refusal.FromCallError(err, true)
+	case r.headWritten:
+		f = refusal.New(refusal.Broken, refusal.Unknown, "engine answered "+strconv.Itoa(kept.status)+" to the rest of a stream")
+	}
+	if f != nil {
+		r.logAttempt("attempt_failed", a, logrus.Fields{"reason": f.Reason, "outcome": f.Outcome.String(), "detail": f.Detail})
+		return r.rerun(ctx, a, f)
+	}
+	return nil, r.g.finish(r.j, kept, a.endpoint, r.sends)
+}
+
+// handleBrokenStream decides how to proceed after a stream ended early.
+func (r *run) handleBrokenStream(ctx context.Context, a *attempt, err error) (*attempt, error) {
+	if errors.Is(err, ErrCut) || ctx.Err() != nil {
+		return nil, r.finalError(refusal.FromCallError(errors.CombineErrors(ctx.Err(), err), true))
+	}
+	r.mu.Lock()
+	events, copied := r.events, r.backup != nil
+	r.mu.Unlock()
+	r.logAttempt("stream_broken", a, logrus.Fields{"detail": err.Error(), "events": events, "backup": copied})
+	r.enginePool.suspect(a.endpoint.ID)
+	f := refusal.FromCallError(err, true)
+	if r.checkCrash(a, f) && !r.headWritten {
+		return nil, r.finalError(f) // it would probably crash the next engine as well
+	}
+	if next := r.takeBackup(); next != nil {
+		r.hops++
+		return next, nil
+	}
+	return r.rerun(ctx, a, f)
+}
