gateway: a continuation without any event does not complete a stream

What callers saw: a stream broke off after an event, the engine that was to continue it sent the head of an event stream and closed the connection, and the stream ended as complete (ORDER). Cause: relay took an orderly end as the end of the generation once anything had been passed on, whichever engine had sent it. Evidence: TestContinuationWithoutEvents failed before, for a resumable route and for a continuation from a copy:

relay_test.go:23: Expected error with "answer broke off" in chain but got nil.

Now an attempt whose stream ends without an event has broken off, and the request goes on elsewhere or is cut. An answer without length and chunks ends with its connection, so its end alone is no evidence that no event is due. The exception stays: a caller that resumes by itself and to whom nothing was passed on yet may have received all events before.

--- a/process/gateway/relay.go
+++ b/process/gateway/relay.go
@@ -27,7 +27,7 @@
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
-			if !r.headWritten && r.j.After == "" {
+			if !begun && (r.headWritten || r.j.After == "") {
 				return errNoEvents
 			}
 			r.writeHead()
