gateway: only events that may follow the last one are passed on

Cause: relay passed on whatever ended with an empty line, and did not compare IDs.

Evidence: TestContinuationThatIsNotTheRest, TestStreamThatBecomesSomethingElse and TestStreamThatIsNone failed before, 65 of 73 cases, for a resumable route, for one that runs once and for a continuation from a copy. Bodies that callers received:

"id: 1\ndata: first\n\ndata: {\"error\":1}\n\n" "id: 1\ndata: first\n\nHTTP/1.1 500 Internal Server Error\r\nContent-Type: ..." "id: 1\ndata: first\n\nid: 1\ndata: x\n\nid: 2\ndata: x\n\n"

What is assumed of events, from PROTOCOL.md: a stream is a series of events with increasing IDs, and an event at which the version of the weights changes has the name of a header in lower case and a number as its first line. So an event has an ID, a decimal number higher than the one before; numbers may leave out some and begin anywhere, as an event may hold several tokens. Its lines are the fields of server-sent events in any order and comments. Other lines, such as those of a head, are no part of an event.

Change: EventReader rejects such lines, and EventCheck, one for the whole answer, rejects other IDs. What is rejected is not passed on. The attempt is treated as a stream that broke off, with reason garbage: the request goes on elsewhere where its route allows it, or is refused as unknown, or its connection is aborted. An event that comes again is not skipped: an engine that does not go on at the ID that it was told makes another run, whose later events would be joined to those of the first one. Comments before the first event of an attempt wait for it, so that they neither begin an answer nor count as an event.

Measured: the tests above pass, TestProperStreamsArePassedOn (first line with a version, any order of fields, CR LF, comments, steps of several IDs) passed before and does now.

Not detected: text that is joined to the data of an event whose ID is in order.

--- a/process/gateway/generate.go
+++ b/process/gateway/generate.go
@@ -16,6 +16,7 @@
 	"github.com/eelgrassdock/eelgrassdock/process/quarantine"
 	"github.com/eelgrassdock/eelgrassdock/process/roster"
 	"github.com/eelgrassdock/eelgrassdock/request/refusal"
+	"github.com/eelgrassdock/eelgrassdock/request/stream"
 	"github.com/eelgrassdock/eelgrassdock/version/routing"
 )
 
@@ -38,9 +39,10 @@
 		pool        *pool
 		engine      *routing.Engine
 		begun       time.Time
-		header      http.Header // of the engine where the generation began
-		headWritten bool        // header was passed on
-		lastEvent   string      // ID of the last event that was passed on
+		header      http.Header        // of the engine where the generation began
+		headWritten bool               // header was passed on
+		lastEvent   string             // ID of the last event that was passed on
+		order       *stream.EventCheck // of the events that are passed on
 		tried       []string
 		sends       int
 		hops        int           // engines at which the run continued from memory
@@ -93,7 +95,7 @@
 func (g *Gateway) generate(ctx context.Context, j *job, s *routing.Service) (err error) {
 	r := &run{
 		g: g, j: j, engine: s.Engine, enginePool: g.enginePool(j.service, s.Engine), pool: g.countRequest(j.service),
-		begun: time.Now(), lastEvent: j.After, over: make(chan struct{}),
+		begun: time.Now(), lastEvent: j.After, order: stream.NewEventCheck(j.After), over: make(chan struct{}),
 		parts: quarantine.Hash(j.service, j.Parts),
 	}
 	if g.Stopping() && !j.route.Repeatable() {
--- a/process/gateway/relay.go
+++ b/process/gateway/relay.go
@@ -19,11 +19,14 @@
 var errNoEvents = errors.New("stream ended before its first event")
 
 // relay passes events on to the caller until the stream ends. It returns nil if
-// the stream ended completely.
+// the stream ended completely. What is not an event that may follow the last one is
+// not passed on and ends the attempt: from then on, nothing that the engine sends can
+// be told from events of another run. Comments before the first event of an attempt
+// wait for it, so that they do not begin an answer.
 func (r *run) relay(answer *Answer, quiet *time.Timer) error {
 	events := stream.NewEventReader(answer.Body)
-	flush := http.NewResponseController(r.j.w)
 	begun := false
+	var comments []byte
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
@@ -33,31 +36,53 @@
 			r.writeHead()
 			return nil
 		}
+		if err == nil && !event.Comment {
+			err = r.order.Accept(event)
+		}
 		if err != nil {
 			return fmt.Errorf("stream of %s: %w", r.endpoint.ID, err)
 		}
+		if event.Comment && !begun {
+			quiet.Reset(silenceTimeout)
+			if comments = append(comments, event.Raw...); len(comments) > stream.MaxEvent {
+				return fmt.Errorf("comments of %s: %w", r.endpoint.ID, stream.ErrEventSize)
+			}
+			continue
+		}
 		r.noteFirstEvent()
 		r.writeHead()
-		if _, err := r.j.w.Write(event.Raw); err != nil {
-			return errors.Wrap(ErrCut, "caller left: "+err.Error())
+		data := event.Raw
+		if len(comments) > 0 {
+			data, comments = append(comments, data...), nil
 		}
-		if !events.Pending() {
-			if err := flush.Flush(); err != nil {
-				return errors.Wrap(ErrCut, "caller left: "+err.Error())
-			}
+		if err := r.write(data, !events.Pending()); err != nil {
+			return err
 		}
-		if event.ID != "" {
-			r.lastEvent = event.ID
+		quiet.Reset(silenceTimeout)
+		if event.Comment {
+			continue
 		}
+		r.lastEvent = event.ID
 		r.progress()
 		if !begun {
 			begun = true
 			r.copyEarly()
 		}
-		quiet.Reset(silenceTimeout)
 	}
 }
 
+// write writes a part of the stream to the caller. The error wraps ErrCut.
+func (r *run) write(data []byte, flush bool) error {
+	_, err := r.j.w.Write(data)
+	if err == nil && flush {
+		err = http.NewResponseController(r.j.w).Flush()
+	}
+	if err != nil {
+		return errors.Wrap(ErrCut, "caller left: "+err.Error())
+	}
+	return nil
+}
+
 // writeHead writes the headers of the engine where the generation began, once.
 func (r *run) writeHead() {
 	if r.headWritten {
@@ -114,9 +139,9 @@
 	r.mu.Lock()
 	events, copied := r.events, r.backup != nil
 	r.mu.Unlock()
-	r.logAttempt("stream_broken", a, logrus.Fields{"detail": err.Error(), "events": events, "backup": copied})
+	f := streamRefusal(err)
+	r.logAttempt("stream_broken", a, logrus.Fields{"reason": f.Reason, "detail": f.Detail, "events": events, "backup": copied})
 	r.enginePool.suspect(a.endpoint.ID)
-	f := refusal.FromCallError(err, true)
 	if r.checkCrash(a, f) && !r.headWritten {
 		return nil, r.finalError(f) // it would probably crash the next engine as well
 	}
@@ -126,3 +151,12 @@
 	}
 	return r.rerun(ctx, a, f)
 }
+
+// streamRefusal returns the refusal for a stream that broke off.
+func streamRefusal(err error) *refusal.Error {
+	if errors.IsAny(err, stream.ErrOrder, stream.ErrNoEvent) {
+		counters.Add("events_rejected", 1)
+		return refusal.New(refusal.Garbage, refusal.Unknown, err.Error())
+	}
+	return refusal.FromCallError(err, true)
+}
--- a/process/gateway/relay_test.go
+++ b/process/gateway/relay_test.go
@@ -1,12 +1,176 @@
 package gateway
 
 import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/eelgrassdock/eelgrassdock/request/refusal"
 )
 
+const otherHead = "HTTP/1.1 500 Internal Server Error\r\nContent-Type: text/plain\r\nContent-Length: 4\r\n\r\nfail"
+
+// unacceptable holds what an engine may send after event 1 that is no event that
+// follows it.
+var unacceptable = map[string]string{
+	"nothing":                   "",
+	"comment only":              ": busy\n\n",
+	"text":                      "fail",
+	"text as a line":            "fail\n\n",
+	"error event without an ID": "data: {\"error\":1}\n\n",
+	"error event of a type":     "event: error\ndata: {\"error\":1}\n\n",
+	"empty ID":                  "id:\ndata: x\n\n",
+	"ID without a number":       "id: x\ndata: x\n\n",
+	"negative ID":               "id: -2\ndata: x\n\n",
+	"head of another answer":    otherHead,
+	"head and its events":       "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\nid: 2\ndata: x\n\n",
+	"head inside an event":      "id: 2\nda" + otherHead + "\n\n",
+	"header inside an event":    "id: 2\ndata: xHTTP/1.1 200 OK\r\ncontent-type: text/plain\r\n\r\n",
+	"events from the first":     "id: 1\ndata: x\n\nid: 2\ndata: x\n\n",
+	"earlier ID":                "id: 0\ndata: x\n\n",
+	"JSON":                      "{\"error\":1}\n\n",
+}
+
+func streamOf(seal, body string) *Answer {
+	a := eventStream(seal, 1, 0, false)
+	a.Body = strings.NewReader(body)
+	return a
+}
+
+// Guards against an error's text, another answer's head or events out of order
+// in the caller's stream, and against a stream that ends as complete, after the
+// first engine broke off and the second one sent something else than the rest.
+func TestContinuationThatIsNotTheRest(t *testing.T) {
+	for _, path := range []string{"/short/1", "/guide/1"} {
+		for name, body := range unacceptable {
+			t.Run(path+" "+name, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					w := newTestGateway(t)
+					w.answer = func(n int, c Call) (*Answer, error) {
+						if n == 0 {
+							return breakingStream("first", 1, 1), nil
+						}
+						require.Equal(t, "1", c.After)
+						require.Equal(t, path == "/guide/1", c.Memory != "")
+						return streamOf("second", body), nil
+					}
+					rec, err := w.request(path)
+					require.Len(t, w.calls, 2)
+					require.Equal(t, "id: 1\ndata: first\n\n", rec.Body.String())
+					require.ErrorIs(t, err, ErrCut)
+				})
+			})
+		}
+	}
+}
+
+// Guards against the same in the stream of the first engine, which is broken off
+// there: a route that allows it continues elsewhere.
+func TestStreamThatBecomesSomethingElse(t *testing.T) {
+	for name, body := range unacceptable {
+		if name == "nothing" || name == "comment only" {
+			continue // after an event, this is the end of a whole stream
+		}
+		for _, path := range []string{"/short/1", "/guide/1"} {
+			t.Run(path+" "+name, func(t *testing.T) {
+				w := newTestGateway(t)
+				w.Tables.Current().Services[0].Engine.Backups = false
+				w.answer = func(n int, c Call) (*Answer, error) {
+					if n == 0 {
+						return streamOf("first", "id: 1\ndata: first\n\n"+body), nil
+					}
+					return eventStream("second", atoi(c.After)+1, 3, false), nil
+				}
+				rec, err := w.request(path)
+				require.NotContains(t, rec.Body.String(), "rror")
+				require.NotContains(t, rec.Body.String(), "HTTP")
+				if path == "/short/1" {
+					require.NoError(t, err)
+					require.Equal(t, strings.Fields("1 2 3"), eventIDs(withoutLateEvent(t, rec.Body.String())))
+					return
+				}
+				require.ErrorIs(t, err, ErrCut)
+				require.Len(t, w.calls, 1)
+			})
+		}
+	}
+}
+
+// withoutLateEvent checks that no ID is in a stream twice, and returns the stream.
+func withoutLateEvent(t *testing.T, text string) string {
+	seen := map[string]bool{}
+	for _, id := range eventIDs(text) {
+		require.False(t, seen[id], "event %s twice", id)
+		seen[id] = true
+	}
+	return text
+}
+
+// Guards against a success whose stream begins with something else than an event.
+func TestStreamThatIsNone(t *testing.T) {
+	for name, body := range unacceptable {
+		if strings.HasPrefix(body, "id: ") && body[4] < '2' {
+			continue // this may be how a stream begins
+		}
+		t.Run(name, func(t *testing.T) {
+			w := newTestGateway(t)
+			w.answer = func(int, Call) (*Answer, error) { return streamOf("first", body), nil }
+			rec, err := w.request("/guide/1")
+			require.Equal(t, refusal.Unknown, w.refusalOf(err).Outcome)
+			require.Empty(t, rec.Body.String())
+			require.Len(t, w.calls, 1)
+		})
+	}
+}
+
+// Streams that the platform's pages or the standard allow must be passed on
+// unchanged, also by a second engine.
+func TestProperStreamsArePassedOn(t *testing.T) {
+	for name, event := range map[string]func(n int) string{
+		"version first":   func(n int) string { return fmt.Sprintf("x-weights: %d\nid: %d\ndata: x\n\n", n, n) },
+		"no space":        func(n int) string { return fmt.Sprintf("x-weights:%d\nid:%d\ndata:x\n\n", n, n) },
+		"ID last":         func(n int) string { return fmt.Sprintf("event: token\ndata: x\ndata: y\nid: %d\n\n", n) },
+		"CR LF":           func(n int) string { return fmt.Sprintf("x-weights: 1\r\nid: %d\r\ndata: x\r\n\r\n", n) },
+		"comments":        func(n int) string { return fmt.Sprintf(": a\nid: %d\n:b\ndata: x\n: c\n\n: keep\n\n", n) },
+		"retry":           func(n int) string { return fmt.Sprintf("retry: 100\nid: %d\ndata\n\nretry: 7\n\n", n) },
+		"steps of tokens": func(n int) string { return fmt.Sprintf("id: %d\ndata: x\n\n", 4*n) },
+		"uneven steps":    func(n int) string { return fmt.Sprintf("id: %d\ndata: x\n\n", 3*n-n%2) },
+		"from zero":       func(n int) string { return fmt.Sprintf("id: %d\ndata: x\n\n", n-1) },
+		"long numbers":    func(n int) string { return fmt.Sprintf("id: 17000000000000000%02d\ndata: x\n\n", n) },
+		"like a head":     func(n int) string { return fmt.Sprintf("id: %d\ndata: HTTP/1.1 200 OK\ndata: A: b\n\n", n) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newTestGateway(t)
+				var first, rest strings.Builder
+				for n := 1; n <= 4; n++ {
+					first.WriteString(event(n))
+				}
+				for n := 5; n <= 7; n++ {
+					rest.WriteString(event(n))
+				}
+				w.answer = func(n int, _ Call) (*Answer, error) {
+					if n > 0 {
+						return streamOf("second", rest.String()), nil
+					}
+					a := streamOf("first", "")
+					a.Body = io.MultiReader(strings.NewReader(first.String()+"id: 99\nda"), failingReader{})
+					return a, nil
+				}
+				rec, err := w.request("/short/1")
+				require.NoError(t, err)
+				require.Equal(t, first.String()+rest.String(), rec.Body.String())
+				require.Equal(t, http.StatusOK, rec.Code)
+			})
+		})
+	}
+}
+
 // Guards against a stream that ends as complete because its continuation ended
 // without any event. A caller that resumes by itself may have received them all.
 func TestContinuationWithoutEvents(t *testing.T) {
--- a/request/stream/event.go
+++ b/request/stream/event.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"regexp"
 
 	"github.com/cockroachdb/errors"
 )
@@ -12,8 +13,16 @@
 // MaxEvent is the size in bytes of the largest event that EventReader returns.
 const MaxEvent = 1 << 20
 
-// ErrEventSize is returned for an event larger than MaxEvent.
-var ErrEventSize = errors.New("event is too large")
+var (
+	// ErrEventSize is returned for an event larger than MaxEvent.
+	ErrEventSize = errors.New("event is too large")
+	// ErrNoEvent is returned for a line that is not part of an event.
+	ErrNoEvent = errors.New("not an event")
+
+	// annotation matches the line that may precede the fields of an event: the
+	// name of a header in lower case and a number.
+	annotation = regexp.MustCompile(`^[a-z][a-z0-9-]*: ?[0-9]+$`)
+)
 
 type (
 	// Event is one server-sent event as it was received, including the empty
@@ -21,6 +30,9 @@
 	Event struct {
 		ID  string
 		Raw []byte
+		// Comment is set for lines that a reader of events ignores: comments, and
+		// times to wait before a reconnection.
+		Comment bool
 	}
 
 	// EventReader reads complete server-sent events from a stream. An incomplete
@@ -35,10 +47,12 @@
 func NewEventReader(r io.Reader) *EventReader { return &EventReader{r: bufio.NewReaderSize(r, 4<<10)} }
 
 // Next reads the next event. The error wraps io.EOF at the end of the stream,
-// and io.ErrUnexpectedEOF if the stream ends inside an event.
+// io.ErrUnexpectedEOF if the stream ends inside an event, and ErrNoEvent for a line
+// that is neither a comment nor a field of an event. The first line of an event may
+// also be the name of a header in lower case with a number.
 func (e *EventReader) Next() (Event, error) {
 	e.raw = e.raw[:0]
-	var event Event
+	event := Event{Comment: true}
 	for {
 		start := len(e.raw)
 		for {
@@ -67,9 +81,22 @@
 			event.Raw = e.raw
 			return event, nil
 		}
-		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			event.ID = string(bytes.TrimPrefix(id, []byte(" ")))
+		if line[0] == ':' {
+			continue
+		}
+		name, value, _ := bytes.Cut(line, []byte(":"))
+		switch string(name) {
+		case "retry":
+			continue
+		case "id":
+			event.ID = string(bytes.TrimPrefix(value, []byte(" ")))
+		case "data", "event":
+		default:
+			if start > 0 || !annotation.Match(line) {
+				return event, fmt.Errorf("line %.40q: %w", line, ErrNoEvent)
+			}
 		}
+		event.Comment = false
 	}
 }
 
