gateway, stream: a continuation must not leave out events

A stream broke off after event 3, the engine that continued it began with event 5, and the stream ended as complete with event 4 missing (ORDER). Cause: only the order of IDs was checked. Evidence: TestContinuationWithAGap failed before:

relay_test.go:143: Expected error with "answer broke off" in chain but got nil.

--- a/process/gateway/relay.go
+++ b/process/gateway/relay.go
@@ -25,6 +25,7 @@
 // wait for it, so that they do not begin an answer.
 func (r *run) relay(answer *Answer, quiet *time.Timer) error {
 	events := stream.NewEventReader(answer.Body)
+	r.order.Continue()
 	begun := false
 	var comments []byte
 	for {
--- a/process/gateway/relay_test.go
+++ b/process/gateway/relay_test.go
@@ -128,6 +128,24 @@
 	}
 }
 
+// Guards against events that are missing between two engines.
+func TestContinuationWithAGap(t *testing.T) {
+	for _, path := range []string{"/short/1", "/guide/1"} {
+		synctest.Test(t, func(t *testing.T) {
+			w := newTestGateway(t)
+			w.answer = func(n int, _ Call) (*Answer, error) {
+				if n == 0 {
+					return breakingStream("first", 1, 3), nil
+				}
+				return eventStream("second", 5, 6, false), nil
+			}
+			rec, err := w.request(path)
+			require.ErrorIs(t, err, ErrCut)
+			require.Equal(t, strings.Fields("1 2 3"), eventIDs(rec.Body.String()))
+		})
+	}
+}
+
 // Streams that the platform's pages or the standard allow must be passed on
 // unchanged, also by a second engine.
 func TestProperStreamsArePassedOn(t *testing.T) {
