--- a/process/gateway/relay_test.go
+++ b/process/gateway/relay_test.go
@@ -4,11 +4,16 @@
 	"fmt"
 	"io"
 	"net/http"
+	"regexp"
+	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
+	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"github.com/eelgrassdock/eelgrassdock/request/refusal"
 )
@@ -214,3 +219,71 @@
 	_, err := w.requestWith(t.Context(), r)
 	require.NoError(t, err)
 }
+
+// For whatever the engines send, the caller must get whole events whose IDs
+// increase, and an answer is complete only if the last engine ended its stream in an
+// orderly way after an event that was passed on.
+func TestOnlyEventsInOrder(t *testing.T) {
+	pieces := []string{"\n", "\r\n", ": c\n", "x-weights: 3\n", "data: x\n", "data: x", "event: error\n", "fail ", "HTTP/1.1 200 OK\r\n", "A: b\r\n", "id: ", "id:\n"}
+	for n := range 6 {
+		pieces = append(pieces, fmt.Sprintf("id: %d\n", n), fmt.Sprintf("id: %d\ndata: x\n\n", n), fmt.Sprintf("id: %d\ndata: x\n\n", n))
+	}
+	synctest.Test(t, func(t *testing.T) {
+		// Deadline must not be called in a bubble; the wrapper hides it.
+		rapid.Check(struct{ testing.TB }{t}, func(rt *rapid.T) {
+			w := newTestGateway(t)
+			path := rapid.SampledFrom([]string{"/guide/1", "/short/1"}).Draw(rt, "path")
+			var last string // what the last engine sent
+			ended := false  // whether its stream ended in an orderly way
+			w.answer = func(int, Call) (*Answer, error) {
+				last = strings.Join(rapid.SliceOfN(rapid.SampledFrom(pieces), 0, 8).Draw(rt, "pieces"), "")
+				ended = rapid.Bool().Draw(rt, "ended")
+				if rapid.Bool().Draw(rt, "whole before") {
+					last = "id: 1\ndata: x\n\nid: 2\ndata: x\n\n" + last
+				}
+				a := streamOf("x", last)
+				if !ended {
+					a.Body = io.MultiReader(a.Body, delayedFailure{time.Second, errors.New("connection reset")})
+				}
+				return a, nil
+			}
+			rec, err := w.request(path)
+			checkEvents(rt, rec.Body.String())
+			if err == nil {
+				require.True(rt, ended)
+				require.NotEmpty(rt, eventIDs(last))
+				ids := eventIDs(rec.Body.String())
+				require.Equal(rt, ids[len(ids)-1], eventIDs(last)[len(eventIDs(last))-1])
+			}
+			w.cancel()
+			synctest.Wait()
+		})
+	})
+}
+
+// checkEvents checks that a stream consists of comments and of whole events with an
+// ID each, which increase.
+func checkEvents(t require.TestingT, text string) {
+	line := regexp.MustCompile(`^(:.*|(data|event|id|retry): ?.*|x-weights: 3)$`)
+	previous := -1
+	blocks := strings.Split(strings.ReplaceAll(text, "\r\n", "\n"), "\n\n")
+	require.Empty(t, blocks[len(blocks)-1], "an event is not whole")
+	for _, block := range blocks[:len(blocks)-1] {
+		comment := true
+		id := ""
+		for l := range strings.SplitSeq(block, "\n") {
+			require.Regexp(t, line, l)
+			comment = comment && l[0] == ':'
+			if after, ok := strings.CutPrefix(l, "id:"); ok {
+				id = strings.TrimSpace(after)
+			}
+		}
+		if comment {
+			continue
+		}
+		n, err := strconv.Atoi(id)
+		require.NoError(t, err)
+		require.Greater(t, n, previous)
+		previous = n
+	}
+}
