stream: an engine's error is not a token

What callers saw: nothing in the reports. An engine that sends a frame with the next number and an error, but without the mark of the last frame, had it passed on as a token without text, and the entry waited for the next token. Cause: Check looked at the error of last frames only. Evidence: TestErrorIsNoToken failed before:

Error: Expected error with "frame out of order" in chain but got nil.

Such a frame is now out of order, and its text is in the detail of the refusal, not in the stream.

--- a/request/stream/stream.go
+++ b/request/stream/stream.go
@@ -59,6 +59,9 @@
 		c.Ended = true
 		return true, nil
 	}
+	if f.Error != "" {
+		return false, fmt.Errorf("error %q in place of token %d: %w", f.Error, f.N, ErrOrder)
+	}
 	if f.N <= c.Last {
 		return false, nil
 	}
--- a/request/stream/stream_test.go
+++ b/request/stream/stream_test.go
@@ -50,3 +50,15 @@
 		}
 	})
 }
+
+// Guards against an engine's error that is taken for a token without text.
+func TestErrorIsNoToken(t *testing.T) {
+	c := stream.Check{Gen: "g", Boot: "b", Last: 3}
+	_, err := c.Accept(stream.Frame{Boot: "b", Gen: "g", N: 4, Error: "out of memory"})
+	require.ErrorIs(t, err, stream.ErrOrder)
+	require.ErrorContains(t, err, "out of memory")
+	require.Equal(t, 3, c.Last)
+	pass, err := c.Accept(stream.Frame{Boot: "b", Gen: "g", N: 3, End: true, Error: "out of memory"})
+	require.NoError(t, err)
+	require.True(t, pass)
+}
