gateway, platform: an answer that broke off says why

A request that got neither an answer nor a refusal could be found only by what its line `cut` held: a text, and whether the instance was stopping. The text named the caller whenever a write failed, whatever the reason was, and an answer over 1 MiB that its endpoint cut off did not name the endpoint.

An answer that breaks off is now a CutError with a cause: caller, unread, deadline, stop, endpoint or panic. `explain` names each cause, and a routing table that had changed within 3 s before.

--- a/internal/diagnosis/diagnosis.go
+++ b/internal/diagnosis/diagnosis.go
@@ -18,8 +18,10 @@
 	"time"
 )
 
-// maxLine is the longest log line that is read, in bytes.
-const maxLine = 1 << 20
+const (
+	maxLine      = 1 << 20 // longest log line that is read, in bytes
+	changeWindow = 3000    // a request that ended badly within this time after a change of the routing table, in ms, is told apart
+)
 
 type (
 	// Line is one parsed log line.
@@ -49,6 +51,16 @@
 	}
 )
 
+// namedCauses explains the causes of answers that broke off, except for endpoint,
+// which other lines explain.
+var namedCauses = map[string]string{
+	"caller":   "the caller left in the middle of the answer",
+	"unread":   "the caller did not read the answer until its deadline",
+	"deadline": "the deadline passed in the middle of the answer",
+	"stop":     "the instance was stopping and its grace time was over",
+	"panic":    "the instance failed in the middle of the answer; its line panic has the stack",
+}
+
 // Read adds the lines of r up to its end.
 func (l *Log) Read(r io.Reader) error {
 	if l.Requests == nil {
@@ -159,9 +171,9 @@
 	case "served":
 		return "none: the request was served"
 	case "cut":
-		return l.explainCut(list)
+		return l.explainCut(list) + describeChange(end)
 	case "refused":
-		return l.explainRefusal(list, end)
+		return l.explainRefusal(list, end) + describeChange(end)
 	case "failure_passed_on":
 		return explainFailure(list, end)
 	}
@@ -222,10 +234,13 @@
 
 // explainCut explains an answer that broke off.
 func (l *Log) explainCut(list []Line) string {
-	if strings.Contains(list[len(list)-1].get("error"), "caller left") {
+	end := list[len(list)-1]
+	if text, ok := namedCauses[end.get("cause")]; ok {
+		return text
+	}
+	if strings.Contains(end.get("error"), "caller left") {
 		return "the caller left"
 	}
-	end := list[len(list)-1]
 	if text := end.get("error"); strings.Contains(text, "context canceled") || strings.Contains(text, "deadline exceeded") {
 		return explainCanceled(end)
 	}
@@ -257,6 +272,15 @@
 	return "the caller left in the middle of the answer"
 }
 
+// describeChange returns a clause that says that the routing table had changed
+// shortly before a line, empty if it had not.
+func describeChange(end Line) string {
+	if ms, ok := end.Field["installed"].(float64); ok && ms < changeWindow {
+		return "; the routing table had changed shortly before"
+	}
+	return ""
+}
+
 // describeNotice returns a clause that says whether the endpoint of a line had
 // announced before it that it would leave.
 func (l *Log) describeNotice(broken Line) string {
@@ -300,6 +324,8 @@
 		return end.Text + tail
 	case "canceled":
 		return "the caller left" + tail
+	case "internal":
+		return "the instance failed while it handled the request; its line panic has the stack" + tail
 	}
 	return end.Text + tail
 }
--- a/internal/diagnosis/diagnosis_test.go
+++ b/internal/diagnosis/diagnosis_test.go
@@ -73,6 +73,29 @@
 	require.Len(t, l.Top(), 6, "q7 may be in work still")
 }
 
+// Each cause of an answer that broke off must be named, and a change of the routing
+// table shortly before it.
+func TestCausesOfCuts(t *testing.T) {
+	l := read(t, `{"cause":"caller","error":"write answer: broken pipe","event":"cut","installed":3000,"request":"q1","time":"2026-04-22T09:00:01Z"}
+{"cause":"unread","error":"write answer: i/o timeout","event":"cut","request":"q2","time":"2026-04-22T09:00:01Z"}
+{"cause":"deadline","error":"timeout (unknown): context deadline exceeded","event":"cut","request":"q3","time":"2026-04-22T09:00:01Z"}
+{"cause":"stop","error":"canceled (unknown): context canceled","event":"cut","request":"q4","time":"2026-04-22T09:00:01Z"}
+{"event":"panic","request":"q5","stack":"...","time":"2026-04-22T09:00:01Z"}
+{"cause":"panic","error":"index out of range","event":"cut","installed":120,"request":"q5","time":"2026-04-22T09:00:01.1Z"}
+{"cause":"endpoint","error":"answer of d1: unexpected EOF","event":"cut","installed":2999,"request":"q6","time":"2026-04-22T09:00:01Z"}
+{"event":"panic","request":"q7","stack":"...","time":"2026-04-22T09:00:01Z"}
+{"event":"refused","installed":120,"outcome":"unknown","reason":"internal","request":"q7","time":"2026-04-22T09:00:01.1Z"}
+`)
+	require.Equal(t, "the caller left in the middle of the answer", l.Cause("q1"))
+	require.Equal(t, "the caller did not read the answer until its deadline", l.Cause("q2"))
+	require.Equal(t, "the deadline passed in the middle of the answer", l.Cause("q3"))
+	require.Equal(t, "the instance was stopping and its grace time was over", l.Cause("q4"))
+	require.Equal(t, "the instance failed in the middle of the answer; its line panic has the stack; the routing table had changed shortly before", l.Cause("q5"))
+	require.Equal(t, "the answer broke off: answer of d1: unexpected EOF; the routing table had changed shortly before", l.Cause("q6"))
+	require.Equal(t, "the instance failed while it handled the request; its line panic has the stack; it is not known whether the request ran; "+
+		"the routing table had changed shortly before", l.Cause("q7"))
+}
+
 // Times have a varying number of digits: "10.5Z" is earlier than "10.51Z",
 // although it sorts after it as a string.
 func TestOrderOfTimes(t *testing.T) {
--- a/process/gateway/call.go
+++ b/process/gateway/call.go
@@ -136,6 +136,12 @@
 		length int64
 	}
 
+	// sourceReader records the error with which r failed.
+	sourceReader struct {
+		r   io.Reader
+		err error
+	}
+
 	// fault is the reason why an attempt has no answer that can be passed on.
 	fault struct {
 		*refusal.Error
@@ -221,11 +227,11 @@
 	g.logDecision(j, event, logrus.Fields{
 		"endpoint": e.ID, "status": a.status, "attempt": attempt, "took": time.Since(j.Arrived).Milliseconds(),
 	})
-	return g.writeAnswer(j, a)
+	return g.writeAnswer(j, a, e)
 }
 
 // writeAnswer writes a plain answer to the caller.
-func (g *Gateway) writeAnswer(j *job, a *bufferedAnswer) error {
+func (g *Gateway) writeAnswer(j *job, a *bufferedAnswer, e roster.Endpoint) error {
 	maps.Copy(j.w.Header(), a.header)
 	if a.length >= 0 {
 		j.w.Header().Set("Content-Length", strconv.FormatInt(a.length, 10))
@@ -235,19 +241,32 @@
 		if a.rest != nil {
 			a.rest.Close(false)
 		}
-		return errors.Wrap(ErrCut, "caller left: "+err.Error())
+		return CutByWrite(err)
 	}
 	if a.rest == nil {
 		return nil
 	}
-	_, err := io.Copy(j.w, a.rest.Body)
+	source := &sourceReader{r: a.rest.Body}
+	_, err := io.Copy(j.w, source)
 	a.rest.Close(err == nil)
-	if err != nil {
-		return errors.Wrap(ErrCut, "long answer: "+err.Error())
+	switch {
+	case source.err != nil:
+		return &CutError{Cause: CutByEndpoint, Err: errors.Wrap(source.err, "answer of "+e.ID)}
+	case err != nil:
+		return CutByWrite(err)
 	}
 	return nil
 }
 
+// Read reads from r and records a failure.
+func (s *sourceReader) Read(p []byte) (int, error) {
+	n, err := s.r.Read(p)
+	if err != nil && err != io.EOF {
+		s.err = err
+	}
+	return n, err
+}
+
 // giveUp ends a request whose last attempt failed: with the server error of the
 // replica if there is one, else with the error of that attempt. The outcome is
 // unknown if an earlier attempt may have run.
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -25,7 +25,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/eelgrassdock/eelgrassdock/connection/peer"
@@ -41,11 +40,6 @@
 	"github.com/eelgrassdock/eelgrassdock/version/routing"
 )
 
-// ErrCut is returned if an answer broke off after a part of it was passed on.
-// The connection to the caller must then be closed without completing the
-// answer.
-var ErrCut = errors.New("answer broke off")
-
 type (
 	// Request is one request of a caller.
 	Request struct {
@@ -183,11 +177,12 @@
 		listMembers  func() []member.Member // live instances; nil before Start
 		peers        peer.Pool
 		stopping     atomic.Pointer[stopping]
-		reloaded     atomic.Pointer[Settings] // settings after a reload, nil before
-		storeEra     atomic.Int64             // latest era of the store in which this instance has written its row again
-		fetching     atomic.Bool              // a routing table is being fetched from a peer
-		memberLogDue atomic.Bool              // a log line about the live instances is scheduled
-		active       atomic.Int64             // number of running requests
+		reloaded     atomic.Pointer[Settings]  // settings after a reload, nil before
+		storeEra     atomic.Int64              // latest era of the store in which this instance has written its row again
+		fetching     atomic.Bool               // a routing table is being fetched from a peer
+		memberLogDue atomic.Bool               // a log line about the live instances is scheduled
+		active       atomic.Int64              // number of running requests
+		installed    atomic.Pointer[time.Time] // when the routing table in force was installed
 		base         context.Context
 		cancel       context.CancelFunc
 	}
@@ -211,8 +206,8 @@
 	}
 )
 
-// Serve answers one request. An error other than ErrCut is a *refusal.Error; in
-// that case nothing was written to w.
+// Serve answers one request. An error is a *CutError or a *refusal.Error; in the
+// latter case nothing was written to w.
 func (g *Gateway) Serve(ctx context.Context, w http.ResponseWriter, r *Request) error {
 	g.sampler.Arrived()
 	g.active.Add(1)
@@ -225,9 +220,18 @@
 	ctx, cancel := context.WithDeadline(ctx, j.deadline)
 	defer cancel()
 	if s := j.table.Service(j.service); s != nil && s.Engine != nil {
-		return g.generate(ctx, j, s)
+		return nameCause(ctx, g.generate(ctx, j, s))
+	}
+	return nameCause(ctx, g.call(ctx, j))
+}
+
+// InstalledAt returns the time at which the routing table in force was installed,
+// or zero before the first one.
+func (g *Gateway) InstalledAt() time.Time {
+	if at := g.installed.Load(); at != nil {
+		return *at
 	}
-	return g.call(ctx, j)
+	return time.Time{}
 }
 
 // awaitStart delays requests that arrive right after the start of the process
--- a/process/gateway/generate.go
+++ b/process/gateway/generate.go
@@ -270,11 +270,11 @@
 		r.noteFirstEvent()
 		r.writeHead()
 		if _, err := r.j.w.Write(event.Raw); err != nil {
-			return errors.Wrap(ErrCut, "caller left: "+err.Error())
+			return CutByWrite(err)
 		}
 		if !events.Pending() {
 			if err := flush.Flush(); err != nil {
-				return errors.Wrap(ErrCut, "caller left: "+err.Error())
+				return CutByWrite(err)
 			}
 		}
 		if event.ID != "" {
@@ -432,7 +432,10 @@
 
 // handleBrokenStream decides how to proceed after a stream ended early.
 func (r *run) handleBrokenStream(ctx context.Context, a *attempt, err error) (*attempt, error) {
-	if errors.Is(err, ErrCut) || ctx.Err() != nil {
+	if errors.Is(err, ErrCut) {
+		return nil, err
+	}
+	if ctx.Err() != nil {
 		return nil, r.finalError(refusal.FromCallError(errors.CombineErrors(ctx.Err(), err), true))
 	}
 	r.mu.Lock()
@@ -451,11 +454,11 @@
 	return r.rerun(ctx, a, f)
 }
 
-// finalError returns the error that ends a request: ErrCut if a part of the
+// finalError returns the error that ends a request: a *CutError if a part of the
 // answer was passed on.
 func (r *run) finalError(f *refusal.Error) error {
 	if r.headWritten {
-		return errors.Wrap(ErrCut, f.Error())
+		return cutByFault(f)
 	}
 	if f.Outcome == refusal.NotRun && f.RetryAt.IsZero() {
 		f.RetryAt = retryTime(time.Now())
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -76,7 +76,9 @@
 	if !g.Tables.Install(t) {
 		return
 	}
+	now := time.Now()
 	g.stored.Store(&storedTable{version: t.Version, data: data})
+	g.installed.Store(&now)
 	g.Log.WithFields(logrus.Fields{
 		"event": "table_installed", "version": t.Version, "row": version, "source": source,
 		"routes": len(t.Routes), "accounts": len(t.Accounts),
