gateway: a request that ends at its deadline is no failure of its engine

What callers saw: after one request had reached its deadline, or its caller had left, requests that followed were refused (503, overload) for one second, doubling up to eight, though the engine was sound.

Cause: a connection to an endpoint had the request's deadline as its own read deadline. At the deadline either it or the context was first. If it was the connection, the stream counted as broken by the engine (`stream_broken`), and the engine as suspect. Before the first event the engine was suspected in any case, also when the caller had left after 200 ms.

--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -117,8 +117,9 @@
 	// Backend holds the functions that communicate with endpoints. All fields
 	// must be set.
 	Backend struct {
-		// Send sends a call and reads the status and headers of its answer. An
-		// error is a *refusal.Error.
+		// Send sends a call and reads the status and headers of its answer. The
+		// context must end no later than the deadline of the call. An error is a
+		// *refusal.Error.
 		Send func(ctx context.Context, c Call) (*Answer, error)
 		// Report requests an engine's state. The error of an engine to which no
 		// connection can be opened is marked ErrUnreachable, and also ErrRefused if
--- a/process/gateway/generate.go
+++ b/process/gateway/generate.go
@@ -345,7 +345,10 @@
 
 // handleSendError decides how to proceed after an attempt without an answer.
 func (r *run) handleSendError(ctx context.Context, a *attempt, f *refusal.Error) (*attempt, error) {
-	r.enginePool.suspect(a.endpoint.ID)
+	// A request that ended before an answer was due says nothing about its engine.
+	if ctx.Err() == nil || time.Since(r.current.since) >= max(r.j.route.Aim, silenceTimeout) {
+		r.enginePool.suspect(a.endpoint.ID)
+	}
 	if f.Reason != refusal.Dial {
 		r.sends++
 	}
