gateway, platform: a stop ends no request without an answer

What callers saw: a second before the end of the grace time, requests that were still waiting for an endpoint got a closed connection without a status line; cut streams were logged as left by their callers. A request whose body was still on its way, or whose answer net/http had not written yet, was no active request: the instance stopped without waiting for it.

TestStopAnswersRequests before: "end of the grace time" had a cut with cause `caller`, and "body on its way" got "unexpected EOF" in place of a status line.

Stop now waits for the connections on which a request is received or answered (the server's connection states), looks again after it has deregistered, and ends at the end of the grace time the requests that are left: they get 502 (503 if they have not run), or are cut with the cause `stop`. 200 ms of the second that was reserved before are for their answers.

--- a/process/gateway/cut.go
+++ b/process/gateway/cut.go
@@ -9,8 +9,12 @@
 	"github.com/eelgrassdock/eelgrassdock/request/refusal"
 )
 
-// ErrCut is matched by a CutError.
-var ErrCut = errors.New("answer broke off")
+var (
+	// ErrCut is matched by a CutError.
+	ErrCut = errors.New("answer broke off")
+
+	errStopped = errors.New("the grace time of the instance is over")
+)
 
 // Causes of a CutError.
 const (
@@ -67,17 +71,27 @@
 	return &CutError{Cause: cause, Err: f}
 }
 
-// nameCause sets the cause of an answer that broke off after the context of its
-// request had ended. The connection to the endpoint is closed then, and the error
-// is only the consequence.
+// nameCause sets the cause in the error of a request whose context has ended. The
+// connection to the endpoint is closed then, and err is only the consequence.
 func nameCause(ctx context.Context, err error) error {
-	var cut *CutError
-	if ctx.Err() == nil || !errors.As(err, &cut) || cut.Cause == CutUnread {
+	if ctx.Err() == nil || err == nil {
 		return err
 	}
-	cause := CutByCaller
-	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
-		cause = CutByDeadline
+	stopped := errors.Is(context.Cause(ctx), errStopped)
+	var cut *CutError
+	if errors.As(err, &cut) {
+		switch {
+		case cut.Cause == CutUnread:
+			return err
+		case stopped:
+			return &CutError{Cause: CutByStop, Err: cut.Err}
+		case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
+			return &CutError{Cause: CutByDeadline, Err: cut.Err}
+		}
+		return &CutError{Cause: CutByCaller, Err: cut.Err}
+	}
+	if f := refusal.From(err); stopped && f.Reason == refusal.Canceled {
+		return refusal.New(refusal.Stopping, f.Outcome, errStopped.Error())
 	}
-	return &CutError{Cause: cause, Err: cut.Err}
+	return err
 }
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -156,6 +156,10 @@
 		Registered func(ctx context.Context) (mirror.Page, error)
 		// Trim closes connections that were idle for too long. It may be nil.
 		Trim func()
+		// Busy returns the number of connections on which a request is being
+		// received or answered. If it is nil, Stop waits only for requests that
+		// are in Serve.
+		Busy func() int
 
 		Tables        routing.Keeper
 		Roster        roster.Roster
@@ -184,6 +188,8 @@
 		memberLogDue atomic.Bool               // a log line about the live instances is scheduled
 		active       atomic.Int64              // number of running requests
 		installed    atomic.Pointer[time.Time] // when the routing table in force was installed
+		requests     context.Context           // ends when the running requests must end; nil before Start
+		endRequests  context.CancelFunc
 		base         context.Context
 		cancel       context.CancelFunc
 	}
@@ -213,6 +219,11 @@
 	g.sampler.Arrived()
 	g.active.Add(1)
 	defer g.active.Add(-1)
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	if g.requests != nil {
+		defer context.AfterFunc(g.requests, func() { end(errStopped) })()
+	}
 	g.awaitStart(ctx)
 	j, err := g.admit(w, r)
 	if err != nil {
--- a/process/gateway/run.go
+++ b/process/gateway/run.go
@@ -22,6 +22,7 @@
 	deregisterLimit = 600 * time.Millisecond // for deleting this instance's row; part of stopReserve
 	leaveSpreadTime = 500 * time.Millisecond // until all instances have received that this one is leaving
 	stopPoll        = 50 * time.Millisecond
+	answerReserve   = 200 * time.Millisecond // part of stopReserve in which requests that were ended get their answers
 	memberLogDelay  = 200 * time.Millisecond // changes of the live instances within this time are logged in one line
 	keepFactor      = 3.0                    // some callers use a list of instances for three times as long as Settings.Keep allows
 )
@@ -37,6 +38,7 @@
 func (g *Gateway) Start(ctx context.Context, tables []*mirror.Table) error {
 	g.id = g.Settings.Name + "-" + uuid.NewString()[:8]
 	g.base, g.cancel = context.WithCancel(ctx)
+	g.requests, g.endRequests = context.WithCancel(context.WithoutCancel(ctx))
 	g.Roster.Changed, g.Roster.OnLeaving = g.onEndpointsChanged, g.onEndpointLeaves
 	g.members = &member.Node{Self: g.self(), Seeds: g.seeds, Payload: g.payload, OnPayload: g.onPayload, Changed: g.membersChanged}
 	g.listMembers = g.members.Members
@@ -93,8 +95,8 @@
 // Stop stops gracefully. It removes the instance from the answers to callers,
 // and keeps serving until callers no longer use an answer that contains it.
 // Then it calls drain, which must reject new requests and let active ones
-// continue. Stop returns when these have ended, or at the end of the grace
-// time.
+// continue. Stop returns when these have ended. At the end of the grace time it
+// ends those that are left, so that they are refused or cut.
 func (g *Gateway) Stop(drain func()) {
 	now := time.Now()
 	s := &stopping{end: now.Add(seconds(g.currentSettings().Grace) - stopReserve)}
@@ -107,15 +109,40 @@
 	known := now.Add(seconds(g.currentSettings().Keep)*keepFactor + leaveSpreadTime)
 	waitUntil(g.base, earlier(known, s.end))
 	drain()
-	for time.Now().Before(s.end) && g.Active() > 0 && sleep.For(g.base, stopPoll) {
+	if !g.awaitIdle(s.end) {
+		g.endAll()
 	}
 	g.members.Leave()
 	g.unregister()
+	if !g.awaitIdle(s.end) { // a request may have arrived while drain took effect
+		g.endAll()
+	}
 	g.Log.WithFields(logrus.Fields{"event": "stopped", "active": g.Active(), "took": time.Since(now).Milliseconds()}).
 		Info("instance stopped")
 	g.cancel()
 }
 
+// awaitIdle waits until no request is left or a time is reached, and reports whether
+// none is left.
+func (g *Gateway) awaitIdle(until time.Time) bool {
+	for {
+		busy := g.Active() > 0 || g.Busy != nil && g.Busy() > 0
+		if !busy || !time.Now().Before(until) || !sleep.For(g.base, stopPoll) {
+			return !busy
+		}
+	}
+}
+
+// endAll ends the running requests, unless it has been called before, and waits
+// until they have been answered, for at most answerReserve.
+func (g *Gateway) endAll() {
+	if g.requests == nil || g.requests.Err() != nil {
+		return
+	}
+	g.endRequests()
+	g.awaitIdle(time.Now().Add(answerReserve))
+}
+
 // membersChanged logs all changes within memberLogDelay in one line: when many
 // instances start together, the list changes once for each of them.
 func (g *Gateway) membersChanged([]member.Member) {
