--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -25,7 +25,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/eelgrassdock/eelgrassdock/connection/peer"
@@ -41,11 +40,6 @@
 	"github.com/eelgrassdock/eelgrassdock/version/routing"
 )
 
-// ErrCut is returned if an answer broke off after a part of it was passed on.
-// The connection to the caller must then be closed without completing the
-// answer.
-var ErrCut = errors.New("answer broke off")
-
 type (
 	// Request is one request of a caller.
 	Request struct {
@@ -123,8 +117,9 @@
 	// Backend holds the functions that communicate with endpoints. All fields
 	// must be set.
 	Backend struct {
-		// Send sends a call and reads the status and headers of its answer. An
-		// error is a *refusal.Error.
+		// Send sends a call and reads the status and headers of its answer. The
+		// context must end no later than the deadline of the call. An error is a
+		// *refusal.Error.
 		Send func(ctx context.Context, c Call) (*Answer, error)
 		// Report requests an engine's state. The error of an engine to which no
 		// connection can be opened is marked ErrUnreachable, and also ErrRefused if
@@ -161,6 +156,10 @@
 		Registered func(ctx context.Context) (mirror.Page, error)
 		// Trim closes connections that were idle for too long. It may be nil.
 		Trim func()
+		// Busy returns the number of connections on which a request is being
+		// received or answered. If it is nil, Stop waits only for requests that
+		// are in Serve.
+		Busy func() int
 
 		Tables        routing.Keeper
 		Roster        roster.Roster
@@ -183,11 +182,14 @@
 		listMembers  func() []member.Member // live instances; nil before Start
 		peers        peer.Pool
 		stopping     atomic.Pointer[stopping]
-		reloaded     atomic.Pointer[Settings] // settings after a reload, nil before
-		storeEra     atomic.Int64             // latest era of the store in which this instance has written its row again
-		fetching     atomic.Bool              // a routing table is being fetched from a peer
-		memberLogDue atomic.Bool              // a log line about the live instances is scheduled
-		active       atomic.Int64             // number of running requests
+		reloaded     atomic.Pointer[Settings]  // settings after a reload, nil before
+		storeEra     atomic.Int64              // latest era of the store in which this instance has written its row again
+		fetching     atomic.Bool               // a routing table is being fetched from a peer
+		memberLogDue atomic.Bool               // a log line about the live instances is scheduled
+		active       atomic.Int64              // number of running requests
+		installed    atomic.Pointer[time.Time] // when the routing table in force was installed
+		requests     context.Context           // ends when the running requests must end; nil before Start
+		endRequests  context.CancelFunc
 		base         context.Context
 		cancel       context.CancelFunc
 	}
@@ -211,12 +213,17 @@
 	}
 )
 
-// Serve answers one request. An error other than ErrCut is a *refusal.Error; in
-// that case nothing was written to w.
+// Serve answers one request. An error is a *CutError or a *refusal.Error; in the
+// latter case nothing was written to w.
 func (g *Gateway) Serve(ctx context.Context, w http.ResponseWriter, r *Request) error {
 	g.sampler.Arrived()
 	g.active.Add(1)
 	defer g.active.Add(-1)
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	if g.requests != nil {
+		defer context.AfterFunc(g.requests, func() { end(errStopped) })()
+	}
 	g.awaitStart(ctx)
 	j, err := g.admit(w, r)
 	if err != nil {
@@ -225,9 +232,18 @@
 	ctx, cancel := context.WithDeadline(ctx, j.deadline)
 	defer cancel()
 	if s := j.table.Service(j.service); s != nil && s.Engine != nil {
-		return g.generate(ctx, j, s)
+		return nameCause(ctx, g.generate(ctx, j, s))
+	}
+	return nameCause(ctx, g.call(ctx, j))
+}
+
+// InstalledAt returns the time at which the routing table in force was installed,
+// or zero before the first one.
+func (g *Gateway) InstalledAt() time.Time {
+	if at := g.installed.Load(); at != nil {
+		return *at
 	}
-	return g.call(ctx, j)
+	return time.Time{}
 }
 
 // awaitStart delays requests that arrive right after the start of the process
--- a/process/gateway/generate.go
+++ b/process/gateway/generate.go
@@ -8,7 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/eelgrassdock/eelgrassdock/process/placement"
@@ -230,10 +229,15 @@
 
 // handleSendError decides how to proceed after an attempt without an answer.
 func (r *run) handleSendError(ctx context.Context, a *attempt, f *refusal.Error) (*attempt, error) {
-	if f.Reason == refusal.Dial {
+	// A request that ended before an answer was due says nothing about its engine.
+	known := ctx.Err() == nil || time.Since(r.current.since) >= max(r.j.route.Aim, silenceTimeout)
+	switch {
+	case f.Reason == refusal.Dial && known:
 		r.enginePool.avoid(a.endpoint.ID)
-	} else {
+	case known:
 		r.enginePool.suspect(a.endpoint.ID)
+	}
+	if f.Reason != refusal.Dial {
 		r.sends++
 	}
 	r.logAttempt("attempt_failed", a, logrus.Fields{"reason": f.Reason, "outcome": f.Outcome.String(), "detail": f.Detail})
@@ -306,11 +310,11 @@
 	return r.retryElsewhere(ctx, a, f)
 }
 
-// finalError returns the error that ends a request: ErrCut if a part of the
+// finalError returns the error that ends a request: a *CutError if a part of the
 // answer was passed on.
 func (r *run) finalError(f *refusal.Error) error {
 	if r.headWritten {
-		return errors.Wrap(ErrCut, f.Error())
+		return cutByFault(f)
 	}
 	if f.Outcome == refusal.NotRun && f.RetryAt.IsZero() {
 		f.RetryAt = retryTime(time.Now())
--- a/process/gateway/relay.go
+++ b/process/gateway/relay.go
@@ -75,14 +75,14 @@
 	}
 }
 
-// write writes a part of the stream to the caller. The error wraps ErrCut.
+// write writes a part of the stream to the caller. The error is a *CutError.
 func (r *run) write(data []byte, flush bool) error {
 	_, err := r.j.w.Write(data)
 	if err == nil && flush {
 		err = http.NewResponseController(r.j.w).Flush()
 	}
 	if err != nil {
-		return errors.Wrap(ErrCut, "caller left: "+err.Error())
+		return CutByWrite(err)
 	}
 	return nil
 }
@@ -138,7 +138,10 @@
 // handleBrokenStream decides how to proceed after a stream ended early, with err. The
 // request would be refused with f.
 func (r *run) handleBrokenStream(ctx context.Context, a *attempt, err error, f *refusal.Error) (*attempt, error) {
-	if errors.Is(err, ErrCut) || ctx.Err() != nil {
+	if errors.Is(err, ErrCut) {
+		return nil, err
+	}
+	if ctx.Err() != nil {
 		return nil, r.finalError(refusal.FromCallError(errors.CombineErrors(ctx.Err(), err), true))
 	}
 	r.mu.Lock()
