gateway, roster, platform: an endpoint that says in an answer that it leaves gets no more requests

The users' rule allows it no request that was sent later than drain_ms after such an answer.

Cause: the header was not read. Marks were also lost with the endpoint's row, and a mark had no start time, so that a late answer of an earlier process under the same ID would have marked the present one.

Change: answers to requests, reports and orders carry signals, read in one place; a mark names the start that it is for, and is kept without a row for the last 8,192 endpoints. The notice then takes the ways that exist: no new work, copies as after a notice in the list, a datagram to the others.

MarkLeaving takes the start; the tests that call it pass the start of the endpoint they mark. Backend.Free returns signals as well.

--- a/process/gateway/call.go
+++ b/process/gateway/call.go
@@ -206,7 +206,7 @@
 // its address, if the answer shows that another endpoint has this address.
 func (g *Gateway) checkAddress(e roster.Endpoint, answer *Answer) {
 	if answer.AddressReused {
-		g.Roster.MarkLeaving(e.ID, roster.FromAddress)
+		g.Roster.MarkLeaving(e.ID, e.Born, roster.FromAddress)
 		g.Backend.CloseConnections(e.Addr)
 	}
 }
--- a/process/gateway/call_test.go
+++ b/process/gateway/call_test.go
@@ -279,7 +279,7 @@
 	w := newTestGateway(t)
 	w.answer = func(int, Call) (*Answer, error) { return plainAnswer(http.StatusOK, "ok"), nil }
 	for _, id := range []string{"d0", "d1", "d2"} {
-		w.Roster.MarkLeaving(id, roster.FromList)
+		w.Roster.MarkLeaving(id, 0, roster.FromList)
 	}
 	for range 10 {
 		_, err := w.request("/book/1")
--- a/process/gateway/feed.go
+++ b/process/gateway/feed.go
@@ -14,7 +14,6 @@
 	"github.com/eelgrassdock/eelgrassdock/internal/sleep"
 	"github.com/eelgrassdock/eelgrassdock/process/member"
 	"github.com/eelgrassdock/eelgrassdock/process/mirror"
-	"github.com/eelgrassdock/eelgrassdock/process/roster"
 )
 
 // In each region one instance polls the store for the changes of a table, and
@@ -226,12 +225,8 @@
 			g.spawn(func() {
 				ctx, cancel := context.WithTimeout(g.base, probeLimit)
 				defer cancel()
-				r, err := g.report(ctx, e)
-				switch {
-				case err != nil:
+				if _, err := g.report(ctx, e); err != nil {
 					counters.Add("reports_failed", 1) // if the engine has ended, its stream breaks
-				case r.Leaving:
-					g.Roster.MarkLeaving(e.ID, roster.FromReport)
 				}
 			})
 		}
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -78,8 +78,14 @@
 		Memory   string // memory to continue from, as returned by Backend.Handle
 	}
 
+	// Signals is what an endpoint says about itself in any of its answers.
+	Signals struct {
+		Leaving bool // it will leave
+	}
+
 	// Answer is an endpoint's answer. Its Close function must be called.
 	Answer struct {
+		Signals
 		Status        int
 		Header        http.Header // without the headers of the connection
 		Body          io.Reader
@@ -102,7 +108,7 @@
 
 	// Report is the state that an engine reports about itself.
 	Report struct {
-		Leaving bool
+		Signals
 	}
 
 	// Move is a request to copy a running generation's memory to another
@@ -115,6 +121,7 @@
 
 	// Moved is the answer to a Move.
 	Moved struct {
+		Signals
 		Handle string
 		Events int  // number of events produced when the copy was complete
 		Failed bool // the other engine has no room or cannot be reached
@@ -126,6 +133,9 @@
 		// Send sends a call and reads the status and headers of its answer. An
 		// error is a *refusal.Error.
 		Send func(ctx context.Context, c Call) (*Answer, error)
+		// The control calls Report, Move and Free return the signals of an answer
+		// also if that is an error.
+		//
 		// Report requests an engine's state. The error of an engine to which no
 		// connection can be opened is marked ErrUnreachable, and also ErrRefused if
 		// its host refused the connection.
@@ -133,7 +143,7 @@
 		// Move copies a generation's memory. Free releases a copy, which is
 		// identified by the engine it was made from and its handle.
 		Move func(ctx context.Context, m Move) (Moved, error)
-		Free func(ctx context.Context, from roster.Endpoint, handle string) error
+		Free func(ctx context.Context, from roster.Endpoint, handle string) (Signals, error)
 		// Handle returns the value for Call.Memory that identifies a copy made by
 		// Move: e is the engine it was made from and handle is Moved.Handle.
 		Handle func(e roster.Endpoint, handle string) string
--- a/process/gateway/health.go
+++ b/process/gateway/health.go
@@ -131,13 +131,13 @@
 // reported as unreachable is only probed: the fault may be in the link between
 // that instance and the endpoint.
 func (g *Gateway) onNotice(n loads.Notice) {
+	if n.Leaving {
+		g.Roster.MarkLeaving(n.Endpoint, n.Born, roster.FromInstance)
+	}
 	e, ok := g.Roster.Get(n.Endpoint)
 	if !ok || e.Born != n.Born {
 		return
 	}
-	if n.Leaving {
-		g.Roster.MarkLeaving(e.ID, roster.FromInstance)
-	}
 	if d, ok := g.enginePools.Load(e.Service); ok && n.Gone {
 		d.(*enginePool).startCheck(e.ID, false)
 	}
--- a/process/gateway/health_test.go
+++ b/process/gateway/health_test.go
@@ -42,7 +42,7 @@
 		w.testEnginePool().release(ticket, 0, false)
 		w.makeUnreachable(d.ID)     // the engine that would be chosen
 		time.Sleep(5 * time.Second) // longer than an engine is avoided after one failure
-		w.Roster.MarkLeaving(from.ID, roster.FromReport)
+		w.Roster.MarkLeaving(from.ID, from.Born, roster.FromReport)
 		w.refreshEnginePools()
 		w.evacuate(from, roster.FromReport)
 		time.Sleep(protectPause)
@@ -92,7 +92,7 @@
 		from, backup := r.endpoint, r.usableCopy().endpoint
 		w.makeUnreachable(backup.ID)
 		synctest.Wait()
-		w.Roster.MarkLeaving(from.ID, roster.FromList)
+		w.Roster.MarkLeaving(from.ID, from.Born, roster.FromList)
 		w.refreshEnginePools()
 		w.evacuate(from, roster.FromReport)
 		time.Sleep(protectPause)
--- a/process/gateway/limit.go
+++ b/process/gateway/limit.go
@@ -101,10 +101,21 @@
 	answer, err := g.Backend.Send(ctx, c)
 	if err == nil {
 		g.recordLimit(c.Endpoint, answer, sent)
+		if !answer.AddressReused {
+			g.heed(c.Endpoint, answer.Signals, roster.FromEndpoint)
+		}
 	}
 	return answer, err
 }
 
+// heed handles what an endpoint says about itself in an answer. The process that was
+// asked has ended if another one answers at its address.
+func (g *Gateway) heed(e roster.Endpoint, s Signals, source string) {
+	if s.Leaving {
+		g.Roster.MarkLeaving(e.ID, e.Born, source)
+	}
+}
+
 // recordLimit records what an answer to a request that was sent at a time says about
 // the limit of its endpoint. Only the answer to a request that ran shows that there is
 // none: a refusal may come from a part of the endpoint that names no limits.
@@ -131,7 +142,9 @@
 		counters.Add("reports_limited", 1)
 		return Report{}, errLimited
 	}
-	return g.Backend.Report(ctx, e)
+	r, err := g.Backend.Report(ctx, e)
+	g.heed(e, r.Signals, roster.FromReport)
+	return r, err
 }
 
 // limitOf reports whether an endpoint has a limit, and whether a request to it would be
--- a/process/gateway/move.go
+++ b/process/gateway/move.go
@@ -378,7 +378,9 @@
 	if !g.limits.Take(from.ID, time.Now()) {
 		return Moved{}, errLimited
 	}
-	return g.Backend.Move(ctx, Move{Run: r.j.ID, From: from, To: to})
+	moved, err := g.Backend.Move(ctx, Move{Run: r.j.ID, From: from, To: to})
+	g.heed(from, moved.Signals, roster.FromEndpoint)
+	return moved, err
 }
 
 // freeCopy frees a copy that is no longer needed. If that fails, the copy
@@ -389,7 +391,9 @@
 	}
 	ctx, cancel := context.WithTimeout(g.base, freeLimit)
 	defer cancel()
-	if err := g.Backend.Free(ctx, from, handle); err != nil {
+	s, err := g.Backend.Free(ctx, from, handle)
+	g.heed(from, s, roster.FromEndpoint)
+	if err != nil {
 		g.Log.WithError(err).WithFields(logrus.Fields{"event": "copy_not_freed", "endpoint": from.ID}).Debug("copy could not be freed; it will expire")
 	}
 }
--- a/process/gateway/move_test.go
+++ b/process/gateway/move_test.go
@@ -233,7 +233,7 @@
 // there, but copied to another engine.
 func TestCopyToAnEngineThatLeavesMeanwhile(t *testing.T) {
 	for name, leave := range map[string]func(*testGateway, string){
-		"notice": func(w *testGateway, id string) { w.Roster.MarkLeaving(id, roster.FromList) },
+		"notice": func(w *testGateway, id string) { w.Roster.MarkLeaving(id, 0, roster.FromList) },
 		"gone":   func(w *testGateway, id string) { w.Roster.Remove(id) },
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -356,10 +356,10 @@
 	require.Eventually(t, func() bool { return len(w.runsOf("q")) == 1 && w.runsOf("q")[0].usableCopy() != nil }, time.Minute, time.Millisecond)
 	r := w.runsOf("q")[0]
 	from, to := r.endpoint, r.usableCopy().endpoint
-	w.Roster.MarkLeaving(from.ID, roster.FromList)
+	w.Roster.MarkLeaving(from.ID, from.Born, roster.FromList)
 	w.evacuate(from, roster.FromList)
 	w.Roster.Remove(from.ID)
-	w.Roster.MarkLeaving(to.ID, roster.FromList)
+	w.Roster.MarkLeaving(to.ID, to.Born, roster.FromList)
 	w.refreshEnginePools()
 	w.evacuate(to, roster.FromList)
 	require.Eventually(t, func() bool { return r.usableCopy() != nil }, 10*time.Second, time.Millisecond)
--- a/process/gateway/quarantine_test.go
+++ b/process/gateway/quarantine_test.go
@@ -175,7 +175,7 @@
 		"unreachable": func(w *testGateway, id string) { w.unreachable[id] = true },
 		"notice": func(w *testGateway, id string) {
 			w.crashed[id] = true
-			w.Roster.MarkLeaving(id, roster.FromReport)
+			w.Roster.MarkLeaving(id, 0, roster.FromReport)
 		},
 		"removed": func(w *testGateway, id string) {
 			w.crashed[id] = true
--- a/process/gateway/run.go
+++ b/process/gateway/run.go
@@ -138,6 +138,7 @@
 // this in the list of endpoints, but only this one may have received what the
 // endpoint itself reported, so that is sent to the other instances.
 func (g *Gateway) onEndpointLeaves(e roster.Endpoint, source string) {
+	counters.Add("leaving_by_"+source, 1)
 	if source == roster.FromEndpoint || source == roster.FromReport {
 		g.sendNotice(loads.Notice{Endpoint: e.ID, Born: e.Born, Leaving: true})
 	}
--- a/process/gateway/testgateway_test.go
+++ b/process/gateway/testgateway_test.go
@@ -80,11 +80,11 @@
 			}
 			return Report{}, nil
 		},
-		Free: func(_ context.Context, _ roster.Endpoint, handle string) error {
+		Free: func(_ context.Context, _ roster.Endpoint, handle string) (Signals, error) {
 			w.mu.Lock()
 			defer w.mu.Unlock()
 			w.freed = append(w.freed, handle)
-			return nil
+			return Signals{}, nil
 		},
 		Handle:           func(e roster.Endpoint, handle string) string { return e.Addr + "/" + handle },
 		CloseConnections: func(string) {}, Warm: func(context.Context, string) {},
@@ -157,7 +157,7 @@
 // announceLeave marks the engine of request q as leaving and returns it.
 func (w *testGateway) announceLeave(source string) roster.Endpoint {
 	from := w.runsOf("q")[0].endpoint
-	w.Roster.MarkLeaving(from.ID, source)
+	w.Roster.MarkLeaving(from.ID, from.Born, source)
 	w.refreshEnginePools()
 	w.evacuate(from, source)
 	return from
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -46,11 +46,17 @@
 		mu       sync.Mutex
 		complete chan struct{} // closed by Complete
 		byID     map[string]*Endpoint
-		borrowed map[string]bool // IDs from Borrow that the list has not confirmed
-		services sync.Map        // service to *atomic.Pointer[[]Endpoint]
+		left     map[string]int64         // latest start that is known to leave, of endpoints without a row or with one of an earlier start
+		leftIDs  []string                 // keys of left, the oldest first
+		watched  map[string]chan struct{} // by service; closed at its next change
+		borrowed map[string]bool          // IDs from Borrow that the list has not confirmed
+		services sync.Map                 // service to *atomic.Pointer[[]Endpoint]
 	}
 )
 
+// maxLeft is the number of endpoints without a row that are remembered as leaving.
+const maxLeft = 8192
+
 // Sources of the notice that an endpoint is leaving.
 const (
 	FromList     = "list"     // the platform's list
@@ -174,7 +180,9 @@
 			if old != nil {
 				delete(r.byID, old.ID)
 				services[old.Service] = true
-				if !old.Leaving {
+				if old.Leaving {
+					r.remember(old.ID, old.Born)
+				} else {
 					left = append(left, *old)
 				}
 			}
@@ -185,6 +193,9 @@
 		if old != nil && old.Leaving && !reborn {
 			e.Leaving = true
 		}
+		if born, ok := r.left[e.ID]; ok && e.Born <= born {
+			e.Leaving = true
+		}
 		if old != nil && *old == e {
 			continue
 		}
@@ -210,12 +221,17 @@
 	}
 }
 
-// MarkLeaving marks an endpoint as leaving and calls OnLeaving with the source of
-// the notice. It does nothing if the endpoint is unknown or already leaving.
-func (r *Roster) MarkLeaving(id, source string) {
+// MarkLeaving marks the process of an endpoint that started at born as leaving and
+// calls OnLeaving with the source of the notice. A process under the same ID that
+// started later is not affected. The mark is kept if the endpoint has no row, in case
+// one appears later.
+func (r *Roster) MarkLeaving(id string, born int64, source string) {
 	r.mu.Lock()
 	old := r.byID[id]
-	if old == nil || old.Leaving {
+	if old == nil || old.Born < born {
+		r.remember(id, born)
+	}
+	if old == nil || old.Leaving || old.Born > born {
 		r.mu.Unlock()
 		return
 	}
@@ -228,6 +244,25 @@
 	r.notifyLeaving(e, source)
 }
 
+// remember records that the process of an endpoint that started at born leaves, for
+// rows that appear later. r.mu must be held.
+func (r *Roster) remember(id string, born int64) {
+	if r.left == nil {
+		r.left = map[string]int64{}
+	}
+	known, ok := r.left[id]
+	if !ok {
+		r.leftIDs = append(r.leftIDs, id)
+	}
+	if !ok || born > known {
+		r.left[id] = born
+	}
+	if len(r.leftIDs) > maxLeft {
+		delete(r.left, r.leftIDs[0])
+		r.leftIDs = r.leftIDs[1:]
+	}
+}
+
 // Get returns the endpoint with the ID and whether it exists.
 func (r *Roster) Get(id string) (Endpoint, bool) {
 	r.mu.Lock()
@@ -257,6 +292,24 @@
 	}
 	p, _ := r.services.LoadOrStore(service, &atomic.Pointer[[]Endpoint]{})
 	p.(*atomic.Pointer[[]Endpoint]).Store(&list)
+	if changed := r.watched[service]; changed != nil {
+		close(changed)
+		delete(r.watched, service)
+	}
+}
+
+// Watch returns a channel that is closed at the next change of the endpoints of a
+// service.
+func (r *Roster) Watch(service string) <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.watched == nil {
+		r.watched = map[string]chan struct{}{}
+	}
+	if r.watched[service] == nil {
+		r.watched[service] = make(chan struct{})
+	}
+	return r.watched[service]
 }
 
 func (r *Roster) notifyChanged(service string) {
--- a/process/roster/roster_test.go
+++ b/process/roster/roster_test.go
@@ -15,7 +15,7 @@
 	r := Roster{OnLeaving: func(e Endpoint, source string) { left = append(left, e.ID+" "+source) }}
 	e := Endpoint{ID: "a", Service: "s", Addr: "10.0.0.1:1", Born: 1}
 	r.Set(e)
-	r.MarkLeaving("a", FromEndpoint)
+	r.MarkLeaving("a", 1, FromEndpoint)
 	r.Set(e)
 	require.True(t, r.List("s")[0].Leaving)
 	e.Born = 2
@@ -77,3 +77,58 @@
 	require.Len(t, r.List("a"), endpoints-2)
 	require.Len(t, r.List("b"), 1)
 }
+
+// Guards against a mark that is lost because its endpoint has no row yet, or that stands
+// for another start of it.
+func TestLeavingBelongsToOneStart(t *testing.T) {
+	r := Roster{}
+	r.MarkLeaving("a", 5, FromEndpoint) // no row yet
+	for born, leaves := range map[int64]bool{4: true, 5: true, 6: false} {
+		r.Remove("a")
+		r.Set(Endpoint{ID: "a", Service: "s", Born: born})
+		require.Equal(t, leaves, r.List("s")[0].Leaving, born)
+	}
+	r.Remove("a")
+	r.Set(Endpoint{ID: "a", Service: "s", Born: 6})
+	r.MarkLeaving("a", 5, FromEndpoint) // a late answer of the start before
+	require.False(t, r.List("s")[0].Leaving)
+	r.MarkLeaving("a", 8, FromInstance) // of a start that is not listed yet
+	require.True(t, r.List("s")[0].Leaving)
+	r.Set(Endpoint{ID: "a", Service: "s", Born: 8})
+	require.True(t, r.List("s")[0].Leaving)
+	r.Set(Endpoint{ID: "a", Service: "s", Born: 9})
+	require.False(t, r.List("s")[0].Leaving)
+	r.Set(Endpoint{ID: "a", Service: "s", Born: 8})
+	require.True(t, r.List("s")[0].Leaving, "a row of an older copy of the list")
+}
+
+// Guards against memory without a limit for endpoints that have left.
+func TestMemoryOfLeftEndpointsIsBounded(t *testing.T) {
+	r := Roster{}
+	for n := range 3 * maxLeft {
+		id := fmt.Sprint("e", n)
+		r.Set(Endpoint{ID: id, Service: "s", Born: 1, Leaving: true})
+		r.Remove(id)
+		r.MarkLeaving(id, 1, FromEndpoint)
+	}
+	require.Len(t, r.left, maxLeft)
+	require.Len(t, r.leftIDs, maxLeft)
+	r.Set(Endpoint{ID: fmt.Sprint("e", 3*maxLeft-1), Service: "s", Born: 1})
+	require.True(t, r.List("s")[0].Leaving, "the latest are remembered")
+}
+
+// Guards against a wait for a change of a service that has changed.
+func TestWatchSeesTheNextChange(t *testing.T) {
+	r := Roster{}
+	changed, other := r.Watch("s"), r.Watch("u")
+	r.Set(Endpoint{ID: "a", Service: "s"})
+	<-changed
+	select {
+	case <-other:
+		t.Fatal("the other service has not changed")
+	default:
+	}
+	again := r.Watch("s")
+	r.MarkLeaving("a", 0, FromEndpoint)
+	<-again
+}
