gateway: an engine that was chosen and leaves before the send is not used

A request could reach an engine that had given notice more than drain_ms before:

- a generation that waits for an engine of a service which a new version of the routing table has removed: the engines of such a service are no longer updated, and the one chosen was only looked up, not checked.
A destination for a copy was chosen in the same way.
- a continuation that waits, for up to four seconds, for a grant of the engine with the copy: the engine was checked before the wait only.

Evidence, on the code before (with the reading of the header):

TestWaitingWorkAvoidsALeavingEndpoint/waits_for_a_service_that_was_removed: should be zero, but was 1 TestContinuationAvoidsALeavingEngine: an error is expected but got nil TestNoCopyToALeavingEngine fails without its check (scratch copy)

Change: an engine that has left or leaves when it is given to a request is excluded, and another one chosen; a continuation checks its engine after the wait. Result: the three tests pass.

--- a/process/gateway/enginepool.go
+++ b/process/gateway/enginepool.go
@@ -136,14 +136,13 @@
 		}
 		e, ok := p.g.Roster.Get(decision.Endpoint)
 		switch {
-		case !ok:
-			p.sched.Done(decision.Ticket, 0, false, time.Now())
-			return e, 0, refusal.New(refusal.NoEndpoint, refusal.NotRun, "the engine has left")
+		case !ok || e.Leaving: // since it was chosen
+			request.Exclude = append(slices.Clip(request.Exclude), decision.Endpoint)
 		case p.g.limits.Take(e.ID, time.Now()):
 			p.g.announce()
 			return e, decision.Ticket, nil
 		}
-		p.sched.Done(decision.Ticket, 0, false, time.Now()) // another request took the grant
+		p.sched.Done(decision.Ticket, 0, false, time.Now()) // the engine left, or another request took the grant
 	}
 }
 
--- a/process/gateway/generate.go
+++ b/process/gateway/generate.go
@@ -157,6 +157,11 @@
 		r.logAttempt("attempt_failed", a, logrus.Fields{"reason": f.Reason, "outcome": f.Outcome.String(), "detail": f.Detail})
 		return r.rerun(ctx, a, f)
 	}
+	if a.memory != "" && r.leaves(a.endpoint) {
+		f := refusal.New(refusal.NoEndpoint, refusal.NotRun, "the engine with the copy has left")
+		r.logAttempt("attempt_failed", a, logrus.Fields{"reason": f.Reason, "outcome": f.Outcome.String(), "detail": f.Detail})
+		return r.rerun(ctx, a, f)
+	}
 	sent := time.Now()
 	r.current = attemptState{since: sent}
 	answer, err := r.g.send(attemptCtx, c)
--- a/process/gateway/leaving_test.go
+++ b/process/gateway/leaving_test.go
@@ -17,6 +17,7 @@
 	"github.com/eelgrassdock/eelgrassdock/process/quarantine"
 	"github.com/eelgrassdock/eelgrassdock/process/queue"
 	"github.com/eelgrassdock/eelgrassdock/process/roster"
+	"github.com/eelgrassdock/eelgrassdock/version/routing"
 )
 
 // newLeavingGateway returns a gateway that handles changes of the roster, as after Start.
@@ -201,6 +202,20 @@
 			time.Sleep(time.Second)
 			return "e0"
 		},
+		"waits for a service that was removed": func(w *testGateway) string {
+			w.keepOnly("e0")
+			w.Tables.Current().Routes[0].Aim = 30 * time.Second
+			p := w.testEnginePool()
+			d, err := p.dispatcher.Reserve(w.base, largeRequest(), &queue.Item{})
+			require.NoError(w.t, err)
+			go func() { _, _ = w.ask("/guide/1", 30*time.Second) }()
+			time.Sleep(time.Second)
+			w.Tables.Install(routing.New(routing.Document{Version: 2}))
+			w.sayLeaving("e0")
+			time.Sleep(drain)
+			p.release(d.Ticket, 0, true)
+			return "e0"
+		},
 		"tries a part": func(w *testGateway) string {
 			w.condemn("deadly")
 			for _, id := range []string{"e0", "e1", "e2"} {
@@ -247,6 +262,53 @@
 	return rec.Code, err
 }
 
+// Guards against a generation that continues at an engine which said that it leaves
+// while the continuation waited for a grant.
+func TestContinuationAvoidsALeavingEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newLeavingGateway(t)
+		writer, done := w.startBreakingStream(false)
+		_, _ = io.WriteString(writer, "id: 1\ndata: x\n\n")
+		time.Sleep(time.Second)
+		copied := w.runsOf("q")[0].usableCopy().endpoint
+		w.limits.Start = time.Now().Add(-time.Hour)
+		w.limits.Named(w.limitedEndpoint(copied), 0, time.Now(), time.Now())
+		for !w.limits.Take(copied.ID, time.Now()) {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(400 * time.Millisecond) // the next grant is due in 3.6 s
+		_ = writer.CloseWithError(errors.New("connection reset"))
+		time.Sleep(100 * time.Millisecond)
+		w.sayLeaving(copied.ID)
+		require.Error(t, <-done)
+		require.Zero(t, w.sentTo(copied.ID))
+		w.cancel()
+	})
+}
+
+// Guards against an order to copy to an engine that leaves, of a service that a new
+// version of the routing table has removed.
+func TestNoCopyToALeavingEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newLeavingGateway(t)
+		w.Tables.Current().Services[0].Engine.Backups = false
+		writer, done := w.startBreakingStream(false)
+		_, _ = io.WriteString(writer, "id: 1\ndata: x\n\n")
+		synctest.Wait()
+		r := w.runsOf("q")[0]
+		w.Tables.Install(routing.New(routing.Document{Version: 2}))
+		for i := range 4 {
+			w.sayLeaving(fmt.Sprint("e", i))
+		}
+		_, _, ok := r.reserveDestination(r.endpoint, true)
+		require.False(t, ok)
+		time.Sleep(time.Minute)
+		require.Empty(t, w.moves)
+		_ = writer.Close()
+		require.NoError(t, <-done)
+	})
+}
+
 // startBreakingStream starts request q, whose stream the returned writer writes. Its
 // head says whether the engine leaves.
 func (w *testGateway) startBreakingStream(leaving bool) (*io.PipeWriter, <-chan error) {
--- a/process/gateway/move.go
+++ b/process/gateway/move.go
@@ -411,7 +411,7 @@
 		return roster.Endpoint{}, 0, false
 	}
 	e, ok := r.g.Roster.Get(d.Endpoint)
-	if !ok {
+	if !ok || e.Leaving {
 		r.enginePool.release(d.Ticket, 0, false)
 		return e, 0, false
 	}
