gateway: a repeatable request that cannot be repeated waits for its replica

What callers saw: 504 from a plain service after 0.8 of the latency target, long before the deadline, while the replica was only silent for a second.

Cause: an attempt of a repeatable request ended after that time so that another replica could be asked. It ended also if the retry budget was used up or there was no other replica, and with it the request.

Evidence: TestSilentReplicaKeepsARequestThatCannotBeRepeated failed in both cases.

Change: the attempt is ended only once a repeat is possible: there is budget, and a replica that was not tried and takes requests.

Measured: both cases get the answer after 1.2 s.

--- a/process/gateway/call.go
+++ b/process/gateway/call.go
@@ -5,6 +5,7 @@
 	"io"
 	"maps"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -76,7 +77,7 @@
 			return refusal.Downgrade(refused, mayHaveRun)
 		}
 		e = next
-		limited, cancel := g.attemptContext(ctx, j, sends)
+		limited, cancel := g.attemptContext(ctx, j, p, append(tried, e.ID), sends)
 		var fault *fault
 		kept, fault = g.try(limited, j, p, e)
 		if kept != nil && kept.rest != nil {
@@ -115,14 +116,38 @@
 	}
 }
 
-// attemptContext limits the time of an attempt of a request that may still be
-// sent to another replica, so that a replica that hangs leaves time for one
-// that works.
-func (g *Gateway) attemptContext(ctx context.Context, j *job, sends int) (context.Context, context.CancelFunc) {
+// attemptContext ends an attempt of a request that may be sent to another replica
+// once most of the latency target has passed, so that a replica that hangs leaves
+// time for one that works. It does not while no repeat is possible: ending the attempt
+// would then end the request, although its replica may only be silent for a moment.
+func (g *Gateway) attemptContext(ctx context.Context, j *job, p *pool, tried []string, sends int) (context.Context, context.CancelFunc) {
 	if !j.route.Repeatable() || sends+1 >= j.route.Attempts || j.route.Aim <= 0 {
 		return ctx, func() {}
 	}
-	return context.WithTimeout(ctx, time.Duration(float64(j.route.Aim)*attemptTimeShare))
+	limit := time.Duration(float64(j.route.Aim) * attemptTimeShare)
+	ctx, cancel := context.WithCancelCause(ctx)
+	var timer *time.Timer
+	timer = time.AfterFunc(time.Hour, func() {
+		if p.policy.Budget.Tokens() >= 1 && g.canPick(j.service, tried) {
+			cancel(context.DeadlineExceeded)
+			return
+		}
+		timer.Reset(limit)
+	})
+	timer.Reset(limit) // the function uses timer, so it may run only after the assignment
+	return ctx, func() {
+		timer.Stop()
+		cancel(nil)
+	}
+}
+
+// canPick reports whether a service has a replica that can get a request now and is
+// not in tried.
+func (g *Gateway) canPick(service string, tried []string) bool {
+	now := time.Now()
+	return slices.ContainsFunc(g.Roster.List(service), func(e roster.Endpoint) bool {
+		return !e.Leaving && !slices.Contains(tried, e.ID) && g.limits.Ready(e.ID, now)
+	})
 }
 
 type (
--- a/process/gateway/silence_test.go
+++ b/process/gateway/silence_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/eelgrassdock/eelgrassdock/internal/sleep"
 	"github.com/eelgrassdock/eelgrassdock/process/roster"
 	"github.com/eelgrassdock/eelgrassdock/request/refusal"
 )
@@ -364,3 +365,38 @@
 		require.Less(t, time.Since(begun), time.Second+probeLimit+2*silencePause)
 	})
 }
+
+// Guards against a repeatable request that is ended at a silent replica although it
+// cannot be repeated: the retry budget is used up, or there is no other replica.
+func TestSilentReplicaKeepsARequestThatCannotBeRepeated(t *testing.T) {
+	for name, set := range map[string]func(w *testGateway){
+		"no retry budget": func(w *testGateway) {
+			budget := &w.pool(plainService).policy.Budget
+			budget.Resize(w.budgetSize())
+			for budget.Take() {
+			}
+		},
+		"no other replica": func(w *testGateway) {
+			for i := range 3 {
+				w.Roster.Remove(fmt.Sprint("d", i))
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newTestGateway(t)
+				w.Tables.Current().Routes[3].Aim = 300 * time.Millisecond
+				set(w)
+				w.Backend.Send = func(ctx context.Context, _ Call) (*Answer, error) {
+					if !sleep.For(ctx, 1200*time.Millisecond) {
+						return nil, refusal.FromCallError(ctx.Err(), true)
+					}
+					return plainAnswer(http.StatusOK, "done"), nil
+				}
+				rec, err := w.request("/read/1")
+				require.NoError(t, err)
+				require.Equal(t, "done", rec.Body.String())
+			})
+		})
+	}
+}
