gateway: plain requests wait for replicas that accept no connection for a moment

What callers saw: 503 from a plain service whose replicas were all silent for a second or two: each was tried once for 0.4 s, and the request refused, with half of its time left.

Cause: a replica that accepted no connection was not tried again by the same request.

Evidence: TestPlainRequestsWaitForSilentReplicas failed with a silence of 3 s, for a request that may run once and for a repeatable one (four replicas; with three, as in use, 1.2 s are enough).

Change: for as long as a request would wait for a grant, 0.6 of its time divided by its rank + 1, it returns to replicas that accepted no connection. Nothing was sent to them. One whose host refuses connections is not tried again, so that a service without a process is refused at once; Backend.Send marks such an error ErrRefused.

Measured: the four requests of the test get their answers; with refused connections the refusal comes in less than 50 ms.

--- a/process/gateway/call.go
+++ b/process/gateway/call.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/eelgrassdock/eelgrassdock/internal/sleep"
 	"github.com/eelgrassdock/eelgrassdock/process/balance"
 	"github.com/eelgrassdock/eelgrassdock/process/roster"
 	"github.com/eelgrassdock/eelgrassdock/request/refusal"
@@ -26,6 +27,7 @@
 	attemptTimeShare  = 0.8                    // share of the latency target after which a repeatable request goes to another replica
 	maxBufferedAnswer = 1 << 20                // bytes of a plain answer that are buffered before it is passed on
 	startupWait       = 400 * time.Millisecond // covers a connection to the store and a read from it in another region
+	connectPause      = 50 * time.Millisecond  // before a further connection to a replica that accepted none
 	minRetryDelay     = 200 * time.Millisecond // shortest retry delay sent with a refusal
 	retryDelaySpread  = 300 * time.Millisecond // range of the random delay that spreads callers refused at the same time
 )
@@ -67,6 +69,9 @@
 		tried      []string
 		mayHaveRun bool // an attempt may have run
 		sends      int
+		// connectUntil is the time until which the request returns to replicas that
+		// accepted no connection and may be silent only for a moment.
+		connectUntil = grantUntil(j, time.Now())
 	)
 	for attempt := 1; ; attempt++ {
 		next, refused := g.pickReplica(ctx, j, p, tried)
@@ -88,7 +93,9 @@
 			observe(callTime, time.Since(j.Arrived))
 			return g.finish(j, kept, e, attempt)
 		}
-		tried = append(tried, e.ID)
+		if !fault.silent || !time.Now().Before(connectUntil) {
+			tried = append(tried, e.ID)
+		}
 		if !fault.unsent {
 			sends++
 		}
@@ -104,6 +111,9 @@
 			// The attempt put no load on the service, so it takes nothing from
 			// the retry budget.
 			refusal.CountRetry(fault.Reason)
+			if fault.silent && !sleep.For(ctx, connectPause) {
+				return g.giveUp(j, kept, fault, mayHaveRun, e, attempt)
+			}
 			continue
 		}
 		at, ok := p.policy.Next(fault.Outcome, fault.Reason, j.route.Repeatable(), attempt, j.deadline, time.Now())
@@ -171,6 +181,7 @@
 	fault struct {
 		*refusal.Error
 		unsent bool // nothing reached the endpoint, or another endpoint now has its address
+		silent bool // the endpoint accepted no connection, but its host did not refuse one
 	}
 )
 
@@ -189,7 +200,7 @@
 		f := refusal.From(err)
 		unsent := f.Reason == refusal.Dial
 		p.balance.Done(e.ID, balance.Result{Took: time.Since(begun), Failed: ctx.Err() == nil, ConnectFailed: unsent})
-		return nil, &fault{Error: f, unsent: unsent}
+		return nil, &fault{Error: f, unsent: unsent, silent: unsent && !errors.Is(err, ErrRefused)}
 	}
 	g.checkAddress(e, answer)
 	if answer.NotRun {
--- a/process/gateway/silence_test.go
+++ b/process/gateway/silence_test.go
@@ -366,6 +366,46 @@
 	})
 }
 
+// Guards against refusals of plain requests whose replicas all accept no connection
+// for a moment, and against waiting for replicas that have ended.
+func TestPlainRequestsWaitForSilentReplicas(t *testing.T) {
+	for _, path := range []string{"/book/1", "/read/1"} {
+		for name, test := range map[string]struct {
+			refuse bool // the hosts refuse connections
+			pause  time.Duration
+		}{
+			"silent for 1.2 s": {pause: 1200 * time.Millisecond},
+			"silent for 3 s":   {pause: 3 * time.Second},
+			"ended":            {refuse: true, pause: time.Hour},
+		} {
+			t.Run(path+" "+name, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					w := newTestGateway(t)
+					until := time.Now().Add(test.pause)
+					w.Backend.Send = func(ctx context.Context, _ Call) (*Answer, error) {
+						if test.refuse {
+							return nil, errors.Mark(dialFailed(), ErrRefused)
+						}
+						if time.Now().Before(until) && !sleep.For(ctx, min(dialPause, time.Until(until))) || time.Now().Before(until) {
+							return nil, dialFailed()
+						}
+						return plainAnswer(http.StatusOK, "done"), nil
+					}
+					begun := time.Now()
+					rec, err := w.request(path)
+					if test.refuse {
+						require.Equal(t, refusal.NotRun, w.refusalOf(err).Outcome)
+						require.Less(t, time.Since(begun), 50*time.Millisecond)
+						return
+					}
+					require.NoError(t, err)
+					require.Equal(t, "done", rec.Body.String())
+				})
+			})
+		}
+	}
+}
+
 // Guards against a repeatable request that is ended at a silent replica although it
 // cannot be repeated: the retry budget is used up, or there is no other replica.
 func TestSilentReplicaKeepsARequestThatCannotBeRepeated(t *testing.T) {
