stream: a frame without the engine's boot is rejected

What callers saw: nothing in the reports. If an engine's header names no boot, the first frame decides it, and frames that name none were accepted until one did: tokens of two engine processes could stand in one stream. The protocol has the boot in every frame (docs/design.md). Evidence: TestFrameNamesItsBoot failed before:

Error: Expected error with "frame out of order" in chain but got nil.

--- a/request/stream/stream.go
+++ b/request/stream/stream.go
@@ -46,7 +46,7 @@
 	if c.Boot == "" {
 		c.Boot = f.Boot
 	}
-	if f.Boot != c.Boot {
+	if f.Boot != c.Boot || f.Boot == "" {
 		return false, fmt.Errorf("frame of engine boot %q in stream of boot %q: %w", f.Boot, c.Boot, ErrOrder)
 	}
 	if c.Ended {
--- a/request/stream/stream_test.go
+++ b/request/stream/stream_test.go
@@ -62,3 +62,12 @@
 	require.NoError(t, err)
 	require.True(t, pass)
 }
+
+// Guards against frames of two engine processes in one stream: a frame that names
+// none may belong to any of them.
+func TestFrameNamesItsBoot(t *testing.T) {
+	c := stream.Check{Gen: "g"}
+	_, err := c.Accept(stream.Frame{Gen: "g", N: 1})
+	require.ErrorIs(t, err, stream.ErrOrder)
+	require.Empty(t, c.Last)
+}
