client: a token without an ID is not taken for one that comes again

In a stream of server-sent events, an event without an ID has the ID of the one before it, so that the client skipped a token without one as already delivered, and the stream could end as complete without it. Evidence: the cases "token without an id", "first token without an id", "twice" and "back" of TestEvents; the first of them to be checked failed before:

expected: false actual: true (ended as complete) Messages: first token without an id

On one connection, an entry sends each token once and in order, so a token whose number is not higher than that of the event before fails the stream as garbage. Tokens delivered on an earlier connection are still skipped. The new cases "cut", "cut end", "error text" and "head" show what the client did before as well: no event that is not whole counts, and none of this ends a stream as complete.

--- a/client/stream.go
+++ b/client/stream.go
@@ -55,6 +55,7 @@
 		prompt     Prompt
 		id         string // ID of the last event, from which the stream is resumed
 		n          int    // number of the last token delivered
+		received   int    // number of the last event with one on this connection
 		gen        string // ID of the generation that the tokens belong to
 		mayHaveRun bool   // an earlier attempt may have run
 		done       bool   // the completion has ended
@@ -183,6 +184,7 @@
 	if res.StatusCode != http.StatusOK {
 		return readRefusal(res)
 	}
+	r.received = 0
 	watch := time.AfterFunc(streamIdleTimeout, cancel)
 	defer watch.Stop()
 	for event, err := range sse.Read(res.Body, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
@@ -201,10 +203,11 @@
 func (r *completionState) handleEvent(event sse.Event) error {
 	switch event.Type {
 	case "open":
-		sealed, _, err := resume.Split(event.LastEventID)
+		sealed, n, err := resume.Split(event.LastEventID)
 		if err != nil {
 			return refusal.New(refusal.Garbage, refusal.Unknown, err.Error())
 		}
+		r.received = n
 		// The position is kept: resuming from an earlier one would allow tokens of
 		// another generation to follow those already delivered.
 		r.id = resume.Join(sealed, r.n)
@@ -239,12 +242,17 @@
 }
 
 // deliver yields a token if it is the next one. It skips tokens that were already
-// delivered, and fails if one is missing.
+// delivered on another connection, and fails if one is missing. An event without an
+// ID has that of the event before it, so it fails as one that comes twice.
 func (r *completionState) deliver(id, text string) error {
 	_, n, err := resume.Split(id)
 	if err != nil {
 		return refusal.New(refusal.Garbage, refusal.Unknown, err.Error())
 	}
+	if n <= r.received {
+		return refusal.New(refusal.Garbage, refusal.Unknown, fmt.Sprintf("token %d follows event %d", n, r.received))
+	}
+	r.received = n
 	if n <= r.n {
 		return nil
 	}
--- a/client/stream_test.go
+++ b/client/stream_test.go
@@ -63,11 +63,23 @@
 		"second generation": {
 			tokenEvent("s", 8) + "id: s.9\ndata: {\"id\":\"other\",\"choices\":[{\"text\":\"t\"}]}\n\n", 7, "s.8", false, refusal.Garbage,
 		},
-		"gap":        {open + tokenEvent("s", 9), 7, "s.7", false, refusal.Garbage},
-		"no id":      {"data: {\"choices\":[{\"text\":\"t\"}]}\n\n", 7, "s.7", false, refusal.Garbage},
-		"bad open":   {"event: open\nid: x\ndata: {}\n\n", 7, "s.7", false, refusal.Garbage},
-		"malformed":  {open + "id: s.8\ndata: {\n\n", 7, "s.7", false, refusal.Garbage},
-		"no choice":  {open + "id: s.8\ndata: {}\n\n", 7, "s.7", false, refusal.Garbage},
+		"gap":       {open + tokenEvent("s", 9), 7, "s.7", false, refusal.Garbage},
+		"no id":     {"data: {\"choices\":[{\"text\":\"t\"}]}\n\n", 7, "s.7", false, refusal.Garbage},
+		"bad open":  {"event: open\nid: x\ndata: {}\n\n", 7, "s.7", false, refusal.Garbage},
+		"malformed": {open + "id: s.8\ndata: {\n\n", 7, "s.7", false, refusal.Garbage},
+		"no choice": {open + "id: s.8\ndata: {}\n\n", 7, "s.7", false, refusal.Garbage},
+		"token without an id": {
+			open + tokenEvent("s", 8) + "data: {\"id\":\"gen\",\"choices\":[{\"text\":\"t\"}]}\n\n" + done, 7, "s.8", false, refusal.Garbage,
+		},
+		"first token without an id": {
+			open + "data: {\"id\":\"gen\",\"choices\":[{\"text\":\"t\"}]}\n\n" + done, 0, "s.0", false, refusal.Garbage,
+		},
+		"twice":      {open + tokenEvent("s", 8) + tokenEvent("s", 8), 7, "s.8", false, refusal.Garbage},
+		"back":       {open + tokenEvent("s", 6) + tokenEvent("s", 5) + done, 7, "s.7", false, refusal.Garbage},
+		"cut":        {open + tokenEvent("s", 8) + tokenEvent("s", 9)[:9], 7, "s.8", false, ""},
+		"cut end":    {open + tokenEvent("s", 8) + done[:12], 7, "s.8", false, ""},
+		"error text": {open + tokenEvent("s", 8) + "data: {\"error\":1}\n\n", 7, "s.8", false, refusal.Garbage},
+		"head":       {open + tokenEvent("s", 8) + "HTTP/1.1 500 no\r\nContent-Length: 4\r\n\r\nfail\n\n", 7, "s.8", false, ""},
 		"lost":       {"event: error\ndata: {\"title\":\"generation_lost\",\"ran\":\"maybe\"}\n\n", 7, "s.7", false, refusal.GenerationLost},
 		"no problem": {"event: error\ndata: ?\n\n", 7, "s.7", false, refusal.Internal},
 	} {
