diagnosis: an engine whose events were rejected is named as such

explain said that the engine had ended the stream. TestRejectedEvents failed before:

expected: "engine i-70 sent something else than the next event, and there was no copy of its memory" actual : "engine i-70 ended the stream without a notice that was seen, and there was no copy of its memory"

--- a/internal/diagnosis/diagnosis.go
+++ b/internal/diagnosis/diagnosis.go
@@ -234,6 +234,9 @@
 		return "the answer broke off: " + end.get("error")
 	}
 	text := "engine " + broken.get("endpoint") + " ended the stream" + l.describeNotice(broken)
+	if broken.get("reason") == "garbage" {
+		text = "engine " + broken.get("endpoint") + " sent something else than the next event"
+	}
 	switch after, _ := lastEvent(list, "attempt_refused", "attempt_failed"); {
 	case after.Event == "attempt_refused" && after.get("from") != "":
 		return text + ", and the engine with the copy of its memory did not have it"
--- a/internal/diagnosis/diagnosis_test.go
+++ b/internal/diagnosis/diagnosis_test.go
@@ -137,3 +137,12 @@
 		}
 	})
 }
+
+// Guards against an engine that is said to have ended a stream, although the
+// instance rejected what it sent.
+func TestRejectedEvents(t *testing.T) {
+	l := read(t, `{"backup":false,"detail":"stream of i-70: event 1 after event 3","reason":"garbage","endpoint":"i-70","event":"stream_broken","request":"q1","time":"2026-04-22T09:36:43.06Z"}
+{"error":"garbage (unknown): answer broke off","event":"cut","request":"q1","time":"2026-04-22T09:36:43.07Z"}
+`)
+	require.Equal(t, "engine i-70 sent something else than the next event, and there was no copy of its memory", l.Cause("q1"))
+}
