engine: a token does not wait for the next one

Buffered took any empty line in the buffer for the end of another frame. If a comment or a token that was sent twice came with a token, the entry did not pass the token on until the engine sent another one.

--- a/connection/engine/reader_test.go
+++ b/connection/engine/reader_test.go
@@ -99,3 +99,35 @@
 		require.Equal(t, want.Outcome, refusal.From(err).Outcome, gen)
 	}
 }
+
+// Guards against a token that the caller gets only with the next one, because
+// something that is no further token came with it.
+func TestBuffered(t *testing.T) {
+	const next = `data: {"boot":"b","gen":"g","n":2,"text":"t"}` + "\n\n"
+	for name, tt := range map[string]struct {
+		rest string
+		want bool
+	}{
+		"nothing": {"", false}, "token": {next, true}, "end": {`data: {"boot":"b","gen":"g","n":1,"end":true}` + "\n\n", true},
+		"part": {next[:20], false}, "token again": {string(frames(1, "")), false}, "comment": {": busy\n\n", false},
+		"token again and token": {string(frames(1, next)), true}, "comment and token": {": busy\n\n" + next, true},
+		"malformed": {"data: {\n\n", false}, "other field": {"event: x\n\n", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			conn := &engine.Conn{Addr: "engine", HTTP: &http.Client{Transport: transport(frames(1, tt.rest))}}
+			r, err := conn.Resume(context.Background(), "g", "", 0)
+			require.NoError(t, err)
+			defer func() { _ = r.Close() }()
+			_, err = r.Next()
+			require.NoError(t, err)
+			require.Equal(t, tt.want, r.Buffered())
+			f, err := r.Next()
+			if tt.want {
+				require.NoError(t, err)
+				require.True(t, f.N == 2 || f.End)
+				return
+			}
+			require.Error(t, err)
+		})
+	}
+}
