stream: empty lines after an event do not hold it back

What callers saw: nothing in the reports. Evidence: the case "empty lines" of TestEventDoesNotWaitForTheNext failed before, with 0 flushes instead of 1.

--- a/process/gateway/relay_test.go
+++ b/process/gateway/relay_test.go
@@ -292,7 +292,7 @@
 // Guards against an event that the caller gets late, or not at all, because a part
 // of the next one came with it.
 func TestEventDoesNotWaitForTheNext(t *testing.T) {
-	for name, part := range map[string]string{"part": "id: 2\nda", "CR LF part": "\r\nid: 2\r\nda", "garbage": "fail\n\n"} {
+	for name, part := range map[string]string{"part": "id: 2\nda", "CR LF part": "\r\nid: 2\r\nda", "garbage": "fail\n\n", "empty lines": "\n\r\n\n"} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				w := newTestGateway(t)
--- a/request/stream/event.go
+++ b/request/stream/event.go
@@ -103,5 +103,6 @@
 // Pending reports whether the next event has been received whole.
 func (e *EventReader) Pending() bool {
 	data, _ := e.r.Peek(e.r.Buffered())
+	data = bytes.TrimLeft(data, "\r\n") // empty lines end no event
 	return bytes.Contains(data, []byte("\n\n")) || bytes.Contains(data, []byte("\n\r\n"))
 }
