entry: a request waits for an engine that is only silent

Engines that sent nothing for 1.2 s and then went on cost requests: one poll without an answer in 0.8 s kept each engine from new work for 3 s, so that a service whose engines were all silent refused everything for that time, at once, as "no endpoint can be used". A request whose chosen engine missed the poll before it also excluded that engine for good.

TestSilence pauses all endpoints of a service three times for 0.3, 1.2 or 3 s, on kept connections and with new ones queued or not made. Before (two engines):

--- FAIL: TestSilence/1.2s_full_false, 1.2s_full_true, 3s_full_false, 3s_full_true 474 x completion: status 503: no endpoint of service "guide" can be used

Calls of plain services passed: there silence is only a preference.

A poll without an answer now marks the engine as silent (SetSilent). Such an engine gets no new work, but requests for which no other is usable wait for it in the queue, until their deadlines. What shows that an engine cannot serve is still suspected: a refused or broken connection, a wrong answer. A poll starts a period after the begin of the last one, so that the end of a silence is seen soon, and polls go on while a request waits: without that a request for a service that was otherwise idle waited until its deadline (TestSilenceOfIdleService: 504 instead of 200, in two runs of two).

go test -race ./process/entry ./process/placement ./process/gateway: ok.

--- a/process/entry/enginepool.go
+++ b/process/entry/enginepool.go
@@ -99,8 +99,8 @@
 
 // acquire reserves a slot for the job and waits for one if necessary. The state
 // of the chosen endpoint is polled if it is too old; an endpoint that turns out
-// to be unusable is excluded. Errors are of type *refusal.Error with the
-// outcome NotRun.
+// to be unusable is excluded, unless it is only silent. Errors are of type
+// *refusal.Error with the outcome NotRun.
 func (p *enginePool) acquire(ctx context.Context, j *job) (*slot, error) {
 	p.markUsed()
 	for {
@@ -112,7 +112,9 @@
 			return s, err
 		}
 		s.release(false)
-		j.exclude = append(j.exclude, s.endpoint.ID)
+		if !p.isSilent(s.endpoint.ID) {
+			j.exclude = append(j.exclude, s.endpoint.ID)
+		}
 	}
 }
 
--- a/process/entry/poll.go
+++ b/process/entry/poll.go
@@ -38,11 +38,12 @@
 	}
 }
 
-// waitNextPoll waits until the next poll is due: for a period or, if the
-// service has been idle for idleAfter, until it is used again. It returns false
-// when ctx ends.
+// waitNextPoll waits until the next poll is due: a period after the begin of the last
+// one, so that a silent endpoint is polled almost without a pause, or, if the service
+// has been idle for idleAfter and no request waits, until it is used again. It returns
+// false when ctx ends.
 func (p *enginePool) waitNextPoll(ctx context.Context, w *watch) bool {
-	if p.e.now().Sub(time.UnixMilli(p.lastUsed.Load())) >= idleAfter {
+	if p.e.now().Sub(time.UnixMilli(p.lastUsed.Load())) >= idleAfter && p.dispatcher.Queue.Len() == 0 {
 		p.e.polling.Add(-1)
 		defer p.e.polling.Add(1)
 		select {
@@ -52,7 +53,7 @@
 			return true
 		}
 	}
-	return sleepUntil(ctx, p.e.now().Add(p.e.pollWait()), p.e.now())
+	return sleepUntil(ctx, time.UnixMilli(w.polled.Load()).Add(p.e.pollWait()), p.e.now())
 }
 
 // pollWait returns the time between two polls of an endpoint. It varies by a
--- a/process/entry/watch.go
+++ b/process/entry/watch.go
@@ -4,11 +4,14 @@
 	"context"
 	"maps"
 	"math/rand/v2"
+	"net"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/eelgrassdock/eelgrassdock/connection/engine"
 	"github.com/eelgrassdock/eelgrassdock/connection/service"
 	"github.com/eelgrassdock/eelgrassdock/process/locate"
@@ -18,7 +21,7 @@
 )
 
 const (
-	pollTimeout = 800 * time.Millisecond // an endpoint that does not respond in this time is marked as down
+	pollTimeout = 800 * time.Millisecond // an endpoint that does not respond in this time counts as silent
 	maxEvents   = 4096                   // maximum number of cache events processed per poll
 )
 
@@ -28,7 +31,8 @@
 	stop     context.CancelFunc
 	report   atomic.Pointer[engine.Report]
 	leaving  atomic.Bool
-	down     atomic.Bool
+	down     atomic.Bool   // the last poll failed
+	silent   atomic.Bool   // because the endpoint did not respond
 	failed   atomic.Int64  // Unix ms until which other replicas are preferred after a failure
 	polled   atomic.Int64  // Unix ms at which the last poll began
 	wake     chan struct{} // ends the pause of polls of an idle service
@@ -150,15 +154,21 @@
 
 // pollEngine reads the load of an engine and, every eventsEvery polls, its
 // cache events after the number seq. It returns the number of the last event
-// read. An engine that does not respond is suspected for suspectTime.
+// read. A silent engine gets no new work until it responds; one that shows by its
+// response, or by refusing or breaking the connection, that it cannot serve is suspected
+// for suspectTime.
 func (p *enginePool) pollEngine(ctx context.Context, w *watch, seq int64) int64 {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	conn := &engine.Conn{Addr: w.endpoint.Addr, HTTP: p.e.polls}
 	r, err := conn.Load(ctx)
 	w.down.Store(err != nil)
+	w.silent.Store(isTimeout(err))
+	p.sched.SetSilent(w.endpoint.ID, w.silent.Load())
 	if err != nil {
-		p.sched.Suspect(w.endpoint.ID, p.e.now().Add(suspectTime))
+		if !w.silent.Load() {
+			p.sched.Suspect(w.endpoint.ID, p.e.now().Add(suspectTime))
+		}
 		return seq
 	}
 	old := w.report.Swap(&r)
@@ -187,6 +197,18 @@
 	return list[len(list)-1].Seq
 }
 
+// isTimeout reports whether an operation ended because nothing arrived in time.
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
+// isSilent reports whether an endpoint did not respond to its last poll.
+func (p *enginePool) isSilent(endpoint string) bool {
+	w := p.findWatch(endpoint)
+	return w != nil && w.silent.Load()
+}
+
 // pollPlain reads the health of a replica of a plain service.
 func (p *enginePool) pollPlain(ctx context.Context, w *watch) {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
--- a/process/placement/account.go
+++ b/process/placement/account.go
@@ -60,6 +60,7 @@
 		slowdownAt  int64   // Unix nanoseconds
 
 		suspect int64 // time before which it gets no new work; Unix nanoseconds
+		silent  bool  // requests wait for it if no other endpoint is usable
 		closed  bool  // drained or leaving
 		far     bool  // in another region
 		near    bool  // in the place of the entry
--- a/process/placement/baseline.go
+++ b/process/placement/baseline.go
@@ -7,6 +7,11 @@
 
 // usable reports whether an endpoint may get new work.
 func (s *Scheduler) usable(e *endpoint, req *Request) bool {
+	return !e.silent && s.mayBecomeUsable(e, req)
+}
+
+// mayBecomeUsable reports whether an endpoint is usable, apart from its silence.
+func (s *Scheduler) mayBecomeUsable(e *endpoint, req *Request) bool {
 	return !e.closed && e.suspect <= s.nanos &&
 		(len(req.Exclude) == 0 || !slices.Contains(req.Exclude, e.ID))
 }
--- a/process/placement/placement.go
+++ b/process/placement/placement.go
@@ -31,6 +31,7 @@
 import (
 	"expvar"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -298,6 +299,18 @@
 	}
 }
 
+// SetSilent marks an endpoint as silent, or ends that. A silent endpoint does not
+// respond, but nothing shows that it has ended: it gets no new work, and a request for
+// which no other endpoint is usable waits.
+func (s *Scheduler) SetSilent(id string, silent bool) {
+	s.once.Do(s.init)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if ep := s.byID[id]; ep != nil {
+		ep.silent = silent
+	}
+}
+
 // Place chooses an endpoint for a request and reserves memory there until Done.
 // At or after the request's deadline the decision is Wait.
 func (s *Scheduler) Place(req Request, now time.Time) Decision {
@@ -322,6 +335,7 @@
 		ep, wait = s.choose(&req, &estimate)
 	}
 	if ep == nil {
+		wait = wait || slices.ContainsFunc(s.list, func(e *endpoint) bool { return s.mayBecomeUsable(e, &req) })
 		return Decision{Wait: wait, None: !wait}
 	}
 	return Decision{Endpoint: ep.ID, Ticket: s.reserve(ep, &req, &estimate)}
--- a/process/placement/placement_test.go
+++ b/process/placement/placement_test.go
@@ -146,6 +146,36 @@
 	}
 }
 
+// Guards against new work for silent endpoints while another is usable, and against the
+// refusal of a request that a silent endpoint may still take, under every policy.
+func TestSilentEndpoints(t *testing.T) {
+	for _, p := range []Policy{Current, Previous, RoundRobin, LeastConn, TwoChoice} {
+		s := fleet(3, p)
+		for _, e := range endpoints(3) {
+			s.SetSilent(e.ID, e.ID != "e002")
+		}
+		if d := s.Place(request(10, start), start); d.Endpoint != "e002" {
+			t.Errorf("%s: decision %+v", p, d)
+		}
+		s = fleet(3, p)
+		s.SetSilent("e000", true)
+		s.SetSilent("e001", true)
+		s.Suspect("e002", start.Add(time.Minute))
+		req := request(10, start)
+		if d := s.Place(req, start); !d.Wait || d.None {
+			t.Errorf("%s: decision %+v while endpoints are silent", p, d)
+		}
+		req.Exclude = []string{"e000", "e001"}
+		if d := s.Place(req, start); !d.None || d.Wait {
+			t.Errorf("%s: decision %+v while excluded endpoints are silent", p, d)
+		}
+		s.SetSilent("e001", false)
+		if d := s.Place(request(10, start), start); d.Endpoint != "e001" {
+			t.Errorf("%s: decision %+v after the silence", p, d)
+		}
+	}
+}
+
 // Guards against a late report replacing a newer one that says that the endpoint
 // is leaving. After staleAfter, an earlier time must be accepted, because the
 // endpoint may have restarted with an earlier clock.
