entry: a connection that is not made in time excludes no engine

A request whose connection to the only engine was not made within 2 s was refused as not run, and everything after it for 3 s, though the engine went on: the failed attempt excluded the engine from the request and made it suspect.

TestSilence now also starts a request of each kind just before a silence that no poll has found yet.

--- FAIL: TestSilence/3s_endpoints_1_full_true 95 x completion: status 503: no endpoint of service "guide" can be used

An attempt that failed only because nothing arrived in time marks the engine as silent. A refused or broken connection and a wrong answer exclude it as before.

--- a/process/entry/enginepool.go
+++ b/process/entry/enginepool.go
@@ -93,7 +93,7 @@
 	return placement.Request{
 		ID: p.lastID.Add(1), Account: j.call.account.ID, Prompt: engine.EstimateTokens(j.req.Prompt),
 		Prefix: engine.PrefixHashes(j.req.Prompt), Max: j.req.Max, Rank: j.call.account.Rank,
-		Arrived: j.call.arrived, Deadline: j.call.deadline, Exclude: j.exclude,
+		Arrived: j.call.arrived, Deadline: j.call.deadline, Exclude: slices.Concat(j.exclude, j.avoid),
 	}
 }
 
@@ -153,6 +153,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if decision.None && len(j.avoid) > 0 {
+		j.avoid = nil
+		return p.reserve(ctx, j)
+	}
 	return p.slot(j, decision)
 }
 
--- a/process/entry/job.go
+++ b/process/entry/job.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"os"
 	"strconv"
 	"strings"
 	"syscall"
@@ -49,6 +50,7 @@
 	resumed     bool     // the caller sent a resume token
 	mayHaveRun  bool     // a generation of this job may have run
 	exclude     []string // endpoints on which this job failed
+	avoid       []string // endpoints that did not respond to this job, excluded while others can be used
 	attempt     int      // number of the current attempt, from 0
 }
 
@@ -363,6 +365,13 @@
 	return strings.Contains(err.Error(), syscall.ECONNREFUSED.Error())
 }
 
+// isNoResponse reports whether an attempt failed only because the endpoint sent nothing
+// in time, neither an answer nor a sign that no process listens there.
+func isNoResponse(fault *refusal.Error) bool {
+	return fault.Reason == refusal.Timeout || fault.Reason == refusal.Dial &&
+		(strings.Contains(fault.Detail, os.ErrDeadlineExceeded.Error()) || strings.Contains(fault.Detail, context.DeadlineExceeded.Error()))
+}
+
 // unreachableError returns the refusal for an engine that could not be reached
 // for reconnectTime. If its address refuses connections, no process listens
 // there and its generations are lost. Otherwise the link may be stalled, and
@@ -377,13 +386,19 @@
 }
 
 // excludeEndpoint excludes an endpoint on which the job failed from further
-// attempts and reports it to the pool as suspect.
+// attempts and reports it to the pool as suspect. One that only did not respond is
+// reported as silent, and is tried again if no other can be used.
 func (j *job) excludeEndpoint(endpoint string, err error) {
 	switch fault := refusal.From(err); fault.Reason {
 	case refusal.Canceled, refusal.Deadline, refusal.Stopping:
 	default:
-		j.exclude = append(j.exclude, endpoint)
-		j.e.pool(j.service.ID).suspect(endpoint, fault)
+		if isNoResponse(fault) {
+			j.avoid = append(j.avoid, endpoint)
+			j.e.pool(j.service.ID).setSilent(endpoint)
+		} else {
+			j.exclude = append(j.exclude, endpoint)
+			j.e.pool(j.service.ID).suspect(endpoint, fault)
+		}
 		j.e.Log.WithFields(logrus.Fields{
 			"endpoint": endpoint, "reason": fault.Reason, "gen": j.generation, "after": j.lastToken,
 		}).Warn("generation failed: " + fault.Detail)
--- a/process/entry/silence_test.go
+++ b/process/entry/silence_test.go
@@ -119,7 +119,15 @@
 						})
 					}
 					time.Sleep(300 * time.Millisecond)
-					for range 3 {
+					for n := range 3 {
+						wg.Go(func() { // before a poll can find the silence
+							time.Sleep(50 * time.Millisecond)
+							streamOnce(t, s, fmt.Sprint("length=20 at begin ", n))
+						})
+						wg.Go(func() {
+							time.Sleep(50 * time.Millisecond)
+							callOnce(t, s, fmt.Sprint("at-begin-", n))
+						})
 						p.pause(pause)
 						time.Sleep(700 * time.Millisecond)
 					}
@@ -187,3 +195,63 @@
 	require.Less(t, time.Since(begun), 30*time.Second)
 	<-paused
 }
+
+// muteConn is a connection to an engine that answers polls but no request.
+type muteConn struct {
+	net.Conn
+	mute   atomic.Bool
+	closed chan struct{}
+	once   sync.Once
+}
+
+func (c *muteConn) Write(b []byte) (int, error) {
+	if strings.HasPrefix(string(b), "POST /generate") {
+		c.mute.Store(true)
+		return len(b), nil
+	}
+	return c.Conn.Write(b)
+}
+
+func (c *muteConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if c.mute.Load() {
+		<-c.closed
+	}
+	return n, err
+}
+
+func (c *muteConn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
+// TestEngineThatAnswersOnlyPolls guards against a request that goes to the same engine
+// again and again, because that answers polls, while another one is silent for a while.
+func TestEngineThatAnswersOnlyPolls(t *testing.T) {
+	t.Parallel()
+	p := &pausable{}
+	var muteAddr atomic.Value
+	muteAddr.Store("")
+	s := start(t, &system.System{Entries: 1, Engines: 2, Prepare: func(_ int, e *entry.Entry) {
+		e.Stall = 300 * time.Millisecond
+		e.Dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+			if addr != muteAddr.Load() {
+				return p.dial(ctx, network, addr)
+			}
+			conn, err := (&net.Dialer{}).DialContext(ctx, network, addr)
+			if err != nil {
+				return nil, err
+			}
+			return &muteConn{Conn: conn, closed: make(chan struct{})}, nil
+		}
+	}})
+	muteAddr.Store(s.Endpoints[0].Addr)
+	paused := make(chan struct{})
+	go func() {
+		defer close(paused)
+		p.pause(9 * time.Second)
+	}()
+	time.Sleep(2500 * time.Millisecond) // a poll finds the silence of the other engine
+	streamOnce(t, s, "length=5 of a prompt")
+	<-paused
+}
--- a/process/entry/watch.go
+++ b/process/entry/watch.go
@@ -32,7 +32,7 @@
 	report   atomic.Pointer[engine.Report]
 	leaving  atomic.Bool
 	down     atomic.Bool   // the last poll failed
-	silent   atomic.Bool   // because the endpoint did not respond
+	silent   atomic.Bool   // the endpoint did not respond to a poll or a request, and has not responded since
 	failed   atomic.Int64  // Unix ms until which other replicas are preferred after a failure
 	polled   atomic.Int64  // Unix ms at which the last poll began
 	wake     chan struct{} // ends the pause of polls of an idle service
@@ -203,7 +203,16 @@
 	return errors.As(err, &timeout) && timeout.Timeout()
 }
 
-// isSilent reports whether an endpoint did not respond to its last poll.
+// setSilent keeps new work from an endpoint that did not respond to a request, until it
+// responds to a poll.
+func (p *enginePool) setSilent(endpoint string) {
+	if w := p.findWatch(endpoint); w != nil {
+		w.silent.Store(true)
+		p.sched.SetSilent(endpoint, true)
+	}
+}
+
+// isSilent reports whether an endpoint did not respond to its last poll or request.
 func (p *enginePool) isSilent(endpoint string) bool {
 	w := p.findWatch(endpoint)
 	return w != nil && w.silent.Load()
