entry: a cancellation is tried again while the engine is silent

A caller hung up, and 5 s later, when its generation was to be canceled, the engine was silent for 3 s. The one attempt to cancel was given up after 2 s, so the generation went on to its end without a reader.

TestCancelInSilence failed before:

--- FAIL: TestCancelInSilence (27.70s) Condition never satisfied (1 generation canceled within 20 s)

An engine that does not respond is tried again until the deadline of the request, at growing intervals. A refused connection ends the attempts: there is no process whose generation could go on.

TestSilentEntries and TestSilentPeers pause entries as seen by the Go client, and as seen by each other, in the same way; both passed at once, without a change: neither the client nor the claims lose anything in 0.3 to 3 s.

--- a/process/entry/job.go
+++ b/process/entry/job.go
@@ -30,7 +30,7 @@
 	reconnectTime = 8 * time.Second        // how long reconnecting to an engine is attempted
 	refusedTime   = time.Second            // how long it is attempted if the engine's address refuses connections
 	reconnectWait = 100 * time.Millisecond // mean wait before the first reconnection
-	cancelTimeout = 2 * time.Second        // time for an engine to accept a cancellation
+	cancelTimeout = 2 * time.Second        // time for an engine to accept a cancellation, which is then tried again
 )
 
 // job is one completion request, from the choice of an endpoint to the last
@@ -418,17 +418,30 @@
 	if (hungUp || j.out.delivered()) && !j.act.canceled.Load() {
 		cancel, at = conn.CancelIdle, at.Add(hangupGrace)
 	}
-	generation := j.generation
+	generation, until := j.generation, j.call.deadline
 	j.e.spawn(func() {
-		if !sleepUntil(j.e.background, at, j.e.now()) {
+		if sleepUntil(j.e.background, at, j.e.now()) {
+			j.e.cancelGeneration(generation, until, cancel)
+		}
+	})
+}
+
+// cancelGeneration cancels a generation. An engine that does not respond is tried again
+// until the given time, unless its address refuses connections.
+func (e *Entry) cancelGeneration(generation string, until time.Time, cancel func(ctx context.Context, gen string) error) {
+	for wait := reconnectWait; ; wait = min(2*wait, reconnectTime) {
+		ctx, stop := context.WithTimeout(e.background, cancelTimeout)
+		err := cancel(ctx, generation)
+		stop()
+		if err == nil {
 			return
 		}
-		ctx, stop := context.WithTimeout(j.e.background, cancelTimeout)
-		defer stop()
-		if err := cancel(ctx, generation); err != nil {
-			j.e.Log.WithError(err).WithField("gen", generation).Debug("generation could not be cancelled")
+		at := e.now().Add(wait)
+		if isConnRefused(err) || at.After(until) || !sleepUntil(e.background, at, e.now()) {
+			e.Log.WithError(err).WithField("gen", generation).Debug("generation could not be cancelled")
+			return
 		}
-	})
+	}
 }
 
 // sleepUntil waits until the time at. It reports whether ctx has not ended.
