--- a/process/entry/enginepool.go
+++ b/process/entry/enginepool.go
@@ -93,14 +93,14 @@
 	return placement.Request{
 		ID: p.lastID.Add(1), Account: j.call.account.ID, Prompt: engine.EstimateTokens(j.req.Prompt),
 		Prefix: engine.PrefixHashes(j.req.Prompt), Max: j.req.Max, Rank: j.call.account.Rank,
-		Arrived: j.call.arrived, Deadline: j.call.deadline, Exclude: j.exclude,
+		Arrived: j.call.arrived, Deadline: j.call.deadline, Exclude: slices.Concat(j.exclude, j.avoid),
 	}
 }
 
 // acquire reserves a slot for the job and waits for one if necessary. The state
 // of the chosen endpoint is polled if it is too old; an endpoint that turns out
-// to be unusable is excluded. Errors are of type *refusal.Error with the
-// outcome NotRun.
+// to be unusable is excluded, unless it is only silent. Errors are of type
+// *refusal.Error with the outcome NotRun.
 func (p *enginePool) acquire(ctx context.Context, j *job) (*slot, error) {
 	p.markUsed()
 	for {
@@ -112,7 +112,9 @@
 			return s, err
 		}
 		s.release(false)
-		j.exclude = append(j.exclude, s.endpoint.ID)
+		if !p.isSilent(s.endpoint.ID) {
+			j.exclude = append(j.exclude, s.endpoint.ID)
+		}
 	}
 }
 
@@ -151,6 +153,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if decision.None && len(j.avoid) > 0 {
+		j.avoid = nil
+		return p.reserve(ctx, j)
+	}
 	return p.slot(j, decision)
 }
 
--- a/process/entry/job.go
+++ b/process/entry/job.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"os"
 	"strconv"
 	"strings"
 	"syscall"
@@ -29,7 +30,7 @@
 	reconnectTime = 8 * time.Second        // how long reconnecting to an engine is attempted
 	refusedTime   = time.Second            // how long it is attempted if the engine's address refuses connections
 	reconnectWait = 100 * time.Millisecond // mean wait before the first reconnection
-	cancelTimeout = 2 * time.Second        // time for an engine to accept a cancellation
+	cancelTimeout = 2 * time.Second        // time for an engine to accept a cancellation, which is then tried again
 )
 
 // job is one completion request, from the choice of an endpoint to the last
@@ -49,6 +50,7 @@
 	resumed     bool     // the caller sent a resume token
 	mayHaveRun  bool     // a generation of this job may have run
 	exclude     []string // endpoints on which this job failed
+	avoid       []string // endpoints that did not respond to this job, excluded while others can be used
 	attempt     int      // number of the current attempt, from 0
 }
 
@@ -363,6 +365,13 @@
 	return strings.Contains(err.Error(), syscall.ECONNREFUSED.Error())
 }
 
+// isNoResponse reports whether an attempt failed only because the endpoint sent nothing
+// in time, neither an answer nor a sign that no process listens there.
+func isNoResponse(fault *refusal.Error) bool {
+	return fault.Reason == refusal.Timeout || fault.Reason == refusal.Dial &&
+		(strings.Contains(fault.Detail, os.ErrDeadlineExceeded.Error()) || strings.Contains(fault.Detail, context.DeadlineExceeded.Error()))
+}
+
 // unreachableError returns the refusal for an engine that could not be reached
 // for reconnectTime. If its address refuses connections, no process listens
 // there and its generations are lost. Otherwise the link may be stalled, and
@@ -377,13 +386,19 @@
 }
 
 // excludeEndpoint excludes an endpoint on which the job failed from further
-// attempts and reports it to the pool as suspect.
+// attempts and reports it to the pool as suspect. One that only did not respond is
+// reported as silent, and is tried again if no other can be used.
 func (j *job) excludeEndpoint(endpoint string, err error) {
 	switch fault := refusal.From(err); fault.Reason {
 	case refusal.Canceled, refusal.Deadline, refusal.Stopping:
 	default:
-		j.exclude = append(j.exclude, endpoint)
-		j.e.pool(j.service.ID).suspect(endpoint, fault)
+		if isNoResponse(fault) {
+			j.avoid = append(j.avoid, endpoint)
+			j.e.pool(j.service.ID).setSilent(endpoint)
+		} else {
+			j.exclude = append(j.exclude, endpoint)
+			j.e.pool(j.service.ID).suspect(endpoint, fault)
+		}
 		j.e.Log.WithFields(logrus.Fields{
 			"endpoint": endpoint, "reason": fault.Reason, "gen": j.generation, "after": j.lastToken,
 		}).Warn("generation failed: " + fault.Detail)
@@ -403,17 +418,30 @@
 	if (hungUp || j.out.delivered()) && !j.act.canceled.Load() {
 		cancel, at = conn.CancelIdle, at.Add(hangupGrace)
 	}
-	generation := j.generation
+	generation, until := j.generation, j.call.deadline
 	j.e.spawn(func() {
-		if !sleepUntil(j.e.background, at, j.e.now()) {
+		if sleepUntil(j.e.background, at, j.e.now()) {
+			j.e.cancelGeneration(generation, until, cancel)
+		}
+	})
+}
+
+// cancelGeneration cancels a generation. An engine that does not respond is tried again
+// until the given time, unless its address refuses connections.
+func (e *Entry) cancelGeneration(generation string, until time.Time, cancel func(ctx context.Context, gen string) error) {
+	for wait := reconnectWait; ; wait = min(2*wait, reconnectTime) {
+		ctx, stop := context.WithTimeout(e.background, cancelTimeout)
+		err := cancel(ctx, generation)
+		stop()
+		if err == nil {
 			return
 		}
-		ctx, stop := context.WithTimeout(j.e.background, cancelTimeout)
-		defer stop()
-		if err := cancel(ctx, generation); err != nil {
-			j.e.Log.WithError(err).WithField("gen", generation).Debug("generation could not be cancelled")
+		at := e.now().Add(wait)
+		if isConnRefused(err) || at.After(until) || !sleepUntil(e.background, at, e.now()) {
+			e.Log.WithError(err).WithField("gen", generation).Debug("generation could not be cancelled")
+			return
 		}
-	})
+	}
 }
 
 // sleepUntil waits until the time at. It reports whether ctx has not ended.
--- a/process/gateway/enginepool.go
+++ b/process/gateway/enginepool.go
@@ -43,6 +43,7 @@
 	failures     map[string]int       // failures in a row, by engine
 	suspectUntil map[string]time.Time // end of the suspicion after the latest failure
 	checking     map[string]bool      // engines that are being probed
+	avoided      map[string]bool      // engines among them that did not answer a request
 	down         map[string]bool      // engines among them that do not answer
 	gone         map[string]bool      // engines among them whose process has ended or counts as lost
 }
@@ -53,11 +54,11 @@
 	}
 	d := &enginePool{
 		g: g, service: service, failures: map[string]int{}, suspectUntil: map[string]time.Time{},
-		checking: map[string]bool{}, down: map[string]bool{}, gone: map[string]bool{},
+		checking: map[string]bool{}, avoided: map[string]bool{}, down: map[string]bool{}, gone: map[string]bool{},
 	}
 	d.sched = &placement.Scheduler{
 		Service: service, Region: g.Settings.Region, EntryPlace: g.Settings.Place, Length: &g.lengths,
-		Seed: xxhash.Sum64String(g.id + service), Violation: g.logViolation, Chunked: true, AwaitSuspects: true,
+		Seed: xxhash.Sum64String(g.id + service), Violation: g.logViolation, Chunked: true,
 		MemoryCost: memoryCost, FarCost: farCost, Limited: g.limitOf,
 	}
 	d.dispatcher.Service, d.dispatcher.Sched = service, d.sched
--- a/process/gateway/health.go
+++ b/process/gateway/health.go
@@ -45,19 +45,24 @@
 		begun := time.Now()
 		reachable := p.awaitReachable(id, notify)
 		p.mu.Lock()
-		down, gone, until := p.down[id], p.gone[id], p.suspectUntil[id]
+		down, gone, avoided, until := p.down[id], p.gone[id], p.avoided[id], p.suspectUntil[id]
+		delete(p.avoided, id)
 		delete(p.down, id)
 		delete(p.gone, id)
 		delete(p.checking, id)
 		p.mu.Unlock()
-		if !down {
-			return
+		if avoided && !down && until.Before(begun) {
+			until = time.Now().Add(suspectTime) // it answers probes, but not requests
 		}
+		p.sched.Suspect(id, until)
+		p.sched.SetSilent(id, false)
 		if gone {
 			p.g.refreshEnginePool(p.service)
 		}
-		p.sched.Suspect(id, until)
 		p.dispatcher.Offer()
+		if !down {
+			return
+		}
 		p.g.Log.WithFields(logrus.Fields{
 			"event": "endpoint_checked", "endpoint": id, "reachable": reachable, "lost": gone, "took": time.Since(begun).Milliseconds(),
 		}).Info("stopped probing an unreachable endpoint")
@@ -80,7 +85,7 @@
 			return true
 		case isSilence(err):
 			unclear = 0
-			p.sched.Suspect(id, time.Now().Add(pause+2*probeLimit))
+			p.sched.SetSilent(id, true)
 			p.markUnreachable(e, err, notify)
 			if errors.Is(err, ErrRefused) || time.Since(begun) >= p.g.lossTime() {
 				p.markGone(e, err)
@@ -144,10 +149,14 @@
 	return err
 }
 
-// avoid keeps new work from an engine that has not answered: for suspectTime, and for
-// as long as it does not answer a probe. Unlike suspect it records no failure.
+// avoid keeps new work from an engine that has not answered until it answers a
+// probe. Unlike suspect it records no failure, and requests wait for the engine if no
+// other is usable.
 func (p *enginePool) avoid(id string) {
-	p.sched.Suspect(id, time.Now().Add(suspectTime))
+	p.sched.SetSilent(id, true)
+	p.mu.Lock()
+	p.avoided[id] = true
+	p.mu.Unlock()
 	p.startCheck(id, true)
 }
 
--- a/process/placement/baseline.go
+++ b/process/placement/baseline.go
@@ -7,13 +7,13 @@
 
 // usable reports whether an endpoint may get new work now.
 func (s *Scheduler) usable(e *endpoint, req *Request) bool {
-	return s.isOpen(e, req) && e.suspect <= s.nanos
+	return !e.silent && s.mayBecomeUsable(e, req)
 }
 
-// isOpen reports whether an endpoint may get new work, now or once it is no longer
-// suspected.
-func (s *Scheduler) isOpen(e *endpoint, req *Request) bool {
-	return !e.closed && (len(req.Exclude) == 0 || !slices.Contains(req.Exclude, e.ID))
+// mayBecomeUsable reports whether an endpoint is usable, apart from its silence.
+func (s *Scheduler) mayBecomeUsable(e *endpoint, req *Request) bool {
+	return !e.closed && e.suspect <= s.nanos &&
+		(len(req.Exclude) == 0 || !slices.Contains(req.Exclude, e.ID))
 }
 
 // roundRobin returns the next usable endpoint of the list.
--- a/process/placement/placement.go
+++ b/process/placement/placement.go
@@ -31,6 +31,7 @@
 import (
 	"expvar"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -130,9 +131,6 @@
 		// of other generations. A long prompt then delays no step by much and is
 		// not separated from other work.
 		Chunked bool
-		// AwaitSuspects makes requests wait for suspected endpoints if no other one is
-		// open. Without it they are not placed.
-		AwaitSuspects bool
 		// Ahead holds the horizons at which memory is predicted, in tokens ahead
 		// and in ascending order; zero means 8, 16, 64, 128. They should cover a
 		// few seconds at the speed of the engines.
@@ -301,6 +299,18 @@
 	}
 }
 
+// SetSilent marks an endpoint as silent, or ends that. A silent endpoint does not
+// respond, but nothing shows that it has ended: it gets no new work, and a request for
+// which no other endpoint is usable waits.
+func (s *Scheduler) SetSilent(id string, silent bool) {
+	s.once.Do(s.init)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if ep := s.byID[id]; ep != nil {
+		ep.silent = silent
+	}
+}
+
 // Place chooses an endpoint for a request and reserves memory there until Done.
 // At or after the request's deadline the decision is Wait.
 func (s *Scheduler) Place(req Request, now time.Time) Decision {
@@ -325,6 +335,7 @@
 		ep, wait = s.choose(&req, &estimate)
 	}
 	if ep == nil {
+		wait = wait || slices.ContainsFunc(s.list, func(e *endpoint) bool { return s.mayBecomeUsable(e, &req) })
 		return Decision{Wait: wait, None: !wait}
 	}
 	return Decision{Endpoint: ep.ID, Ticket: s.reserve(ep, &req, &estimate)}
--- a/process/placement/placement_test.go
+++ b/process/placement/placement_test.go
@@ -146,26 +146,33 @@
 	}
 }
 
-// Guards against requests that are not placed although a suspected endpoint may take
-// them, and against waiting for endpoints that will not.
-func TestRequestsWaitForSuspects(t *testing.T) {
-	s := fleet(3, Current)
-	s.AwaitSuspects = true
-	list := endpoints(3)
-	list[0].Drain = true
-	s.SetEndpoints(list)
-	s.Suspect("e001", start.Add(time.Minute))
-	s.Suspect("e002", start.Add(time.Second))
-	req := request(10, start)
-	if d := s.Place(req, start); !d.Wait || d.None || d.Endpoint != "" {
-		t.Errorf("decision %+v while endpoints are suspected", d)
-	}
-	if d := s.Place(req, start.Add(time.Second)); d.Endpoint != "e002" {
-		t.Errorf("decision %+v after the suspicion", d)
-	}
-	req.Exclude = []string{"e001", "e002"}
-	if d := s.Place(req, start); !d.None || d.Wait {
-		t.Errorf("decision %+v if all endpoints are drained or excluded", d)
+// Guards against new work for silent endpoints while another is usable, and against the
+// refusal of a request that a silent endpoint may still take, under every policy.
+func TestSilentEndpoints(t *testing.T) {
+	for _, p := range []Policy{Current, Previous, RoundRobin, LeastConn, TwoChoice} {
+		s := fleet(3, p)
+		for _, e := range endpoints(3) {
+			s.SetSilent(e.ID, e.ID != "e002")
+		}
+		if d := s.Place(request(10, start), start); d.Endpoint != "e002" {
+			t.Errorf("%s: decision %+v", p, d)
+		}
+		s = fleet(3, p)
+		s.SetSilent("e000", true)
+		s.SetSilent("e001", true)
+		s.Suspect("e002", start.Add(time.Minute))
+		req := request(10, start)
+		if d := s.Place(req, start); !d.Wait || d.None {
+			t.Errorf("%s: decision %+v while endpoints are silent", p, d)
+		}
+		req.Exclude = []string{"e000", "e001"}
+		if d := s.Place(req, start); !d.None || d.Wait {
+			t.Errorf("%s: decision %+v while excluded endpoints are silent", p, d)
+		}
+		s.SetSilent("e001", false)
+		if d := s.Place(request(10, start), start); d.Endpoint != "e001" {
+			t.Errorf("%s: decision %+v after the silence", p, d)
+		}
 	}
 }
 
