roster: a change is told to waiting requests after it has been handled

A generation that waited for an engine to be listed was now and then refused at the moment at which one was: it woke before the scheduler had the engine.

TestWatchSeesTheNextChange now checks the order.

Change: the channel of Watch is closed when Changed has returned.

--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -48,7 +48,7 @@
 		byID     map[string]*Endpoint
 		left     map[string]int64         // latest start that is known to leave, of endpoints without a row or with one of an earlier start
 		leftIDs  []string                 // keys of left, the oldest first
-		watched  map[string]chan struct{} // by service; closed at its next change
+		watched  map[string]chan struct{} // by service; closed after its next change
 		borrowed map[string]bool          // IDs from Borrow that the list has not confirmed
 		services sync.Map                 // service to *atomic.Pointer[[]Endpoint]
 	}
@@ -292,14 +292,10 @@
 	}
 	p, _ := r.services.LoadOrStore(service, &atomic.Pointer[[]Endpoint]{})
 	p.(*atomic.Pointer[[]Endpoint]).Store(&list)
-	if changed := r.watched[service]; changed != nil {
-		close(changed)
-		delete(r.watched, service)
-	}
 }
 
-// Watch returns a channel that is closed at the next change of the endpoints of a
-// service.
+// Watch returns a channel that is closed after the next change of the endpoints of a
+// service, when Changed has returned.
 func (r *Roster) Watch(service string) <-chan struct{} {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -316,6 +312,12 @@
 	if r.Changed != nil {
 		r.Changed(service)
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if changed := r.watched[service]; changed != nil {
+		close(changed)
+		delete(r.watched, service)
+	}
 }
 
 func (r *Roster) notifyLeaving(e Endpoint, source string) {
--- a/process/roster/roster_test.go
+++ b/process/roster/roster_test.go
@@ -119,8 +119,15 @@
 
 // Guards against a wait for a change of a service that has changed.
 func TestWatchSeesTheNextChange(t *testing.T) {
-	r := Roster{}
+	var r Roster
 	changed, other := r.Watch("s"), r.Watch("u")
+	r.Changed = func(string) {
+		select {
+		case <-changed:
+			t.Error("the change is told before Changed has handled it")
+		default:
+		}
+	}
 	r.Set(Endpoint{ID: "a", Service: "s"})
 	<-changed
 	select {
@@ -128,7 +135,7 @@
 		t.Fatal("the other service has not changed")
 	default:
 	}
-	again := r.Watch("s")
+	changed = r.Watch("s")
 	r.MarkLeaving("a", 0, FromEndpoint)
-	<-again
+	<-changed
 }
