gateway, ratelimit, platform: nothing is sent to an endpoint before the time that its refusal names

An endpoint that turns a request away with 503 may say for how many seconds it wants none from this instance. The header was not read: an endpoint in need got all the requests that it had asked not to get, and callers were told to return within half a second.

Change: package ratelimit, which all senders ask already, keeps pauses beside limits. Nothing is sent to an endpoint before the end of its pause: attempts, repeats, continuations, reports, orders to copy and to free. It is no failure of the endpoint. If all endpoints of a service pause, requests wait where a grant is due in time for them, the least important ones for the shortest time, and reach the endpoint 10 ms apart; others are refused at once as not run, with the first time at which an endpoint accepts requests, and a spread. Refusals after an attempt name that time too.

Not seen by a test: the check for a change of the pause in the moment in which a wait ends.

Limiter.Retain takes the time and a lookup instead of a predicate; its test passes the same cases.

--- a/internal/diagnosis/diagnosis.go
+++ b/internal/diagnosis/diagnosis.go
@@ -285,7 +285,7 @@
 	case "stopping":
 		return "the instance was stopping" + tail
 	case "endpoint_limit":
-		return "all endpoints that could be used had named limits; the lines limit_named say which" + tail
+		return "all endpoints that could be used had named limits or asked for pauses; the lines limit_named and pause_asked say which" + tail
 	case "quarantined":
 		return "a part of the prompt had crashed engines; the lines crash_suspect name the prompts" + tail
 	case "timeout", "deadline":
--- a/process/gateway/call.go
+++ b/process/gateway/call.go
@@ -178,7 +178,8 @@
 		return nil, &fault{Error: refusal.FromCallError(err, true)}
 	}
 	failed := a.status >= http.StatusInternalServerError
-	p.balance.Done(e.ID, balance.Result{Took: time.Since(begun), Failed: failed})
+	pauses := !answer.RetryAt.IsZero() // turned away, which is no failure
+	p.balance.Done(e.ID, balance.Result{Took: time.Since(begun), Failed: failed && !pauses, Refused: pauses})
 	if failed && j.route.Repeatable() {
 		return a, &fault{Error: refusal.New(refusal.Broken, refusal.Unknown, "replica answered "+strconv.Itoa(a.status))}
 	}
@@ -256,7 +257,7 @@
 		return g.finish(j, kept, e, attempt)
 	}
 	if f.Outcome == refusal.NotRun && f.RetryAt.IsZero() {
-		f.RetryAt = retryTime(time.Now())
+		f.RetryAt = g.returnTime(j.service)
 	}
 	return refusal.Downgrade(f.Error, mayHaveRun)
 }
--- a/process/gateway/enginepool.go
+++ b/process/gateway/enginepool.go
@@ -183,7 +183,7 @@
 		reason, detail = refusal.Overload, "no engine of service "+p.service+" had memory for the request in time"
 	}
 	fault := refusal.New(reason, refusal.NotRun, detail)
-	fault.RetryAt = retryTime(time.Now())
+	fault.RetryAt = p.g.returnTime(p.service)
 	p.g.logDecision(j, "not_placed", logrus.Fields{
 		"reason": reason, "waited": time.Since(begun).Milliseconds(), "queue": p.dispatcher.Queue.Len(),
 	})
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -81,6 +81,11 @@
 	// Signals is what an endpoint says about itself in any of its answers.
 	Signals struct {
 		Leaving bool // it will leave
+		// RetryAt is the time before which an endpoint that turned a request away
+		// accepts none from this instance, zero if it names none. InvalidRetry is
+		// what it names instead if that is not a time.
+		RetryAt      time.Time
+		InvalidRetry string
 	}
 
 	// Answer is an endpoint's answer. Its Close function must be called.
--- a/process/gateway/generate.go
+++ b/process/gateway/generate.go
@@ -463,7 +463,7 @@
 		return errors.Wrap(ErrCut, f.Error())
 	}
 	if f.Outcome == refusal.NotRun && f.RetryAt.IsZero() {
-		f.RetryAt = retryTime(time.Now())
+		f.RetryAt = r.g.returnTime(r.j.service)
 	}
 	return f
 }
--- a/process/gateway/limit.go
+++ b/process/gateway/limit.go
@@ -25,9 +25,9 @@
 	never          = math.MaxInt64 // as a duration until a grant
 )
 
-// errLimited is the error of a control call that was not sent because the limit of its
-// endpoint allows no request now.
-var errLimited = errors.New("the endpoint's limit allows no request now")
+// errLimited is the error of a control call that was not sent because the limit or the
+// pause of its endpoint allows no request now.
+var errLimited = errors.New("the endpoint's limit or pause allows no request now")
 
 // watchLimits connects the limits to the log and to the exchange with the other
 // instances.
@@ -73,10 +73,7 @@
 
 // onLimits handles an update of another instance.
 func (g *Gateway) onLimits(data []byte) {
-	err := g.limits.Merge(data, time.Now(), func(id string) (ratelimit.Endpoint, bool) {
-		e, ok := g.Roster.Get(id)
-		return g.limitedEndpoint(e), ok
-	})
+	err := g.limits.Merge(data, time.Now(), g.findLimited)
 	if err != nil {
 		counters.Add("limits_malformed", 1)
 	}
@@ -88,10 +85,12 @@
 
 // retainLimits drops the limits of endpoints that have left or started again.
 func (g *Gateway) retainLimits() {
-	g.limits.Retain(func(x ratelimit.Endpoint) bool {
-		e, ok := g.Roster.Get(x.ID)
-		return ok && e.Born == x.Born
-	})
+	g.limits.Retain(time.Now(), g.findLimited)
+}
+
+func (g *Gateway) findLimited(id string) (ratelimit.Endpoint, bool) {
+	e, ok := g.Roster.Get(id)
+	return g.limitedEndpoint(e), ok
 }
 
 // send sends a call to an endpoint and records the limit that its answer names. The
@@ -114,6 +113,23 @@
 	if s.Leaving {
 		g.Roster.MarkLeaving(e.ID, e.Born, source)
 	}
+	if s.InvalidRetry != "" {
+		counters.Add("pauses_invalid", 1)
+		if g.sampler.Other() {
+			g.Log.WithFields(logrus.Fields{"event": "pause_invalid", "endpoint": e.ID, "value": s.InvalidRetry}).
+				Warn("endpoint asks for a pause that is no time")
+		}
+	}
+	now := time.Now()
+	if listed, ok := g.Roster.Get(e.ID); !s.RetryAt.After(now) || ok && listed.Born != e.Born {
+		return
+	}
+	g.limits.Pause(g.limitedEndpoint(e), s.RetryAt, now)
+	counters.Add("pauses_asked", 1)
+	if g.sampler.Other() {
+		g.Log.WithFields(logrus.Fields{"event": "pause_asked", "endpoint": e.ID, "wait": s.RetryAt.Sub(now).Milliseconds()}).
+			Info("endpoint wants no requests for some time")
+	}
 }
 
 // recordLimit records what an answer to a request that was sent at a time says about
@@ -147,10 +163,11 @@
 	return r, err
 }
 
-// limitOf reports whether an endpoint has a limit, and whether a request to it would be
-// granted now.
+// limitOf reports whether an endpoint has a limit or a pause, and whether a request to it
+// would be granted now.
 func (g *Gateway) limitOf(endpoint string) (limited, ready bool) {
-	return g.limits.Limited(endpoint), g.limits.Ready(endpoint, time.Now())
+	ready = g.limits.Ready(endpoint, time.Now())
+	return !ready || g.limits.Limited(endpoint), ready
 }
 
 // pickReplica chooses a replica for an attempt and takes a grant of one request to it.
@@ -178,7 +195,7 @@
 		}
 		if best.ID == "" {
 			f := refusal.New(refusal.NoEndpoint, refusal.NotRun, "no replica of service "+j.service+" can be used")
-			f.RetryAt = retryTime(time.Now())
+			f.RetryAt = g.returnTime(j.service)
 			return best, f
 		}
 		if due.After(until) || !g.limits.Wait(ctx, best.ID, until) {
@@ -248,12 +265,31 @@
 // caller may return soon.
 func (g *Gateway) refuseLimited(j *job, due, now time.Time) *refusal.Error {
 	f := refusal.New(refusal.EndpointLimit, refusal.NotRun, "the endpoints of service "+j.service+" accept no more requests now")
-	f.RetryAt = retryTime(now)
-	if due.After(f.RetryAt) && due.Before(now.Add(never)) {
-		f.RetryAt = due.Add(jitter(retryDelaySpread))
-	}
+	f.RetryAt = spreadReturn(due, now)
 	g.logDecision(j, "not_placed", logrus.Fields{
 		"reason": f.Reason, "left": j.deadline.Sub(now).Milliseconds(), "retry": f.RetryAt.Sub(now).Milliseconds(),
 	})
 	return f
 }
+
+// returnTime returns when the caller of a request that was refused may return: soon, or
+// when an endpoint of the service accepts requests of this instance again.
+func (g *Gateway) returnTime(service string) time.Time {
+	now := time.Now()
+	if !g.limits.Any() {
+		return retryTime(now)
+	}
+	_, due := g.nextGrant(g.Roster.List(service), nil, now)
+	return spreadReturn(due, now)
+}
+
+// spreadReturn returns a random time soon, or after due if that is later. If nothing is
+// due here at all, another instance may take the request, so that the caller may return
+// soon.
+func spreadReturn(due, now time.Time) time.Time {
+	at := retryTime(now)
+	if due.After(at) && due.Before(now.Add(never)) {
+		return due.Add(jitter(retryDelaySpread))
+	}
+	return at
+}
--- /dev/null
+++ b/process/ratelimit/pause.go
@@ -0,0 +1,67 @@
+package ratelimit
+
+import "time"
+
+// releaseInterval is the interval at which requests that waited for the end of a pause
+// are granted, so that they do not reach the endpoint together.
+const releaseInterval = 10 * time.Millisecond
+
+// Pause grants no more requests of this instance to an endpoint before a time. Other
+// instances are not concerned. A pause that ends earlier than the one in force changes
+// nothing, and only a later start of the endpoint ends it sooner.
+func (l *Limiter) Pause(e Endpoint, until, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if x := l.limits[e.ID]; !until.After(now) || x != nil && (x.Born > e.Born || x.Born == e.Born && !until.After(x.pause)) {
+		return
+	}
+	x := l.find(e)
+	if x.pause.IsZero() {
+		l.paused.Add(1)
+	}
+	x.pause, x.release = until, time.Time{}
+	if x.interval > 0 {
+		x.next = x.latest(now).Add(x.interval)
+	}
+	x.notify()
+}
+
+// opens returns the time of the next grant, as far as this instance may send at all, and
+// the interval to the one after it; both are zero if there is nothing to wait for. The
+// lock must be held.
+func (l *Limiter) opens(x *limit, now time.Time) (at time.Time, interval time.Duration) {
+	if !x.pause.IsZero() && !now.Before(x.pause) {
+		l.endPause(x)
+	}
+	if x.rate > 0 {
+		l.divide(x, now)
+		return later(x.next, x.pause), x.interval
+	}
+	if at = later(x.release, x.pause); at.After(now) {
+		return at, releaseInterval
+	}
+	return time.Time{}, 0
+}
+
+// endPause removes the pause of a record that has one. The lock must be held.
+func (l *Limiter) endPause(x *limit) {
+	x.pause = time.Time{}
+	l.paused.Add(-1)
+}
+
+// latest returns the time of the latest grant that was not for a later time. The lock
+// must be held.
+func (x *limit) latest(now time.Time) time.Time {
+	at := x.next.Add(-x.interval)
+	if ahead := at.Sub(now); ahead > 0 {
+		at = at.Add(-(ahead/x.interval + 1) * x.interval)
+	}
+	return at
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/process/ratelimit/ratelimit.go
+++ b/process/ratelimit/ratelimit.go
@@ -1,5 +1,7 @@
-// Package ratelimit keeps the requests that all instances together send to an
-// endpoint within a rate that the endpoint names in its answers.
+// Package ratelimit decides whether a request may be sent to an endpoint now, and if
+// not, when. It keeps the requests that all instances together send to an endpoint
+// within a rate that the endpoint names in its answers, and sends none before the end of
+// a pause that the endpoint has asked this instance for.
 //
 // A rate is in force until an answer to a later request names none. All instances
 // learn it from the one that got the answer, and it is divided without messages:
@@ -79,6 +81,7 @@
 		Unsent func()
 
 		limited atomic.Int32 // limits in force
+		paused  atomic.Int32 // pauses that are not known to have ended
 		mu      sync.Mutex
 		limits  map[string]*limit // by endpoint
 		id      string            // of this instance
@@ -107,6 +110,8 @@
 		interval time.Duration // between the requests of this instance, 0 if it is no holder
 		view     int           // Limiter.views for which interval was computed
 		next     time.Time     // earliest time of the next request
+		pause    time.Time     // before which nothing is sent; zero if there is no pause
+		release  time.Time     // of the next request that waited for the end of a pause, without a rate
 	}
 )
 
@@ -204,6 +209,9 @@
 	if x.rate > 0 {
 		l.limited.Add(-1)
 	}
+	if !x.pause.IsZero() {
+		l.endPause(x)
+	}
 }
 
 // set puts a rate in force. The lock must be held.
@@ -243,13 +251,14 @@
 	}
 }
 
-// Retain drops what is known of endpoints for which listed is false: those that have
-// left or started again.
-func (l *Limiter) Retain(listed func(e Endpoint) bool) {
+// Retain drops what is known of endpoints that have left or started again. Find returns
+// an endpoint by its ID. What is known of one that is not found is kept until its pause
+// ends, as it may come back.
+func (l *Limiter) Retain(now time.Time, find func(id string) (Endpoint, bool)) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, x := range l.limits {
-		if !listed(x.Endpoint) {
+		if e, ok := find(x.ID); ok && e.Born != x.Born || !ok && !now.Before(x.pause) {
 			l.drop(x)
 		}
 	}
@@ -257,7 +266,7 @@
 
 // Limited reports whether a limit of an endpoint is in force.
 func (l *Limiter) Limited(endpoint string) bool {
-	if !l.Any() {
+	if l.limited.Load() == 0 {
 		return false
 	}
 	l.mu.Lock()
@@ -266,11 +275,11 @@
 	return x != nil && x.rate > 0
 }
 
-// Any reports whether a limit of any endpoint is in force.
-func (l *Limiter) Any() bool { return l.limited.Load() > 0 }
+// Any reports whether a limit or a pause of any endpoint may be in force.
+func (l *Limiter) Any() bool { return l.limited.Load()+l.paused.Load() > 0 }
 
 // Take grants one request to an endpoint now, and reports whether it did. A request
-// to an endpoint without a limit is always granted.
+// to an endpoint without a limit and a pause is always granted.
 func (l *Limiter) Take(endpoint string, now time.Time) bool {
 	return l.take(endpoint, now, true)
 }
@@ -287,15 +296,15 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	x := l.limits[endpoint]
-	if x == nil || x.rate == 0 {
+	if x == nil {
 		return true
 	}
-	l.divide(x, now)
-	if x.interval == 0 || now.Before(x.next) {
+	at, interval := l.opens(x, now)
+	if x.rate > 0 && interval == 0 || now.Before(at) {
 		return false
 	}
-	if grant {
-		x.next = now.Add(x.interval)
+	if grant && x.rate > 0 {
+		x.next = now.Add(interval)
 		x.granted++
 	}
 	return true
@@ -307,27 +316,30 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	x := l.limits[endpoint]
-	if x == nil || x.rate == 0 {
+	if x == nil {
 		return time.Time{}, true
 	}
-	l.divide(x, now)
-	return x.next, x.interval > 0
+	at, interval := l.opens(x, now)
+	return at, x.rate == 0 || interval > 0
 }
 
 // Due returns how many requests of this instance to an endpoint will be granted by a
-// time; many if the endpoint has no limit.
+// time; many if the endpoint has neither a limit nor a pause.
 func (l *Limiter) Due(endpoint string, until, now time.Time) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	x := l.limits[endpoint]
-	if x == nil || x.rate == 0 {
+	if x == nil {
 		return math.MaxInt32
 	}
-	l.divide(x, now)
-	if x.interval == 0 || x.next.After(until) {
+	at, interval := l.opens(x, now)
+	switch {
+	case interval == 0 && x.rate == 0:
+		return math.MaxInt32
+	case interval == 0 || at.After(until):
 		return 0
 	}
-	return 1 + int(until.Sub(x.next)/x.interval)
+	return 1 + int(until.Sub(at)/interval)
 }
 
 // Wait waits for a grant of one request to an endpoint, and reports whether it was
@@ -342,6 +354,11 @@
 		timer := time.NewTimer(time.Until(at))
 		select {
 		case <-timer.C:
+			select {
+			case <-changed:
+				continue
+			default:
+			}
 			l.count(endpoint)
 			return true
 		case <-changed:
@@ -361,18 +378,21 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	x := l.limits[endpoint]
-	if x == nil || x.rate == 0 {
+	if x == nil {
 		return now, nil, true
 	}
-	l.divide(x, now)
-	at = x.next
-	if at.Before(now) {
-		at = now
-	}
-	if x.interval == 0 || at.After(until) {
+	at, interval := l.opens(x, now)
+	at = later(at, now)
+	switch {
+	case interval == 0 && x.rate == 0:
+		return at, x.changed, true
+	case interval == 0 || at.After(until):
 		return at, nil, false
+	case x.rate > 0:
+		x.next = at.Add(interval)
+	default:
+		x.release = at.Add(interval)
 	}
-	x.next = at.Add(x.interval)
 	return at, x.changed, true
 }
 
@@ -417,11 +437,7 @@
 	case old == 0:
 		x.next = now.Add(time.Duration(rand.Float64() * float64(interval)))
 	default:
-		last := x.next.Add(-old)
-		if ahead := last.Sub(now); ahead > 0 {
-			last = last.Add(-(ahead/old + 1) * old)
-		}
-		x.next = last.Add(interval)
+		x.next = x.latest(now).Add(interval)
 	}
 	x.interval = interval
 	x.notify()
--- a/process/ratelimit/ratelimit_test.go
+++ b/process/ratelimit/ratelimit_test.go
@@ -155,7 +155,7 @@
 	exchange(a, b, false, later)
 	require.NoError(t, b.Merge(old[0], later, func(string) (Endpoint, bool) { return Endpoint{ID: "e", Born: 8}, true }))
 	require.InDelta(t, 2, b.List(later)[0].Rate, 0)
-	b.Retain(func(Endpoint) bool { return false })
+	b.Retain(start, func(string) (Endpoint, bool) { return Endpoint{}, false })
 	require.False(t, b.Limited("e"))
 	require.False(t, b.Any())
 
--- a/process/ratelimit/wire.go
+++ b/process/ratelimit/wire.go
@@ -36,6 +36,7 @@
 		Since    time.Time `json:"since"`
 		Part     float64   `json:"part"`    // requests per second of this instance
 		Granted  int64     `json:"granted"` // requests of this instance since then
+		Pause    time.Time `json:"pause"`   // before which this instance sends nothing, zero if there is none
 	}
 )
 
@@ -114,17 +115,16 @@
 	return []Change{l.set(x, r.Rate, Instance, now)}
 }
 
-// List returns the limits in force.
+// List returns the limits and pauses in force.
 func (l *Limiter) List(now time.Time) []State {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	list := []State{}
 	for _, x := range l.limits {
-		if x.rate == 0 {
+		if l.opens(x, now); x.rate == 0 && x.pause.IsZero() {
 			continue
 		}
-		l.divide(x, now)
-		s := State{Endpoint: x.ID, Rate: x.rate, Since: x.since, Granted: x.granted}
+		s := State{Endpoint: x.ID, Rate: x.rate, Since: x.since, Granted: x.granted, Pause: x.pause}
 		if x.interval > 0 {
 			s.Part = float64(time.Second) / float64(x.interval)
 		}
--- a/request/refusal/refusal.go
+++ b/request/refusal/refusal.go
@@ -97,7 +97,7 @@
 	Stale          Reason = "stale"           // configuration too old for a strict service
 	Stopping       Reason = "stopping"        // entry is stopping
 	Quarantined    Reason = "quarantined"     // a part of the prompt has crashed engines
-	EndpointLimit  Reason = "endpoint_limit"  // every usable endpoint has named a limit, and no request to one is due in time
+	EndpointLimit  Reason = "endpoint_limit"  // every usable endpoint has named a limit or asked for a pause, and no request to one is due in time
 	Canceled       Reason = "canceled"        // the caller left
 	Internal       Reason = "internal"        // error in the entry itself
 )
