mirror: a test of pages of an earlier era

Replacing either check of the era of a page (a table, or the changes of a poll) by false was seen by no test. Evidence: with each replaced, one at a time, the tests of the package passed without TestPagesOfAnEarlierEra; with it, its case "changes" or "table" fails. Both checks stay: instances poll each other, so an earlier era can come from an instance that has not heard of a restoration.

--- a/process/mirror/mirror_test.go
+++ b/process/mirror/mirror_test.go
@@ -299,3 +299,27 @@
 	require.Len(t, got, 1)
 	require.Empty(t, w.known)
 }
+
+// Guards against pages of an earlier era that are applied: an instance, or a part of the
+// store, that has not yet heard of a restoration sends them, with higher versions.
+func TestPagesOfAnEarlierEra(t *testing.T) {
+	for name, apply := range map[string]func(*Table, Page) error{"changes": (*Table).applyPage, "table": (*Table).applyTable} {
+		t.Run(name, func(t *testing.T) {
+			known := map[string]string{}
+			x := &Table{Log: logrus.New(), Changed: func(rows []Row) {
+				for _, r := range rows {
+					known[r.Key] = string(r.Value)
+				}
+			}}
+			x.init()
+			require.NoError(t, x.applyTable(Page{Era: 2, Version: 10, Rows: []Row{{Key: "a", Value: []byte("2"), Version: 10}}}))
+			for _, era := range []int64{1, 0} {
+				require.ErrorIs(t, apply(x, Page{Era: era, Version: 30, Rows: []Row{{Key: "a", Value: []byte("1"), Version: 30}}}), ErrEra)
+			}
+			require.Equal(t, map[string]string{"a": "2"}, known)
+			require.Equal(t, int64(2), x.Era())
+			require.NoError(t, apply(x, Page{Era: 2, Version: 11, Rows: []Row{{Key: "a", Value: []byte("3"), Version: 11}}}))
+			require.Equal(t, map[string]string{"a": "3"}, known, "the version of the earlier era is not compared")
+		})
+	}
+}
