ratelimit, gateway: a limit stands for one start of its endpoint

An answer of an earlier process under the same ID, if it arrived after the new process was listed, put its limit in force for the new one, or replaced or ended that of the new one.

Evidence, on the code before: TestLimitBelongsToOneStart: index out of range [0] with length 0 (the limit of the later process is gone); with Limiter.find ignoring the start it fails as well, and no test of the package did before. TestLimitOfAnEarlierProcess fails without its check.

Change: what an earlier process says is ignored where a later one has a record, and where another one is listed. Result: both tests pass.

--- a/process/gateway/limit.go
+++ b/process/gateway/limit.go
@@ -107,6 +107,12 @@
 	return answer, err
 }
 
+// isReplaced reports whether another process is listed under the ID of an endpoint.
+func (g *Gateway) isReplaced(e roster.Endpoint) bool {
+	listed, ok := g.Roster.Get(e.ID)
+	return ok && listed.Born != e.Born
+}
+
 // heed handles what an endpoint says about itself in an answer. The process that was
 // asked has ended if another one answers at its address.
 func (g *Gateway) heed(e roster.Endpoint, s Signals, source string) {
@@ -121,7 +127,7 @@
 		}
 	}
 	now := time.Now()
-	if listed, ok := g.Roster.Get(e.ID); !s.RetryAt.After(now) || ok && listed.Born != e.Born {
+	if !s.RetryAt.After(now) || g.isReplaced(e) {
 		return
 	}
 	g.limits.Pause(g.limitedEndpoint(e), s.RetryAt, now)
@@ -144,7 +150,7 @@
 		}
 	}
 	switch now := time.Now(); {
-	case a.AddressReused: // another endpoint answered
+	case a.AddressReused, g.isReplaced(e): // another process has the address or the ID
 	case a.Limit != nil:
 		g.limits.Named(g.limitedEndpoint(e), *a.Limit, sent, now)
 	case a.InvalidLimit == "" && !a.NotRun && a.Status < http.StatusInternalServerError:
--- a/process/gateway/pause_test.go
+++ b/process/gateway/pause_test.go
@@ -314,3 +314,22 @@
 	_, _ = w.request("/book/1")
 	require.True(t, ready(), "another process answered")
 }
+
+// Guards against a limit that is taken from a late answer of an earlier process.
+func TestLimitOfAnEarlierProcess(t *testing.T) {
+	w := newLeavingGateway(t)
+	w.keepOnly("d0")
+	e := roster.Endpoint{ID: "d0", Service: plainService, Addr: "10.0.1.0:1", Place: "p0", Slots: 6, Born: 5}
+	w.Roster.Set(e)
+	w.answer = func(int, Call) (*Answer, error) {
+		again := e
+		again.Born = 6
+		w.Roster.Set(again)
+		a := plainAnswer(http.StatusOK, "x")
+		a.Limit = new(float64)
+		return a, nil
+	}
+	_, err := w.request("/read/1")
+	require.NoError(t, err)
+	require.False(t, w.limits.Limited("d0"))
+}
--- a/process/ratelimit/pause.go
+++ b/process/ratelimit/pause.go
@@ -12,10 +12,13 @@
 func (l *Limiter) Pause(e Endpoint, until, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if x := l.limits[e.ID]; !until.After(now) || x != nil && (x.Born > e.Born || x.Born == e.Born && !until.After(x.pause)) {
+	if !until.After(now) || l.isEarlier(e) {
 		return
 	}
 	x := l.find(e)
+	if !until.After(x.pause) {
+		return
+	}
 	if x.pause.IsZero() {
 		l.paused.Add(1)
 	}
--- a/process/ratelimit/ratelimit.go
+++ b/process/ratelimit/ratelimit.go
@@ -161,6 +161,10 @@
 
 func (l *Limiter) observe(e Endpoint, rate float64, sent, now time.Time) {
 	l.mu.Lock()
+	if l.isEarlier(e) {
+		l.mu.Unlock()
+		return
+	}
 	x := l.find(e)
 	if looser(rate, x.rate) && sent.Before(x.learned) {
 		l.mu.Unlock()
@@ -184,6 +188,13 @@
 	return b > 0 && (a == 0 || a > b)
 }
 
+// isEarlier reports whether a later process of an endpoint has a record. What an earlier
+// one says, in a late answer, is then ignored. The lock must be held.
+func (l *Limiter) isEarlier(e Endpoint) bool {
+	x := l.limits[e.ID]
+	return x != nil && x.Born > e.Born
+}
+
 // find returns the record of an endpoint, a new one if there is none or it is of an
 // earlier process. The lock must be held.
 func (l *Limiter) find(e Endpoint) *limit {
--- a/process/ratelimit/ratelimit_test.go
+++ b/process/ratelimit/ratelimit_test.go
@@ -193,3 +193,21 @@
 	// true false
 	// false
 }
+
+// Guards against a limit that stands for another start of its endpoint: a later one
+// begins without it, and a late answer of an earlier one changes nothing.
+func TestLimitBelongsToOneStart(t *testing.T) {
+	l := group(1, start)[0]
+	again := endpoint
+	again.Born++
+	l.Named(endpoint, 2, start, start.Add(time.Second))
+	l.Named(again, 5, start, start.Add(time.Second)) // would raise the rate of the same process too early
+	require.InDelta(t, 5, l.List(start)[0].Rate, 0)
+	late := start.Add(2 * time.Second)
+	l.Named(endpoint, 1, late, late)
+	l.Named(endpoint, 50, late, late)
+	l.Unnamed(endpoint, late, late)
+	require.InDelta(t, 5, l.List(late)[0].Rate, 0)
+	l.Unnamed(again, late, late)
+	require.False(t, l.Limited("e"))
+}
