--- a/process/gateway/generate.go
+++ b/process/gateway/generate.go
@@ -322,7 +322,7 @@
 		return cutByFault(f)
 	}
 	if f.Outcome == refusal.NotRun && f.RetryAt.IsZero() {
-		f.RetryAt = retryTime(time.Now())
+		f.RetryAt = r.g.returnTime(r.j.service)
 	}
 	return f
 }
