gateway, platform: a deadline holds also for what the caller does

What callers saw: a request whose body stopped on its way was never answered, whatever its deadline; one whose caller did not read its answer held its place at the endpoint for as long as the connection lasted; at a start a request waited 0.4 s for the routing table although its deadline was nearer.

--- a/process/gateway/call.go
+++ b/process/gateway/call.go
@@ -25,6 +25,7 @@
 	attemptTimeShare  = 0.8                    // share of the latency target after which a repeatable request goes to another replica
 	maxBufferedAnswer = 1 << 20                // bytes of a plain answer that are buffered before it is passed on
 	startupWait       = 400 * time.Millisecond // covers a connection to the store and a read from it in another region
+	writeReserve      = 500 * time.Millisecond // after the deadline, for the caller to receive a refusal
 	minRetryDelay     = 200 * time.Millisecond // shortest retry delay sent with a refusal
 	retryDelaySpread  = 300 * time.Millisecond // range of the random delay that spreads callers refused at the same time
 )
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -224,11 +224,14 @@
 	if g.requests != nil {
 		defer context.AfterFunc(g.requests, func() { end(errStopped) })()
 	}
-	g.awaitStart(ctx)
+	g.awaitStart(ctx, r.Deadline)
 	j, err := g.admit(w, r)
 	if err != nil {
 		return err
 	}
+	// A caller that does not read its answer would block the request beyond its
+	// deadline. Not all writers support this, but that of net/http does.
+	_ = http.NewResponseController(w).SetWriteDeadline(j.deadline.Add(writeReserve))
 	ctx, cancel := context.WithDeadline(ctx, j.deadline)
 	defer cancel()
 	if s := j.table.Service(j.service); s != nil && s.Engine != nil {
@@ -246,10 +249,35 @@
 	return time.Time{}
 }
 
+// ReceiveBy returns the time by which the body of a request must have been received:
+// its deadline under the routing table in force.
+func (g *Gateway) ReceiveBy(r *Request) time.Time {
+	var route *routing.Route
+	if t := g.Tables.Current(); t != nil {
+		route = t.Route(r.Host, r.Path)
+	}
+	return r.deadlineOn(route)
+}
+
+// deadlineOn returns the time by which a request on a route must be answered. The
+// route may be nil.
+func (r *Request) deadlineOn(route *routing.Route) time.Time {
+	deadline := r.Deadline
+	if route != nil && route.Timeout > 0 {
+		if at := r.Arrived.Add(route.Timeout); deadline.IsZero() || at.Before(deadline) {
+			deadline = at
+		}
+	}
+	if deadline.IsZero() {
+		deadline = r.Arrived.Add(defaultDeadline)
+	}
+	return deadline
+}
+
 // awaitStart delays requests that arrive right after the start of the process
 // until it has read a routing table and the list of endpoints, for at most
-// startupWait.
-func (g *Gateway) awaitStart(ctx context.Context) {
+// startupWait, and not beyond a deadline unless that is zero.
+func (g *Gateway) awaitStart(ctx context.Context, deadline time.Time) {
 	var limit *time.Timer
 	for _, ready := range []<-chan struct{}{g.Tables.Ready(), g.Roster.Ready()} {
 		select {
@@ -258,7 +286,11 @@
 		default:
 		}
 		if limit == nil {
-			limit = time.NewTimer(startupWait)
+			wait := startupWait
+			if !deadline.IsZero() {
+				wait = min(wait, time.Until(deadline))
+			}
+			limit = time.NewTimer(wait)
 			defer limit.Stop()
 		}
 		select {
@@ -297,15 +329,7 @@
 		return nil, refusal.New(refusal.TooLarge, refusal.NotRun, "body is larger than the limit")
 	}
 	j.service = j.route.Pick(rand.Float64())
-	j.deadline = r.Deadline
-	if limit := j.route.Timeout; limit > 0 {
-		if at := r.Arrived.Add(limit); j.deadline.IsZero() || at.Before(j.deadline) {
-			j.deadline = at
-		}
-	}
-	if j.deadline.IsZero() {
-		j.deadline = r.Arrived.Add(defaultDeadline)
-	}
+	j.deadline = r.deadlineOn(j.route)
 	if !time.Now().Before(j.deadline) {
 		return nil, refusal.New(refusal.Deadline, refusal.NotRun, "the deadline has passed")
 	}
