soak: endpoints hang and go on

Callers lose requests while a sound endpoint is silent for a second, and no fault of the soak paused one, so none of its runs showed that.

HangPlan draws hangs of 0.3 to 3 s of one endpoint, or of all of a service, once or in series, beside changes of the configuration, of keys and of settings; it has its own random stream, so the plans of existing seeds stay as they were. A hang is no disturbance in the ledger. New promise `whole`, checked in all soaks: a request that an endpoint has been handed is not cut, and does not end with its outcome unknown, within seven tenths of its route's timeout, unless its instance, that endpoint or the store was disturbed, the endpoint has left or the instance is stopping. `single` sees an engine that goes on beside one that hangs, also if it is done soon. It does not count plain requests that start anew elsewhere while the first replica hangs, as that replica cannot notice that its answer is no longer wanted. For `leaving` and `notrun`, a request that an endpoint reads right after its hang may have been passed on when the hang began; requests that may run only once have no such excuse in `notrun`.

--- a/cmd/eelgrassdock/soak.go
+++ b/cmd/eelgrassdock/soak.go
@@ -20,6 +20,7 @@
 	// Break is empty or one of soak.Promises. "only once" in the help means that
 	// --entries supports no value but "once" (soak.Once); it ignores the others.
 	Break   string `help:"Break a promise on purpose, to see that the soak reports it; with --entries, only once."`
+	Hangs   bool   `help:"Let endpoints hang and go on beside changes of the configuration, in place of all other faults."`
 	Entries bool   `help:"Run entries with the product's own interface instead of instances on the users' platform."`
 }
 
@@ -43,8 +44,11 @@
 	defer cancel()
 	total := time.Duration(c.Minutes * float64(time.Minute))
 	plan := soak.Plan(c.Seed, total)
-	if c.Entries {
+	switch {
+	case c.Entries:
 		plan = soak.EntryPlan(c.Seed, total)
+	case c.Hangs:
+		plan = soak.HangPlan(c.Seed, total)
 	}
 	if err := json.NewEncoder(std.err).Encode(map[string]any{"seed": c.Seed, "plan": plan, "logs": dir}); err != nil {
 		return fmt.Errorf("print the plan: %w", err)
@@ -62,7 +66,8 @@
 		summary, kept = result, result.Kept
 	} else {
 		s := soak.Soak{
-			Binary: binary, Dir: dir, Seed: c.Seed, Duration: total, Instances: c.Processes, Callers: c.Callers, Sabotage: c.Break, Progress: std.err,
+			Binary: binary, Dir: dir, Seed: c.Seed, Duration: total, Instances: c.Processes, Callers: c.Callers, Faults: plan, Sabotage: c.Break,
+			Progress: std.err,
 		}
 		var result soak.Summary
 		result, err = s.Run(ctx)
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -149,6 +149,8 @@
 		c.until = time.Time{}
 		if i.stopping() && time.Now().Before(a.Deadline) {
 			l.Cut(a.ID, r.Err)
+		} else if !i.stopping() {
+			l.Lost(a.ID, r.Err.Error(), time.Now())
 		}
 		return
 	}
@@ -162,8 +164,12 @@
 	}
 	if r.Seal == "" {
 		l.Check(Own, r.Status >= http.StatusBadGateway, "%s answered %d without a seal to request %s", i.name, r.Status, a.ID)
+		if !i.stopping() {
+			l.Lost(a.ID, fmt.Sprintf("status %d of the instance", r.Status), time.Now())
+		}
 		return
 	}
+	l.Answered(a.ID)
 	_, endpoint, _ := strings.Cut(r.Seal, ".")
 	l.Check(Own, r.ID == a.ID && r.Seal == fake.Seal(a.ID, endpoint), "request %s got the answer to %s, seal %s", a.ID, r.ID, r.Seal)
 	if r.Status != http.StatusOK {
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -6,6 +6,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/eelgrassdock/eelgrassdock/platform/fake"
 )
 
 // Promises that a soak checks.
@@ -21,10 +23,11 @@
 	Budget  = "budget"  // repeated runs stay within the retry budget of all instances together
 	Revoked = "revoked" // a revoked key is refused after revokeBound
 	Limits  = "limits"  // all instances together keep the limit that an endpoint names
+	Whole   = "whole"   // a request that an endpoint works on is answered whole, also if the endpoint hangs meanwhile
 )
 
 // Promises lists every promise.
-var Promises = []string{Order, Own, NotRun, Once, Single, Leaving, Planned, Config, Budget, Revoked, Limits}
+var Promises = []string{Order, Own, NotRun, Once, Single, Leaving, Planned, Config, Budget, Revoked, Limits, Whole}
 
 // Bounds of the promises, as the platform's specification states them, and
 // tolerances of the checks.
@@ -68,6 +71,8 @@
 		details   []Breach
 		continued int64
 		limits    map[string]*limited // by endpoint
+		hangs     map[string]hang     // latest, by endpoint
+		losses    []loss
 	}
 
 	// limited is the state of an endpoint that names a limit.
@@ -83,8 +88,10 @@
 		service     string
 		once        bool
 		account     string
+		sent        time.Time
 		starts      int                  // runs that endpoints have started
 		notRun      bool                 // reported to the caller as not run
+		refused     time.Time            // when it was
 		active      map[string]time.Time // endpoints that work on the request, with their start times
 		worked      map[string]bool      // endpoints that have worked on the request
 		completed   bool                 // an endpoint produced the complete answer
@@ -98,7 +105,7 @@
 		l.requests, l.leaving = map[string]*request{}, map[string]time.Time{}
 		l.disturbed, l.planned = map[string]time.Time{}, map[string]time.Time{}
 		l.sent, l.repeats = map[string][]time.Time{}, map[string][]time.Time{}
-		l.limits = map[string]*limited{}
+		l.limits, l.hangs = map[string]*limited{}, map[string]hang{}
 		l.checks, l.breaches = map[string]int64{}, map[string]int64{}
 	}
 }
@@ -222,7 +229,7 @@
 	defer l.mu.Unlock()
 	l.initMaps()
 	l.requests[id] = &request{
-		instance: instance, service: service, account: account, once: once, active: map[string]time.Time{},
+		instance: instance, service: service, account: account, once: once, sent: at, active: map[string]time.Time{},
 		worked: map[string]bool{},
 	}
 	l.sent[service] = append(l.sent[service], at)
@@ -240,7 +247,9 @@
 		return
 	}
 	l.check(Own, r.account == account, "%s runs request %s for account %q, not %q", endpoint, id, account, r.account)
-	l.check(NotRun, !r.notRun, "%s runs request %s after it was reported as not run", endpoint, id)
+	// A repeatable request may have been passed on before the report; see Refused.
+	arrival := l.arrival(endpoint, at)
+	l.check(NotRun, !r.notRun || !r.once && arrival.Before(r.refused), "%s runs request %s, once %v, after it was reported as not run", endpoint, id, r.once)
 	if continued {
 		l.continued++
 	}
@@ -261,8 +270,8 @@
 		}
 	}
 	r.active[endpoint], r.worked[endpoint] = at, true
-	if left, ok := l.leaving[endpoint]; ok && !continued && l.settled(r.instance, at) && at.Sub(left) > leaveBound {
-		l.check(Leaving, false, "%s gets request %s of instance %s %s after it was listed as leaving", endpoint, id, r.instance, at.Sub(left))
+	if left, ok := l.leaving[endpoint]; ok && !continued && l.settled(r.instance, at) && arrival.Sub(left) > leaveBound {
+		l.check(Leaving, false, "%s gets request %s of instance %s %s after it was listed as leaving", endpoint, id, r.instance, arrival.Sub(left))
 	} else if !continued {
 		l.check(Leaving, true, "")
 	}
@@ -276,7 +285,12 @@
 	r := l.requests[id]
 	at, active := r.active[endpoint]
 	_, successorActive := r.active[successor]
-	kept := !active || !at.Equal(since) || !successorActive || !l.undisturbed(endpoint, time.Now())
+	hung := l.hungSince(endpoint, since)
+	successorEnded := !successorActive && (!hung || !r.completed)
+	kept := !active || !at.Equal(since) || successorEnded || !l.undisturbed(endpoint, time.Now())
+	// A plain request starts anew at the other replica. A replica that hangs can't notice
+	// that its answer is no longer wanted.
+	kept = kept || hung && r.service != fake.EngineService
 	l.check(Single, kept, "%s and %s work on request %s", endpoint, successor, id)
 }
 
@@ -303,9 +317,9 @@
 	defer l.mu.Unlock()
 	l.initMaps()
 	r := l.requests[id]
-	r.notRun = true
+	r.notRun, r.refused = true, time.Now()
 	// A repeatable request may have run before it was reported as not run, because
-	// another run does no harm. Began checks that none starts after the report.
+	// another run does no harm. Began checks that none is passed on after the report.
 	l.check(NotRun, !r.once || r.starts == 0, "request %s was reported as not run but has run", id)
 }
 
@@ -352,6 +366,7 @@
 			l.check(NotRun, r.starts == 0, "request %s was reported as not run but has run", id)
 		}
 	}
+	l.closeLosses()
 }
 
 // countBetween returns how many times lie between from, inclusive, and to,
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -8,28 +8,30 @@
 
 // Kinds of faults.
 const (
-	Kill     = "kill"     // an instance is killed and started again
-	Pause    = "pause"    // an instance is suspended by a signal and resumed later
-	Stop     = "stop"     // an instance is stopped gracefully and started again
-	Herd     = "herd"     // about half of the instances are killed at once
-	Hup      = "hup"      // an instance gets a changed settings file and a hangup signal
-	Refuse   = "refuse"   // the store refuses calls
-	Mute     = "mute"     // the store does not answer
-	Lose     = "lose"     // the store's answers to writes are lost
-	Slow     = "slow"     // the store is slow
-	Forget   = "forget"   // the store deletes its history
-	Cutoff   = "cutoff"   // the link of an instance to the store has a fault
-	Link     = "link"     // the link to an endpoint has a fault
-	Door     = "door"     // the link of callers to an instance has a fault
-	Reclaim  = "reclaim"  // an endpoint leaves at short notice
-	Crash    = "crash"    // an endpoint ends without notice and starts again
-	Grey     = "grey"     // an endpoint fails part of its requests
-	Garble   = "garble"   // an endpoint breaks off answers and sends stray ones
-	Drop     = "drop"     // an endpoint loses answers
-	Change   = "change"   // the configuration is replaced
-	Withdraw = "withdraw" // the configuration is replaced and a key revoked
-	Limit    = "limit"    // an endpoint names a limit on its requests
-	Restore  = "restore"  // the store is away and comes back from an older copy
+	Kill       = "kill"       // an instance is killed and started again
+	Pause      = "pause"      // an instance is suspended by a signal and resumed later
+	Stop       = "stop"       // an instance is stopped gracefully and started again
+	Herd       = "herd"       // about half of the instances are killed at once
+	Hup        = "hup"        // an instance gets a changed settings file and a hangup signal
+	Refuse     = "refuse"     // the store refuses calls
+	Mute       = "mute"       // the store does not answer
+	Lose       = "lose"       // the store's answers to writes are lost
+	Slow       = "slow"       // the store is slow
+	Forget     = "forget"     // the store deletes its history
+	Cutoff     = "cutoff"     // the link of an instance to the store has a fault
+	Link       = "link"       // the link to an endpoint has a fault
+	Door       = "door"       // the link of callers to an instance has a fault
+	Reclaim    = "reclaim"    // an endpoint leaves at short notice
+	Crash      = "crash"      // an endpoint ends without notice and starts again
+	Grey       = "grey"       // an endpoint fails part of its requests
+	Garble     = "garble"     // an endpoint breaks off answers and sends stray ones
+	Drop       = "drop"       // an endpoint loses answers
+	Change     = "change"     // the configuration is replaced
+	Withdraw   = "withdraw"   // the configuration is replaced and a key revoked
+	Limit      = "limit"      // an endpoint names a limit on its requests
+	Restore    = "restore"    // the store is away and comes back from an older copy
+	Hang       = "hang"       // an endpoint does nothing for a while and goes on
+	Standstill = "standstill" // all endpoints of one service hang at once
 )
 
 const (
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -324,6 +324,10 @@
 	case Door:
 		s.ledger.Disturb(i.name, until)
 		i.callerLink.applyHarm(f.Harm, until)
+	case Hang:
+		p.hang(until)
+	case Standstill:
+		s.hangAll(f, until)
 	case Link:
 		p.harmLink(f.Harm, f.Last)
 	case Reclaim:
@@ -407,6 +411,8 @@
 		// An instance tries a request again that an endpoint ran and denied, and an
 		// endpoint without the fault runs it a second time.
 		return fake.EndpointFaults{FalseNotRun: n%2 == 0}
+	case Whole:
+		return fake.EndpointFaults{Cut: faultShare}
 	case Single:
 		return fake.EndpointFaults{IgnoreCancel: true, Cut: faultShare}
 	case Budget:
