gateway: a repeatable request goes on at another replica when its attempt ends

What callers saw: 502 after 0.8 of the latency target from a plain service one replica of which was silent.

No unit test saw it; TestRepeatableRequestLeavesASilentReplica fails in its three cases (no connection, no answer, no body) on the code before.

Change: the timer has a cause of its own, which makes the error a timeout.

--- a/process/gateway/call.go
+++ b/process/gateway/call.go
@@ -33,6 +33,9 @@
 	retryDelaySpread  = 300 * time.Millisecond // range of the random delay that spreads callers refused at the same time
 )
 
+// errAttemptTime is the cause with which attemptContext ends an attempt.
+var errAttemptTime = errors.New("replica did not answer in most of the latency target")
+
 // pool holds the load balancer and the retry policy of one service, plain or
 // engine.
 type pool struct {
@@ -140,7 +143,7 @@
 	var timer *time.Timer
 	timer = time.AfterFunc(time.Hour, func() {
 		if p.policy.Budget.Tokens() >= 1 && g.canPick(j.service, tried) {
-			cancel(context.DeadlineExceeded)
+			cancel(errAttemptTime)
 			return
 		}
 		timer.Reset(limit)
@@ -152,6 +155,18 @@
 	}
 }
 
+// attemptError returns the error of an attempt that attemptContext ended, and f for
+// other attempts.
+func attemptError(ctx context.Context, f *refusal.Error) *refusal.Error {
+	switch {
+	case !errors.Is(context.Cause(ctx), errAttemptTime):
+		return f
+	case f.Outcome == refusal.NotRun:
+		return refusal.New(refusal.Dial, refusal.NotRun, errAttemptTime.Error())
+	}
+	return refusal.New(refusal.Timeout, refusal.Unknown, errAttemptTime.Error())
+}
+
 // canPick reports whether a service has a replica that can get a request now and is
 // not in tried.
 func (g *Gateway) canPick(service string, tried []string) bool {
@@ -198,7 +213,7 @@
 		Request: j.Request, Endpoint: e, Account: j.account, Deadline: j.deadline, Since: since, Rank: j.rank, After: j.After,
 	})
 	if err != nil {
-		f := refusal.From(err)
+		f := attemptError(ctx, refusal.From(err))
 		unsent := f.Reason == refusal.Dial
 		p.balance.Done(e.ID, balance.Result{Took: time.Since(begun), Failed: ctx.Err() == nil, ConnectFailed: unsent})
 		return nil, &fault{Error: f, unsent: unsent, silent: unsent && !errors.Is(err, ErrRefused)}
@@ -218,7 +233,7 @@
 			err = errors.CombineErrors(ctx.Err(), err)
 		}
 		p.balance.Done(e.ID, balance.Result{Took: time.Since(begun), Failed: ctx.Err() == nil})
-		return nil, &fault{Error: refusal.FromCallError(err, true)}
+		return nil, &fault{Error: attemptError(ctx, refusal.FromCallError(err, true))}
 	}
 	failed := a.status >= http.StatusInternalServerError
 	pauses := !answer.RetryAt.IsZero() // turned away, which is no failure
--- a/process/gateway/silence_test.go
+++ b/process/gateway/silence_test.go
@@ -440,3 +440,44 @@
 		})
 	}
 }
+
+// Guards against a repeatable request that ends with its attempt at a silent replica
+// although another replica answers.
+func TestRepeatableRequestLeavesASilentReplica(t *testing.T) {
+	for name, silent := range map[string]func(ctx context.Context) (*Answer, error){
+		"no connection": func(ctx context.Context) (*Answer, error) {
+			<-ctx.Done()
+			return nil, refusal.FromCallError(ctx.Err(), false)
+		},
+		"no answer": func(ctx context.Context) (*Answer, error) {
+			<-ctx.Done()
+			return nil, refusal.FromCallError(ctx.Err(), true)
+		},
+		"no body": func(ctx context.Context) (*Answer, error) {
+			reader, _ := io.Pipe()
+			context.AfterFunc(ctx, func() { _ = reader.CloseWithError(errors.New("connection closed")) })
+			a := plainAnswer(http.StatusOK, "")
+			a.Body, a.Length = reader, 4
+			return a, nil
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newTestGateway(t)
+				w.Tables.Current().Routes[3].Aim = 300 * time.Millisecond
+				calls := 0
+				w.Backend.Send = func(ctx context.Context, _ Call) (*Answer, error) {
+					if calls++; calls == 1 {
+						return silent(ctx)
+					}
+					return plainAnswer(http.StatusOK, "done"), nil
+				}
+				begun := time.Now()
+				rec, err := w.request("/read/1")
+				require.NoError(t, err)
+				require.Equal(t, "done", rec.Body.String())
+				require.Less(t, time.Since(begun), 300*time.Millisecond)
+			})
+		})
+	}
+}
