entry: connections that are not made in time use up no retry budget

When 200 requests met endpoints that had just fallen silent and made no new connections, 100 of them were refused as not run after 2 s, though the endpoints went on after 3 s: the repeats of attempts that had reached nothing had used up the retry budgets of the services.

TestManyCallsInSilence failed before:

50 x completion: status 503: dial ... context deadline exceeded, ran no 50 x order: status 503: dial ... context deadline exceeded, ran no

Such a repeat is not charged. The limit of attempts and the waits between them hold; a refused connection is charged as before.

go test -race ./process/entry ./internal/system ./client: ok, 100 s and 17 s beside other load.

--- a/process/entry/enginepool.go
+++ b/process/entry/enginepool.go
@@ -228,9 +228,19 @@
 }
 
 // nextAttempt decides whether and when a failed attempt is repeated. Attempts
-// are counted from 0.
+// are counted from 0. A repeat takes nothing from the retry budget if no connection was
+// made in time: that put no load on the service, and took so long that the repeat puts
+// little on it.
 func (e *Entry) nextAttempt(service string, fault *refusal.Error, idempotent bool, attempt int, deadline time.Time) (time.Time, bool) {
 	policy := e.retryPolicy(service)
+	if fault.Reason == refusal.Dial && isNoResponse(fault) {
+		at := e.now().Add(policy.Backoff.Wait(attempt + 1))
+		if attempt+1 >= retry.DefaultAttempts || !at.Before(deadline) {
+			return at, false
+		}
+		refusal.CountRetry(fault.Reason)
+		return at, true
+	}
 	at, ok := policy.Next(fault.Outcome, fault.Reason, idempotent, attempt+1, deadline, e.now())
 	return at, ok
 }
--- a/process/entry/quiet_test.go
+++ b/process/entry/quiet_test.go
@@ -129,3 +129,31 @@
 		return canceled == 1
 	}, 20*time.Second, 50*time.Millisecond)
 }
+
+// TestManyCallsInSilence guards against calls that are refused because attempts that
+// reached no replica have used up the retry budget.
+func TestManyCallsInSilence(t *testing.T) {
+	t.Parallel()
+	p := &pausable{full: true}
+	s := start(t, &system.System{Entries: 1, Engines: 1, PlainReplicas: 1, Prepare: func(_ int, e *entry.Entry) { e.Dial = p.dial }})
+	streamOnce(t, s, "length=3 first")
+	_, err := newClient(t, s).Call(context.Background(), orderCall("", "first"))
+	require.NoError(t, err)
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	for i := range 200 {
+		wg.Go(func() {
+			time.Sleep(50 * time.Millisecond) // into the silence
+			if i%2 == 0 {
+				streamOnce(t, s, fmt.Sprint("length=3 of person ", i))
+				return
+			}
+			body := fmt.Sprint("body-", i)
+			status, _, text := post(t, s.Addrs()[0], http.MethodPost, orders, body, "Idempotency-Key", s.Nodes()[0].Entry.ID()+"."+uuid.Must(uuid.NewV7()).String())
+			if status != http.StatusOK || runs(s, body) != 1 {
+				t.Errorf("order: status %d: %s; ran %d times", status, text, runs(s, body))
+			}
+		})
+	}
+	p.pause(3 * time.Second)
+}
