--- a/process/entry/quiet_test.go
+++ b/process/entry/quiet_test.go
@@ -157,3 +157,27 @@
 	}
 	p.pause(3 * time.Second)
 }
+
+// TestStopInSilence guards against requests that are cut or refused because their entry
+// stops gracefully while the engine is silent.
+func TestStopInSilence(t *testing.T) {
+	t.Parallel()
+	p := &pausable{}
+	s := start(t, &system.System{
+		Entries: 1, Engines: 1, Config: model.Config{Base: 20 * time.Millisecond, Memory: 100_000},
+		Prepare: func(_ int, e *entry.Entry) { e.Dial = p.dial },
+	})
+	var wg conc.WaitGroup
+	wg.Go(func() { streamOnce(t, s, "length=100 in flight") }) // takes 2 s
+	wg.Go(func() {
+		time.Sleep(2 * time.Second) // after a poll has found the silence
+		streamOnce(t, s, "length=5 that waits")
+	})
+	time.Sleep(500 * time.Millisecond)
+	n := s.Nodes()[0]
+	time.AfterFunc(1800*time.Millisecond, n.Stop)
+	p.pause(3 * time.Second)
+	wg.Wait()
+	<-n.Done
+	require.NoError(t, n.Err)
+}
