--- a/process/entry/quiet_test.go
+++ b/process/entry/quiet_test.go
@@ -129,3 +129,55 @@
 		return canceled == 1
 	}, 20*time.Second, 50*time.Millisecond)
 }
+
+// TestManyCallsInSilence guards against calls that are refused because attempts that
+// reached no replica have used up the retry budget.
+func TestManyCallsInSilence(t *testing.T) {
+	t.Parallel()
+	p := &pausable{full: true}
+	s := start(t, &system.System{Entries: 1, Engines: 1, PlainReplicas: 1, Prepare: func(_ int, e *entry.Entry) { e.Dial = p.dial }})
+	streamOnce(t, s, "length=3 first")
+	_, err := newClient(t, s).Call(context.Background(), orderCall("", "first"))
+	require.NoError(t, err)
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	for i := range 200 {
+		wg.Go(func() {
+			time.Sleep(50 * time.Millisecond) // into the silence
+			if i%2 == 0 {
+				streamOnce(t, s, fmt.Sprint("length=3 of person ", i))
+				return
+			}
+			body := fmt.Sprint("body-", i)
+			status, _, text := post(t, s.Addrs()[0], http.MethodPost, orders, body, "Idempotency-Key", s.Nodes()[0].Entry.ID()+"."+uuid.Must(uuid.NewV7()).String())
+			if status != http.StatusOK || runs(s, body) != 1 {
+				t.Errorf("order: status %d: %s; ran %d times", status, text, runs(s, body))
+			}
+		})
+	}
+	p.pause(3 * time.Second)
+}
+
+// TestStopInSilence guards against requests that are cut or refused because their entry
+// stops gracefully while the engine is silent.
+func TestStopInSilence(t *testing.T) {
+	t.Parallel()
+	p := &pausable{}
+	s := start(t, &system.System{
+		Entries: 1, Engines: 1, Config: model.Config{Base: 20 * time.Millisecond, Memory: 100_000},
+		Prepare: func(_ int, e *entry.Entry) { e.Dial = p.dial },
+	})
+	var wg conc.WaitGroup
+	wg.Go(func() { streamOnce(t, s, "length=100 in flight") }) // takes 2 s
+	wg.Go(func() {
+		time.Sleep(2 * time.Second) // after a poll has found the silence
+		streamOnce(t, s, "length=5 that waits")
+	})
+	time.Sleep(500 * time.Millisecond)
+	n := s.Nodes()[0]
+	time.AfterFunc(1800*time.Millisecond, n.Stop)
+	p.pause(3 * time.Second)
+	wg.Wait()
+	<-n.Done
+	require.NoError(t, n.Err)
+}
