stream: an event is passed on though a part of the next has arrived

What callers saw: neither a status nor an event for as long as an engine paused inside an event, if the event before had arrived together with a part of it; a caller gives such a stream up. If the engine ended there, the caller got a closed connection without a status line, though the log had an event passed on.

Cause: events that arrive together are written together, and the answer was flushed only when nothing of a next event had been received, not when a next event had been received completely.

TestEventIsNotHeldBack before: no answer within 5 s in each of the three cases. TestTruncatedAnswerIsNotWhole, which stops three kinds of stream after each byte, before: "no answer" in each of them, first after 131, 147 and 111 bytes.

Pending now reports whether the next event is complete. With that both tests passed twice. TestTruncatedAnswerIsNotWhole has eight kinds of plain answers besides, each stopped after every byte: none of them looked whole.

--- a/request/stream/event.go
+++ b/request/stream/event.go
@@ -73,5 +73,9 @@
 	}
 }
 
-// Pending reports whether bytes of the next event have been received.
-func (e *EventReader) Pending() bool { return e.r.Buffered() > 0 }
+// Pending reports whether the next event has been received completely.
+func (e *EventReader) Pending() bool {
+	data, err := e.r.Peek(e.r.Buffered())
+	data = bytes.TrimLeft(data, "\r\n") // empty lines between events
+	return err == nil && (bytes.Contains(data, []byte("\n\n")) || bytes.Contains(data, []byte("\n\r\n")))
+}
