gateway: requests that waited for a replica don't reach it together

When all replicas of a service were leaving and a new one was listed, all plain requests that waited were sent to it in the same moment; it has a few slots and refuses the rest, which costs retries.

Change: each waits for a random time of up to 10 ms for each other one that waits; one that waits alone is sent without delay.

--- a/process/gateway/call.go
+++ b/process/gateway/call.go
@@ -6,6 +6,7 @@
 	"maps"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -34,6 +35,7 @@
 type pool struct {
 	balance balance.Balancer
 	policy  retry.Policy
+	waiting atomic.Int32 // plain requests that wait for a replica to be listed
 }
 
 func (g *Gateway) pool(service string) *pool {
--- a/process/gateway/leaving_test.go
+++ b/process/gateway/leaving_test.go
@@ -396,3 +396,53 @@
 		}
 	}
 }
+
+// Guards against a new replica that gets at once all requests that have waited for one.
+func TestRequestsThatWaitedAreSpread(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const waiting, work = 100, 30 * time.Millisecond
+		w := newLeavingGateway(t)
+		var (
+			mu           sync.Mutex
+			active, most int
+		)
+		w.answer = func(int, Call) (*Answer, error) {
+			mu.Lock()
+			active++
+			most = max(most, active)
+			mu.Unlock()
+			time.Sleep(work)
+			mu.Lock()
+			defer mu.Unlock()
+			active--
+			return plainAnswer(http.StatusOK, "x"), nil
+		}
+		for i := range 4 {
+			w.sayLeaving(fmt.Sprint("d", i))
+		}
+		var wg sync.WaitGroup
+		for range waiting {
+			wg.Go(func() {
+				_, err := w.ask("/read/1", 5*time.Second)
+				assert.NoError(t, err)
+			})
+		}
+		time.Sleep(500 * time.Millisecond)
+		begun := time.Now()
+		w.Roster.Set(roster.Endpoint{ID: "d9", Service: plainService, Addr: "10.0.2.1:1", Place: "p0", Slots: 6})
+		wg.Wait()
+		t.Logf("at most %d of %d at once, in %v", most, waiting, time.Since(begun))
+		require.LessOrEqual(t, most, waiting/5)
+		require.LessOrEqual(t, time.Since(begun), 1500*time.Millisecond)
+
+		go func() {
+			time.Sleep(100 * time.Millisecond)
+			w.Roster.Set(roster.Endpoint{ID: "d8", Service: plainService, Addr: "10.0.2.2:1", Place: "p0", Slots: 6})
+		}()
+		w.sayLeaving("d9")
+		begun = time.Now()
+		_, err := w.ask("/read/1", 5*time.Second)
+		require.NoError(t, err)
+		require.LessOrEqual(t, time.Since(begun), 150*time.Millisecond, "one that waits alone is sent without delay")
+	})
+}
--- a/process/gateway/limit.go
+++ b/process/gateway/limit.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/eelgrassdock/eelgrassdock/internal/sleep"
 	"github.com/eelgrassdock/eelgrassdock/process/balance"
 	"github.com/eelgrassdock/eelgrassdock/process/loads"
 	"github.com/eelgrassdock/eelgrassdock/process/ratelimit"
@@ -196,7 +197,7 @@
 			continue
 		}
 		best, due := g.nextGrant(list, tried, now)
-		if best.ID == "" && len(tried) == 0 && g.awaitEndpoint(ctx, j.service, until) {
+		if best.ID == "" && len(tried) == 0 && g.awaitReplica(ctx, j.service, p, until) {
 			continue
 		}
 		if best.ID == "" {
@@ -224,6 +225,18 @@
 	return now.Add(time.Duration(float64(j.deadline.Sub(now)) * grantWaitShare / float64(1+max(j.rank, 0))))
 }
 
+// awaitReplica waits as awaitEndpoint does, and then for a random time that grows with the
+// number of requests that wait, so that they do not reach the replica together.
+func (g *Gateway) awaitReplica(ctx context.Context, service string, p *pool, until time.Time) bool {
+	p.waiting.Add(1)
+	defer p.waiting.Add(-1)
+	if !g.awaitEndpoint(ctx, service, until) {
+		return false
+	}
+	others := time.Duration(p.waiting.Load() - 1)
+	return others <= 0 || sleep.For(ctx, jitter(others*ratelimit.ReleaseInterval))
+}
+
 // awaitEndpoint waits, if all endpoints of a service are leaving, until another one is
 // listed, and reports whether it is. It returns false at once if there are no endpoints
 // at all: nothing shows then that others will follow.
--- a/process/ratelimit/pause.go
+++ b/process/ratelimit/pause.go
@@ -2,9 +2,9 @@
 
 import "time"
 
-// releaseInterval is the interval at which requests that waited for the end of a pause
-// are granted, so that they do not reach the endpoint together.
-const releaseInterval = 10 * time.Millisecond
+// ReleaseInterval is the mean interval at which requests that waited for an endpoint are
+// sent to it, so that they do not reach it together.
+const ReleaseInterval = 10 * time.Millisecond
 
 // Pause grants no more requests of this instance to an endpoint before a time. Other
 // instances are not concerned. A pause that ends earlier than the one in force changes
@@ -41,7 +41,7 @@
 		return later(x.next, x.pause), x.interval
 	}
 	if at = later(x.release, x.pause); at.After(now) {
-		return at, releaseInterval
+		return at, ReleaseInterval
 	}
 	return time.Time{}, 0
 }
--- a/process/ratelimit/pause_test.go
+++ b/process/ratelimit/pause_test.go
@@ -125,9 +125,9 @@
 		slices.Sort(sent)
 		require.Len(t, sent, 5)
 		for i, at := range sent {
-			require.Equal(t, 2*time.Second+time.Duration(i)*releaseInterval, at)
+			require.Equal(t, 2*time.Second+time.Duration(i)*ReleaseInterval, at)
 		}
-		time.Sleep(releaseInterval)
+		time.Sleep(ReleaseInterval)
 		require.True(t, l.Take("e", time.Now()))
 	})
 }
