gateway: requests that wait for an endpoint are refused before their instance stops

A request that waited for an endpoint (a grant, the end of a pause, a new endpoint, room at an engine) could do so until its instance had stopped, and its connection was then cut without an answer: a wait lasts up to 0.6 of the time to the deadline, the grace time may be shorter.

Evidence: TestWaitsEndBeforeTheInstance on the code before, grace time 8 s, deadline 60 s, in each of its four cases: requests of an instance that stops: should be zero, but was 2.

Change: waits end a second before active requests must have ended, and what waits is refused as not run (stopping), so that its caller goes to another instance. Result: the four cases pass.

--- a/process/gateway/enginepool.go
+++ b/process/gateway/enginepool.go
@@ -120,6 +120,8 @@
 	request := placement.Request{
 		Account: j.route.Name, Prompt: j.Prompt, Max: j.Max, Rank: j.rank, Arrived: now, Deadline: until, Exclude: tried,
 	}
+	wait, done := p.g.waitContext(ctx)
+	defer done()
 	for {
 		if err := p.checkLimits(j, tried, until); err != nil {
 			return roster.Endpoint{}, 0, err
@@ -127,11 +129,15 @@
 		item := &queue.Item{
 			Account: j.account, Rank: queue.MaxRank - j.rank, Arrived: now, Deadline: until, Cost: float64(j.Prompt),
 		}
-		decision, err := p.dispatcher.Reserve(ctx, request, item)
+		decision, err := p.dispatcher.Reserve(wait, request, item)
+		listed := err == nil && decision.Endpoint == "" && len(tried) == 0 && p.g.awaitEndpoint(wait, p.service, until)
+		if decision.Endpoint == "" && wait.Err() != nil && ctx.Err() == nil {
+			return roster.Endpoint{}, 0, refuseStopping()
+		}
 		if err != nil {
 			return roster.Endpoint{}, 0, err
 		}
-		if decision.Endpoint == "" && len(tried) == 0 && p.g.awaitEndpoint(ctx, p.service, until) {
+		if listed {
 			continue
 		}
 		if decision.Endpoint == "" {
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -205,6 +205,8 @@
 		active       atomic.Int64             // number of running requests
 		base         context.Context
 		cancel       context.CancelFunc
+		waits        context.Context // ends when requests may no longer wait for an endpoint, as this instance stops
+		endWaits     context.CancelFunc
 	}
 
 	// storedTable is the encoded routing table in force, as it is in the store.
--- a/process/gateway/leaving_test.go
+++ b/process/gateway/leaving_test.go
@@ -15,6 +15,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/eelgrassdock/eelgrassdock/process/loads"
+	"github.com/eelgrassdock/eelgrassdock/process/member"
+	"github.com/eelgrassdock/eelgrassdock/process/mirror"
 	"github.com/eelgrassdock/eelgrassdock/process/placement"
 	"github.com/eelgrassdock/eelgrassdock/process/quarantine"
 	"github.com/eelgrassdock/eelgrassdock/process/queue"
@@ -446,3 +448,53 @@
 		require.LessOrEqual(t, time.Since(begun), 150*time.Millisecond, "one that waits alone is sent without delay")
 	})
 }
+
+// Guards against requests that wait for an endpoint until their instance has stopped, and
+// are then cut without an answer.
+func TestWaitsEndBeforeTheInstance(t *testing.T) {
+	for name, prepare := range map[string]func(w *testGateway){
+		"leaving": func(w *testGateway) {
+			for i := range 4 {
+				w.sayLeaving(fmt.Sprint("d", i))
+				w.sayLeaving(fmt.Sprint("e", i))
+			}
+		},
+		"pause": func(w *testGateway) {
+			w.pauseAll("d", 20*time.Second)
+			w.pauseAll("e", 20*time.Second)
+		},
+	} {
+		for _, path := range []string{"/read/1", "/short/1"} {
+			t.Run(name+path, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					w := newLeavingGateway(t)
+					w.serve()
+					w.Tables.Current().Routes[1].Aim = 60 * time.Second
+					w.Settings.Grace, w.Settings.Keep = 8, 1
+					w.members = &member.Node{
+						Self: member.Member{ID: w.id, Addr: "127.0.0.1:1", Probe: "127.0.0.1:2", RPC: "127.0.0.1:3"},
+						Send: func(string, []byte) error { return nil },
+					}
+					w.Registered = func(context.Context) (mirror.Page, error) { return mirror.Page{}, nil }
+					prepare(w)
+					var wg sync.WaitGroup
+					ask := func() {
+						wg.Go(func() {
+							_, err := w.ask(path, 60*time.Second)
+							f := w.refusalOf(err)
+							assert.Equal(t, refusal.NotRun, f.Outcome)
+							assert.Equal(t, refusal.Stopping, f.Reason)
+							assert.False(t, f.RetryAt.IsZero())
+						})
+					}
+					ask()
+					time.Sleep(time.Second)
+					time.AfterFunc(3*time.Second, ask)
+					time.AfterFunc(6900*time.Millisecond, func() { assert.Zero(t, w.Active(), "requests of an instance that stops") })
+					w.Stop(func() {})
+					wg.Wait()
+				})
+			})
+		}
+	}
+}
--- a/process/gateway/limit.go
+++ b/process/gateway/limit.go
@@ -196,18 +196,26 @@
 			p.balance.Done(e.ID, balance.Result{Refused: true}) // another request took the grant
 			continue
 		}
+		wait, done := g.waitContext(ctx)
+		defer done()
 		best, due := g.nextGrant(list, tried, now)
-		if best.ID == "" && len(tried) == 0 && g.awaitReplica(ctx, j.service, p, until) {
+		if best.ID == "" && len(tried) == 0 && g.awaitReplica(wait, j.service, p, until) {
 			continue
 		}
+		if best.ID == "" && wait.Err() != nil && ctx.Err() == nil {
+			return best, refuseStopping()
+		}
 		if best.ID == "" {
 			f := refusal.New(refusal.NoEndpoint, refusal.NotRun, "no replica of service "+j.service+" can be used")
 			f.RetryAt = g.returnTime(j.service)
 			return best, f
 		}
-		if due.After(until) || !g.limits.Wait(ctx, best.ID, until) {
-			if ctx.Err() != nil {
+		if due.After(until) || !g.limits.Wait(wait, best.ID, until) {
+			switch {
+			case ctx.Err() != nil:
 				return best, refusal.FromCallError(ctx.Err(), false)
+			case wait.Err() != nil:
+				return best, refuseStopping()
 			}
 			_, due = g.nextGrant(list, tried, now)
 			return best, g.refuseLimited(j, due, now)
--- a/process/gateway/run.go
+++ b/process/gateway/run.go
@@ -13,12 +13,14 @@
 	"github.com/eelgrassdock/eelgrassdock/process/member"
 	"github.com/eelgrassdock/eelgrassdock/process/mirror"
 	"github.com/eelgrassdock/eelgrassdock/process/roster"
+	"github.com/eelgrassdock/eelgrassdock/request/refusal"
 )
 
 const (
 	budgetShare     = 0.8                    // share of the retry budget that is used; the rest allows for stale information about the fleet
 	housekeeping    = 5 * time.Second        // interval at which idle connections are closed
 	stopReserve     = time.Second            // end of the grace time, when no request runs any more; for leaving and deregistering
+	waitReserve     = time.Second            // before the end of active requests; those that still wait for an endpoint are refused
 	deregisterLimit = 600 * time.Millisecond // for deleting this instance's row; part of stopReserve
 	leaveSpreadTime = 500 * time.Millisecond // until all instances have received that this one is leaving
 	stopPoll        = 50 * time.Millisecond
@@ -37,6 +39,7 @@
 func (g *Gateway) Start(ctx context.Context, tables []*mirror.Table) error {
 	g.id = g.Settings.Name + "-" + uuid.NewString()[:8]
 	g.base, g.cancel = context.WithCancel(ctx)
+	g.waits, g.endWaits = context.WithCancel(g.base)
 	g.Roster.Changed, g.Roster.OnLeaving = g.onEndpointsChanged, g.onEndpointLeaves
 	g.members = &member.Node{Self: g.self(), Seeds: g.seeds, Payload: g.payload, OnPayload: g.onPayload, Changed: g.membersChanged}
 	g.listMembers = g.members.Members
@@ -71,6 +74,25 @@
 	return nil
 }
 
+// waitContext returns a context that ends with ctx, or when requests may no longer wait
+// for an endpoint because this instance stops.
+func (g *Gateway) waitContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(g.waits, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
+// refuseStopping returns the refusal of a request that waited for an endpoint until this
+// instance stopped.
+func refuseStopping() *refusal.Error {
+	f := refusal.New(refusal.Stopping, refusal.NotRun, "instance is stopping; use another one")
+	f.RetryAt = retryTime(time.Now())
+	return f
+}
+
 func (g *Gateway) spawn(task func()) { go task() }
 
 func (g *Gateway) housekeep() {
@@ -101,6 +123,7 @@
 	if !g.stopping.CompareAndSwap(nil, s) {
 		return
 	}
+	defer time.AfterFunc(time.Until(s.end.Add(-waitReserve)), g.endWaits).Stop()
 	g.members.Drain()
 	g.members.Nudge()
 	g.Log.WithFields(logrus.Fields{"event": "stop", "active": g.Active()}).Info("instance is stopping")
--- a/process/gateway/testgateway_test.go
+++ b/process/gateway/testgateway_test.go
@@ -93,6 +93,7 @@
 	w.watchLimits()
 	ctx, cancel := context.WithCancel(t.Context())
 	w.base, w.cancel = ctx, cancel
+	w.waits, w.endWaits = context.WithCancel(ctx)
 	t.Cleanup(cancel)
 	w.Tables.Install(routing.New(routing.Document{
 		Version: 1,
