--- a/process/gateway/call.go
+++ b/process/gateway/call.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -41,6 +42,7 @@
 type pool struct {
 	balance balance.Balancer
 	policy  retry.Policy
+	waiting atomic.Int32 // plain requests that wait for a replica to be listed
 }
 
 func (g *Gateway) pool(service string) *pool {
