gateway: a later start under an engine's ID ends the wait for it at once

A silent engine of which the list showed a later start was waited for as long as one that the list had dropped, although its process is certain to have ended. A dropped row is less: an engine that leaves may lose it while it still works, so that needs the silence too.

The shortest silence that counts as a loss is 3.5 s, so that one of 3 s with the time to the next event stays below it. With beats of 1.2 s, as in use, it is 3.6 s as before.

TestRequestLeavesAnEngineThatHasEnded expects the new start to be noticed at the first probe, within 1.0 to 1.4 s.

--- a/process/gateway/silence.go
+++ b/process/gateway/silence.go
@@ -20,7 +20,7 @@
 	probeLimit     = 400 * time.Millisecond // timeout of a probe; covers a new connection between regions
 	// minLossTime is the shortest silence after which an engine counts as lost: a
 	// sound one may be silent for a second or more.
-	minLossTime = 3 * time.Second
+	minLossTime = 3500 * time.Millisecond
 	// lossBeats is the number of beats without a sign of life after which the
 	// platform's list drops an endpoint.
 	lossBeats = 3
@@ -60,9 +60,10 @@
 // watchSilence starts the watch of an attempt. The first event may take as long as the
 // latency target.
 func (r *run) watchSilence(ctx context.Context, e roster.Endpoint, cancel context.CancelCauseFunc) *silenceWatch {
+	_, listed := r.g.Roster.Get(e.ID)
 	w := &silenceWatch{
-		r: r, endpoint: e, cancel: cancel, last: time.Now(),
-		listed: r.g.isListed(e), repeatable: r.j.route.Resume && r.sends+1 < max(r.j.route.Attempts, 1),
+		r: r, endpoint: e, cancel: cancel, last: time.Now(), listed: listed,
+		repeatable: r.j.route.Resume && r.sends+1 < max(r.j.route.Attempts, 1),
 	}
 	w.timer = time.AfterFunc(time.Hour, func() { w.probe(ctx) })
 	w.timer.Reset(max(r.j.route.Aim, silenceTimeout)) // the function uses w.timer, so it may run only after the assignment
@@ -120,10 +121,11 @@
 // probe, which failed with err, or nil.
 func (w *silenceWatch) evidence(ctx context.Context, err error) error {
 	silent := time.Since(w.lastEvent())
+	now, listed := w.r.g.Roster.Get(w.endpoint.ID)
 	switch {
-	case errors.Is(err, ErrRefused):
+	case errors.Is(err, ErrRefused), listed && now.Born > w.endpoint.Born:
 		return errGone
-	case w.listed && !w.r.g.isListed(w.endpoint) && silent >= minLossTime:
+	case w.listed && !listed && silent >= minLossTime: // an engine that leaves is dropped while it still works
 		return errGone
 	case silent >= w.r.g.lossTime() && w.canContinue(ctx):
 		return errSilent
@@ -131,12 +133,6 @@
 	return nil
 }
 
-// isListed reports whether the list has an endpoint, as the same process.
-func (g *Gateway) isListed(e roster.Endpoint) bool {
-	now, ok := g.Roster.Get(e.ID)
-	return ok && now.Born == e.Born
-}
-
 // canContinue reports whether the request can go on at another engine that answers:
 // from a copy of its memory, or as a repetition.
 func (w *silenceWatch) canContinue(ctx context.Context) bool {
--- a/process/gateway/silence_test.go
+++ b/process/gateway/silence_test.go
@@ -212,7 +212,7 @@
 			e, _ := w.Roster.Get(id)
 			e.Born++
 			w.Roster.Set(e)
-		}, minLossTime, minLossTime + probeLimit + silencePause},
+		}, silenceTimeout, silenceTimeout + probeLimit},
 		"nothing but silence": {func(*testGateway, string) {}, 4 * time.Second, 4*time.Second + probeLimit + silencePause},
 	} {
 		for _, path := range []string{"guide", "short"} {
