client: an answer over 16 MiB is an error, not a part of it

What callers saw: of an answer to a call that was longer than 16 MiB, the first 16 MiB as if they were all.

TestLongAnswer before: no error for an answer of 16 MiB and one byte. The call now fails with reason garbage, outcome run, as an entry does above 8 MiB.

Tests that stop an answer after each of its bytes, for the readers of connection/service, connection/engine and of this package, found nothing: each part was an error with an unknown outcome, and each part of a stream one after which the client reconnects.

--- a/client/call.go
+++ b/client/call.go
@@ -167,9 +167,12 @@
 		a.refusedByEntry = true
 		return Answer{}, readRefusal(res)
 	}
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes))
+	body, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes+1))
 	if err != nil {
 		return Answer{}, refusal.FromCallError(fmt.Errorf("read answer: %w", err), true)
 	}
+	if len(body) > maxAnswerBytes {
+		return Answer{}, refusal.New(refusal.Garbage, refusal.Run, "answer is over 16 MiB")
+	}
 	return Answer{Status: res.StatusCode, Header: res.Header, Body: body}, nil
 }
--- a/client/client.go
+++ b/client/client.go
@@ -33,7 +33,7 @@
 )
 
 const (
-	maxAnswerBytes = 16 << 20               // bytes that are read of the answer to a call
+	maxAnswerBytes = 16 << 20               // largest answer to a call
 	maxLocateBytes = 1 << 20                // bytes that are read of a list of entries or of a refusal
 	firstBackoff   = 50 * time.Millisecond  // mean wait before the second attempt; doubles with each one
 	lastBackoff    = 2 * time.Second        // longest mean wait between attempts
