entry: a panic in the middle of an answer breaks it off

What callers saw: after a part of an answer, a problem document in its body, and an answer that was framed as whole.

TestPanic, "in the answer", before: the body was the event followed by `{"type":"urn:eelgrassdock:internal",...}`, without an error.

The connection is now closed without completing an answer that has begun. A refusal after a panic bears no header of a replica, and the log has the stack.

--- a/process/entry/http.go
+++ b/process/entry/http.go
@@ -4,6 +4,7 @@
 	"context"
 	"expvar"
 	"net/http"
+	"runtime/debug"
 	"strings"
 	"time"
 
@@ -37,6 +38,12 @@
 	arrived  time.Time
 }
 
+// answerWriter records whether a part of an answer was written.
+type answerWriter struct {
+	http.ResponseWriter
+	begun bool
+}
+
 // Handler returns the HTTP handler for callers and operators.
 func (e *Entry) Handler() http.Handler {
 	router := httprouter.New()
@@ -58,16 +65,49 @@
 	router.NotFound = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		e.refuse(w, refusal.New(refusal.NoService, refusal.NotRun, "no such path: "+r.Method+" "+r.URL.Path))
 	})
-	router.PanicHandler = func(w http.ResponseWriter, r *http.Request, v any) {
-		if v == http.ErrAbortHandler {
-			panic(v)
-		}
-		e.Log.WithField("path", r.URL.Path).WithField("panic", v).Error("request handler panicked")
-		e.refuse(w, refusal.New(refusal.Internal, refusal.Unknown, "internal fault"))
-	}
-	return router
+	return e.recovering(router)
+}
+
+// recovering returns a handler that refuses a request for which next panics. If a part
+// of the answer was written, it closes the connection instead.
+func (e *Entry) recovering(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(response http.ResponseWriter, r *http.Request) {
+		w := &answerWriter{ResponseWriter: response}
+		defer func() {
+			v := recover()
+			if v == nil {
+				return
+			}
+			if v == http.ErrAbortHandler {
+				panic(v)
+			}
+			e.Log.WithField("path", r.URL.Path).WithField("panic", v).WithField("stack", string(debug.Stack())).Error("request handler panicked")
+			if w.begun {
+				_ = http.NewResponseController(w).Flush() // the connection is closed in any case
+				panic(http.ErrAbortHandler)
+			}
+			clear(w.Header()) // it may hold headers of a replica's answer
+			e.refuse(w, refusal.New(refusal.Internal, refusal.Unknown, "internal fault"))
+		}()
+		next.ServeHTTP(w, r)
+	})
 }
 
+// WriteHeader writes the status and the header.
+func (w *answerWriter) WriteHeader(status int) {
+	w.ResponseWriter.WriteHeader(status)
+	w.begun = true
+}
+
+// Write writes a part of the body.
+func (w *answerWriter) Write(p []byte) (int, error) {
+	w.begun = true
+	return w.ResponseWriter.Write(p)
+}
+
+// Unwrap returns the writer for http.ResponseController.
+func (w *answerWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
 func (e *Entry) refuse(w http.ResponseWriter, err error) { refusal.Write(w, err, e.now()) }
 
 // authenticate returns the account, caller and deadline of a request.
