soak: endpoints say that they leave, and when to come back

Endpoints have two new ways to keep work away: Server-Leaving in all their answers, and Retry-After on a 503. No stand-in sent either, so no test showed that the program ignores both.

The stand-in sends Server-Leaving in every answer after Leave (answers, failures, refusals, streams, reports, moves, releases), and refuses requests until a time that it names. The endpoints that the soak reclaims send the header from then on. HeaderPlan, with its own random stream, draws endpoints that say it in answers only (the row says so 6 s later, or never) and endpoints, one or all of a service, that turn requests away for 1 to 5 s. The ledger knows from the ID which instance sent a request, and has two new promises:

- `drain`: no request that a caller sent more than 3 s after the instance passed on an answer with the header reaches that endpoint from that instance.
Only a start or a freeze of the instance excuses.
- `backoff`: at most two requests of an instance reach an endpoint between half a second after a refusal and the time that this named.
A start, freeze or other disturbance of the instance excuses, and so does a hang of the endpoint, which may delay the refusal.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -169,8 +169,8 @@
 		}
 		return
 	}
-	l.Answered(a.ID)
 	_, endpoint, _ := strings.Cut(r.Seal, ".")
+	l.Answered(a.ID, endpoint, time.Now())
 	l.Check(Own, r.ID == a.ID && r.Seal == fake.Seal(a.ID, endpoint), "request %s got the answer to %s, seal %s", a.ID, r.ID, r.Seal)
 	if r.Status != http.StatusOK {
 		return
--- a/internal/soak/endpoints.go
+++ b/internal/soak/endpoints.go
@@ -53,6 +53,7 @@
 	e := &fake.Endpoint{
 		ID: fmt.Sprintf("%s-%s-%d", p.service, listen[len(listen)-5:], p.starts), Service: p.service, Addr: link.addr, Place: p.place,
 		Slots: fake.Slots, Work: plainDuration, Seed: p.s.Seed + uint64(p.starts), Began: p.s.recordRun, Reached: p.s.ledger.Reached,
+		SaysLeaving: p.s.ledger.SaysLeaving, SaysBusy: p.s.ledger.SaysBusy,
 		Ended: func(r fake.Run, whole bool) { p.s.ledger.Ended(r.Request, r.Endpoint, whole) }, Peer: p.s.endpointAt,
 	}
 	p.mu.Unlock()
@@ -91,18 +92,16 @@
 	if !ok {
 		return
 	}
-	if p.s.Sabotage != Leaving {
-		p.mu.Lock()
-		p.leaving = true
-		p.s.store.PutEndpoint(e, true)
-		p.mu.Unlock()
+	e.Leave()
+	if p.s.Sabotage != Leaving && p.s.Sabotage != Drain {
+		p.listLeaving(e)
 	}
 	p.s.ledger.Leaves(e.ID, time.Now())
-	// To break the promise Leaving on purpose, the endpoint is not listed as leaving
-	// and must receive a request more than leaveBound after Leaves. An engine would
-	// have ended by then with reclaimNotice, so it also gets drainTime.
+	// To break the promises Leaving and Drain on purpose, the endpoint is not listed as
+	// leaving and must receive a request more than leaveBound after Leaves. An engine
+	// would have ended by then with reclaimNotice, so it also gets drainTime.
 	notice := drainTime
-	if p.service == fake.EngineService && p.s.Sabotage != Leaving {
+	if p.service == fake.EngineService && p.s.Sabotage != Leaving && p.s.Sabotage != Drain {
 		notice = reclaimNotice
 	}
 	sleep.For(p.s.ctx, notice)
@@ -111,6 +110,14 @@
 	p.restart()
 }
 
+// listLeaving lists the endpoint as leaving.
+func (p *site) listLeaving(e *fake.Endpoint) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.leaving = true
+	p.s.store.PutEndpoint(e, true)
+}
+
 // end ends the endpoint.
 func (p *site) end(e *fake.Endpoint, link *relay) {
 	p.mu.Lock()
@@ -181,3 +188,31 @@
 	e.Kill()
 	link.close()
 }
+
+// defaultFaults returns the faults that the n-th endpoint of a service has
+// throughout: none, unless a promise is violated on purpose.
+func (s *Soak) defaultFaults(n int) fake.EndpointFaults {
+	switch s.Sabotage {
+	case NotRun:
+		// The caller receives "not run" only if the last attempt does, so every
+		// endpoint must run the request and deny it.
+		return fake.EndpointFaults{FalseNotRun: true}
+	case Once:
+		// An instance tries a request again that an endpoint ran and denied, and an
+		// endpoint without the fault runs it a second time.
+		return fake.EndpointFaults{FalseNotRun: n%2 == 0}
+	case Whole:
+		return fake.EndpointFaults{Cut: faultShare}
+	case Single:
+		return fake.EndpointFaults{IgnoreCancel: true, Cut: faultShare}
+	case Budget:
+		return fake.EndpointFaults{Fail: 1}
+	case Drain:
+		return fake.EndpointFaults{HeadersHidden: true}
+	case Backoff:
+		return fake.EndpointFaults{Refuse: faultShare, RetryAt: time.Now().Add(s.Duration), HeadersHidden: true}
+	case Limits:
+		return fake.EndpointFaults{Limit: minLimit, LimitHidden: true}
+	}
+	return fake.EndpointFaults{}
+}
--- a/internal/soak/hang.go
+++ b/internal/soak/hang.go
@@ -76,14 +76,22 @@
 
 // hangAll makes all endpoints of one service hang.
 func (s *Soak) hangAll(f Fault, until time.Time) {
-	service := []string{fake.EngineService, fake.PlainService}[f.Target%2]
 	var all conc.WaitGroup
 	defer all.Wait()
+	for _, p := range s.sitesOf(f.Target) {
+		all.Go(func() { p.hang(until) })
+	}
+}
+
+// sitesOf returns the sites of the service that a fault selects.
+func (s *Soak) sitesOf(target int) (sites []*site) {
+	service := []string{fake.EngineService, fake.PlainService}[target%2]
 	for _, p := range s.sites {
 		if p.service == service {
-			all.Go(func() { p.hang(until) })
+			sites = append(sites, p)
 		}
 	}
+	return sites
 }
 
 // Hangs records that an endpoint hangs. That is no disturbance: it excuses nothing that
@@ -118,11 +126,12 @@
 }
 
 // Answered records that a caller received the whole answer of an endpoint.
-func (l *Ledger) Answered(id string) {
+func (l *Ledger) Answered(id, endpoint string, at time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.initMaps()
 	r := l.requests[id]
+	l.passOn(r, endpoint, at)
 	for endpoint := range r.worked {
 		if l.hungSince(endpoint, r.sent) {
 			l.check(Whole, true, "")
--- a/internal/soak/instance.go
+++ b/internal/soak/instance.go
@@ -2,8 +2,11 @@
 
 import (
 	"fmt"
+	"syscall"
+	"time"
 
 	"github.com/eelgrassdock/eelgrassdock/internal/port"
+	"github.com/eelgrassdock/eelgrassdock/internal/sleep"
 	"github.com/eelgrassdock/eelgrassdock/process/gateway"
 )
 
@@ -67,6 +70,16 @@
 	return err
 }
 
+// suspend stops the process of an instance until a time.
+func (s *Soak) suspend(i *instance, until time.Time) {
+	s.ledger.Disturb(i.name, until)
+	i.signal(syscall.SIGSTOP)
+	sleep.For(s.ctx, time.Until(until))
+	i.signal(syscall.SIGCONT)
+	s.ledger.Disturb(i.name, time.Now())
+	s.ledger.Forgets(i.name)
+}
+
 // close kills the process and closes the links.
 func (i *instance) close() {
 	i.kill()
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -23,11 +23,13 @@
 	Budget  = "budget"  // repeated runs stay within the retry budget of all instances together
 	Revoked = "revoked" // a revoked key is refused after revokeBound
 	Limits  = "limits"  // all instances together keep the limit that an endpoint names
+	Drain   = "drain"   // an endpoint whose answer said that it leaves gets no new request of the instance after leaveBound
+	Backoff = "backoff" // an endpoint that names a time to come back gets next to no request of the instance before
 	Whole   = "whole"   // a request that an endpoint works on is answered whole, also if the endpoint hangs meanwhile
 )
 
 // Promises lists every promise.
-var Promises = []string{Order, Own, NotRun, Once, Single, Leaving, Planned, Config, Budget, Revoked, Limits, Whole}
+var Promises = []string{Order, Own, NotRun, Once, Single, Leaving, Planned, Config, Budget, Revoked, Limits, Whole, Drain, Backoff}
 
 // Bounds of the promises, as the platform's specification states them, and
 // tolerances of the checks.
@@ -73,6 +75,9 @@
 		limits    map[string]*limited // by endpoint
 		hangs     map[string]hang     // latest, by endpoint
 		losses    []loss
+		told      map[pair]time.Time   // when the instance passed on an answer which said that the endpoint leaves
+		busy      map[pair][]*busyTime // of the endpoint, as the instance was told
+		forgot    map[string]time.Time // latest start or freeze, by instance
 	}
 
 	// limited is the state of an endpoint that names a limit.
@@ -92,6 +97,7 @@
 		starts      int                  // runs that endpoints have started
 		notRun      bool                 // reported to the caller as not run
 		refused     time.Time            // when it was
+		told        []string             // endpoints whose answer to the request said that they leave
 		active      map[string]time.Time // endpoints that work on the request, with their start times
 		worked      map[string]bool      // endpoints that have worked on the request
 		completed   bool                 // an endpoint produced the complete answer
@@ -105,6 +111,7 @@
 		l.requests, l.leaving = map[string]*request{}, map[string]time.Time{}
 		l.disturbed, l.planned = map[string]time.Time{}, map[string]time.Time{}
 		l.sent, l.repeats = map[string][]time.Time{}, map[string][]time.Time{}
+		l.told, l.busy, l.forgot = map[pair]time.Time{}, map[pair][]*busyTime{}, map[string]time.Time{}
 		l.limits, l.hangs = map[string]*limited{}, map[string]hang{}
 		l.checks, l.breaches = map[string]int64{}, map[string]int64{}
 	}
@@ -202,6 +209,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.initMaps()
+	l.checkTold(id, endpoint, at)
 	x := l.limits[endpoint]
 	if rate == 0 {
 		delete(l.limits, endpoint)
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -32,6 +32,9 @@
 	Restore    = "restore"    // the store is away and comes back from an older copy
 	Hang       = "hang"       // an endpoint does nothing for a while and goes on
 	Standstill = "standstill" // all endpoints of one service hang at once
+	Depart     = "depart"     // an endpoint leaves and says so in its answers; its row says so late or never
+	Busy       = "busy"       // an endpoint turns requests away until a time that it names
+	Overload   = "overload"   // all endpoints of one service turn requests away at once
 )
 
 const (
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -255,6 +255,7 @@
 // startInstance starts an instance and records the start as a disturbance.
 func (s *Soak) startInstance(i *instance) error {
 	s.ledger.Disturb(i.name, time.Now())
+	s.ledger.Forgets(i.name)
 	return i.start()
 }
 
@@ -295,11 +296,7 @@
 		}
 		all.Wait()
 	case Pause:
-		s.ledger.Disturb(i.name, until)
-		i.signal(syscall.SIGSTOP)
-		sleep.For(s.ctx, f.Last)
-		i.signal(syscall.SIGCONT)
-		s.ledger.Disturb(i.name, time.Now())
+		s.suspend(i, until)
 	case Stop:
 		s.stopAndRestart(i)
 	case Hup:
@@ -328,6 +325,12 @@
 		p.hang(until)
 	case Standstill:
 		s.hangAll(f, until)
+	case Depart:
+		p.depart(f.Target/len(s.sites)%2 == 0)
+	case Busy:
+		p.turnAway(until)
+	case Overload:
+		s.turnAllAway(f, until)
 	case Link:
 		p.harmLink(f.Harm, f.Last)
 	case Reclaim:
@@ -378,6 +381,7 @@
 		s.ledger.Check(Planned, inTime, "%s did not end within %v s", i.name, grace)
 	}
 	s.ledger.Plan(i.name, time.Now())
+	s.ledger.Forgets(i.name)
 	if err := i.start(); err != nil {
 		s.recordError(err)
 	}
@@ -399,30 +403,6 @@
 	}
 }
 
-// defaultFaults returns the faults that the n-th endpoint of a service has
-// throughout: none, unless a promise is violated on purpose.
-func (s *Soak) defaultFaults(n int) fake.EndpointFaults {
-	switch s.Sabotage {
-	case NotRun:
-		// The caller receives "not run" only if the last attempt does, so every
-		// endpoint must run the request and deny it.
-		return fake.EndpointFaults{FalseNotRun: true}
-	case Once:
-		// An instance tries a request again that an endpoint ran and denied, and an
-		// endpoint without the fault runs it a second time.
-		return fake.EndpointFaults{FalseNotRun: n%2 == 0}
-	case Whole:
-		return fake.EndpointFaults{Cut: faultShare}
-	case Single:
-		return fake.EndpointFaults{IgnoreCancel: true, Cut: faultShare}
-	case Budget:
-		return fake.EndpointFaults{Fail: 1}
-	case Limits:
-		return fake.EndpointFaults{Limit: minLimit, LimitHidden: true}
-	}
-	return fake.EndpointFaults{}
-}
-
 // recordRun records that an endpoint starts to work on a request.
 func (s *Soak) recordRun(r fake.Run) {
 	s.ledger.Check(Own, r.Key == "", "request %s came with a key of a client account", r.Request)
