dispatch, gateway: a deadline that passes in a queue is named

What operators saw: `refused` with reason `dial` ("the endpoint could not be reached") for a request whose deadline passed while it waited for an engine or for the grant of a limit; `explain` named an endpoint's failure.

TestEndOfAQueuedRequestIsNamed before: "dial" in place of "deadline".

--- a/process/dispatch/dispatch.go
+++ b/process/dispatch/dispatch.go
@@ -65,7 +65,7 @@
 	case decision = <-w.ready:
 	case <-ctx.Done():
 		if d.Queue.Remove(item) {
-			return decision, refusal.FromCallError(ctx.Err(), false)
+			return decision, refusal.FromContext(ctx.Err())
 		}
 		decision = <-w.ready
 	}
--- a/process/gateway/limit.go
+++ b/process/gateway/limit.go
@@ -167,7 +167,7 @@
 		wait := float64(j.deadline.Sub(now)) * grantWaitShare / float64(1+max(j.rank, 0))
 		if until := now.Add(time.Duration(wait)); due.After(until) || !g.limits.Wait(ctx, best.ID, until) {
 			if ctx.Err() != nil {
-				return best, refusal.FromCallError(ctx.Err(), false)
+				return best, refusal.FromContext(ctx.Err())
 			}
 			_, due = g.nextGrant(list, tried, now)
 			return best, g.refuseLimited(j, due, now)
--- a/request/refusal/refusal.go
+++ b/request/refusal/refusal.go
@@ -195,6 +195,15 @@
 	}
 }
 
+// FromContext converts the error of the context of a request that ended before
+// anything was sent.
+func FromContext(err error) *Error {
+	if errors.Is(err, context.DeadlineExceeded) {
+		return New(Deadline, NotRun, err.Error())
+	}
+	return New(Canceled, NotRun, err.Error())
+}
+
 // Count counts a refusal that is sent to a caller.
 func Count(reason Reason) { refusals.Add(string(reason), 1) }
 
