--- a/process/gateway/limit.go
+++ b/process/gateway/limit.go
@@ -182,6 +182,8 @@
 // request at once if none is due in time.
 func (g *Gateway) pickReplica(ctx context.Context, j *job, p *pool, tried []string) (roster.Endpoint, *refusal.Error) {
 	until := grantUntil(j, time.Now())
+	wait, done := g.waitContext(ctx)
+	defer done()
 	for {
 		list := g.Roster.List(j.service)
 		now := time.Now()
@@ -196,8 +198,6 @@
 			p.balance.Done(e.ID, balance.Result{Refused: true}) // another request took the grant
 			continue
 		}
-		wait, done := g.waitContext(ctx)
-		defer done()
 		best, due := g.nextGrant(list, tried, now)
 		if best.ID == "" && len(tried) == 0 && g.awaitReplica(wait, j.service, p, until) {
 			continue
@@ -213,7 +213,7 @@
 		if due.After(until) || !g.limits.Wait(wait, best.ID, until) {
 			switch {
 			case ctx.Err() != nil:
-				return best, refusal.FromCallError(ctx.Err(), false)
+				return best, refusal.FromContext(ctx.Err())
 			case wait.Err() != nil:
 				return best, refuseStopping()
 			}
