--- a/internal/soak/instance.go
+++ b/internal/soak/instance.go
@@ -58,14 +58,14 @@
 func (i *instance) changeSettings(faulty bool) error {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	old := i.settings
+	old := i.settings.Retry
 	i.settings.Retry.Slack--
 	if faulty {
 		i.settings.Retry.Window = -1
 	}
 	_, err := i.write()
 	if faulty {
-		i.settings = old
+		i.settings.Retry = old // the other settings are read without the lock
 	}
 	return err
 }
