--- a/internal/soak/endpoints.go
+++ b/internal/soak/endpoints.go
@@ -35,6 +35,8 @@
 	leaving  bool // the endpoint is listed as leaving
 	ended    bool // the endpoint has ended, and the next one has not started
 	starts   int  // endpoints started so far
+
+	hungUntil time.Time // end of the latest hang
 }
 
 // start starts an endpoint with a new ID and address and lists it in the store.
--- a/internal/soak/hang.go
+++ b/internal/soak/hang.go
@@ -15,6 +15,7 @@
 const (
 	minHang     = 300 * time.Millisecond // shortest time for which an endpoint hangs
 	maxHang     = 3 * time.Second        // longest time
+	minAwake    = 300 * time.Millisecond // shortest time between two hangs of an endpoint; longer than it takes to begin a stream
 	meanHangGap = 2 * time.Second
 	maxHangs    = 4  // hangs of one series
 	hangStream  = 22 // second half of the seed of HangPlan
@@ -58,7 +59,7 @@
 				Kind: changes[random.IntN(len(changes))], After: f.After + time.Duration(random.Int64N(int64(f.Last))), Target: random.IntN(1 << 16),
 			}
 			plan = append(plan, f, change)
-			f.After += f.Last + time.Duration(random.Int64N(int64(minHang)))
+			f.After += f.Last + minAwake + time.Duration(random.Int64N(int64(minAwake)))
 		}
 	}
 	plan = slices.DeleteFunc(plan, func(f Fault) bool { return f.After+f.Last > total-quietEnd })
@@ -66,9 +67,19 @@
 	return plan
 }
 
-// hang makes the endpoint hang until a time, and is over then.
+// hang makes the endpoint hang until a time, and is over then. It does nothing if the
+// endpoint hangs or has been awake for less than minAwake: together the two would be
+// one silence, longer than maxHang.
 func (p *site) hang(until time.Time) {
-	e, _ := p.current()
+	p.mu.Lock()
+	e, awake := p.endpoint, time.Since(p.hungUntil) >= minAwake
+	if awake {
+		p.hungUntil = until
+	}
+	p.mu.Unlock()
+	if !awake {
+		return
+	}
 	p.s.ledger.Hangs(e.ID, time.Now(), until)
 	e.PauseUntil(until)
 	sleep.For(p.s.ctx, time.Until(until))
