gateway: requests that arrive together are refused at once beyond the grants due

What callers saw: when all engines name limits, requests that arrive at the same moment were all held, and those for which no grant was due refused at the end of their wait.

Cause: a request compared the grants due with the length of the queue before it was queued itself, so that several could see the same short queue.

--- a/process/gateway/enginepool.go
+++ b/process/gateway/enginepool.go
@@ -5,6 +5,7 @@
 	"math"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -38,6 +39,7 @@
 	sched      *placement.Scheduler
 	dispatcher dispatch.Dispatcher
 	start      sync.Once
+	waiting    atomic.Int32 // requests in acquire
 
 	mu           sync.Mutex
 	failures     map[string]int       // failures in a row, by engine
@@ -133,6 +135,8 @@
 	}
 	wait, done := p.g.waitContext(ctx)
 	defer done()
+	p.waiting.Add(1)
+	defer p.waiting.Add(-1)
 	for {
 		if err := p.checkLimits(j, tried, until); err != nil {
 			return roster.Endpoint{}, 0, err
@@ -167,7 +171,7 @@
 }
 
 // checkLimits returns a refusal if all engines that can be used have limits and these
-// allow no more requests by until than are waiting already.
+// allow fewer requests by until than are waiting, with this one.
 func (p *enginePool) checkLimits(j *job, tried []string, until time.Time) error {
 	if !p.g.limits.Any() {
 		return nil
@@ -181,7 +185,7 @@
 			due = min(due+p.g.limits.Due(e.ID, until, now), math.MaxInt32)
 		}
 	}
-	if best.ID == "" || due > p.dispatcher.Queue.Len() {
+	if best.ID == "" || due >= int(p.waiting.Load()) {
 		return nil
 	}
 	if !next.After(until) {
