gateway: an engine that is slow is not lost at its first unanswered probe

Callers of a route that may be resumed got events of a second engine while the first one still worked on the request: the silence after which an engine counts as lost was counted from its latest event, or from the request. An engine that computes a prompt for longer than that sends no events, but answers the probes; one probe without an answer, within 0.4 s, then ended the attempt. So it was at the very first probe, where the latency target is longer. A row that was dropped because the engine leaves had the same effect, for all requests.

Found by a review. TestSlowEngineIsNotLost, a silence of 1 s in each case, before the change:

--- FAIL: TestSlowEngineIsNotLost/probes_were_answered_before "[e0 e2]" should have 1 item(s), but has 2 --- FAIL: TestSlowEngineIsNotLost/no_probe_was_sent_before "[e0 e2]" should have 1 item(s), but has 2

A silence now begins at the latest event or answered probe, and at most silenceTimeout before the first probe that was not answered. A probe that was not sent because of a limit or a pause is no answer. With the change the test passes, and so do the others of the package (with -race).

--- a/process/gateway/silence.go
+++ b/process/gateway/silence.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -47,8 +48,9 @@
 	// repeatable if the request may be sent once more after this attempt.
 	listed, repeatable bool
 
-	mu   sync.Mutex
-	last time.Time // when the attempt was sent, or its latest event received
+	mu       sync.Mutex
+	last     time.Time // when the attempt was sent, or its latest event received
+	answered time.Time // when the engine last answered a probe
 }
 
 // lossTime returns the silence after which an engine counts as lost although
@@ -78,6 +80,13 @@
 	w.timer.Reset(silenceTimeout)
 }
 
+// answer records that the engine has answered a probe.
+func (w *silenceWatch) answer() {
+	w.mu.Lock()
+	w.answered = time.Now()
+	w.mu.Unlock()
+}
+
 func (w *silenceWatch) stop() { w.timer.Stop() }
 
 func (w *silenceWatch) lastEvent() time.Time {
@@ -86,27 +95,40 @@
 	return w.last
 }
 
+// silentSince returns the begin of a silence in which a probe was sent at first and not
+// answered. That an engine sends no events for some time shows nothing by itself: it may
+// be computing a prompt.
+func (w *silenceWatch) silentSince(first time.Time) time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.MaxFunc([]time.Time{w.last, w.answered, first.Add(-silenceTimeout)}, time.Time.Compare)
+}
+
 // probe probes the engine until it answers or sends an event, or the attempt ends. An
 // engine that answers, with whatever answer, is only slow.
 func (w *silenceWatch) probe(ctx context.Context) {
 	last, logged := w.lastEvent(), false
+	since := w.silentSince(time.Now())
 	for w.lastEvent().Equal(last) {
 		err := w.r.enginePool.probe(ctx, w.endpoint)
 		switch {
 		case ctx.Err() != nil || !w.lastEvent().Equal(last):
 			return
 		case !isSilence(err):
+			if !errors.Is(err, errLimited) {
+				w.answer()
+			}
 			w.timer.Reset(silenceTimeout)
 			return
 		}
 		if !logged {
 			logged = true
-			w.logSilence(err)
+			w.logSilence(err, since)
 			w.r.enginePool.avoid(w.endpoint.ID)
 		}
-		if cause := w.evidence(ctx, err); cause != nil && w.lastEvent().Equal(last) {
+		if cause := w.evidence(ctx, err, since); cause != nil && w.lastEvent().Equal(last) {
 			w.r.g.logDecision(w.r.j, "engine_lost", logrus.Fields{
-				"endpoint": w.endpoint.ID, "silent": time.Since(last).Milliseconds(), "detail": cause.Error(),
+				"endpoint": w.endpoint.ID, "silent": time.Since(since).Milliseconds(), "detail": cause.Error(),
 			})
 			w.cancel(cause)
 			return
@@ -118,9 +140,9 @@
 }
 
 // evidence returns the reason to end the attempt at an engine that did not answer a
-// probe, which failed with err, or nil.
-func (w *silenceWatch) evidence(ctx context.Context, err error) error {
-	silent := time.Since(w.lastEvent())
+// probe, which failed with err, and has been silent since a time, or nil.
+func (w *silenceWatch) evidence(ctx context.Context, err error, since time.Time) error {
+	silent := time.Since(since)
 	now, listed := w.r.g.Roster.Get(w.endpoint.ID)
 	switch {
 	case errors.Is(err, ErrRefused), listed && now.Born > w.endpoint.Born:
@@ -149,11 +171,11 @@
 }
 
 // logSilence logs what is known of an engine that does not answer.
-func (w *silenceWatch) logSilence(err error) {
+func (w *silenceWatch) logSilence(err error, since time.Time) {
 	counters.Add("engine_silences", 1)
 	now, listed := w.r.g.Roster.Get(w.endpoint.ID)
 	w.r.g.logDecision(w.r.j, "engine_silent", logrus.Fields{
-		"endpoint": w.endpoint.ID, "detail": err.Error(), "silent": time.Since(w.lastEvent()).Milliseconds(),
+		"endpoint": w.endpoint.ID, "detail": err.Error(), "silent": time.Since(since).Milliseconds(),
 		"refused": errors.Is(err, ErrRefused), "listed": listed && now.Born == w.endpoint.Born, "leaving": now.Leaving,
 		"copy": w.r.usableCopy() != nil, "repeatable": w.repeatable,
 	})
--- a/process/gateway/silence_test.go
+++ b/process/gateway/silence_test.go
@@ -33,8 +33,9 @@
 	w           *testGateway
 	silentFrom  time.Time
 	silentUntil time.Time
-	ids         []string // engines that fall silent; the one that is used first if nil
-	all         bool     // all engines fall silent
+	ids         []string      // engines that fall silent; the one that is used first if nil
+	all         bool          // all engines fall silent
+	delay       time.Duration // before the first event, during which probes are answered
 
 	mu      sync.Mutex
 	active  map[string]bool // engines that work on the request
@@ -136,6 +137,7 @@
 			return
 		}
 		close(head)
+		time.Sleep(x.delay)
 		for n := first; n <= scriptEvents; n++ {
 			time.Sleep(scriptInterval)
 			if x.awaken(x.w.base, id); ctx.Err() != nil {
