gateway: requests at a silent replica end only if they can be repeated

Callers of a repeatable route got 504 while a replica was silent for a moment: the attempts of all requests that waited there were ended at four fifths of the latency target while the retry budget had a token, which one of them took. The others had then lost their attempt and could not be repeated, although the replica would have answered.

Found by a review. TestSilentReplicaKeepsRequestsBeyondTheBudget before the change, 8 requests and one token:

timeout (unknown): replica did not answer in most of the latency target

for four of the eight in the run in which they were counted, for at least six in another; how many meet is a matter of scheduling. The token is now taken when the attempt is ended, and put back if the attempt had an answer, or put no load on the service. With the change all 8 are answered, with one repeat; the tests of process/gateway and request/retry pass with -race.

--- a/process/gateway/call.go
+++ b/process/gateway/call.go
@@ -95,6 +95,10 @@
 			kept.rest.Follow(ctx) // the limit of the attempt is for the begin of its answer
 		}
 		cancel()
+		charged := isCharged(limited)
+		if charged && (fault == nil || fault.unsent || ctx.Err() != nil) {
+			p.policy.Budget.Return()
+		}
 		if fault == nil {
 			observe(callTime, time.Since(j.Arrived))
 			return g.finish(j, kept, e, attempt)
@@ -122,7 +126,12 @@
 			}
 			continue
 		}
-		at, ok := p.policy.Next(fault.Outcome, fault.Reason, j.route.Repeatable(), attempt, j.deadline, time.Now())
+		at, ok := time.Now().Add(p.policy.Backoff.Wait(attempt)), charged
+		if charged {
+			refusal.CountRetry(fault.Reason)
+		} else {
+			at, ok = p.policy.Next(fault.Outcome, fault.Reason, j.route.Repeatable(), attempt, j.deadline, time.Now())
+		}
 		if !ok || !waitUntil(ctx, at) {
 			return g.giveUp(j, kept, fault, mayHaveRun, e, attempt)
 		}
@@ -135,7 +144,9 @@
 // attemptContext ends an attempt of a request that may be sent to another replica
 // once most of the latency target has passed, so that a replica that hangs leaves
 // time for one that works. It does not while no repeat is possible: ending the attempt
-// would then end the request, although its replica may only be silent for a moment.
+// would then end the request, although its replica may only be silent for a moment. The
+// repeat is charged to the retry budget when the attempt ends: of requests that wait for
+// the same replica, no more end than can be repeated.
 func (g *Gateway) attemptContext(ctx context.Context, j *job, p *pool, tried []string, sends int) (context.Context, context.CancelFunc) {
 	if !j.route.Repeatable() || sends+1 >= j.route.Attempts || j.route.Aim <= 0 {
 		return ctx, func() {}
@@ -144,11 +155,13 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	var timer *time.Timer
 	timer = time.AfterFunc(time.Hour, func() {
-		if p.policy.Budget.Tokens() >= 1 && g.canPick(j.service, tried) {
-			cancel(errAttemptTime)
+		if !g.canPick(j.service, tried) || !p.policy.Budget.Take() {
+			timer.Reset(limit)
 			return
 		}
-		timer.Reset(limit)
+		if cancel(errAttemptTime); !isCharged(ctx) {
+			p.policy.Budget.Return() // the attempt had ended
+		}
 	})
 	timer.Reset(limit) // the function uses timer, so it may run only after the assignment
 	return ctx, func() {
@@ -157,11 +170,15 @@
 	}
 }
 
+// isCharged reports whether attemptContext ended an attempt, whose repeat is then
+// charged to the retry budget.
+func isCharged(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errAttemptTime) }
+
 // attemptError returns the error of an attempt that attemptContext ended, and f for
 // other attempts.
 func attemptError(ctx context.Context, f *refusal.Error) *refusal.Error {
 	switch {
-	case !errors.Is(context.Cause(ctx), errAttemptTime):
+	case !isCharged(ctx):
 		return f
 	case f.Outcome == refusal.NotRun:
 		return refusal.New(refusal.Dial, refusal.NotRun, errAttemptTime.Error())
--- a/process/gateway/silenceloss_test.go
+++ b/process/gateway/silenceloss_test.go
@@ -1,11 +1,19 @@
 package gateway
 
 import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/eelgrassdock/eelgrassdock/internal/sleep"
+	"github.com/eelgrassdock/eelgrassdock/request/refusal"
 )
 
 // Guards against an engine being counted as lost, after one probe without an answer, for a
@@ -34,3 +42,41 @@
 		})
 	}
 }
+
+// Guards against repeatable requests that are ended at a silent replica to be repeated,
+// though the retry budget allows that to one of them only.
+func TestSilentReplicaKeepsRequestsBeyondTheBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newTestGateway(t)
+		w.Settings.Retry.Slack, w.Settings.Retry.Ratio = 1, 1e-6
+		w.Tables.Current().Routes[3].Aim = 300 * time.Millisecond
+		var mu sync.Mutex
+		sent := map[string]int{}
+		w.Backend.Send = func(ctx context.Context, c Call) (*Answer, error) {
+			mu.Lock()
+			sent[c.ID]++
+			first := sent[c.ID] == 1
+			mu.Unlock()
+			if first && !sleep.For(ctx, 1200*time.Millisecond) {
+				return nil, refusal.FromCallError(ctx.Err(), true)
+			}
+			return plainAnswer(http.StatusOK, "done"), nil
+		}
+		var wg sync.WaitGroup
+		for n := range 8 {
+			wg.Go(func() {
+				_, err := w.requestWith(t.Context(), &Request{
+					ID: fmt.Sprint("q", n), Method: http.MethodGet, Host: "h", Path: "/read/1", Target: "/read/1", Header: http.Header{},
+					Key: "key", Arrived: time.Now(),
+				})
+				assert.NoError(t, err, "request %d", n)
+			})
+		}
+		wg.Wait()
+		repeats := 0
+		for _, n := range sent {
+			repeats += n - 1
+		}
+		require.Equal(t, 1, repeats)
+	})
+}
--- a/request/retry/retry.go
+++ b/request/retry/retry.go
@@ -109,6 +109,16 @@
 	}
 }
 
+// Return puts back the token of a repeat that is not made.
+func (b *Budget) Return() {
+	for {
+		spent := b.spent.Load()
+		if spent == 0 || b.spent.CompareAndSwap(spent, max(spent-unitsPerToken, 0)) {
+			return
+		}
+	}
+}
+
 // Tokens returns the number of repeats that the bucket allows now.
 func (b *Budget) Tokens() float64 {
 	return float64(b.capacity()-b.spent.Load()) / float64(unitsPerToken)
--- a/request/retry/retry_test.go
+++ b/request/retry/retry_test.go
@@ -163,3 +163,15 @@
 		}
 	})
 }
+
+// Guards against a token that is returned to a full bucket and allows a further repeat.
+func TestBudgetReturn(t *testing.T) {
+	b := Budget{Size: 2}
+	b.Return()
+	require.InDelta(t, 2, b.Tokens(), 1e-9)
+	require.True(t, b.Take())
+	b.Return()
+	require.True(t, b.Take())
+	require.True(t, b.Take())
+	require.False(t, b.Take())
+}
