gateway: a run does not leave a silent engine for engines that pause

Callers of a route that may be resumed got a stream that broke off when their engine had been silent for 3.5 s while the others had asked for a pause (503 with Retry-After), or had no grant under a limit: a probe that the limit holds back was taken for an answer, so the attempt was ended to go on at an engine that then got no request.

Found by a review. TestRunDoesNotLeaveForEnginesThatPause before the change:

answer broke off: endpoint_limit (not run): the endpoints of service engines accept no more requests now

Only an engine that has answered a probe counts as a place to go on. The test passes with the change, and so do the others of the package (with -race).

--- a/process/gateway/health.go
+++ b/process/gateway/health.go
@@ -161,17 +161,21 @@
 }
 
 // hasOther reports whether another engine than the given one answers a probe. It
-// probes no more than maxOthers.
+// probes no more than maxOthers, and none that accepts no request now because of its
+// limit or a pause.
 func (p *enginePool) hasOther(ctx context.Context, id string) bool {
 	probes := 0
 	for _, e := range p.g.Roster.List(p.service) {
-		if e.ID == id || e.Leaving || p.isDown(e.ID) {
+		if e.ID == id || e.Leaving || p.isDown(e.ID) || !p.g.limits.Ready(e.ID, time.Now()) {
 			continue
 		}
-		if !isSilence(p.probe(ctx, e)) {
+		err := p.probe(ctx, e)
+		switch {
+		case isSilence(err):
+			p.avoid(e.ID)
+		case !errors.Is(err, errLimited):
 			return true
 		}
-		p.avoid(e.ID)
 		if probes++; probes == maxOthers {
 			break
 		}
--- a/process/gateway/silence.go
+++ b/process/gateway/silence.go
@@ -159,7 +159,8 @@
 // from a copy of its memory, or as a repetition.
 func (w *silenceWatch) canContinue(ctx context.Context) bool {
 	if b := w.r.usableCopy(); b != nil {
-		return !isSilence(w.r.enginePool.probe(ctx, b.endpoint))
+		err := w.r.enginePool.probe(ctx, b.endpoint)
+		return !isSilence(err) && !errors.Is(err, errLimited)
 	}
 	return w.repeatable && w.r.pool.policy.Budget.Tokens() >= 1 && w.r.enginePool.hasOther(ctx, w.endpoint.ID)
 }
--- a/process/gateway/silenceloss_test.go
+++ b/process/gateway/silenceloss_test.go
@@ -80,3 +80,26 @@
 		require.Equal(t, 1, repeats)
 	})
 }
+
+// Guards against a run that leaves a silent engine although no other one accepts a
+// request now: the silent one may answer sooner.
+func TestRunDoesNotLeaveForEnginesThatPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newTestGateway(t)
+		from := time.Now().Add(350 * time.Millisecond)
+		x := &silentEngines{w: w, silentFrom: from, silentUntil: from.Add(6 * time.Second)}
+		x.install()
+		go func() {
+			time.Sleep(300 * time.Millisecond)
+			for _, e := range w.Roster.List(engineService) {
+				if e.ID != x.engine() {
+					w.limits.Pause(w.limitedEndpoint(e), time.Now().Add(time.Minute), time.Now())
+				}
+			}
+		}()
+		rec, err := w.request("/short/1")
+		require.NoError(t, err)
+		require.Len(t, eventIDs(rec.Body.String()), scriptEvents)
+		require.Len(t, x.started, 1, "engines that ran the request")
+	})
+}
