soak: hangs of one endpoint do not add up

Hangs of different faults could overlap or follow each other at once, so that an endpoint was silent for longer than the 3 s of one hang.

An endpoint that hangs, or has gone on less than 100 ms ago, now does not hang again; TestHangsOfOneEndpointAreApart fails without that. The gaps of a series are longer by the same time.

--- a/internal/soak/endpoints.go
+++ b/internal/soak/endpoints.go
@@ -31,10 +31,11 @@
 	random   *rand.Rand
 	endpoint *fake.Endpoint
 	link     *relay
-	busy     bool // the endpoint is about to leave, or the next one to start
-	leaving  bool // the endpoint is listed as leaving
-	ended    bool // the endpoint has ended, and the next one has not started
-	starts   int  // endpoints started so far
+	busy     bool      // the endpoint is about to leave, or the next one to start
+	leaving  bool      // the endpoint is listed as leaving
+	ended    bool      // the endpoint has ended, and the next one has not started
+	starts   int       // endpoints started so far
+	resumes  time.Time // end of the latest hang
 }
 
 // start starts an endpoint with a new ID and address and lists it in the store.
--- a/internal/soak/hang.go
+++ b/internal/soak/hang.go
@@ -16,8 +16,9 @@
 	minHang     = 300 * time.Millisecond // shortest time for which an endpoint hangs
 	maxHang     = 3 * time.Second        // longest time
 	meanHangGap = 2 * time.Second
-	maxHangs    = 4  // hangs of one series
-	hangStream  = 22 // second half of the seed of HangPlan
+	minHangGap  = 100 * time.Millisecond // between two hangs of one endpoint
+	maxHangs    = 4                      // hangs of one series
+	hangStream  = 22                     // second half of the seed of HangPlan
 
 	// answerBound is the time after which a request may be given up: seven tenths of
 	// its route's.
@@ -58,7 +59,7 @@
 				Kind: changes[random.IntN(len(changes))], After: f.After + time.Duration(random.Int64N(int64(f.Last))), Target: random.IntN(1 << 16),
 			}
 			plan = append(plan, f, change)
-			f.After += f.Last + time.Duration(random.Int64N(int64(minHang)))
+			f.After += f.Last + minHangGap + time.Duration(random.Int64N(int64(minHang)))
 		}
 	}
 	plan = slices.DeleteFunc(plan, func(f Fault) bool { return f.After+f.Last > total-quietEnd })
@@ -66,9 +67,18 @@
 	return plan
 }
 
-// hang makes the endpoint hang until a time, and is over then.
+// hang makes the endpoint hang until a time, and is over then. It does nothing if the
+// endpoint hangs already or has just done so, as the two would be one longer hang.
 func (p *site) hang(until time.Time) {
-	e, _ := p.current()
+	p.mu.Lock()
+	e, apart := p.endpoint, time.Since(p.resumes) >= minHangGap
+	if apart {
+		p.resumes = until
+	}
+	p.mu.Unlock()
+	if !apart {
+		return
+	}
 	p.s.ledger.Hangs(e.ID, time.Now(), until)
 	e.PauseUntil(until)
 	sleep.For(p.s.ctx, time.Until(until))
