gateway: runs leave a silent engine only if they can be repeated

Callers of a route that may be resumed got streams that broke off after 3.5 s of silence: all runs at the engine were ended while the retry budget had a token, which one of them took. The others had nowhere to go on, and their engine went on later.

Found by a review. TestSilentEngineKeepsRunsBeyondTheBudget before the change, 12 runs at four engines of which three are silent for 6 s, and one token:

answer broke off: timeout (unknown): engine is silent for as long as one that has ended

for at least eight runs the first time and for one the second time: how many meet is a matter of scheduling. The token is now taken when the decision to leave is made, and put back at the end of the run if no repeat was made.

--- a/process/gateway/generate.go
+++ b/process/gateway/generate.go
@@ -49,6 +49,7 @@
 		onTrial     bool // the request was admitted as a trial
 
 		copying atomic.Bool   // its memory is being copied
+		charged atomic.Bool   // the next repeat has been charged to the retry budget
 		over    chan struct{} // closed when the run is released
 
 		mu       sync.Mutex
@@ -224,6 +225,9 @@
 	r.ticket, r.backup = 0, nil
 	r.mu.Unlock()
 	close(r.over)
+	if r.charged.Swap(false) {
+		r.pool.policy.Budget.Return()
+	}
 	if ticket != 0 {
 		r.enginePool.release(ticket, tokens, completed)
 	}
@@ -292,8 +296,11 @@
 	if r.sends >= max(r.j.route.Attempts, 1) {
 		return nil, r.finalError(f)
 	}
-	if f.Reason != refusal.Dial && !r.pool.policy.Budget.Take() {
-		return nil, r.finalError(f)
+	if f.Reason != refusal.Dial {
+		if !r.charge() {
+			return nil, r.finalError(f)
+		}
+		r.charged.Store(false)
 	}
 	refusal.CountRetry(f.Reason)
 	next, err := r.place(ctx)
@@ -303,6 +310,21 @@
 	return next, nil
 }
 
+// charge charges the next repeat to the retry budget, once, and reports whether the budget
+// allows it. The end of the run returns the token of a repeat that was not made.
+func (r *run) charge() bool {
+	if r.charged.Load() {
+		return true
+	}
+	if !r.pool.policy.Budget.Take() {
+		return false
+	}
+	if r.charged.Swap(true) {
+		r.pool.policy.Budget.Return() // charged meanwhile
+	}
+	return true
+}
+
 // rerun returns an attempt that runs the request again from the last event that
 // was passed on, if the route allows this.
 func (r *run) rerun(ctx context.Context, a *attempt, f *refusal.Error) (*attempt, error) {
--- a/process/gateway/silence.go
+++ b/process/gateway/silence.go
@@ -156,13 +156,15 @@
 }
 
 // canContinue reports whether the request can go on at another engine that answers:
-// from a copy of its memory, or as a repetition.
+// from a copy of its memory, or as a repetition, which is then charged to the retry
+// budget.
 func (w *silenceWatch) canContinue(ctx context.Context) bool {
 	if b := w.r.usableCopy(); b != nil {
 		err := w.r.enginePool.probe(ctx, b.endpoint)
 		return !isSilence(err) && !errors.Is(err, errLimited)
 	}
-	return w.repeatable && w.r.pool.policy.Budget.Tokens() >= 1 && w.r.enginePool.hasOther(ctx, w.endpoint.ID)
+	budget := &w.r.pool.policy.Budget
+	return w.repeatable && budget.Tokens() >= 1 && w.r.enginePool.hasOther(ctx, w.endpoint.ID) && w.r.charge()
 }
 
 // isSilence reports whether an error of a probe means that the engine did not
--- a/process/gateway/silenceloss_test.go
+++ b/process/gateway/silenceloss_test.go
@@ -81,6 +81,31 @@
 	})
 }
 
+// Guards against runs that leave a silent engine to be repeated, though the retry budget
+// allows that to one of them only.
+func TestSilentEngineKeepsRunsBeyondTheBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newTestGateway(t)
+		w.Settings.Retry.Slack, w.Settings.Retry.Ratio = 1, 1e-6
+		from := time.Now().Add(350 * time.Millisecond)
+		x := &silentEngines{w: w, silentFrom: from, silentUntil: from.Add(6 * time.Second), ids: []string{"e0", "e1", "e2"}}
+		x.install()
+		var wg sync.WaitGroup
+		for n := range 12 {
+			wg.Go(func() {
+				rec, err := w.requestWith(t.Context(), &Request{
+					ID: fmt.Sprint("q", n), Method: http.MethodPost, Host: "h", Path: "/short/1", Target: "/short/1", Header: http.Header{},
+					Key: "key", Arrived: time.Now(), Prompt: 1000, Max: 400,
+				})
+				assert.NoError(t, err, "request %d", n)
+				assert.Len(t, eventIDs(rec.Body.String()), scriptEvents, "request %d", n)
+			})
+		}
+		wg.Wait()
+		require.Len(t, x.started, 13, "engines that ran a request")
+	})
+}
+
 // Guards against a run that leaves a silent engine although no other one accepts a
 // request now: the silent one may answer sooner.
 func TestRunDoesNotLeaveForEnginesThatPause(t *testing.T) {
