gateway: a copy outlives the silence in which its run leaves its engine

What callers saw: a generation that had been copied was lost with an engine that went dark for good.

Cause: a copy was renewed at half of the time for which its engine keeps it (5 s on the deployments in force), so that after 2.5 s of silence none could be relied on.

Evidence: TestCopyOutlivesTheSilence failed for 7 of 20 moments.

Change: the interval of renewals follows from the two times: what engines keep copies for, less the silence after which a run leaves and one round of probes; a second at least.

Tests of the gateway ran with 5 s and rely on renewals each 2.5 s; their engine keeps copies for 6.6 s now, which gives the same interval.

Measured: all 20 moments pass.

--- a/process/gateway/move.go
+++ b/process/gateway/move.go
@@ -329,10 +329,17 @@
 	return ok && !e.Leaving && e.Born == b.endpoint.Born && time.Now().UnixNano() < b.expiry.Load()
 }
 
+// renewalInterval returns the interval at which a copy is renewed that its engine keeps for
+// a time. After a renewal the copy outlives a silence in which its run may have to leave
+// its own engine.
+func (g *Gateway) renewalInterval(keep time.Duration) time.Duration {
+	return max(min(keep/2, keep-g.lossTime()-probeLimit-silencePause), minRenewal)
+}
+
 // renewCopy renews a copy until the run has left its engine or has ended. A copy
 // that the run did not use is then freed.
 func (g *Gateway) renewCopy(r *run, b *memoryCopy) {
-	ticker := time.NewTicker(max(r.engine.Keep/2, minRenewal))
+	ticker := time.NewTicker(g.renewalInterval(r.engine.Keep))
 	defer ticker.Stop()
 	for {
 		select {
--- a/process/gateway/silence_test.go
+++ b/process/gateway/silence_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -35,6 +36,7 @@
 	silentUntil time.Time
 	ids         []string      // engines that fall silent; the one that is used first if nil
 	all         bool          // all engines fall silent
+	slow        time.Duration // between two events, scriptInterval if 0
 	delay       time.Duration // before the first event, during which probes are answered
 
 	mu      sync.Mutex
@@ -139,7 +141,7 @@
 		close(head)
 		time.Sleep(x.delay)
 		for n := first; n <= scriptEvents; n++ {
-			time.Sleep(scriptInterval)
+			time.Sleep(cmp.Or(x.slow, scriptInterval))
 			if x.awaken(x.w.base, id); ctx.Err() != nil {
 				return
 			}
@@ -483,3 +485,35 @@
 		})
 	}
 }
+
+// Guards against a generation that is lost with its engine although it was copied: the
+// copy must be held for longer than it takes to leave a silent engine.
+func TestCopyOutlivesTheSilence(t *testing.T) {
+	for at := time.Second; at < 6*time.Second; at += 250 * time.Millisecond {
+		t.Run(at.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newTestGateway(t)
+				w.Tables.Current().Services[0].Engine.Keep = 5 * time.Second
+				x := &silentEngines{
+					w: w, silentFrom: time.Now().Add(at), silentUntil: time.Now().Add(time.Hour), slow: 600 * time.Millisecond,
+				}
+				x.install()
+				w.Backend.Move = func(ctx context.Context, m Move) (Moved, error) {
+					if !x.awaken(ctx, m.From.ID) {
+						return Moved{}, ctx.Err()
+					}
+					return Moved{Handle: "h"}, nil
+				}
+				ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+				defer cancel()
+				rec, err := w.requestWith(ctx, &Request{
+					ID: "q", Method: http.MethodPost, Host: "h", Path: "/guide/1", Target: "/guide/1", Header: http.Header{}, Key: "key",
+					Arrived: time.Now(), Prompt: 1000, Max: 400,
+				})
+				require.NoError(t, err)
+				require.Len(t, eventIDs(rec.Body.String()), scriptEvents)
+				require.Len(t, x.started, 2)
+			})
+		})
+	}
+}
--- a/process/gateway/testgateway_test.go
+++ b/process/gateway/testgateway_test.go
@@ -105,7 +105,7 @@
 			{Name: "slow", Host: "h", Prefix: "/slow/", Kind: routing.Once, Targets: []routing.Target{{Service: plainService, Weight: 1}}, Attempts: 1, Timeout: 50 * time.Millisecond},
 		},
 		Services: []routing.Service{
-			{ID: engineService, Engine: &routing.Engine{Slots: 24, Tokens: 30000, Moves: true, Backups: true, Stride: 4, Keep: 5 * time.Second}},
+			{ID: engineService, Engine: &routing.Engine{Slots: 24, Tokens: 30000, Moves: true, Backups: true, Stride: 4, Keep: 6600 * time.Millisecond}},
 			{ID: plainService},
 		},
 		Accounts: []routing.Account{{Name: "club", Keys: []string{"key"}}},
