gateway: the test of runs beyond the budget does not depend on memory

TestSilentEngineKeepsRunsBeyondTheBudget failed once in three runs of the package and once in 45 runs with one, two and eight processors: of its 12 runs that arrive together some waited for an engine's memory, at random, until the engines were silent, and were refused as not run, which is allowed.

--- a/process/gateway/silenceloss_test.go
+++ b/process/gateway/silenceloss_test.go
@@ -87,6 +87,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := newTestGateway(t)
 		w.Settings.Retry.Slack, w.Settings.Retry.Ratio = 1, 1e-6
+		w.Tables.Current().Services[0].Engine.Tokens = 1e6 // no run waits for memory
 		from := time.Now().Add(350 * time.Millisecond)
 		x := &silentEngines{w: w, silentFrom: from, silentUntil: from.Add(6 * time.Second), ids: []string{"e0", "e1", "e2"}}
 		x.install()
