--- a/internal/soak/endpoints.go
+++ b/internal/soak/endpoints.go
@@ -94,14 +94,17 @@
 	if !ok {
 		return
 	}
-	e.Leave()
+	if p.s.Sabotage != Leaving {
+		e.Leave()
+	}
 	if p.s.Sabotage != Leaving && p.s.Sabotage != Drain {
 		p.listLeaving(e)
 	}
 	p.s.ledger.Leaves(e.ID, time.Now())
 	// To break the promises Leaving and Drain on purpose, the endpoint is not listed as
-	// leaving and must receive a request more than leaveBound after Leaves. An engine
-	// would have ended by then with reclaimNotice, so it also gets drainTime.
+	// leaving, for Leaving says nothing of it either, and must receive a request more than
+	// leaveBound after Leaves. An engine would have ended by then with reclaimNotice, so it
+	// also gets drainTime.
 	notice := drainTime
 	if p.service == fake.EngineService && p.s.Sabotage != Leaving && p.s.Sabotage != Drain {
 		notice = reclaimNotice
