--- a/process/gateway/silence.go
+++ b/process/gateway/silence.go
@@ -95,7 +95,7 @@
 	return w.last
 }
 
-// silentSince returns the begin of a silence in which a probe was sent at first and not
+// silentSince returns the start of a silence in which a probe was sent at first and not
 // answered. That an engine sends no events for some time shows nothing by itself: it may
 // be computing a prompt.
 func (w *silenceWatch) silentSince(first time.Time) time.Time {
