--- a/internal/diagnosis/diagnosis.go
+++ b/internal/diagnosis/diagnosis.go
@@ -268,11 +268,11 @@
 func explainCanceled(end Line) string {
 	switch {
 	case end.get("stopping") == "true":
-		return "the instance was stopping and its grace time was over"
+		return namedCauses["stop"]
 	case strings.Contains(end.get("error"), "deadline exceeded"):
-		return "the deadline passed in the middle of the answer"
+		return namedCauses["deadline"]
 	}
-	return "the caller left in the middle of the answer"
+	return namedCauses["caller"]
 }
 
 // describeChange returns a clause that says that the routing table had changed
--- a/process/gateway/enginepool.go
+++ b/process/gateway/enginepool.go
@@ -41,13 +41,12 @@
 	start      sync.Once
 	waiting    atomic.Int32 // requests in acquire
 
-	mu           sync.Mutex
-	failures     map[string]int       // failures in a row, by engine
-	suspectUntil map[string]time.Time // end of the suspicion after the latest failure
-	checking     map[string]bool      // engines that are being probed
-	avoided      map[string]bool      // engines among them that did not answer a request
-	down         map[string]bool      // engines among them that do not answer
-	gone         map[string]bool      // engines among them whose process has ended or counts as lost
+	mu       sync.Mutex
+	failures map[string]int  // failures in a row, by engine
+	checking map[string]bool // engines that are being probed
+	avoided  map[string]bool // engines among them that did not answer a request
+	down     map[string]bool // engines among them that do not answer
+	gone     map[string]bool // engines among them whose process has ended or counts as lost
 }
 
 func (g *Gateway) enginePool(service string, engine *routing.Engine) *enginePool {
@@ -55,7 +54,7 @@
 		return d.(*enginePool)
 	}
 	d := &enginePool{
-		g: g, service: service, failures: map[string]int{}, suspectUntil: map[string]time.Time{},
+		g: g, service: service, failures: map[string]int{},
 		checking: map[string]bool{}, avoided: map[string]bool{}, down: map[string]bool{}, gone: map[string]bool{},
 	}
 	d.sched = &placement.Scheduler{
@@ -224,10 +223,8 @@
 	p.mu.Lock()
 	n := p.failures[id]
 	p.failures[id] = n + 1
-	until := time.Now().Add(min(suspectTime<<min(n, 10), maxSuspectTime))
-	p.suspectUntil[id] = until
 	p.mu.Unlock()
-	p.sched.Suspect(id, until)
+	p.sched.Suspect(id, time.Now().Add(min(suspectTime<<min(n, 10), maxSuspectTime)))
 	p.startCheck(id, true)
 }
 
--- a/process/gateway/generate.go
+++ b/process/gateway/generate.go
@@ -144,12 +144,12 @@
 	defer quiet.stop()
 	if a.memory != "" && !r.g.limits.Wait(ctx, a.endpoint.ID, earlier(r.j.deadline, time.Now().Add(continueWait))) {
 		f := refusal.New(refusal.EndpointLimit, refusal.NotRun, "no request to the engine with the copy is due in time")
-		r.logAttempt("attempt_failed", a, logrus.Fields{"reason": f.Reason, "outcome": f.Outcome.String(), "detail": f.Detail})
+		r.logFailure(a, f)
 		return r.rerun(ctx, a, f)
 	}
 	if a.memory != "" && r.leaves(a.endpoint) {
 		f := refusal.New(refusal.NoEndpoint, refusal.NotRun, "the engine with the copy has left")
-		r.logAttempt("attempt_failed", a, logrus.Fields{"reason": f.Reason, "outcome": f.Outcome.String(), "detail": f.Detail})
+		r.logFailure(a, f)
 		return r.rerun(ctx, a, f)
 	}
 	sent := time.Now()
@@ -249,7 +249,7 @@
 	if f.Reason != refusal.Dial {
 		r.sends++
 	}
-	r.logAttempt("attempt_failed", a, logrus.Fields{"reason": f.Reason, "outcome": f.Outcome.String(), "detail": f.Detail})
+	r.logFailure(a, f)
 	r.checkCrash(a, f)
 	if a.memory != "" {
 		if f.Reason == refusal.Dial && r.awaitCopy(ctx, a) {
@@ -349,6 +349,11 @@
 	return f
 }
 
+// logFailure logs an attempt that ended without an answer that could be passed on.
+func (r *run) logFailure(a *attempt, f *refusal.Error) {
+	r.logAttempt("attempt_failed", a, logrus.Fields{"reason": f.Reason, "outcome": f.Outcome.String(), "detail": f.Detail})
+}
+
 func (r *run) logAttempt(event string, a *attempt, fields logrus.Fields) {
 	fields["endpoint"], fields["from"], fields["after"] = a.endpoint.ID, a.memory, a.after
 	fields["left"] = time.Until(r.j.deadline).Milliseconds()
--- a/process/gateway/health.go
+++ b/process/gateway/health.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -45,16 +46,15 @@
 		begun := time.Now()
 		reachable := p.awaitReachable(id, notify)
 		p.mu.Lock()
-		down, gone, avoided, until := p.down[id], p.gone[id], p.avoided[id], p.suspectUntil[id]
+		down, gone, avoided := p.down[id], p.gone[id], p.avoided[id]
 		delete(p.avoided, id)
 		delete(p.down, id)
 		delete(p.gone, id)
 		delete(p.checking, id)
 		p.mu.Unlock()
-		if avoided && !down && until.Before(begun) {
-			until = time.Now().Add(suspectTime) // it answers probes, but not requests
+		if avoided && !down && p.sched.SuspectedUntil(id).Before(begun) {
+			p.sched.Suspect(id, time.Now().Add(suspectTime)) // it answers probes, but not requests
 		}
-		p.sched.Suspect(id, until)
 		p.sched.SetSilent(id, false)
 		if gone {
 			p.g.refreshEnginePool(p.service)
@@ -113,7 +113,7 @@
 	_, copies := p.g.runs.runsAt(e.ID)
 	p.g.Log.WithError(err).WithFields(logrus.Fields{"event": "endpoint_unreachable", "endpoint": e.ID, "copies": len(copies)}).
 		Warn("endpoint cannot be reached")
-	p.g.protectAll(exposedRuns(copies))
+	p.g.protectAll(slices.DeleteFunc(copies, func(r *run) bool { return !r.isExposed() }))
 	if notify {
 		p.g.sendNotice(loads.Notice{Endpoint: e.ID, Born: e.Born, Gone: true})
 	}
--- a/process/gateway/move.go
+++ b/process/gateway/move.go
@@ -110,12 +110,12 @@
 func (g *Gateway) dropCopiesAt(copies []*run, endpoint string) (exposed []*run) {
 	for _, r := range copies {
 		r.mu.Lock()
-		b, at := r.backup, r.endpoint
+		b := r.backup
 		r.mu.Unlock()
 		if b != nil && b.endpoint.ID == endpoint {
 			r.dropBackup(b)
 		}
-		if r.leaves(at) {
+		if r.isExposed() {
 			exposed = append(exposed, r)
 		} else {
 			r.copyEarly()
@@ -124,17 +124,12 @@
 	return exposed
 }
 
-// exposedRuns returns the runs of a list whose own engine is leaving or gone.
-func exposedRuns(list []*run) (exposed []*run) {
-	for _, r := range list {
-		r.mu.Lock()
-		at := r.endpoint
-		r.mu.Unlock()
-		if r.leaves(at) {
-			exposed = append(exposed, r)
-		}
-	}
-	return exposed
+// isExposed reports whether the run's engine is leaving or gone.
+func (r *run) isExposed() bool {
+	r.mu.Lock()
+	at := r.endpoint
+	r.mu.Unlock()
+	return r.leaves(at)
 }
 
 // protectAll copies the runs that have no usable copy, as far as their engines
@@ -325,8 +320,14 @@
 // isHeld reports whether the engine process that holds a copy still does, as far
 // as is known: it has not left or started again, and the copy has not expired.
 func (b *memoryCopy) isHeld(g *Gateway) bool {
-	e, ok := g.Roster.Get(b.endpoint.ID)
-	return ok && !e.Leaving && e.Born == b.endpoint.Born && time.Now().UnixNano() < b.expiry.Load()
+	return g.stays(b.endpoint) && time.Now().UnixNano() < b.expiry.Load()
+}
+
+// stays reports whether an endpoint is listed as the same process and has not given
+// notice.
+func (g *Gateway) stays(e roster.Endpoint) bool {
+	now, ok := g.Roster.Get(e.ID)
+	return ok && !now.Leaving && now.Born == e.Born
 }
 
 // renewalInterval returns the interval at which a copy is renewed that its engine keeps for
--- a/process/gateway/relay.go
+++ b/process/gateway/relay.go
@@ -129,7 +129,7 @@
 		f = refusal.New(refusal.Broken, refusal.Unknown, "engine answered "+strconv.Itoa(kept.status)+" to the rest of a stream")
 	}
 	if f != nil {
-		r.logAttempt("attempt_failed", a, logrus.Fields{"reason": f.Reason, "outcome": f.Outcome.String(), "detail": f.Detail})
+		r.logFailure(a, f)
 		return r.rerun(ctx, a, f)
 	}
 	return nil, r.g.finish(r.j, kept, a.endpoint, r.sends)
--- a/process/gateway/silence.go
+++ b/process/gateway/silence.go
@@ -203,6 +203,5 @@
 	if time.Now().After(a.until) || !sleep.For(ctx, silencePause) {
 		return false
 	}
-	now, ok := r.g.Roster.Get(a.endpoint.ID)
-	return ok && !now.Leaving && now.Born == a.endpoint.Born && !r.enginePool.isGone(a.endpoint.ID)
+	return r.g.stays(a.endpoint) && !r.enginePool.isGone(a.endpoint.ID)
 }
--- a/process/placement/placement.go
+++ b/process/placement/placement.go
@@ -299,6 +299,18 @@
 	}
 }
 
+// SuspectedUntil returns the time until which an endpoint gets no new work because of
+// the last call of Suspect, zero if it is not known.
+func (s *Scheduler) SuspectedUntil(id string) time.Time {
+	s.once.Do(s.init)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if ep := s.byID[id]; ep != nil && ep.suspect != 0 {
+		return time.Unix(0, ep.suspect)
+	}
+	return time.Time{}
+}
+
 // SetSilent marks an endpoint as silent, or ends that. A silent endpoint does not
 // respond, but nothing shows that it has ended: it gets no new work, and a request for
 // which no other endpoint is usable waits.
