--- a/connection/peer/peer.go
+++ b/connection/peer/peer.go
@@ -20,8 +20,11 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc/panics"
 	"golang.org/x/time/rate"
 
+	"github.com/eelgrassdock/eelgrassdock/internal/background"
 	"github.com/eelgrassdock/eelgrassdock/internal/progress"
 	"github.com/eelgrassdock/eelgrassdock/internal/sleep"
 )
@@ -265,6 +268,17 @@
 	_ = c.Close()
 }
 
+// Recover is deferred by the methods that serve calls, with the address of their error. A
+// panic is logged and counted as that of a task (package background), and becomes the error
+// of the call: net/rpc does not recover it, so that it would end the process.
+func Recover(log *logrus.Logger, err *error) {
+	if v := recover(); v != nil {
+		fault := panics.NewRecovered(1, v)
+		background.Log(log, &fault)
+		*err = errors.Newf("panic: %v", v)
+	}
+}
+
 // Serve answers calls on the listener until it is closed. Then it closes all
 // connections, waits until their calls have ended and returns nil.
 func Serve(l net.Listener, server *rpc.Server) error { return ServePaced(l, server, nil) }
--- a/connection/service/service.go
+++ b/connection/service/service.go
@@ -51,9 +51,11 @@
 		Body   []byte
 	}
 
-	// Health is the state that a replica reports.
+	// Health is the state that a replica reports. Boot differs after each start of its
+	// process; it is empty if the replica does not tell.
 	Health struct {
-		Leaving bool `json:"leaving"`
+		Leaving bool   `json:"leaving"`
+		Boot    string `json:"boot,omitempty"`
 	}
 
 	// Conn is a client of one replica. Addr is its IP address and port; HTTP is
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -129,6 +129,13 @@
 		l.report.Requests, l.report.Answered, l.report.Tokens, l.active.Load(), len(l.report.Refused), l.report.Unknown)
 }
 
+// Answered returns the number of requests that were answered so far.
+func (l *Runner) Answered() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.report.Answered
+}
+
 // Run sends requests until ctx ends, waits for those in flight, and returns the
 // report.
 func (l *Runner) Run(ctx context.Context) Report {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -18,7 +18,6 @@
 	"net/http"
 	"strconv"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -43,6 +42,7 @@
 	minLimit       = 1.0                    // lowest limit that an endpoint names, in requests per second
 	limitSteps     = 5                      // number of different limits, one request per second apart
 	herdInterval   = 2                      // a Herd fault spares one instance in this many, so about half of them
+	maxRounds      = 4                      // of a run that has not shown enough
 	hostsPerNet    = 250                    // host addresses of instances that differ in their last byte only
 )
 
@@ -57,6 +57,10 @@
 		Instances int
 		// Faults replaces the plan that is drawn from the seed, unless nil.
 		Faults []Fault
+		// Enough reports whether a run of Duration has shown what it is made for; nil
+		// means that it has. If it has not, the plan of faults is played again, in up to
+		// maxRounds runs: how much happens in one depends on the load of the machine.
+		Enough func(Summary) bool
 		// Sabotage names a promise that the soak violates on purpose.
 		Sabotage string
 		// Adapt changes the settings of an instance before its first start; may
@@ -136,8 +140,17 @@
 	if plan == nil {
 		plan = Plan(s.Seed, s.Duration)
 	}
-	s.faults = runPlan(ctx, begun, plan, s.Progress, s.inject)
-	sleep.For(ctx, time.Until(begun.Add(s.Duration)))
+	s.faults = map[string]int64{}
+	for round := 1; ; round++ {
+		from := time.Now()
+		for kind, n := range runPlan(ctx, from, plan, s.Progress, s.inject) {
+			s.faults[kind] += n
+		}
+		sleep.For(ctx, time.Until(from.Add(s.Duration)))
+		if s.Enough == nil || round == maxRounds || ctx.Err() != nil || s.Enough(s.summary(time.Since(begun))) {
+			break
+		}
+	}
 	stop()
 	work.Wait()
 	s.ledger.Close()
@@ -295,129 +308,6 @@
 	return counts
 }
 
-// inject injects one fault, and for most kinds ends it after f.Last.
-func (s *Soak) inject(f Fault) {
-	i := s.instances[f.Target%len(s.instances)]
-	p := s.sites[f.Target%len(s.sites)]
-	until := time.Now().Add(f.Last)
-	switch f.Kind {
-	case Kill:
-		s.killAndRestart(i, f.Last)
-	case Herd:
-		var all conc.WaitGroup
-		for n, i := range s.instances {
-			if (n+f.Target)%herdInterval != 0 {
-				all.Go(func() { s.killAndRestart(i, f.Last) })
-			}
-		}
-		all.Wait()
-	case Pause:
-		s.suspend(i, until)
-	case Stall:
-		s.stall(i, until)
-	case Still:
-		s.stallAll(until)
-	case Stop:
-		s.stopAndRestart(f, i)
-	case Hup:
-		s.ledger.Plan(i.name, time.Now())
-		if err := i.changeSettings(f.Target%2 == 0); err != nil {
-			s.recordError(err)
-		}
-		i.signal(syscall.SIGHUP)
-	case Refuse, Mute, Lose, Slow:
-		s.ledger.Disturb(storeName, until)
-		d := fake.StoreFaults{Refuse: f.Kind == Refuse, Silent: f.Kind == Mute, Lose: f.Kind == Lose, Until: until}
-		if f.Kind == Slow {
-			d.Slow = slowStoreDelay
-		}
-		s.store.SetFaults(d)
-	case Forget:
-		s.ledger.Disturb(storeName, time.Now())
-		s.store.DropHistory()
-	case Cutoff:
-		s.ledger.Disturb(i.name, until)
-		i.storeLink.applyHarm(f.Harm, until)
-	case Door:
-		s.ledger.Disturb(i.name, until)
-		i.callerLink.applyHarm(f.Harm, until)
-	case Hang:
-		p.hang(until)
-	case Standstill:
-		s.hangAll(f, until)
-	case Depart:
-		p.depart(f.Target/len(s.sites)%2 == 0)
-	case Busy:
-		p.turnAway(until)
-	case Overload:
-		s.turnAllAway(f, until)
-	case Deadly:
-		s.sendDeadly(f, until)
-	case Flood:
-		s.flood(f, until)
-	case Outage:
-		s.outage(f)
-	case Link:
-		p.harmLink(f.Harm, f.Last)
-	case Reclaim:
-		p.reclaim()
-	case Crash:
-		p.crash()
-	case Grey:
-		p.injectFaults(fake.EndpointFaults{Fail: faultShare, Refuse: faultShare}, f.Last)
-	case Garble:
-		p.injectFaults(fake.EndpointFaults{Cut: faultShare, Stray: faultShare}, f.Last)
-	case Drop:
-		p.injectFaults(fake.EndpointFaults{Lose: faultShare}, f.Last)
-	case Restore:
-		s.restoreStore(f)
-	case Limit:
-		p.injectFaults(fake.EndpointFaults{Limit: minLimit + float64(f.Target%limitSteps)}, f.Last)
-	case Change, Withdraw:
-		if err := s.operators.change(f.Kind == Withdraw); err != nil {
-			s.recordError(err)
-		}
-	}
-}
-
-// killAndRestart kills an instance and starts it again after a delay.
-func (s *Soak) killAndRestart(i *instance, last time.Duration) {
-	s.ledger.Disturb(i.name, time.Now().Add(last))
-	i.kill()
-	sleep.For(s.ctx, last)
-	if err := s.startInstance(i); err != nil {
-		s.recordError(err)
-	}
-}
-
-// stopAndRestart stops an instance gracefully, checks that it ends in time, and
-// starts it again.
-func (s *Soak) stopAndRestart(f Fault, i *instance) {
-	if !i.running() {
-		return
-	}
-	begun := time.Now()
-	s.ledger.Plan(i.name, begun.Add(time.Duration(grace*float64(time.Second))))
-	if s.Sabotage == Planned {
-		i.markStopping()
-		i.signal(syscall.SIGKILL)
-	}
-	var late conc.WaitGroup
-	defer late.Wait()
-	if exited := i.exit(); s.Sabotage == "" || s.Sabotage == Planned {
-		late.Go(func() { s.askLate(f, i, begun, exited) })
-	}
-	inTime := i.stop()
-	if s.ledger.Undisturbed(i.name, begun) {
-		s.ledger.Check(Planned, inTime, "%s did not end within %v s", i.name, grace)
-	}
-	s.ledger.Plan(i.name, time.Now())
-	s.ledger.Forgets(i.name)
-	if err := i.start(); err != nil {
-		s.recordError(err)
-	}
-}
-
 // detectStalls records a disturbance of all processes whenever the machine was
 // too busy for bounds to hold.
 func (s *Soak) detectStalls(ctx context.Context) {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -129,6 +129,10 @@
 			t.Parallel()
 			s := Soak{
 				Binary: binary, Dir: t.TempDir(), Seed: 4, Duration: 20 * time.Second, Instances: 3, Callers: 20, Faults: plan, Sabotage: promise,
+				// Breaches of these are counted once the run has ended.
+				Enough: func(sum Summary) bool {
+					return sum.Breaches[promise] > 0 || promise == Budget || promise == NotRun || promise == Whole
+				},
 			}
 			if promise == Deadly || promise == Served {
 				s.Faults = []Fault{{Kind: Deadly, After: minFault, Last: s.Duration - time.Second, Target: 1}}
--- a/process/entry/call.go
+++ b/process/entry/call.go
@@ -80,7 +80,9 @@
 	if r.URL.RawQuery != "" {
 		out.Path += "?" + r.URL.RawQuery
 	}
-	result, err := e.executeCall(ctx, c, s, route, out, act)
+	ctx, q := e.callCandidate(ctx, c, s, out, act)
+	result, err := e.executeCall(ctx, c, s, route, out, q)
+	q.end(err)
 	countRequest(s.ID, err)
 	if now := e.now(); err == nil || errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		e.callTimes.Observe(timesOf(s, route), now.Sub(c.arrived), now)
@@ -98,13 +100,16 @@
 
 // executeCall executes the call. A call to an idempotent route may be repeated;
 // any other call is executed at most once under its key.
-func (e *Entry) executeCall(ctx context.Context, c call, s *config.Service, route *config.Route, out service.Call, act *activity) (claim.Result, error) {
+func (e *Entry) executeCall(ctx context.Context, c call, s *config.Service, route *config.Route, out service.Call, q *candidate) (claim.Result, error) {
 	// Before the key is claimed: other entries could not run the call then.
 	if err := e.checkStop(timesOf(s, route), out.Deadline); err != nil {
 		return claim.Result{}, err
 	}
+	if err := q.check(); err != nil {
+		return claim.Result{}, err
+	}
 	if route.Idempotent {
-		return e.callReplicas(ctx, s, route, out, act)
+		return e.callReplicas(ctx, s, route, out, q)
 	}
 	if out.Key == "" {
 		return claim.Result{}, refusal.New(refusal.NoKey, refusal.NotRun, "a call that is not idempotent needs the header Idempotency-Key")
@@ -113,11 +118,12 @@
 	// is kept for a caller that repeats the request with the same key.
 	ctx, cancel := e.withDeadline(context.WithoutCancel(ctx), c.deadline)
 	defer cancel()
+	ctx, _ = q.watch(ctx)
 	request := claim.Request{
 		Account: c.account.ID, Key: out.Key, Deadline: c.deadline, Fingerprint: fingerprint(c.caller, s.ID, out),
 	}
 	return e.guard.Do(ctx, request, func(ctx context.Context) (claim.Result, error) {
-		return e.callReplicas(ctx, s, route, out, act)
+		return e.callReplicas(ctx, s, route, out, q)
 	})
 }
 
@@ -136,7 +142,7 @@
 
 // callReplicas sends the call to one replica after another until an attempt
 // succeeds or may not be repeated.
-func (e *Entry) callReplicas(ctx context.Context, s *config.Service, route *config.Route, out service.Call, act *activity) (claim.Result, error) {
+func (e *Entry) callReplicas(ctx context.Context, s *config.Service, route *config.Route, out service.Call, q *candidate) (claim.Result, error) {
 	var (
 		exclude    []string
 		mayHaveRun bool // an attempt may have run
@@ -148,17 +154,29 @@
 			}
 		}
 		endpoint, err := e.freshReplica(s, exclude)
+		if err == nil {
+			err = q.check()
+		}
 		if err != nil {
 			return claim.Result{}, refusal.Downgrade(err, mayHaveRun)
 		}
-		act.Endpoint.Store(&endpoint.ID)
+		q.markSent()
+		q.act.Endpoint.Store(&endpoint.ID)
 		conn := &service.Conn{Addr: endpoint.Addr, HTTP: e.requests, WithDeadline: e.withDeadline}
+		sent := e.newCallAttempt(q, s.ID, endpoint.ID)
 		answer, err := conn.Do(ctx, out)
 		if err == nil {
+			q.survived()
 			e.recordSuccess(s.ID)
 			return claim.Result{Status: answer.Status, Header: passHeader(answer.Header), Body: answer.Body}, nil
 		}
 		fault := refusal.From(err)
+		if isWithdrawn(ctx) {
+			return claim.Result{}, refusal.Downgrade(refusal.New(refusal.Quarantined, fault.Outcome, errCondemned.Error()), mayHaveRun)
+		}
+		if fault.Reason == refusal.Broken && ctx.Err() == nil {
+			e.noteCrash(sent)
+		}
 		if !route.Idempotent && fault.Outcome != refusal.NotRun {
 			return claim.Result{}, err
 		}
--- a/process/entry/claims.go
+++ b/process/entry/claims.go
@@ -85,7 +85,8 @@
 type claimCalls struct{ e *Entry }
 
 // Take claims a key in a shard that this entry owns.
-func (c *claimCalls) Take(args claim.Claim, reply *claim.Grant) error {
+func (c *claimCalls) Take(args claim.Claim, reply *claim.Grant) (err error) {
+	defer peer.Recover(c.e.Log, &err)
 	ctx, cancel := context.WithTimeout(c.e.background, peerTimeout)
 	defer cancel()
 	*reply = c.e.owner.Answer(ctx, args)
@@ -93,7 +94,8 @@
 }
 
 // Outcome returns the outcome of a key that this entry may dispatch.
-func (c *claimCalls) Outcome(args claim.Query, reply *claim.Reply) error {
+func (c *claimCalls) Outcome(args claim.Query, reply *claim.Reply) (err error) {
+	defer peer.Recover(c.e.Log, &err)
 	ctx, cancel := context.WithDeadline(c.e.background, args.Deadline)
 	defer cancel()
 	*reply = c.e.ledger.Answer(ctx, args)
--- a/process/entry/completion.go
+++ b/process/entry/completion.go
@@ -77,7 +77,8 @@
 		return
 	}
 	defer end()
-	j := &job{e: e, call: c, req: req, service: service, act: act}
+	ctx, q := e.completionCandidate(ctx, c, req, act)
+	j := &job{e: e, call: c, req: req, service: service, act: act, candidate: q}
 	if req.Stream {
 		j.serveStream(ctx, w, r.Header.Get("Last-Event-ID"))
 		return
--- a/process/entry/enginepool.go
+++ b/process/entry/enginepool.go
@@ -220,6 +220,15 @@
 	}
 }
 
+// boot returns what identifies the process of the engine, as it last told, or an empty
+// string.
+func (s *slot) boot() string {
+	if w := s.pool.findWatch(s.endpoint.ID); w != nil {
+		return w.boot()
+	}
+	return ""
+}
+
 // release returns the reservation. The length of a completed generation is used
 // to predict later ones.
 func (s *slot) release(completed bool) {
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -31,12 +31,14 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/eelgrassdock/eelgrassdock/connection/peer"
+	"github.com/eelgrassdock/eelgrassdock/internal/background"
 	"github.com/eelgrassdock/eelgrassdock/process/lease"
 	"github.com/eelgrassdock/eelgrassdock/process/length"
 	"github.com/eelgrassdock/eelgrassdock/process/member"
 	"github.com/eelgrassdock/eelgrassdock/process/operator"
 	"github.com/eelgrassdock/eelgrassdock/process/pace"
 	"github.com/eelgrassdock/eelgrassdock/process/platform"
+	"github.com/eelgrassdock/eelgrassdock/process/quarantine"
 	"github.com/eelgrassdock/eelgrassdock/process/share"
 	"github.com/eelgrassdock/eelgrassdock/process/stall"
 	"github.com/eelgrassdock/eelgrassdock/request/claim"
@@ -51,6 +53,7 @@
 	readHeader   = 10 * time.Second  // time for a caller to send the request header
 	idleConn     = 120 * time.Second // idle connections to callers and endpoints are closed after this
 	dialTimeout  = 2 * time.Second   // time to connect to an endpoint, after which the attempt fails
+	maxHeader    = 64 << 10          // bytes of the header of an endpoint's answer, with interim answers
 )
 
 // Entry is one entry instance. Exported fields are set before Run.
@@ -75,23 +78,26 @@
 	// was counted and logged; it may be nil.
 	Violation func(rule, detail string)
 
-	id         string
-	polls      *http.Client // connections to endpoints that carry many polls and orders
-	requests   *http.Client // connections to endpoints that carry one request each
-	peers      peer.Pool
-	pools      sync.Map // service ID to *enginePool
-	retries    sync.Map // service ID to *retry.Policy
-	addrs      sync.Map // entry ID to its peer address, including entries that are no longer live
-	loads      sync.Map // entry ID to the load that it reported
-	inFlight   registry
-	polling    atomic.Int64 // endpoints that are polled regularly
-	lengths    length.Learner
-	callTimes  pace.Recorder // of calls of plain services
-	wg         conc.WaitGroup
-	mu         sync.Mutex
-	ended      bool // spawn starts no more tasks
-	background context.Context
-	cancel     context.CancelFunc
+	id             string
+	polls          *http.Client // connections to endpoints that carry many polls and orders
+	requests       *http.Client // connections to endpoints that carry one request each
+	peers          peer.Pool
+	pools          sync.Map // service ID to *enginePool
+	retries        sync.Map // service ID to *retry.Policy
+	addrs          sync.Map // entry ID to its peer address, including entries that are no longer live
+	loads          sync.Map // entry ID to the load that it reported
+	inFlight       registry
+	polling        atomic.Int64 // endpoints that are polled regularly
+	lengths        length.Learner
+	quarantine     quarantine.Register
+	unconfirmed    quarantine.Unconfirmed[crash]
+	suspectsUnsent chan struct{} // the register has something new to send
+	callTimes      pace.Recorder // of calls of plain services
+	wg             conc.WaitGroup
+	mu             sync.Mutex
+	ended          bool // spawn starts no more tasks
+	background     context.Context
+	cancel         context.CancelFunc
 
 	limit    atomic.Pointer[time.Time] // of the graceful stop; nil before it
 	stopping atomic.Bool               // left out of locate answers
@@ -154,7 +160,9 @@
 		IdleConnTimeout:     idleConn,
 		ReadBufferSize:      1 << 10,
 		WriteBufferSize:     1 << 10,
-		DisableCompression:  true,
+		// An endpoint may send a header without end, which would be kept until it ends.
+		MaxResponseHeaderBytes: maxHeader,
+		DisableCompression:     true,
 	}
 	e.polls, e.requests = &http.Client{Transport: transport}, &http.Client{Transport: transport.Clone()}
 }
@@ -201,14 +209,14 @@
 	return e.Stalls.WithDeadline(ctx, at, func() {})
 }
 
-// spawn runs a task in the background unless the entry has ended. The check is
-// needed because handlers of a closed server may still be running, and shutdown
+// spawn runs a task in the background unless the entry has ended. A panic ends the task
+// only. The check is needed because handlers of a closed server may still be running, and shutdown
 // does not wait for tasks that begin after it.
 func (e *Entry) spawn(task func()) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if !e.ended {
-		e.wg.Go(task)
+		e.wg.Go(func() { background.Run(e.Log, task) })
 	}
 }
 
--- a/process/entry/job.go
+++ b/process/entry/job.go
@@ -37,12 +37,13 @@
 // token. A job may use several connections to an engine, and it may start
 // another generation as long as the caller has received no token.
 type job struct {
-	e       *Entry
-	call    call
-	req     CompletionRequest
-	service *config.Service
-	act     *activity
-	out     output
+	e         *Entry
+	call      call
+	req       CompletionRequest
+	service   *config.Service
+	act       *activity
+	out       output
+	candidate *candidate
 
 	generation  string
 	lastToken   int // number of the last token that the caller has
@@ -78,6 +79,14 @@
 
 // run executes the job. A nil error means that the complete output was sent.
 func (j *job) run(ctx context.Context) error {
+	err := j.runGenerations(ctx)
+	j.candidate.end(err)
+	return err
+}
+
+// runGenerations reads the generation that the caller resumes, and starts generations
+// until one is complete or no further one may be started.
+func (j *job) runGenerations(ctx context.Context) error {
 	if j.resumed {
 		err := j.resume(ctx)
 		if err == nil || !j.mayRestart(err) {
@@ -139,6 +148,8 @@
 		return nil
 	case j.e.isExpired():
 		return refusal.New(refusal.Stopping, ran, "entry has stopped; resume at another entry")
+	case isWithdrawn(ctx):
+		return refusal.New(refusal.Quarantined, ran, errCondemned.Error())
 	case j.act.canceled.Load():
 		return refusal.New(refusal.Canceled, ran, "an operator cancelled the stream")
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
@@ -155,19 +166,29 @@
 	if j.out.delivered() {
 		j.e.violation("single generation", "another generation begun after token "+strconv.Itoa(j.lastToken)+" of "+j.generation)
 	}
+	if err := j.candidate.check(); err != nil {
+		return err
+	}
 	s, err := j.e.pool(j.service.ID).acquire(ctx, j)
 	if err != nil {
 		return err
 	}
+	if err := j.candidate.check(); err != nil { // the job may have waited for long
+		s.release(false)
+		return err
+	}
+	j.candidate.markSent()
 	j.act.Endpoint.Store(&s.endpoint.ID)
 	j.generation = uuid.NewString()
 	conn := j.e.engine(s.endpoint)
+	attempt := crash{candidate: j.candidate, service: j.service.ID, endpoint: s.endpoint.ID, boot: s.boot(), since: j.e.now()}
 	reader, err := conn.Generate(ctx, engine.Request{
 		Gen: j.generation, Prompt: j.req.Prompt, Max: j.req.Max, Rank: j.call.account.Rank, Model: s.model,
 	})
 	j.mayHaveRun = j.mayHaveRun || err == nil || refusal.From(err).Outcome != refusal.NotRun
 	if err != nil {
 		s.release(false)
+		j.noteCrash(ctx, attempt, err)
 		if refusal.From(err).Outcome != refusal.NotRun {
 			j.abandon(ctx, conn, j.finalError(ctx, err))
 		}
@@ -178,6 +199,10 @@
 		Service: j.service.ID, Endpoint: s.endpoint.ID, Boot: reader.Boot(), Generation: j.generation,
 		Account: j.call.account.ID, Caller: j.call.caller, Until: j.call.deadline.Add(tokenLife),
 	}
+	attempt.begun, attempt.since = true, j.e.now()
+	if boot := reader.Boot(); boot != "" {
+		attempt.boot = boot
+	}
 	err = j.open()
 	if err == nil {
 		err = j.relay(ctx, conn, reader, s)
@@ -186,12 +211,22 @@
 	}
 	s.release(err == nil)
 	if err != nil {
+		j.noteCrash(ctx, attempt, err)
 		j.abandon(ctx, conn, j.finalError(ctx, err))
 		j.excludeEndpoint(s.endpoint.ID, j.finalError(ctx, err))
 	}
 	return err
 }
 
+// noteCrash reports the job as a suspect if the engine ended the connection of an attempt
+// before the first token and has crashed.
+func (j *job) noteCrash(ctx context.Context, attempt crash, err error) {
+	reason := refusal.From(err).Reason
+	if j.lastToken == 0 && ctx.Err() == nil && (reason == refusal.Broken || reason == refusal.GenerationLost) {
+		j.e.noteCrash(attempt)
+	}
+}
+
 // resume continues the generation of the caller's resume token.
 func (j *job) resume(ctx context.Context) error {
 	endpoint := j.call.index.Endpoint(j.resumeToken.Endpoint)
@@ -294,6 +329,9 @@
 		if err := j.out.token(f, reader.Buffered()); err != nil {
 			return refusal.New(refusal.Canceled, refusal.Unknown, "caller hung up")
 		}
+		if j.lastToken == 0 {
+			j.candidate.survived()
+		}
 		j.act.Tokens.Store(int64(f.N))
 		if f.N != j.lastToken+1 {
 			j.e.violation("token order", fmt.Sprintf("token %d delivered after token %d of %s", f.N, j.lastToken, j.generation))
@@ -414,7 +452,7 @@
 		return // the caller resumes the stream through another entry
 	}
 	cancel, at := conn.Cancel, j.e.now()
-	hungUp := errors.Is(ctx.Err(), context.Canceled) || reason == refusal.Canceled
+	hungUp := errors.Is(ctx.Err(), context.Canceled) && reason != refusal.Quarantined || reason == refusal.Canceled
 	if (hungUp || j.out.delivered()) && !j.act.canceled.Load() {
 		cancel, at = conn.CancelIdle, at.Add(hangupGrace)
 	}
--- a/process/entry/join.go
+++ b/process/entry/join.go
@@ -12,8 +12,10 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc/panics"
 
 	"github.com/eelgrassdock/eelgrassdock/connection/peer"
+	"github.com/eelgrassdock/eelgrassdock/internal/background"
 	"github.com/eelgrassdock/eelgrassdock/process/member"
 	"github.com/eelgrassdock/eelgrassdock/process/platform"
 )
@@ -60,6 +62,7 @@
 	e.newOrders()
 	e.members = e.newMembers()
 	e.newOperators()
+	e.watchVerdicts()
 	l, err := net.Listen("tcp", e.Settings.Peer)
 	if err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
@@ -75,7 +78,8 @@
 		return fmt.Errorf("listen for membership: %w", err)
 	}
 	e.members.Send = e.sendDatagram
-	e.wg.Go(func() { _ = e.socket.Serve(e.members.Receive) })
+	e.socket.Panicked = func(fault *panics.Recovered) { background.Log(e.Log, fault) }
+	e.keep(func() { _ = e.socket.Serve(e.receive) })
 	e.startRegistration()
 	e.task("membership", e.members.Run)
 	e.task("configuration", e.holder.Run)
@@ -86,6 +90,7 @@
 	e.task("claims", e.owner.Run)
 	e.task("shares", e.runShares)
 	e.task("reaper", e.runReaper)
+	e.task("quarantine", e.runQuarantine)
 	for _, r := range e.reconcilers {
 		e.task("orders", r.Run)
 	}
@@ -109,9 +114,14 @@
 	return e.peers.Call(ctx, addr, method, args, reply)
 }
 
+// keep runs a task in the background that has to go on, and begins it again if it panics.
+func (e *Entry) keep(task func()) {
+	e.wg.Go(func() { background.Keep(e.background, e.Log, task) })
+}
+
 // task runs a part of the entry in the background until the entry ends.
 func (e *Entry) task(name string, run func(context.Context) error) {
-	e.wg.Go(func() {
+	e.keep(func() {
 		if err := run(e.background); err != nil && e.background.Err() == nil {
 			e.Log.WithError(err).Error(name + " task failed")
 		}
--- a/process/entry/metrics.go
+++ b/process/entry/metrics.go
@@ -15,6 +15,7 @@
 	reconnects       = expvar.NewInt("reconnects")       // new connections to an engine for a running stream
 	held             = expvar.NewInt("held")             // requests that waited in the queue of the entry for an endpoint
 	handedOver       = expvar.NewInt("moved")            // requests handed over to other entries at the end of a graceful stop
+	judged           = expvar.NewMap("quarantine")       // suspects and verdicts on requests that crash endpoints
 	interRegionBytes = expvar.NewMap("interregionbytes") // bytes to and from engines of other regions by service
 )
 
--- a/process/entry/operators.go
+++ b/process/entry/operators.go
@@ -212,7 +212,8 @@
 }
 
 // Ask evaluates a query on the relations of this entry.
-func (c *operatorCalls) Ask(args TableQuery, reply *operator.Table) error {
+func (c *operatorCalls) Ask(args TableQuery, reply *operator.Table) (err error) {
+	defer peer.Recover(c.e.Log, &err)
 	var q operator.Query
 	if err := json.Unmarshal(args.JSON, &q); err != nil {
 		return fmt.Errorf("decode query: %w", err)
@@ -241,7 +242,8 @@
 
 // Cancel cancels a request in flight on this entry and replies whether it was
 // found.
-func (c *operatorCalls) Cancel(stream string, reply *bool) error {
+func (c *operatorCalls) Cancel(stream string, reply *bool) (err error) {
+	defer peer.Recover(c.e.Log, &err)
 	*reply = c.e.inFlight.cancel(stream)
 	return nil
 }
--- a/process/entry/orders.go
+++ b/process/entry/orders.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/eelgrassdock/eelgrassdock/connection/engine"
+	"github.com/eelgrassdock/eelgrassdock/connection/peer"
 	"github.com/eelgrassdock/eelgrassdock/process/locate"
 	"github.com/eelgrassdock/eelgrassdock/version/config"
 	"github.com/eelgrassdock/eelgrassdock/version/order"
@@ -138,7 +139,8 @@
 }
 
 // Unsettled returns the endpoints that have not reached their desired state.
-func (c *operatorCalls) Unsettled(args OrderQuery, reply *[]string) error {
+func (c *operatorCalls) Unsettled(args OrderQuery, reply *[]string) (err error) {
+	defer peer.Recover(c.e.Log, &err)
 	*reply = c.e.localUnsettled(args.Duty, args.Endpoints)
 	return nil
 }
--- a/process/entry/register.go
+++ b/process/entry/register.go
@@ -62,7 +62,7 @@
 // the background; no change can be accepted in that time.
 func (e *Entry) startRegistration() {
 	done := make(chan struct{})
-	e.wg.Go(func() { e.keepRegistering(e.background, done) })
+	e.keep(func() { e.keepRegistering(e.background, done) })
 	timer := time.NewTimer(registerWait)
 	defer timer.Stop()
 	select {
--- a/process/entry/registry.go
+++ b/process/entry/registry.go
@@ -19,7 +19,8 @@
 		Endpoint atomic.Pointer[string]
 		Tokens   atomic.Int64
 		Begun    time.Time
-		canceled atomic.Bool // an operator cancelled it
+		canceled atomic.Bool              // an operator cancelled it
+		attempts atomic.Pointer[attempts] // nil once the request is being answered
 		cancel   func()
 	}
 
--- a/process/entry/shares.go
+++ b/process/entry/shares.go
@@ -91,7 +91,8 @@
 type shareCalls struct{ e *Entry }
 
 // Borrow lends a share of an account that this entry owns.
-func (c *shareCalls) Borrow(args share.Request, reply *share.Share) error {
+func (c *shareCalls) Borrow(args share.Request, reply *share.Share) (err error) {
+	defer peer.Recover(c.e.Log, &err)
 	s, err := c.e.lender.Lend(args, c.e.now())
 	*reply = s
 	return err
--- a/process/entry/version.go
+++ b/process/entry/version.go
@@ -99,7 +99,8 @@
 type configCalls struct{ e *Entry }
 
 // Fetch returns the deltas after a version.
-func (c *configCalls) Fetch(after int64, reply *[]config.Delta) error {
+func (c *configCalls) Fetch(after int64, reply *[]config.Delta) (err error) {
+	defer peer.Recover(c.e.Log, &err)
 	deltas, err := c.e.holder.Deltas(after)
 	*reply = deltas
 	return err
--- a/process/entry/watch.go
+++ b/process/entry/watch.go
@@ -27,15 +27,16 @@
 
 // watch holds the polled state of one endpoint.
 type watch struct {
-	endpoint config.Endpoint
-	stop     context.CancelFunc
-	report   atomic.Pointer[engine.Report]
-	leaving  atomic.Bool
-	down     atomic.Bool   // the last poll failed
-	silent   atomic.Bool   // the endpoint did not respond to a poll or a request, and has not responded since
-	failed   atomic.Int64  // Unix ms until which other replicas are preferred after a failure
-	polled   atomic.Int64  // Unix ms at which the last poll began
-	wake     chan struct{} // ends the pause of polls of an idle service
+	endpoint  config.Endpoint
+	stop      context.CancelFunc
+	report    atomic.Pointer[engine.Report]
+	leaving   atomic.Bool
+	plainBoot atomic.Pointer[string] // of a plain replica, as it last told
+	down      atomic.Bool            // the last poll failed
+	silent    atomic.Bool            // the endpoint did not respond to a poll or a request, and has not responded since
+	failed    atomic.Int64           // Unix ms until which other replicas are preferred after a failure
+	polled    atomic.Int64           // Unix ms at which the last poll began
+	wake      chan struct{}          // ends the pause of polls of an idle service
 
 	mu    sync.Mutex // held during a poll
 	seq   int64      // number of the last cache event
@@ -143,6 +144,18 @@
 	return r == nil || r.Total == 0 || int64(engine.EstimateTokens(prompt)) < r.Total
 }
 
+// boot returns what identifies the process of the endpoint, as it last told, or an empty
+// string.
+func (w *watch) boot() string {
+	if r := w.report.Load(); r != nil {
+		return r.Boot
+	}
+	if boot := w.plainBoot.Load(); boot != nil {
+		return *boot
+	}
+	return ""
+}
+
 // pollOnce reads the state of an endpoint. The caller must hold w.mu.
 func (p *enginePool) pollOnce(ctx context.Context, w *watch) {
 	if s := p.e.config().Service(p.service); s != nil && s.Kind == config.KindPlain {
@@ -226,6 +239,7 @@
 	w.down.Store(err != nil)
 	if err == nil {
 		w.leaving.Store(h.Leaving)
+		w.plainBoot.Store(&h.Boot)
 	}
 }
 
--- a/process/gateway/call.go
+++ b/process/gateway/call.go
@@ -5,7 +5,6 @@
 	"io"
 	"maps"
 	"net/http"
-	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -16,7 +15,6 @@
 	"github.com/eelgrassdock/eelgrassdock/internal/sleep"
 	"github.com/eelgrassdock/eelgrassdock/process/balance"
 	"github.com/eelgrassdock/eelgrassdock/process/roster"
-	"github.com/eelgrassdock/eelgrassdock/process/stall"
 	"github.com/eelgrassdock/eelgrassdock/request/refusal"
 	"github.com/eelgrassdock/eelgrassdock/request/retry"
 	"github.com/eelgrassdock/eelgrassdock/version/routing"
@@ -26,7 +24,8 @@
 	defaultDeadline   = 60 * time.Second       // for a request without a deadline on a route without a timeout
 	onceMaxIdle       = 250 * time.Millisecond // longest idle time of a connection that a non-repeatable request may use
 	repeatableMaxIdle = 3 * time.Second        // longest idle time of a connection that a repeatable request may use
-	attemptTimeShare  = 0.8                    // share of the latency target after which a repeatable request goes to another replica
+	attemptTimeShare  = 0.8                    // share of the latency target after which a repeatable request is sent to another replica too
+	attemptOverlap    = 100 * time.Millisecond // for which the earlier attempt goes on after that: covers a replica's refusal in another region
 	maxBufferedAnswer = 1 << 20                // bytes of a plain answer that are buffered before it is passed on
 	startupWait       = 400 * time.Millisecond // covers a connection to the store and a read from it in another region
 	connectPause      = 50 * time.Millisecond  // before a further connection to a replica that accepted none
@@ -35,9 +34,6 @@
 	retryDelaySpread  = 300 * time.Millisecond // range of the random delay that spreads callers refused at the same time
 )
 
-// errAttemptTime is the cause with which attemptContext ends an attempt.
-var errAttemptTime = errors.New("replica did not answer in most of the latency target")
-
 // pool holds the load balancer and the retry policy of one service, plain or
 // engine.
 type pool struct {
@@ -71,134 +67,43 @@
 // earlier.
 func (g *Gateway) callReplicas(ctx, caller context.Context, j *job, onTrial bool) (callResult, error) {
 	p := g.countRequest(j.service)
-	var (
-		kept       *bufferedAnswer // of the latest attempt
-		e          roster.Endpoint // of the latest attempt
-		tried      []string
-		mayHaveRun bool // an attempt may have run
-		sends      int
-		// connectUntil is the time until which the request returns to replicas that
-		// accepted no connection and may be silent only for a moment.
-		connectUntil = grantUntil(j, time.Now())
-	)
-	for attempt := 1; ; attempt++ {
-		next, refused := g.pickAllowed(ctx, j, p, tried, onTrial && sends == 0)
-		if refused != nil && kept != nil && kept.rest == nil {
-			return callResult{kept, e, attempt - 1}, nil
+	x := &replicaAttempts{g: g, ctx: ctx, caller: caller, j: j, p: p, ended: make(chan *replicaAttempt), lasting: make(chan *replicaAttempt), closed: make(chan struct{})}
+	defer x.close()
+	var last *replicaAttempt // the latest that ended
+	for {
+		next, refused := g.pickAllowed(ctx, j, p, x.tried, onTrial && x.sends == 0)
+		if refused != nil && last != nil && last.answer != nil && last.answer.rest == nil {
+			return last.result(), nil
 		}
 		if refused != nil {
-			return callResult{}, refusal.Downgrade(refused, mayHaveRun)
-		}
-		e = next
-		limited, cancel := g.attemptContext(ctx, j, p, append(tried, e.ID), sends)
-		var fault *fault
-		sent := time.Now()
-		kept, fault = g.try(limited, j, p, e)
-		g.noteAttempt(limited, j, e, sent, kept, fault)
-		if kept != nil && kept.rest != nil {
-			kept.rest.Follow(caller) // the limit of the attempt is for the begin of its answer
-		}
-		cancel()
-		charged := isCharged(limited)
-		if charged && (fault == nil || fault.unsent || ctx.Err() != nil) {
-			p.policy.Budget.Return()
+			return callResult{}, refusal.Downgrade(refused, x.mayHaveRun)
 		}
+		last = x.run(next)
+		fault := last.fault
 		if fault == nil {
 			observe(callTime, time.Since(j.Arrived))
-			return callResult{kept, e, attempt}, nil
+			return last.result(), nil
 		}
-		if !fault.silent || !time.Now().Before(connectUntil) {
-			tried = append(tried, e.ID)
-		}
-		if !fault.unsent {
-			sends++
-		}
-		mayHaveRun = mayHaveRun || fault.Outcome != refusal.NotRun
-		g.logDecision(j, "attempt_failed", logrus.Fields{
-			"endpoint": e.ID, "reason": fault.Reason, "outcome": fault.Outcome.String(), "detail": fault.Detail, "attempt": attempt,
-			"left": time.Until(j.deadline).Milliseconds(), "budget": int(p.policy.Budget.Tokens()), "digest": formatKey(j.identity),
-		})
-		if ctx.Err() != nil || sends >= max(j.route.Attempts, 1) {
-			return g.giveUp(j, callResult{kept, e, attempt}, fault, mayHaveRun)
+		if ctx.Err() != nil || x.sends >= max(j.route.Attempts, 1) {
+			return g.giveUp(j, last.result(), fault, x.mayHaveRun)
 		}
 		if fault.unsent {
 			// The attempt put no load on the service, so it takes nothing from
 			// the retry budget.
 			refusal.CountRetry(fault.Reason)
 			if fault.silent && !sleep.For(ctx, connectPause) {
-				return g.giveUp(j, callResult{kept, e, attempt}, fault, mayHaveRun)
+				return g.giveUp(j, last.result(), fault, x.mayHaveRun)
 			}
 			continue
 		}
-		at, ok := time.Now().Add(p.policy.Backoff.Wait(attempt)), charged
-		if charged {
-			refusal.CountRetry(fault.Reason)
-		} else {
-			at, ok = p.policy.Next(fault.Outcome, fault.Reason, j.route.Repeatable(), attempt, j.deadline, time.Now())
-		}
+		at, ok := p.policy.Next(fault.Outcome, fault.Reason, j.route.Repeatable(), last.number, j.deadline, time.Now())
 		if !ok || !waitUntil(ctx, at) {
-			return g.giveUp(j, callResult{kept, e, attempt}, fault, mayHaveRun)
-		}
-		if kept != nil && kept.rest != nil {
-			kept.rest.Close(false)
+			return g.giveUp(j, last.result(), fault, x.mayHaveRun)
 		}
+		last.discard()
 	}
 }
 
-// attemptContext ends an attempt of a request that may be sent to another replica
-// once most of the latency target has passed while this process ran, so that a replica
-// that hangs leaves time for one that works. It does not while no repeat is possible:
-// ending the attempt would then end the request, although its replica may only be silent
-// for a moment. The repeat is charged to the retry budget when the attempt ends: of requests that wait for
-// the same replica, no more end than can be repeated.
-func (g *Gateway) attemptContext(ctx context.Context, j *job, p *pool, tried []string, sends int) (context.Context, context.CancelFunc) {
-	if !j.route.Repeatable() || sends+1 >= j.route.Attempts || j.route.Aim <= 0 {
-		return ctx, func() {}
-	}
-	limit := time.Duration(float64(j.route.Aim) * attemptTimeShare)
-	ctx, cancel := context.WithCancelCause(ctx)
-	var timer *stall.Timer
-	timer = g.Stalls.AfterFunc(time.Hour, func() {
-		if !g.canPick(j.service, tried) || g.tooLate(j) || !p.policy.Budget.Take() {
-			timer.Reset(limit)
-			return
-		}
-		if cancel(errAttemptTime); !isCharged(ctx) {
-			p.policy.Budget.Return() // the attempt had ended
-		}
-	})
-	timer.Reset(limit) // the function uses timer, so it may run only after the assignment
-	return ctx, func() {
-		timer.Stop()
-		cancel(nil)
-	}
-}
-
-// isCharged reports whether attemptContext ended an attempt, whose repeat is then
-// charged to the retry budget.
-func isCharged(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errAttemptTime) }
-
-// attemptError returns the error of an attempt that attemptContext ended, and f for
-// other attempts.
-func attemptError(ctx context.Context, f *refusal.Error) *refusal.Error {
-	switch {
-	case !isCharged(ctx):
-		return f
-	case f.Outcome == refusal.NotRun:
-		return refusal.New(refusal.Dial, refusal.NotRun, errAttemptTime.Error())
-	}
-	return refusal.New(refusal.Timeout, refusal.Unknown, errAttemptTime.Error())
-}
-
-// canPick reports whether a service has a replica that can get a request now and is
-// not in tried.
-func (g *Gateway) canPick(service string, tried []string) bool {
-	now := time.Now()
-	return slices.ContainsFunc(g.Roster.List(service), func(e roster.Endpoint) bool {
-		return !e.Leaving && !slices.Contains(tried, e.ID) && g.limits.Ready(e.ID, now)
-	})
-}
-
 type (
 	// bufferedAnswer is a plain answer. Its body has been read to the end, or
 	// up to maxBufferedAnswer bytes, after which the rest is streamed.
@@ -232,16 +137,17 @@
 	}
 )
 
-// try makes one attempt. It returns both an answer and a fault if a replica
+// try makes one attempt, and calls onSent, which may be nil, when the request has been
+// written. It returns both an answer and a fault if a replica
 // answered a repeatable request with a server error.
-func (g *Gateway) try(ctx context.Context, j *job, p *pool, e roster.Endpoint) (*bufferedAnswer, *fault) {
+func (g *Gateway) try(ctx context.Context, j *job, p *pool, e roster.Endpoint, onSent func()) (*bufferedAnswer, *fault) {
 	begun := time.Now()
 	since := begun.Add(-repeatableMaxIdle)
 	if j.route.Kind == routing.Once {
 		since = begun.Add(-onceMaxIdle)
 	}
 	answer, err := g.send(ctx, Call{
-		Request: j.Request, Endpoint: e, Account: j.account, Deadline: j.deadline, Since: since, Rank: j.rank, After: j.After,
+		Request: j.Request, Endpoint: e, Account: j.account, Deadline: j.deadline, Since: since, Rank: j.rank, After: j.After, Sent: onSent,
 	})
 	if err != nil {
 		f := attemptError(ctx, refusal.From(err))
--- a/process/gateway/crash.go
+++ b/process/gateway/crash.go
@@ -1,9 +1,7 @@
 package gateway
 
 import (
-	"slices"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -13,31 +11,16 @@
 	"github.com/eelgrassdock/eelgrassdock/process/roster"
 )
 
-const (
-	crashProbes = 3 // connections that are tried after an endpoint ended one: kept ones may have ended as well
-	// confirmTime is the time in which the list, or another instance, may still show that an
-	// endpoint has ended. It covers a restart and its notice in the list.
-	confirmTime    = 5 * time.Second
-	maxUnconfirmed = 128
-)
-
-type (
-	// crash is a request at an endpoint that ended its connection without an answer.
-	crash struct {
-		j            *job
-		endpoint     roster.Endpoint
-		since, ended time.Time
-		begun        bool
-		parts        []uint64
-	}
+const crashProbes = 3 // connections that are tried after an endpoint ended one: kept ones may have ended as well
 
-	// unconfirmedCrashes holds crashes of which nothing shows yet that the endpoint's process
-	// has ended, the oldest first.
-	unconfirmedCrashes struct {
-		mu   sync.Mutex
-		list []crash
-	}
-)
+// crash is a request at an endpoint that ended its connection without an answer.
+type crash struct {
+	j            *job
+	endpoint     roster.Endpoint
+	since, ended time.Time
+	begun        bool
+	parts        []uint64
+}
 
 func (c crash) id() uint64 {
 	return quarantine.ID(c.endpoint.ID, strconv.FormatInt(c.endpoint.Born, 10))
@@ -45,12 +28,12 @@
 
 // reportCrash reports a request as a suspect if its endpoint has crashed, and reports
 // whether it has. If that is not known, the request is reported once it becomes known,
-// within confirmTime.
+// within quarantine.ConfirmTime.
 func (g *Gateway) reportCrash(c crash) bool {
 	crashed, known := g.hasCrashed(c.endpoint)
 	switch {
 	case !known:
-		g.unconfirmed.add(c)
+		g.unconfirmed.Add(c, c.ended)
 		g.confirmCrashes()
 		return false
 	case crashed:
@@ -93,34 +76,10 @@
 	return false, false
 }
 
-func (u *unconfirmedCrashes) add(c crash) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	if len(u.list) >= maxUnconfirmed {
-		u.list = slices.Delete(u.list, 0, 1)
-	}
-	u.list = append(u.list, c)
-}
-
-// take removes the crashes that are confirmed and returns them. It drops those that are
-// older than confirmTime.
-func (u *unconfirmedCrashes) take(now time.Time, isConfirmed func(crash) bool) (confirmed []crash) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.list = slices.DeleteFunc(u.list, func(c crash) bool {
-		ok := isConfirmed(c)
-		if ok {
-			confirmed = append(confirmed, c)
-		}
-		return ok || now.Sub(c.ended) > confirmTime
-	})
-	return confirmed
-}
-
 // confirmCrashes reports the requests at endpoints of which it is known by now that they
 // have crashed: the list shows a later start, or another instance has seen the crash.
 func (g *Gateway) confirmCrashes() {
-	confirmed := g.unconfirmed.take(time.Now(), func(c crash) bool {
+	confirmed := g.unconfirmed.Take(time.Now(), func(c crash) bool {
 		now, ok := g.Roster.Get(c.endpoint.ID)
 		return ok && now.Born > c.endpoint.Born && c.endpoint.Born != 0 || g.quarantine.HasCrash(c.id(), c.ended)
 	})
--- a/process/gateway/enginepool.go
+++ b/process/gateway/enginepool.go
@@ -60,14 +60,14 @@
 	d.sched = &placement.Scheduler{
 		Service: service, Region: g.Settings.Region, EntryPlace: g.Settings.Place, Length: &g.lengths,
 		Seed: xxhash.Sum64String(g.id + service), Violation: g.logViolation, Chunked: true,
-		MemoryCost: memoryCost, FarCost: farCost, Limited: g.limitOf,
+		MemoryCost: memoryCost, FarCost: farCost, LoadAge: g.exchange.Age(), Limited: g.limitOf,
 	}
 	d.dispatcher.Service, d.dispatcher.Sched = service, d.sched
 	actual, _ := g.enginePools.LoadOrStore(service, d)
 	d = actual.(*enginePool)
 	d.start.Do(func() {
 		d.refresh(engine)
-		g.spawn(d.offerLoop)
+		g.keep(d.offerLoop)
 	})
 	return d
 }
--- a/process/gateway/feed.go
+++ b/process/gateway/feed.go
@@ -19,7 +19,8 @@
 // In each region one instance polls the store for the changes of a table. The
 // others poll that instance or, if its link would not carry so many, one of those
 // that do (tree.go). An instance polls the store itself as soon as the polled
-// instance does not answer, or reports that it is not up to date with the store.
+// instance does not answer, or reports that it is not up to date with the store. In an
+// outage of the store, only a few go on with that (outage.go).
 // What an instance knows has an age, the time since the store confirmed it, that
 // is passed on with it.
 
@@ -31,7 +32,10 @@
 	peerAvoid          = 5 * time.Second        // an instance that failed is not polled for this long
 	directWait         = 100 * time.Millisecond // of a poll of the store when another instance did not answer; others may wait for this one
 	enginePollInterval = 400 * time.Millisecond // mean interval between reports from an engine while the store is unreachable
+	joinTime           = time.Second            // after the start in which an instance awaits another one to poll before it polls the store
+	joinPause          = 50 * time.Millisecond  // between two looks for one
 	feedMaxAge         = 4 * time.Second        // since the store confirmed the table; after it other instances must poll the store themselves
+	lateTime           = 5 * time.Second        // for which late rows are given to other instances; one that is not answered for feedMaxAge reads the whole table
 )
 
 const fromStore = "store" // source of an origin
@@ -51,16 +55,29 @@
 
 		mu        sync.Mutex
 		rows      []mirror.Row // the latest change of each row
+		partial   bool         // rows that have not changed lately were dropped from rows
 		from      int64        // rows holds all changes after this version; -1 before the first answer
 		version   int64
 		era       int64     // of rows, from and version
 		confirmed time.Time // when the store confirmed the table
+		late      []lateRow
+		missing   map[string]bool // rows that the store no longer lists, kept for ReturnGrace
+		reviving  bool            // rows that the store lists are ignored for ReviveGrace
 		lost      bool
+		joining   bool          // the table is requested from other instances
 		changed   chan struct{} // closed at each confirmation and at a failure
 		avoid     map[string]time.Time
 		origin    origin
 	}
 
+	// lateRow is a row that was passed on after the version of the table had become known: it
+	// was kept after an outage and has not returned, or was ignored after a restoration.
+	// Other instances have that version already.
+	lateRow struct {
+		mirror.Row
+		at time.Time
+	}
+
 	// origin tells where the latest changes of a table came from.
 	origin struct {
 		source string        // "store" or the address of an instance
@@ -75,6 +92,12 @@
 		Era   int64
 		After int64
 		Wait  time.Duration
+		// Whole asks for all rows in place of the changes. Earlier builds do not know it, and
+		// have none after the version -1.
+		Whole bool
+		// Await asks an instance that has lost the store to answer once it follows it again.
+		// Earlier builds do not know it, and answer at once.
+		Await bool
 		// Encoded asks for large rows as Documents, and Held lists the hashes of those
 		// that the instance has.
 		Encoded bool
@@ -82,10 +105,11 @@
 	}
 
 	// Changes is the answer to a Poll. If Follows is false, the instance is not
-	// up to date with the store.
+	// up to date with the store; if Lost is set too, it cannot reach the store.
 	Changes struct {
 		Page    mirror.Page
 		Follows bool
+		Lost    bool
 		// Age is the time since the store confirmed the table. Answers of earlier builds
 		// have none.
 		Age       time.Duration
@@ -135,6 +159,12 @@
 	t.Lost = f.fail
 	list := t.List
 	t.List = func(ctx context.Context) (mirror.Page, error) {
+		if page, ok := g.listFromPeer(ctx, f); ok {
+			return page, nil
+		}
+		if page, ok, err := g.listInOutage(ctx, f); ok {
+			return page, err
+		}
 		begun := time.Now()
 		page, err := list(ctx)
 		if err == nil {
@@ -144,17 +174,21 @@
 	}
 	t.Follow = func(ctx context.Context, after int64, wait time.Duration) (mirror.Page, error) {
 		begun := time.Now()
-		if source, ok := g.feedSource(f); ok {
-			page, err := g.poll(ctx, source, f, after)
-			if err == nil {
-				return page, nil
+		if source, ok := g.awaitSource(ctx, f); ok {
+			page, err := g.request(ctx, source, f, f.nextPoll(after))
+			if errors.Is(err, errStoreLost) && f.storeLost() {
+				page, err = g.pollInOutage(ctx, source, f, f.nextPoll(after))
 			}
-			f.avoidPeer(source.ID)
-			// Both polls must fit into the time that the table allows for one.
-			if wait -= time.Since(begun); wait < directWait || !errors.Is(err, errNotFollowing) {
+			switch {
+			case err == nil, errors.Is(err, mirror.ErrWaited):
+				return page, err
+			case !errors.Is(err, errNotFollowing) && !errors.Is(err, errStoreLost):
 				wait = directWait
 			}
+			f.avoidPeer(source.ID)
 		}
+		// What was done so far and this poll must fit into the time that the table allows for one.
+		wait = max(wait-time.Since(begun), directWait)
 		begun = time.Now()
 		page, err := f.follow(ctx, after, wait)
 		if err == nil {
@@ -193,9 +227,14 @@
 func (f *feed) add(rows []mirror.Row) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	added := make(map[string]bool, len(rows))
+	added, now := make(map[string]bool, len(rows)), time.Now()
+	f.late = slices.DeleteFunc(f.late, func(r lateRow) bool { return now.Sub(r.at) >= lateTime })
 	for _, r := range rows {
 		added[r.Key] = true
+		isKnown := func(l lateRow) bool { return l.Key == r.Key && l.Version == r.Version }
+		if r.Version <= f.version && !slices.ContainsFunc(f.late, isKnown) {
+			f.late = append(f.late, lateRow{r, now})
+		}
 		if large(r) {
 			f.documents.Add(r.Value)
 		}
@@ -203,7 +242,7 @@
 	f.rows = slices.DeleteFunc(f.rows, func(r mirror.Row) bool { return added[r.Key] })
 	f.rows = append(f.rows, rows...)
 	if n := len(f.rows) - feedRows; n > 0 {
-		f.from = f.rows[n-1].Version
+		f.from, f.partial = f.rows[n-1].Version, true
 		f.rows = slices.Clone(f.rows[n:])
 	}
 }
@@ -213,13 +252,13 @@
 func (f *feed) restart(era int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.era, f.rows, f.from, f.version = era, nil, -1, 0
+	f.era, f.rows, f.partial, f.from, f.version, f.late = era, nil, false, -1, 0, nil
 }
 
 func (f *feed) setVersion(version int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.era = f.table.Era()
+	f.era, f.missing, f.reviving = f.table.Era(), f.table.Missing(), f.table.Reviving()
 	if f.from < 0 {
 		f.from = version // the first answer holds the whole table
 	}
@@ -245,19 +284,25 @@
 	f.avoid[id] = time.Now().Add(peerAvoid)
 }
 
+// awaitSource returns the instance to poll, as feedSource does. Shortly after the start of
+// this instance it waits until one is known: instances that start together would
+// otherwise all poll the store, though one of each region is enough.
+func (g *Gateway) awaitSource(ctx context.Context, f *feed) (member.Member, bool) {
+	for {
+		source, ok := g.feedSource(f)
+		if ok || time.Since(g.begun) >= joinTime || !sleep.For(ctx, joinPause) {
+			return source, ok
+		}
+	}
+}
+
 // feedSource returns the instance that this one polls for changes of a table.
 // It returns false if this instance polls the store itself.
 func (g *Gateway) feedSource(f *feed) (member.Member, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
-	var list []member.Member
-	for _, m := range g.listMembers() {
-		if m.Region == g.Settings.Region && m.ID != g.id && !m.Leaving && !now.Before(f.avoid[m.ID]) &&
-			g.memberStatus(m.ID) == member.Alive {
-			list = append(list, m)
-		}
-	}
+	list := slices.DeleteFunc(g.aliveNear(nil), func(m member.Member) bool { return now.Before(f.avoid[m.ID]) })
 	return polledBy(g.id, f.table.Name, list)
 }
 
@@ -275,11 +320,18 @@
 }
 
 // unanswered reports whether the store has not answered yet, or the latest
-// request to it failed.
+// request to it failed. While the table may still come from another instance, the store
+// has not been asked.
 func (f *feed) unanswered() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.lost || f.from < 0
+	return !f.joining && (f.lost || f.from < 0)
+}
+
+func (f *feed) setJoining(joining bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.joining = joining
 }
 
 // anyFeed reports whether state holds for the feed of any table.
--- a/process/gateway/feed_test.go
+++ b/process/gateway/feed_test.go
@@ -1,14 +1,20 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"io"
+	"net"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
+	"github.com/eelgrassdock/eelgrassdock/process/member"
 	"github.com/eelgrassdock/eelgrassdock/process/mirror"
 )
 
@@ -63,3 +69,82 @@
 	_, ok = changes(0, 30)
 	require.False(t, ok, "an instance of an earlier build compares versions of different eras")
 }
+
+// Guards against instances that start together and all poll the store, before they know the
+// one of their region that does it for them; and against waiting for one for good.
+func TestFirstPollAwaitsAnotherInstance(t *testing.T) {
+	for name, test := range map[string]struct {
+		own    string        // ID; empty for the usual one
+		other  string        // ID of another instance of the region
+		known  time.Duration // when it is known
+		asked  time.Duration // when it is polled; -1 if it is not
+		polled time.Duration // when the store is polled
+	}{
+		"alone":                    {known: time.Hour, asked: -1, polled: joinTime},
+		"first of the region":      {own: "i1-x-200mbit", other: "a-r-20mbit", asked: -1, polled: joinTime},
+		"another one joins":        {other: "a-r-200mbit", known: 200 * time.Millisecond, asked: 200 * time.Millisecond, polled: 200 * time.Millisecond},
+		"another one joined early": {other: "a-r-200mbit"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newTestGateway(t)
+				w.begun, w.id = time.Now(), cmp.Or(test.own, w.id)
+				w.memberStatus = func(string) member.Status { return member.Alive }
+				w.listMembers = func() []member.Member {
+					list := []member.Member{{ID: w.id, Region: w.Settings.Region}, {ID: "far", Region: "r1"}}
+					if time.Since(w.begun) >= test.known {
+						list = append(list, member.Member{ID: test.other, Region: w.Settings.Region})
+					}
+					return list
+				}
+				asked, polled, wait := time.Duration(-1), time.Duration(0), time.Duration(0)
+				w.peers.Dial = func(context.Context, string) (net.Conn, error) {
+					asked = time.Since(w.begun)
+					return nil, errors.New("does not answer") // so that the store is polled
+				}
+				table := &mirror.Table{
+					Name: "t", Log: w.Log, Changed: func([]mirror.Row) {},
+					List: func(context.Context) (mirror.Page, error) { return mirror.Page{Version: 1}, nil },
+					Follow: func(_ context.Context, _ int64, d time.Duration) (mirror.Page, error) {
+						polled, wait = time.Since(w.begun), d
+						return mirror.Page{Version: 1}, nil
+					},
+				}
+				w.shareTable(table)
+				_, err := table.Follow(t.Context(), 1, 3*time.Second)
+				require.NoError(t, err)
+				require.InDelta(t, test.asked, asked, float64(joinPause))
+				require.InDelta(t, test.polled, polled, float64(joinPause))
+				require.LessOrEqual(t, polled+wait, 3*time.Second, "the table would take the poll for lost")
+			})
+		})
+	}
+}
+
+// Guards against two instances that start together, each of which reads the rows of the
+// others before it has written its own, so that they do not find each other.
+func TestOwnRowIsWrittenBeforeTheOthersAreRead(t *testing.T) {
+	for name, result := range map[string]error{"written": nil, "not written": errors.New("store is down")} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newTestGateway(t)
+				w.registerTried, w.registerOnce = make(chan struct{}), sync.Once{}
+				var order []string
+				w.Register = func(context.Context, string, []byte, bool) error {
+					time.Sleep(300 * time.Millisecond)
+					order = append(order, "write")
+					return result
+				}
+				w.Registered = func(context.Context) (mirror.Page, error) {
+					order = append(order, "read")
+					return mirror.Page{}, nil
+				}
+				go w.register()
+				_, err := w.seeds(t.Context())
+				require.NoError(t, err)
+				require.Equal(t, []string{"write", "read"}, order)
+				w.cancel()
+			})
+		})
+	}
+}
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -72,6 +72,7 @@
 		Stream   bool
 		After    string // ID of the event after which the stream continues
 		Memory   string // memory to continue from, as returned by Backend.Handle
+		Sent     func() // called when the request has been written; may be nil
 	}
 
 	// Signals is what an endpoint says about itself in any of its answers.
@@ -191,10 +192,13 @@
 		calls         callRegistry
 		sampler       logging.Sampler
 		board         loads.Board
+		exchange      loads.Exchange
+		exchanging    atomic.Pointer[peerCache]
+		relayNeeded   chan struct{}     // signals that another instance uses this one as its relay
 		notices       chan loads.Notice // findings to send to other instances
 		loadChanged   chan struct{}     // signals that this instance's load has changed
 		quarantine    quarantine.Register
-		unconfirmed   unconfirmedCrashes
+		unconfirmed   quarantine.Unconfirmed[crash]
 		updatesUnsent chan struct{} // signals that there are updates for the other instances
 		limits        ratelimit.Limiter
 		times         requestTimes
@@ -212,8 +216,14 @@
 		peers        peer.Pool
 		documents    delta.Cache // large rows, of all tables
 		stopping     atomic.Pointer[stopping]
-		reloaded     atomic.Pointer[Settings]  // settings after a reload, nil before
-		storeEra     atomic.Int64              // latest era of the store in which this instance has written its row again
+		reloaded     atomic.Pointer[Settings] // settings after a reload, nil before
+		storeEra     atomic.Int64             // latest era of the store in which this instance has written its row again
+
+		begun         time.Time     // start of this instance
+		registerTried chan struct{} // closed when the first attempt to write the row of this instance has ended
+		nearRows      atomic.Int64  // 1 + number of rows of instances of the region; 0 until they are read
+		registerOnce  sync.Once
+
 		fetching     atomic.Bool               // a routing table is being fetched from a peer
 		memberLogDue atomic.Bool               // a log line about the live instances is scheduled
 		memberCount  atomic.Int64              // live instances in the latest of these lines
--- a/process/gateway/limit.go
+++ b/process/gateway/limit.go
@@ -188,19 +188,10 @@
 	wait, done := g.waitContext(ctx, j)
 	defer done()
 	for {
-		list := g.Roster.List(j.service)
-		now := time.Now()
-		open := list
-		if g.limits.Any() {
-			open = slices.DeleteFunc(slices.Clone(list), func(e roster.Endpoint) bool { return !g.limits.Ready(e.ID, now) })
-		}
-		if e, ok := p.balance.Pick(open, tried); ok {
-			if g.limits.Take(e.ID, now) {
-				return e, nil
-			}
-			p.balance.Done(e.ID, balance.Result{Refused: true}) // another request took the grant
-			continue
+		if e, ok := g.takeReplica(j.service, p, tried); ok {
+			return e, nil
 		}
+		list, now := g.Roster.List(j.service), time.Now()
 		best, due := g.nextGrant(list, tried, now)
 		if best.ID == "" && len(tried) == 0 && g.awaitReplica(wait, j.service, p, until) {
 			continue
@@ -230,6 +221,22 @@
 	}
 }
 
+// takeReplica chooses a replica that is not in tried and can get a request now, and counts
+// the request there. It returns false if there is none.
+func (g *Gateway) takeReplica(service string, p *pool, tried []string) (roster.Endpoint, bool) {
+	for {
+		list, now := g.Roster.List(service), time.Now()
+		if g.limits.Any() {
+			list = slices.DeleteFunc(slices.Clone(list), func(e roster.Endpoint) bool { return !g.limits.Ready(e.ID, now) })
+		}
+		e, ok := p.balance.Pick(list, tried)
+		if !ok || g.limits.Take(e.ID, now) {
+			return e, ok
+		}
+		p.balance.Done(e.ID, balance.Result{Refused: true}) // another request took the grant
+	}
+}
+
 // grantUntil returns the time until which a plain request waits for a replica that can
 // take it.
 func grantUntil(j *job, now time.Time) time.Time {
--- a/process/gateway/loads.go
+++ b/process/gateway/loads.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"context"
+	"fmt"
 	"net"
 	"time"
 
@@ -11,9 +13,13 @@
 	"github.com/eelgrassdock/eelgrassdock/process/member"
 )
 
-const (
-	batchDelay = 5 * time.Millisecond // changes within this time are sent in one datagram
-)
+const batchDelay = 5 * time.Millisecond // changes within this time are sent in one datagram
+
+// peerCache holds the peers of the exchange for one snapshot of the members.
+type peerCache struct {
+	members []member.Member
+	peers   []loads.Peer
+}
 
 // announce schedules sending the current load to the other instances.
 func (g *Gateway) announce() {
@@ -23,64 +29,100 @@
 	}
 }
 
-// exchangeLoads sends the load of this instance to the other instances, and
-// receives theirs.
-func (g *Gateway) exchangeLoads(socket *member.Socket) {
-	g.spawn(func() {
-		_ = socket.Serve(func(data []byte, _ string) {
-			if err := g.board.Receive(data, time.Now()); err != nil {
-				counters.Add("loads_malformed", 1)
-			}
-		})
-	})
-	defer func() { _ = socket.Close() }()
-	_, port, err := net.SplitHostPort(g.Settings.Loads)
-	if err != nil {
-		g.Log.WithError(err).Error("address for loads is not valid")
-		return
+// receiveLoads handles a datagram of another instance.
+func (g *Gateway) receiveLoads(data []byte, from string) {
+	exchanged.Add("received", 1)
+	exchanged.Add("received_bytes", int64(len(data)))
+	if err := g.exchange.Receive(data, from, time.Now()); err != nil {
+		counters.Add("loads_malformed", 1)
 	}
-	sender := loads.Sender{From: g.id}
-	ticker := time.NewTicker(loads.RefreshInterval)
-	defer ticker.Stop()
+}
+
+// exchangeLoads sends the load of this instance to the other instances.
+func (g *Gateway) exchangeLoads() {
+	round := time.NewTicker(loads.RefreshInterval)
+	defer round.Stop()
+	tick := time.NewTimer(0)
+	defer tick.Stop()
 	for {
 		all := false
-		var datagrams [][]byte
+		var notices []loads.Notice
 		select {
 		case <-g.base.Done():
 			return
-		case <-ticker.C:
+		case <-round.C:
 			all = true
 			g.expire(time.Now())
 		case notice := <-g.notices:
-			data, err := sender.Notices(notice)
-			if err != nil {
-				g.Log.WithError(err).Error("notice to other instances cannot be encoded")
-			}
-			datagrams = append(datagrams, data)
+			notices = append(notices, notice)
 		case <-g.updatesUnsent:
+		case <-g.relayNeeded:
+			tick.Reset(0)
+			continue
+		case <-tick.C:
+			if err := g.exchange.Tick(g.ownLoad, time.Now()); err != nil {
+				g.Log.WithError(err).Error("sums of loads cannot be encoded")
+			}
+			tick.Reset(g.exchange.Interval())
+			continue
 		case <-g.loadChanged:
 			sleep.For(g.base, batchDelay)
 		}
-		changes, err := sender.Changes(g.ownLoad(), all)
-		if err != nil {
+		if err := g.exchange.Offer(g.ownLoad(), notices, all, time.Now()); err != nil {
 			g.Log.WithError(err).Error("load cannot be encoded")
 		}
-		datagrams = append(datagrams, changes...)
-		datagrams = append(datagrams, g.updates(all)...)
-		for _, m := range g.listMembers() {
-			host, _, err := net.SplitHostPort(m.Probe)
-			if err != nil || m.ID == g.id {
-				continue
-			}
-			for _, data := range datagrams {
-				if err := socket.Send(net.JoinHostPort(host, port), data); err != nil {
-					counters.Add("loads_unsent", 1)
+		for _, data := range g.updates(all) {
+			for _, p := range g.exchange.Peers() {
+				if p.ID != g.id {
+					g.exchange.Send(p.Addr, data, "updates")
 				}
 			}
 		}
 	}
 }
 
+func (g *Gateway) sendLoads(socket *member.Socket, addr string, data []byte, kind string) {
+	exchanged.Add("sent_"+kind, 1)
+	exchanged.Add("sent_bytes", int64(len(data)))
+	if err := socket.Send(addr, data); err != nil {
+		counters.Add("loads_unsent", 1)
+	}
+}
+
+// prepareExchange sets what the exchange of loads needs to know of this instance.
+func (g *Gateway) prepareExchange(port string) {
+	g.relayNeeded = make(chan struct{}, 1)
+	g.exchange.ID, g.exchange.Place, g.exchange.Board = g.id, g.Settings.Place, &g.board
+	g.exchange.Peers = func() []loads.Peer { return g.exchangePeers(port) }
+	g.exchange.Needed = func() {
+		select {
+		case g.relayNeeded <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// exchangePeers returns the live instances as the exchange of loads sees them. They have
+// their sockets for loads at the same port.
+func (g *Gateway) exchangePeers(port string) []loads.Peer {
+	members := g.listMembers()
+	if c := g.exchanging.Load(); c != nil && len(c.members) == len(members) && (len(members) == 0 || &c.members[0] == &members[0]) {
+		return c.peers
+	}
+	c := &peerCache{members: members}
+	for _, m := range members {
+		host, _, err := net.SplitHostPort(m.Probe)
+		if err != nil {
+			continue
+		}
+		c.peers = append(c.peers, loads.Peer{
+			ID: m.ID, Place: m.Place, Addr: net.JoinHostPort(host, port), Link: linkOf(m.ID), Relays: canRelay(m.ID), Leaving: m.Leaving,
+		})
+	}
+	g.exchanging.Store(c)
+	return c.peers
+}
+
 // sendUpdates schedules sending the unsent updates to the other instances.
 func (g *Gateway) sendUpdates() {
 	select {
@@ -103,6 +145,10 @@
 // expire forgets what other instances have not renewed. It is called once a second.
 func (g *Gateway) expire(now time.Time) {
 	g.board.Expire(now)
+	g.enginePools.Range(func(_, p any) bool {
+		p.(*enginePool).sched.SetLoadAge(g.exchange.Age())
+		return true
+	})
 	g.quarantine.Expire(now)
 	g.setLimitMembers(now)
 	g.retainLimits()
@@ -140,8 +186,17 @@
 	if err != nil {
 		return err
 	}
+	_, port, err := net.SplitHostPort(g.Settings.Loads)
+	if err != nil {
+		return fmt.Errorf("address for loads: %w", err)
+	}
 	g.receiveUpdates()
-	g.spawn(func() { g.exchangeLoads(socket) })
+	g.prepareExchange(port)
+	socket.Panicked = g.logPanic
+	g.exchange.Send = func(addr string, data []byte, kind string) { g.sendLoads(socket, addr, data, kind) }
+	context.AfterFunc(g.base, func() { _ = socket.Close() })
+	g.keep(func() { _ = socket.Serve(g.receiveLoads) })
+	g.keep(g.exchangeLoads)
 	g.Log.WithFields(logrus.Fields{"event": "loads", "addr": socket.Addr()}).Debug("exchanging loads with other instances")
 	return nil
 }
--- a/process/gateway/metrics.go
+++ b/process/gateway/metrics.go
@@ -41,6 +41,7 @@
 
 var (
 	counters   = expvar.NewMap("gateway")
+	exchanged  = expvar.NewMap("exchange") // datagrams with loads and what goes with them
 	histograms = newHistograms(firstTime, pauseTime, heldTime, copyTime, callTime)
 )
 
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -59,7 +59,8 @@
 )
 
 // Current returns the routing table in force.
-func (p *Peers) Current(wanted Wanted, reply *Stored) error {
+func (p *Peers) Current(wanted Wanted, reply *Stored) (err error) {
+	defer peer.Recover(p.g.Log, &err)
 	counters.Add("tables_given", 1)
 	if s := p.g.stored.Load(); s != nil {
 		e, err := p.g.documents.Encode(s.data, wanted.Held)
@@ -75,7 +76,8 @@
 
 // Table is Current for instances of earlier builds, with the table as it is in the
 // store.
-func (p *Peers) Table(all bool, reply *Stored) error {
+func (p *Peers) Table(all bool, reply *Stored) (err error) {
+	defer peer.Recover(p.g.Log, &err)
 	counters.Add("tables_given", 1)
 	if s := p.g.stored.Load(); s != nil {
 		reply.Version, reply.Data = s.version, s.data
@@ -145,18 +147,30 @@
 	}
 }
 
-// seeds returns the other registered instances. Some of them may be gone.
+// seeds returns the other registered instances. Some of them may be gone. The rows are read
+// after this instance has tried to write its own one: of two instances that start together,
+// one then finds the other.
 func (g *Gateway) seeds(ctx context.Context) ([]member.Member, error) {
+	select {
+	case <-g.registerTried:
+	case <-ctx.Done():
+		return nil, fmt.Errorf("wait for the registration of this instance: %w", ctx.Err())
+	}
 	rows, err := g.registered(ctx)
 	if err != nil {
 		return nil, err
 	}
 	var list []member.Member
+	near := int64(0)
 	for _, r := range rows {
+		if r.Region == g.Settings.Region {
+			near++
+		}
 		if r.ID != g.id {
 			list = append(list, r.Member)
 		}
 	}
+	g.nearRows.Store(near + 1)
 	return list, nil
 }
 
@@ -259,6 +273,8 @@
 // register writes the row of this instance to the store, and retries until that
 // succeeds or the instance stops.
 func (g *Gateway) register() {
+	tried := func() { g.registerOnce.Do(func() { close(g.registerTried) }) }
+	defer tried()
 	row, err := json.Marshal(g.self())
 	if err != nil {
 		g.Log.WithError(err).Error("row of this instance cannot be encoded")
@@ -268,6 +284,7 @@
 		ctx, cancel := context.WithTimeout(g.base, registerLimit)
 		err := g.Register(ctx, g.Settings.Name, row, false)
 		cancel()
+		tried()
 		if err == nil {
 			return
 		}
--- a/process/gateway/poll.go
+++ b/process/gateway/poll.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/eelgrassdock/eelgrassdock/connection/peer"
 	"github.com/eelgrassdock/eelgrassdock/process/delta"
 	"github.com/eelgrassdock/eelgrassdock/process/member"
 	"github.com/eelgrassdock/eelgrassdock/process/mirror"
@@ -18,22 +19,39 @@
 	return !r.Gone && len(r.Value) >= delta.MinSize && len(r.Value) <= delta.MaxSize
 }
 
-// poll requests the changes after a version from another instance.
-func (g *Gateway) poll(ctx context.Context, source member.Member, f *feed, after int64) (mirror.Page, error) {
-	poll := Poll{
-		Table: f.table.Name, Era: f.table.Era(), After: after, Wait: peerWait, Encoded: true, Held: f.documents.Sums(),
-	}
+// nextPoll returns a request for the changes after a version.
+func (f *feed) nextPoll(after int64) Poll {
+	return Poll{Table: f.table.Name, Era: f.table.Era(), After: after, Wait: peerWait, Encoded: true, Held: f.documents.Sums()}
+}
+
+// wholePoll returns a request for all rows.
+func (f *feed) wholePoll() Poll {
+	return Poll{Table: f.table.Name, Era: f.table.Era(), After: -1, Whole: true, Wait: wholeWait, Encoded: true, Held: f.documents.Sums()}
+}
+
+// request makes a poll of another instance.
+func (g *Gateway) request(ctx context.Context, source member.Member, f *feed, poll Poll) (mirror.Page, error) {
 	var c Changes
 	begun := time.Now()
-	received, err := f.peers.Fetch(ctx, source.RPC, "Peers.Follow", poll, &c, peerWait+peerMargin, peerStall)
-	if err == nil && (!c.Follows || c.Page.Era < poll.Era) {
+	received, err := f.peers.Fetch(ctx, source.RPC, "Peers.Follow", poll, &c, poll.Wait+peerMargin, peerStall)
+	switch {
+	case err != nil:
+	case !c.Follows && c.Lost:
+		err = errStoreLost
+	case !c.Follows || c.Page.Era < poll.Era:
 		err = errNotFollowing
-	}
-	if err == nil {
+	default:
 		err = f.decode(&c)
 	}
 	now := time.Now()
 	counters.Add("feed_bytes_taken", received)
+	if poll.Whole && errors.Is(err, errNotFollowing) {
+		return c.Page, err // it has just started too
+	}
+	if errors.Is(err, errStoreLost) {
+		counters.Add("feed_store_lost", 1)
+		return c.Page, err
+	}
 	if err != nil {
 		// The instance is avoided for peerAvoid, which bounds the number of these lines.
 		counters.Add("feed_peer_failed", 1)
@@ -74,13 +92,18 @@
 
 // Follow answers a Poll as soon as there are changes, the store has confirmed that there
 // are none, or the poll's wait is over.
-func (p *Peers) Follow(poll Poll, reply *Changes) error {
+func (p *Peers) Follow(poll Poll, reply *Changes) (err error) {
+	defer peer.Recover(p.g.Log, &err)
 	f := p.g.feeds[poll.Table]
 	if f == nil {
 		return errors.Newf("table %q is not followed", poll.Table)
 	}
-	c, changed := f.changes(poll.Era, poll.After)
-	if c.Follows && c.Page.Era == poll.Era && c.Page.Version == poll.After {
+	changes := func() (Changes, <-chan struct{}) { return f.changes(poll.Era, poll.After) }
+	if poll.Whole {
+		changes = f.whole
+	}
+	c, changed := changes()
+	if poll.Whole && !c.Follows || poll.Await && c.Lost || c.Follows && c.Page.Era == poll.Era && c.Page.Version == poll.After {
 		deadline := time.NewTimer(min(poll.Wait, peerWait))
 		defer deadline.Stop()
 		select {
@@ -89,7 +112,7 @@
 		case <-p.g.base.Done():
 			return nil
 		}
-		c, _ = f.changes(poll.Era, poll.After)
+		c, _ = changes()
 	}
 	if poll.Encoded {
 		if err := f.encode(&c, poll.Held); err != nil {
@@ -137,7 +160,7 @@
 func (f *feed) changes(era, after int64) (c Changes, changed <-chan struct{}) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	c.Age = max(time.Since(f.confirmed), 1)
+	c.Age, c.Lost = max(time.Since(f.confirmed), 1), f.lost
 	follows := !f.lost && c.Age < feedMaxAge && f.from >= 0
 	c.Page.Era = f.era
 	switch {
@@ -154,5 +177,28 @@
 			c.Page.Rows = append(c.Page.Rows, r)
 		}
 	}
+	for _, r := range f.late {
+		if r.Version <= after && time.Since(r.at) < lateTime {
+			c.Page.Rows = append(c.Page.Rows, r.Row)
+		}
+	}
+	return c, f.changed
+}
+
+// whole returns all rows that the store lists. Follows is false if this feed is not up to
+// date with the store, or does not hold all of them. The channel is as that of changes.
+func (f *feed) whole() (c Changes, changed <-chan struct{}) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c.Age, c.Lost = max(time.Since(f.confirmed), 1), f.lost
+	if f.lost || c.Age >= feedMaxAge || f.from < 0 || f.partial || f.reviving {
+		return c, f.changed
+	}
+	c.Follows, c.Page.Era, c.Page.Version = true, f.era, f.version
+	for _, r := range f.rows {
+		if !r.Gone && !f.missing[r.Key] {
+			c.Page.Rows = append(c.Page.Rows, r)
+		}
+	}
 	return c, f.changed
 }
--- a/process/gateway/quarantine.go
+++ b/process/gateway/quarantine.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/eelgrassdock/eelgrassdock/internal/sleep"
 	"github.com/eelgrassdock/eelgrassdock/process/loads"
 	"github.com/eelgrassdock/eelgrassdock/process/quarantine"
 	"github.com/eelgrassdock/eelgrassdock/request/refusal"
@@ -68,7 +69,15 @@
 		g.Log.WithFields(logrus.Fields{"event": "part_judged", "part": formatKey(c.Key)}).WithFields(fields).
 			Warn("verdict on a part of prompts")
 	}
-	if c.Reason == quarantine.Condemned || c.Reason == quarantine.Adopted {
+	switch {
+	case c.Reason != quarantine.Condemned && c.Reason != quarantine.Adopted:
+	case c.Request:
+		g.spawn(func() {
+			if sleep.For(g.base, quarantine.WithdrawDelay) && g.quarantine.IsAlone(c.Key) {
+				g.withdraw(c.Key)
+			}
+		})
+	default:
 		g.withdraw(c.Key)
 	}
 }
--- a/process/gateway/quarantine_test.go
+++ b/process/gateway/quarantine_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/eelgrassdock/eelgrassdock/internal/sleep"
 	"github.com/eelgrassdock/eelgrassdock/process/loads"
 	"github.com/eelgrassdock/eelgrassdock/process/quarantine"
 	"github.com/eelgrassdock/eelgrassdock/process/roster"
@@ -364,3 +365,48 @@
 		require.Empty(t, w.testEnginePool().failures)
 	})
 }
+
+// Guards against sound requests that lose the answer that they are about to get, because they
+// were at the crashes that another one has caused: whoever is condemned beside others is not
+// withdrawn.
+func TestRequestsCondemnedTogetherAreNotWithdrawn(t *testing.T) {
+	for name, others := range map[string]int{"alone": 0, "beside another": 1} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newTestGateway(t)
+				w.answer = func(_ int, c Call) (*Answer, error) {
+					w.mu.Lock()
+					ctx := w.attempt
+					w.mu.Unlock()
+					if !sleep.For(ctx, 2*time.Second) {
+						return nil, refusal.FromCallError(ctx.Err(), true)
+					}
+					return plainAnswer(200, string(c.Body)), nil
+				}
+				r := promptRequest("/book/1", "a")
+				result := make(chan error, 1)
+				go func() {
+					_, err := w.requestWith(t.Context(), r)
+					result <- err
+				}()
+				time.Sleep(time.Second)
+				own := quarantine.Identity(r.Body, r.Method, r.Host, r.Target, "club")
+				for n := range uint64(quarantine.RequestCrashes) {
+					at := time.Now()
+					for request := range uint64(1 + others) {
+						// The others report a moment later.
+						w.quarantine.Report(quarantine.Suspect{Crash: n, Request: own + request, Since: at, Ended: at, Begun: true}, at)
+						time.Sleep(10 * time.Millisecond)
+					}
+					time.Sleep(300 * time.Millisecond)
+				}
+				err := <-result
+				if others > 0 {
+					require.NoError(t, err)
+					return
+				}
+				require.Equal(t, refusal.Quarantined, w.refusalOf(err).Reason)
+			})
+		})
+	}
+}
--- a/process/gateway/run.go
+++ b/process/gateway/run.go
@@ -31,12 +31,13 @@
 // tables of the store, the membership and the calls of peers. The user of the
 // package opens the listeners for callers.
 func (g *Gateway) Start(ctx context.Context, tables []*mirror.Table) error {
-	g.id = instanceID(g.Settings.Name, uuid.NewString()[:8], g.Settings.Link)
+	g.id = instanceID(g.Settings.Name, relayMark+uuid.NewString()[:7], g.Settings.Link)
+	g.begun, g.registerTried = time.Now(), make(chan struct{})
 	g.base, g.cancel = context.WithCancel(ctx)
 	g.requests, g.endRequests = context.WithCancel(context.WithoutCancel(ctx))
 	g.waits, g.endWaits = context.WithCancel(g.base)
 	g.Roster.Changed, g.Roster.OnLeaving = g.onEndpointsChanged, g.onEndpointLeaves
-	g.members = &member.Node{Self: g.self(), Seeds: g.seeds, Payload: g.payload, OnPayload: g.onPayload, Changed: g.membersChanged}
+	g.members = &member.Node{Self: g.self(), Seeds: g.seeds, Panicked: g.logPanic, Payload: g.payload, OnPayload: g.onPayload, Changed: g.membersChanged}
 	g.listMembers, g.memberStatus = g.members.Members, g.members.Status
 	g.loadChanged, g.notices = make(chan struct{}, 1), make(chan loads.Notice, noticeQueue)
 	g.updatesUnsent = make(chan struct{}, 1)
@@ -53,28 +54,26 @@
 	if err := g.listenLoads(); err != nil {
 		return err
 	}
-	g.spawn(func() {
+	g.keep(func() {
 		if err := g.members.Run(g.base); err != nil && g.base.Err() == nil {
 			g.Log.WithError(err).Error("membership protocol failed")
 		}
 	})
 	for _, t := range tables {
-		g.spawn(func() { t.Run(g.base) })
+		g.keep(func() { t.Run(g.base) })
 	}
 	if g.Stalls != nil {
-		g.spawn(func() { g.Stalls.Run(g.base) })
+		g.keep(func() { g.Stalls.Run(g.base) })
 	}
-	g.spawn(g.register)
-	g.spawn(g.cleanUpRows)
-	g.spawn(g.fetchFromSeeds)
-	g.spawn(g.housekeep)
-	g.spawn(g.pollEngines)
+	g.keep(g.register)
+	g.keep(g.cleanUpRows)
+	g.keep(g.fetchFromSeeds)
+	g.keep(g.housekeep)
+	g.keep(g.pollEngines)
 	g.Log.WithFields(logrus.Fields{"event": "start", "process": g.id, "callers": g.Settings.Callers}).Info("instance started")
 	return nil
 }
 
-func (g *Gateway) spawn(task func()) { go task() }
-
 func (g *Gateway) housekeep() {
 	for sleep.For(g.base, housekeeping) {
 		if g.Trim != nil {
--- a/process/gateway/tree.go
+++ b/process/gateway/tree.go
@@ -32,6 +32,16 @@
 // The ID is the one field that instances of earlier builds pass on as it is.
 var linkInID = regexp.MustCompile(`-([0-9]{1,7})mbit$`)
 
+// relayMark begins the random part of the ID of an instance that can pass on the loads of
+// others, and understands what such instances send. Those of earlier builds begin with a
+// hexadecimal digit.
+const relayMark = "r"
+
+var canRelayInID = regexp.MustCompile(`-` + relayMark + `[0-9a-f]{7}(-[0-9]{1,7}mbit)?$`)
+
+// canRelay reports whether a member can pass on the loads of others.
+func canRelay(id string) bool { return canRelayInID.MatchString(id) }
+
 // instanceID returns the ID of a process of an instance.
 func instanceID(name, random string, link float64) string {
 	if link < 1 {
@@ -50,28 +60,40 @@
 	return slowestLink
 }
 
-// polledBy returns the one of the members that a member polls for a table. It returns
-// false for the first one, which polls the store.
-func polledBy(id, table string, members []member.Member) (member.Member, bool) {
-	type place struct {
-		member.Member
-		link int
-		hash uint64
-	}
-	compare := func(a, b place) int {
-		return cmp.Or(cmp.Compare(b.link, a.link), cmp.Compare(a.hash, b.hash), cmp.Compare(a.ID, b.ID))
-	}
-	own := place{Member: member.Member{ID: id}, link: linkOf(id), hash: xxhash.Sum64String(table + id)}
-	var before []place
+// place is the place of a member in the order of a table.
+type place struct {
+	member.Member
+	link int
+	hash uint64
+}
+
+func placeOf(m member.Member, table string) place {
+	return place{m, linkOf(m.ID), xxhash.Sum64String(table + m.ID)}
+}
+
+func comparePlaces(a, b place) int {
+	return cmp.Or(cmp.Compare(b.link, a.link), cmp.Compare(a.hash, b.hash), cmp.Compare(a.ID, b.ID))
+}
+
+// placesBefore returns the places of the members before one, in the order of a table.
+func placesBefore(id, table string, members []member.Member) (before []place) {
+	own := placeOf(member.Member{ID: id}, table)
 	for _, m := range members {
-		if p := (place{m, linkOf(m.ID), xxhash.Sum64String(table + m.ID)}); compare(p, own) < 0 {
+		if p := placeOf(m, table); comparePlaces(p, own) < 0 {
 			before = append(before, p)
 		}
 	}
+	slices.SortFunc(before, comparePlaces)
+	return before
+}
+
+// polledBy returns the one of the members that a member polls for a table. It returns
+// false for the first one, which polls the store.
+func polledBy(id, table string, members []member.Member) (member.Member, bool) {
+	before := placesBefore(id, table, members)
 	if len(before) == 0 {
 		return member.Member{}, false
 	}
-	slices.SortFunc(before, compare)
 	// All but the first of those before this one have taken a place.
 	taken := len(before) - 1
 	for _, p := range before {
--- a/process/lease/lease_test.go
+++ b/process/lease/lease_test.go
@@ -228,3 +228,28 @@
 	}
 	return n
 }
+
+// Guards against two holders at once around a hand-over where the clocks of the two entries
+// are apart: each may be wrong by a second, as Margin says.
+func TestClocksApartDoNotOverlap(t *testing.T) {
+	for _, skew := range []time.Duration{-2 * time.Second, -time.Second, time.Second, 2 * time.Second} {
+		t.Run(skew.String(), func(t *testing.T) {
+			b := newFixture()
+			a, c := b.keeper("a"), b.keeper("c")
+			c.Now = func() time.Time { return b.now.Add(skew) }
+			holds := func(k *Keeper) bool {
+				_, ok := k.Held("d", k.Now())
+				return ok
+			}
+			b.wants = "a"
+			b.run(100*time.Millisecond, a)
+			require.True(t, holds(a))
+			b.wants = "c" // a is paused from here on
+			for range 200 {
+				b.run(100*time.Millisecond, c)
+				require.False(t, holds(a) && holds(c), b.now)
+			}
+			require.True(t, holds(c))
+		})
+	}
+}
--- a/process/member/member.go
+++ b/process/member/member.go
@@ -31,6 +31,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sourcegraph/conc/panics"
 	"golang.org/x/time/rate"
 )
 
@@ -101,6 +102,9 @@
 		// Send sends one datagram to a Probe address. If nil, Run opens a UDP
 		// socket at Self.Probe.
 		Send func(addr string, data []byte) error
+		// Panicked is called with a panic in the handling of a datagram at the socket that
+		// Run opens; may be nil.
+		Panicked func(*panics.Recovered)
 		// Now is the clock; time.Now if nil.
 		Now func() time.Time
 		// Seed seeds the random choices; with 0 they differ in each process.
--- a/process/member/member_test.go
+++ b/process/member/member_test.go
@@ -4,10 +4,13 @@
 	"context"
 	"fmt"
 	"runtime"
+	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/panics"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 	"pgregory.net/rapid"
@@ -351,3 +354,68 @@
 		})
 	}
 }
+
+// Guards against instances that start together and all read the list of instances a second
+// time, although they have found each other by then.
+func TestSeedsAreReadOnceByThoseThatFindEachOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const count = 12
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg conc.WaitGroup
+		var reads [count]int
+		var list []member.Member
+		nodes := map[string]*member.Node{}
+		for i := range count {
+			n := &member.Node{Self: member.Member{ID: fmt.Sprint("n", i), Probe: fmt.Sprintf("10.0.0.%d:1", i+1)}, Seed: uint64(i + 1)}
+			n.Send = func(addr string, data []byte) error {
+				data = slices.Clone(data)
+				time.AfterFunc(2*time.Millisecond, func() { nodes[addr].Receive(data, n.Self.Probe) })
+				return nil
+			}
+			n.Seeds = func(context.Context) ([]member.Member, error) {
+				reads[i]++
+				return list, nil
+			}
+			nodes[n.Self.Probe] = n
+			if i < count-1 { // the last one is not listed yet, and finds the others
+				list = append(list, n.Self)
+			}
+		}
+		for _, n := range nodes {
+			wg.Go(func() { _ = n.Run(ctx) })
+		}
+		time.Sleep(20 * time.Second)
+		for _, n := range nodes {
+			require.Len(t, n.Members(), count)
+		}
+		cancel()
+		wg.Wait()
+		for i, n := range reads {
+			require.Equal(t, 1, n, i)
+		}
+	})
+}
+
+// Guards against a datagram that ends the process, or the reading of the datagrams after it.
+func TestPanicOnADatagramEndsThatDatagramOnly(t *testing.T) {
+	socket, err := member.ListenUDP("127.0.0.1:0")
+	require.NoError(t, err)
+	faults, received := make(chan string, 1), make(chan string, 1)
+	socket.Panicked = func(fault *panics.Recovered) { faults <- fmt.Sprint(fault.Value) }
+	var wg conc.WaitGroup
+	wg.Go(func() {
+		_ = socket.Serve(func(data []byte, _ string) {
+			if string(data) == "odd" {
+				panic("odd datagram")
+			}
+			received <- string(data)
+		})
+	})
+	for _, data := range []string{"odd", "sound"} {
+		require.NoError(t, socket.Send(socket.Addr(), []byte(data)))
+	}
+	require.Equal(t, "odd datagram", <-faults)
+	require.Equal(t, "sound", <-received)
+	require.NoError(t, socket.Close())
+	wg.Wait()
+}
--- a/process/member/run.go
+++ b/process/member/run.go
@@ -9,6 +9,9 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/panics"
+
+	"github.com/eelgrassdock/eelgrassdock/internal/sleep"
 )
 
 const (
@@ -18,6 +21,10 @@
 
 // Socket sends and receives datagrams over UDP.
 type Socket struct {
+	// Panicked is called with a panic of the function that is called with a datagram; nil
+	// means that it is counted only. It is set before Serve.
+	Panicked func(*panics.Recovered)
+
 	conn *net.UDPConn
 }
 
@@ -56,7 +63,7 @@
 
 // Serve calls receive with each datagram and its sender's address until the
 // socket is closed. Read errors are counted and otherwise ignored. The data is
-// valid only during the call.
+// valid only during the call. A panic ends the handling of that datagram only.
 func (s *Socket) Serve(receive func(data []byte, from string)) error {
 	buf := make([]byte, 2*maxDatagram)
 	for {
@@ -70,7 +77,12 @@
 			continue
 		}
 		from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
-		receive(buf[:size], from.String())
+		if fault := panics.Try(func() { receive(buf[:size], from.String()) }); fault != nil {
+			counts.Add("panicked", 1)
+			if s.Panicked != nil {
+				s.Panicked(fault)
+			}
+		}
 	}
 }
 
@@ -96,6 +108,7 @@
 			return err
 		}
 		defer func() { _ = socket.Close() }()
+		socket.Panicked = n.Panicked
 		n.mu.Lock()
 		n.Send = socket.Send
 		n.mu.Unlock()
@@ -121,29 +134,29 @@
 		return
 	}
 	for {
-		pause := seedInterval
 		call, cancel := context.WithTimeout(ctx, seedLimit)
 		list, err := n.Seeds(call)
 		cancel()
 		if err != nil {
 			counts.Add("seeds_failed", 1)
-			pause = seedInterval / 30
 		} else {
 			n.SetSeeds(list)
 		}
-		if len(n.Members()) <= 1 {
-			pause = seedInterval / 30
+		// The members that the seeds lead to are known a moment later.
+		if !n.pause(ctx, seedInterval/30) {
+			return
 		}
-		timer := time.NewTimer(pause/2 + time.Duration(float64(pause)*n.fraction()))
-		select {
-		case <-ctx.Done():
-			timer.Stop()
+		if err == nil && len(n.Members()) > 1 && !n.pause(ctx, seedInterval) {
 			return
-		case <-timer.C:
 		}
 	}
 }
 
+// pause waits for half to one and a half times d, and reports whether ctx has not ended.
+func (n *Node) pause(ctx context.Context, d time.Duration) bool {
+	return sleep.For(ctx, d/2+time.Duration(float64(d)*n.fraction()))
+}
+
 // fraction returns a random number in [0, 1).
 func (n *Node) fraction() float64 {
 	n.mu.Lock()
--- a/process/mirror/mirror.go
+++ b/process/mirror/mirror.go
@@ -50,6 +50,10 @@
 // ErrGone reports that the store no longer keeps the requested changes.
 var ErrGone = errors.New("changes are no longer kept")
 
+// ErrWaited marks the error of a call that has waited for the store, so that it may be
+// repeated after the shortest pause.
+var ErrWaited = errors.New("waited for the store")
+
 type (
 	// Row is one row or, if Gone is set, its deletion.
 	Row struct {
@@ -131,6 +135,23 @@
 // be called from the functions of t.
 func (t *Table) Era() int64 { return t.era }
 
+// Missing returns the keys of the rows that the store no longer lists and that are kept for
+// ReturnGrace, nil if there are none. It may be called from the functions of t.
+func (t *Table) Missing() (keys map[string]bool) {
+	if len(t.missing) == 0 {
+		return nil
+	}
+	keys = make(map[string]bool, len(t.missing))
+	for key := range t.missing {
+		keys[key] = true
+	}
+	return keys
+}
+
+// Reviving reports whether the store lists rows that are ignored for ReviveGrace. It may be
+// called from the functions of t.
+func (t *Table) Reviving() bool { return len(t.revived) > 0 }
+
 func (t *Table) init() {
 	t.versions, t.missing = map[string]int64{}, map[string]time.Time{}
 	t.deleted, t.revived = map[string]time.Time{}, map[string]revived{}
@@ -157,6 +178,9 @@
 			return
 		}
 		t.markFailed(err)
+		if errors.Is(err, ErrWaited) {
+			pause = minPause
+		}
 		if !sleep.For(ctx, pause/2+rand.N(pause)) {
 			return
 		}
--- a/process/placement/choose.go
+++ b/process/placement/choose.go
@@ -114,6 +114,9 @@
 	if len(s.scratch) == 0 {
 		return nil, wait
 	}
+	if s.LoadAge > 0 && s.policy != Previous {
+		return s.pickUnseen(&o), false
+	}
 	return s.pick(lowest, &o), false
 }
 
--- a/process/placement/others.go
+++ b/process/placement/others.go
@@ -39,6 +39,7 @@
 	e.others, e.othersRuns, e.othersCopied = w.Tokens, float64(w.Runs), w.Copied
 	e.reportAt = s.nanos
 	if w.Sent > 0 {
+		s.unseen.record(w.Sent, s.now)
 		e.fill = e.pending(s.nanos, s.fillTime()) + w.Sent
 		e.fillAt = s.nanos
 	}
--- a/process/placement/placement.go
+++ b/process/placement/placement.go
@@ -139,6 +139,10 @@
 		// compared with an empty one. It spreads generations before memory gets
 		// scarce.
 		MemoryCost float64
+		// LoadAge is the mean age of the work that SetOthers passes; SetLoadAge replaces it. If
+		// it is not zero, the choice allows for the requests that other entries have placed in
+		// this time.
+		LoadAge time.Duration
 		// Limited reports whether an endpoint has named a limit on its requests, and
 		// whether one may be sent to it now. No copies are placed at such an
 		// endpoint. If nil, no endpoint has a limit.
@@ -165,6 +169,7 @@
 		prefixes  prefixIndex
 		step      stepModel
 		fillSpeed fillSpeed
+		unseen    unseenWork
 		sending   sendStats
 		own       ownTotals
 		turn      int
@@ -244,6 +249,13 @@
 	}
 }
 
+// SetLoadAge replaces LoadAge.
+func (s *Scheduler) SetLoadAge(age time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.LoadAge = age
+}
+
 // SetPeers sets the number of entries, including this one, that share the
 // endpoints.
 func (s *Scheduler) SetPeers(n int) {
--- a/process/quarantine/quarantine.go
+++ b/process/quarantine/quarantine.go
@@ -67,6 +67,10 @@
 	// TrialStep is the time by which instances, in order of their rank, may take
 	// a trial of a part after each other.
 	TrialStep = 2 * time.Second
+	// WithdrawDelay is the time from the condemnation of a request to the end of its attempts
+	// that are not being answered. In it, it becomes known who else was at the crashes: the
+	// attempts go on if one of several requests has caused them.
+	WithdrawDelay = 50 * time.Millisecond
 	// RequestTrialStep is TrialStep for a request.
 	RequestTrialStep = 300 * time.Millisecond
 
--- a/process/quarantine/requests.go
+++ b/process/quarantine/requests.go
@@ -43,8 +43,8 @@
 //
 // The doubt ends confirmTime after the latest crash if the request was the only condemned
 // one at RequestCrashes, and no endpoint has crashed since the verdict without a condemned one. A
-// request that was at no crash without another condemned one is tried sooner, and is free
-// again if others explain all its crashes without doubt.
+// request that was at no crash without another condemned one is tried sooner, TieHold after
+// the latest crash, and is free again if others explain all its crashes without doubt.
 func (r *Register) settleDoubts(list []*suspect, now time.Time) {
 	for request, v := range r.verdicts {
 		if !v.Request || v.Freed || v.Certain {
@@ -56,7 +56,9 @@
 			r.note(v, Freed)
 			continue
 		}
-		if at := e.latest.Add(TieHold); e.alone == 0 && at.Before(v.Until) {
+		// A trial that has begun since keeps its hold until it ends in a crash.
+		begun := v.Until.Add(-DoubtHold - crashSpread)
+		if at := e.latest.Add(TieHold); e.alone == 0 && at.Before(v.Until) && !e.latest.Before(begun) {
 			v.Until, v.unsent = at, true
 		}
 		if at := e.latest.Add(confirmTime); now.Before(at) {
@@ -72,6 +74,19 @@
 	}
 }
 
+// IsAlone reports whether a key is condemned, and no other condemned request was at all
+// the crashes that speak against it.
+func (r *Register) IsAlone(key uint64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	v := r.verdicts[key]
+	return v != nil && !v.Freed && !v.isTied()
+}
+
+// isTied reports whether the hold of a request in doubt was shortened because another
+// condemned one was at each of its crashes.
+func (v Verdict) isTied() bool { return v.Request && !v.Certain && v.Until.Sub(v.Last) <= TieHold }
+
 func (r *Register) evidence(list []*suspect, request uint64) (e evidence) {
 	others, certain := map[uint64]bool{}, map[uint64]bool{} // crashes at which other condemned requests were
 	for _, s := range list {
--- a/process/quarantine/requests_test.go
+++ b/process/quarantine/requests_test.go
@@ -112,6 +112,57 @@
 	require.True(t, isRequestHeld(a, 7) && isRequestHeld(b, 7))
 }
 
+// tie lets two requests be at the same crashes, so that each of them is condemned and in
+// doubt, and returns the time of their first trials.
+func tie(t *testing.T, x, y uint64, all ...*Register) time.Time {
+	t.Helper()
+	for n := range uint64(2) {
+		at := after(time.Duration(n) * time.Second)
+		crashOf(all[0], n, at, x)
+		crashOf(all[0], n, at, y)
+		exchange(t, at, false, all[0], all[1:]...)
+	}
+	for _, r := range all {
+		require.True(t, isRequestHeld(r, x) && isRequestHeld(r, y))
+	}
+	return after(time.Second + TieHold)
+}
+
+// Guards against a sound request whose trials are used up although none has reached an
+// endpoint, as all of them are restarting.
+func TestTrialInATieIsGivenBack(t *testing.T) {
+	a, b := &Register{}, &Register{}
+	now := tie(t, 7, 8, a, b)
+	for n := range 3 * MaxRequestTrials {
+		r, other := a, b
+		if n%2 == 1 {
+			r, other = b, a
+		}
+		require.True(t, r.Try([]uint64{key(8)}, first, now), "trial %d", n)
+		r.Return([]uint64{key(8)}, now)
+		exchange(t, now, false, r, other)
+		now = now.Add(300 * time.Millisecond)
+	}
+}
+
+// Guards against a second trial of a request beside the first one.
+func TestTrialInATieIsTheOnlyOne(t *testing.T) {
+	a, b := &Register{}, &Register{}
+	now := tie(t, 7, 8, a, b)
+	require.True(t, a.Try([]uint64{key(8)}, first, now))
+	exchange(t, now, false, a, b)
+	for _, r := range []*Register{a, b} {
+		require.False(t, r.Try([]uint64{key(8)}, first, now.Add(500*time.Millisecond)))
+	}
+	// The trial ends in a crash at which the other request was again.
+	now = now.Add(600 * time.Millisecond)
+	crashOf(a, 10, now, 7)
+	crashOf(a, 10, now, 8)
+	exchange(t, now, false, a, b)
+	require.False(t, b.Try([]uint64{key(8)}, first, now.Add(TieHold-time.Millisecond)))
+	require.True(t, b.Try([]uint64{key(8)}, first, now.Add(TieHold)))
+}
+
 // Guards against a request that is tried for as long as it comes, by however many
 // instances: after the third crash, at most three more.
 func TestTrialsOfARequestAreBounded(t *testing.T) {
--- a/standin/service.go
+++ b/standin/service.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/julienschmidt/httprouter"
 )
 
@@ -25,6 +26,7 @@
 	Crash func()
 
 	mu    sync.Mutex
+	boot  string // differs after each start
 	fault ServiceFaults
 	runs  map[string]int
 }
@@ -70,10 +72,11 @@
 // call.
 func (s *Service) Handler() http.Handler {
 	router := httprouter.New()
+	s.boot = uuid.NewString()
 	router.GET("/health", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		_ = json.NewEncoder(w).Encode(map[string]bool{"leaving": s.fault.Leaving})
+		_ = json.NewEncoder(w).Encode(map[string]any{"leaving": s.fault.Leaving, "boot": s.boot})
 	})
 	router.GET("/runs", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
 		_ = json.NewEncoder(w).Encode(s.Runs())
