quarantine: requests in a tie are tried one after another

A trial now keeps back those of requests that were at the same crash until it is answered or given back, or its endpoint has crashed, for TieHold at most. Ruled out: trials that are lost without an endpoint (the cause found before); not counting shared trials, as two deadly requests in a tie would then be tried without end. Conclusion: a coincidence within the time that a trial needs to become known remains possible; it would have to happen three times.

--- a/process/quarantine/requests.go
+++ b/process/quarantine/requests.go
@@ -57,8 +57,8 @@
 			continue
 		}
 		// A trial that has begun since keeps its hold until it ends in a crash.
-		begun := v.Until.Add(-DoubtHold - crashSpread)
-		if at := e.latest.Add(TieHold); e.alone == 0 && at.Before(v.Until) && !e.latest.Before(begun) {
+		begun := v.begun()
+		if at := e.latest.Add(TieHold); e.alone == 0 && at.Before(v.Until) && !e.latest.Before(begun.Add(-crashSpread)) {
 			v.Until, v.unsent = at, true
 		}
 		if at := e.latest.Add(confirmTime); now.Before(at) {
--- a/process/quarantine/requests_test.go
+++ b/process/quarantine/requests_test.go
@@ -163,6 +163,38 @@
 	require.True(t, b.Try([]uint64{key(8)}, first, now.Add(TieHold)))
 }
 
+// Guards against a sound request whose trials are used up because a deadly one is tried
+// at the same endpoints at the same times, by other instances.
+func TestRequestsInATieAreTriedOneAfterAnother(t *testing.T) {
+	a, b := &Register{}, &Register{}
+	now := tie(t, 7, 8, a, b)
+	require.True(t, a.Try([]uint64{key(7)}, first, now))
+	exchange(t, now, false, a, b)
+	for _, r := range []*Register{a, b} {
+		require.False(t, r.Try([]uint64{key(8)}, first, now.Add(80*time.Millisecond)))
+	}
+	// The first one has crashed its endpoint: the other's turn begins.
+	now = now.Add(100 * time.Millisecond)
+	crashOf(a, 10, now, 7)
+	exchange(t, now, false, a, b)
+	require.True(t, b.Try([]uint64{key(8)}, first, now.Add(50*time.Millisecond)))
+	exchange(t, now.Add(50*time.Millisecond), false, b, a)
+	b.Begun([]uint64{key(8)}, now.Add(TieHold))
+	exchange(t, now.Add(TieHold), false, b, a)
+	require.False(t, isRequestHeld(a, 8) || isRequestHeld(b, 8))
+	require.True(t, a.Try([]uint64{key(7)}, first, now.Add(DoubtHold)))
+}
+
+// Guards against a request that is not tried because the trial of another one goes on, or
+// its end was not seen.
+func TestTrialInATieHoldsOthersForAShortTime(t *testing.T) {
+	a, b := &Register{}, &Register{}
+	now := tie(t, 7, 8, a, b)
+	require.True(t, a.Try([]uint64{key(7)}, first, now))
+	exchange(t, now, false, a, b)
+	require.True(t, b.Try([]uint64{key(8)}, first, now.Add(TieHold)))
+}
+
 // Guards against a request that is tried for as long as it comes, by however many
 // instances: after the third crash, at most three more.
 func TestTrialsOfARequestAreBounded(t *testing.T) {
--- a/process/quarantine/verdict.go
+++ b/process/quarantine/verdict.go
@@ -37,6 +37,10 @@
 	return d
 }
 
+// begun returns the time at which the hold began: with a crash, or with a trial. Instances
+// know it to within crashSpread.
+func (v Verdict) begun() time.Time { return v.Until.Add(-v.hold()) }
+
 // isExhausted reports whether no trial is left.
 func (v Verdict) isExhausted() bool {
 	if v.Request {
