soak: a failed test shows the log lines of the requests that it names

A test of the soak that fails now prints, for each breach, the lines with its request and the verdicts on the same request, at most 120; the breach of a cut in a planned stop names the endpoints that worked on the request and how long ago they were disturbed. Before: nothing but the request's ID.

--- a/internal/soak/deadly_test.go
+++ b/internal/soak/deadly_test.go
@@ -48,10 +48,8 @@
 			const total = 36 * time.Second
 			s := Soak{Binary: binary, Dir: t.TempDir(), Seed: seed, Duration: total, Instances: 4, Faults: DeadlyPlan(seed, total)}
 			sum, err := s.Run(context.Background())
-			require.NoError(t, err)
 			t.Logf("%d crashes by requests, %d deadly and %d sound requests refused", sum.Crashes, sum.Quarantined, sum.Mistaken)
-			require.Empty(t, sum.Details)
-			require.Empty(t, sum.Errors)
+			requireKept(t, &s, sum, err)
 			for _, promise := range []string{Order, Own, NotRun, Once, Config, Deadly, Served} {
 				require.Positive(t, sum.Checks[promise], promise)
 			}
--- a/internal/soak/hang_test.go
+++ b/internal/soak/hang_test.go
@@ -49,9 +49,7 @@
 			const total = 30 * time.Second
 			s := Soak{Binary: binary, Dir: t.TempDir(), Seed: seed, Duration: total, Instances: 4, Faults: HangPlan(seed, total)}
 			sum, err := s.Run(context.Background())
-			require.NoError(t, err)
-			require.Empty(t, sum.Details)
-			require.Empty(t, sum.Errors)
+			requireKept(t, &s, sum, err)
 			for _, promise := range []string{Order, Own, NotRun, Once, Config, Whole} {
 				require.Positive(t, sum.Checks[promise], promise)
 			}
--- a/internal/soak/headers_test.go
+++ b/internal/soak/headers_test.go
@@ -49,9 +49,7 @@
 				Enough: func(sum Summary) bool { return sum.Checks[promise] > 0 },
 			}
 			sum, err := s.Run(context.Background())
-			require.NoError(t, err)
-			require.Empty(t, sum.Details)
-			require.Empty(t, sum.Errors)
+			requireKept(t, &s, sum, err)
 			require.Positive(t, sum.Faults[kinds[0]])
 			for _, promise := range []string{Order, Own, NotRun, Once, Leaving, Config, promise} {
 				require.Positive(t, sum.Checks[promise], promise)
--- a/internal/soak/late.go
+++ b/internal/soak/late.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -131,10 +133,14 @@
 	r := l.requests[id]
 	excused := len(r.worked) == 0 || !l.undisturbed(r.instance, at)
 	excused = excused || r.sent.Sub(stopped) <= lateBound && at.Sub(stopped) >= total-total/lateShare
+	calm := map[string]time.Duration{} // since the latest disturbance of each endpoint that worked on it
 	for endpoint := range r.worked {
 		_, left := l.leaving[endpoint]
 		excused = excused || left || !l.undisturbed(endpoint, at)
+		if end, ok := l.disturbed[endpoint]; ok {
+			calm[endpoint] = at.Sub(end).Round(time.Millisecond)
+		}
 	}
-	l.check(Planned, excused, "request %s, once %v, sent %s after the signal to %s, was cut after %s: %s", id, r.once,
-		r.sent.Sub(stopped).Round(time.Millisecond), r.instance, at.Sub(r.sent).Round(time.Millisecond), why)
+	l.check(Planned, excused, "request %s, once %v, sent %s after the signal to %s, was cut after %s: %s; at %v, calm since %v", id, r.once,
+		r.sent.Sub(stopped).Round(time.Millisecond), r.instance, at.Sub(r.sent).Round(time.Millisecond), why, slices.Sorted(maps.Keys(r.worked)), calm)
 }
--- a/internal/soak/late_test.go
+++ b/internal/soak/late_test.go
@@ -22,9 +22,7 @@
 			}
 			s := Soak{Binary: binary, Dir: t.TempDir(), Seed: seed, Duration: 28 * time.Second, Instances: 3, Faults: plan}
 			sum, err := s.Run(context.Background())
-			require.NoError(t, err)
-			require.Empty(t, sum.Details)
-			require.Empty(t, sum.Errors)
+			requireKept(t, &s, sum, err)
 			require.Positive(t, sum.Checks[Planned])
 		})
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -85,9 +85,7 @@
 			t.Parallel()
 			s := Soak{Binary: binary, Dir: t.TempDir(), Seed: tt.seed, Duration: 36 * time.Second, Instances: tt.instances}
 			sum, err := s.Run(context.Background())
-			require.NoError(t, err)
-			require.Empty(t, sum.Details)
-			require.Empty(t, sum.Errors)
+			requireKept(t, &s, sum, err)
 			require.True(t, sum.Kept)
 			for _, promise := range []string{Order, Own, NotRun, Once, Leaving, Config, Limits} {
 				require.Positive(t, sum.Checks[promise], promise)
@@ -108,9 +106,7 @@
 	}
 	s := Soak{Binary: build(t), Dir: t.TempDir(), Seed: 18, Duration: 20 * time.Second, Instances: 6, Faults: plan}
 	sum, err := s.Run(context.Background())
-	require.NoError(t, err)
-	require.Empty(t, sum.Details)
-	require.Empty(t, sum.Errors)
+	requireKept(t, &s, sum, err)
 	require.Positive(t, sum.Checks[Once])
 	require.Positive(t, sum.Continued)
 }
@@ -270,9 +266,7 @@
 	plan = append(plan, Fault{Kind: Restore, After: at, Last: minLong, Target: copyAge}, Fault{Kind: Withdraw, After: at + 4*time.Second, Last: minFault})
 	s := Soak{Binary: build(t), Dir: t.TempDir(), Seed: 21, Duration: at + 12*time.Second, Instances: 5, Faults: plan}
 	sum, err := s.Run(context.Background())
-	require.NoError(t, err)
-	require.Empty(t, sum.Details)
-	require.Empty(t, sum.Errors)
+	requireKept(t, &s, sum, err)
 	require.Positive(t, sum.Checks[Config])
 	require.Positive(t, sum.Checks[Revoked])
 }
