gateway: log when an instance can serve requests

An instance now logs `ready` with the time since its start, the instances that it knows and the sources of its tables, and has the time in its metrics (`state`, `ready_after`). Ruled out: a line for each step of the start; `table_installed` has the rest. Before: nothing. After: TestReadinessIsLogged.

--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -220,6 +220,7 @@
 		storeEra     atomic.Int64             // latest era of the store in which this instance has written its row again
 
 		begun         time.Time     // start of this instance
+		readyAfter    atomic.Int64  // ms from then until it could serve requests; 0 before
 		registerTried chan struct{} // closed when the first attempt to write the row of this instance has ended
 		nearRows      atomic.Int64  // 1 + number of rows of instances of the region; 0 until they are read
 		registerOnce  sync.Once
--- a/process/gateway/metrics.go
+++ b/process/gateway/metrics.go
@@ -88,7 +88,8 @@
 	expvar.Publish("state", expvar.Func(func() any {
 		return map[string]any{
 			"version": g.Tables.Version(), "instances": g.instanceCount(), "active": g.Active(), "stopping": g.Stopping(),
-			"limits": g.limits.List(time.Now()),
+			"ready_after": g.readyAfter.Load(),
+			"limits":      g.limits.List(time.Now()),
 		}
 	}))
 }
--- a/process/gateway/peers_test.go
+++ b/process/gateway/peers_test.go
@@ -4,10 +4,13 @@
 	"context"
 	"expvar"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+	logs "github.com/sirupsen/logrus/hooks/test"
 	"github.com/stretchr/testify/require"
 
 	"github.com/eelgrassdock/eelgrassdock/internal/port"
@@ -121,3 +124,23 @@
 	}
 	return 0
 }
+
+// Guards against a slow start that shows nowhere: once an instance can serve requests, it
+// logs how long that took, and its metrics have the time.
+func TestReadinessIsLogged(t *testing.T) {
+	g, tables := prepareInstance(t, "a", nil)
+	hook := logs.NewLocal(g.Log)
+	require.NoError(t, g.Start(t.Context(), tables))
+	const wait = 100 * time.Millisecond
+	time.Sleep(wait)
+	require.Zero(t, g.readyAfter.Load(), "it has no routing table")
+	require.True(t, g.Tables.Install(routing.New(routing.Document{Version: 1})))
+	g.Roster.Complete()
+	isReady := func() bool {
+		return slices.ContainsFunc(hook.AllEntries(), func(e *logrus.Entry) bool {
+			return e.Data["event"] == "ready" && e.Data["took"].(int64) >= wait.Milliseconds()
+		})
+	}
+	require.Eventually(t, isReady, time.Minute, time.Millisecond)
+	require.GreaterOrEqual(t, g.readyAfter.Load(), wait.Milliseconds())
+}
--- a/process/gateway/run.go
+++ b/process/gateway/run.go
@@ -70,10 +70,31 @@
 	g.keep(g.fetchFromSeeds)
 	g.keep(g.housekeep)
 	g.keep(g.pollEngines)
+	g.keep(g.logReady)
 	g.Log.WithFields(logrus.Fields{"event": "start", "process": g.id, "callers": g.Settings.Callers}).Info("instance started")
 	return nil
 }
 
+// logReady logs how long this instance could not serve requests after its start, and where
+// what it needs for that has come from.
+func (g *Gateway) logReady() {
+	for _, ready := range []<-chan struct{}{g.Tables.Ready(), g.Roster.Ready()} {
+		select {
+		case <-ready:
+		case <-g.base.Done():
+			return
+		}
+	}
+	took := time.Since(g.begun).Milliseconds()
+	g.readyAfter.Store(max(took, 1))
+	sources := map[string]string{}
+	for name, f := range g.feeds {
+		sources[name] = f.latestOrigin().source
+	}
+	g.Log.WithFields(logrus.Fields{"event": "ready", "took": took, "instances": g.instanceCount(), "sources": sources}).
+		Info("instance is ready for requests")
+}
+
 func (g *Gateway) housekeep() {
 	for sleep.For(g.base, housekeeping) {
 		if g.Trim != nil {
