gateway: the first table of a start in an outage is the newest of three

While the store is away, an instance that starts takes the routing table of one seed; if that one is behind, as after a freeze, what it lacks was not in force for up to two seconds. The instance now asks two further members of the seed's list, for 300 ms at most, and puts the newest in force. Ruled out: asking all members (tables cross slow links), and waiting for the datagrams, which may take two seconds; with the store up nothing more is asked. Before: TestStartFromASeedThatIsBehind had version 3 in force, 5 was known.

--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -32,6 +32,8 @@
 	registerLimit = 2 * time.Second
 	seedPause     = 200 * time.Millisecond // mean pause before a seed is queried; doubles with each query
 	maxSeedPause  = time.Second            // upper bound of seedPause, for a start during an outage of the store
+	witnesses     = 2                      // further members that are asked for their routing table before the first one is in force
+	witnessLimit  = 300 * time.Millisecond // until they begin to send it
 	payloadBytes  = 8
 	tableShare    = 0.5 // of the link of an instance that tables for others take at most
 )
@@ -225,12 +227,12 @@
 
 // current requests the routing table of a peer, in the way of earlier builds if the peer
 // is one.
-func (g *Gateway) current(addr string, all bool) (s Stored, received int64, _ error) {
+func (g *Gateway) current(addr string, all bool, limit time.Duration) (s Stored, received int64, _ error) {
 	wanted := Wanted{All: all, Held: g.documents.Sums()}
-	received, err := g.peers.Fetch(g.base, addr, "Peers.Current", wanted, &s, fetchLimit, peerStall)
+	received, err := g.peers.Fetch(g.base, addr, "Peers.Current", wanted, &s, limit, peerStall)
 	var remote rpc.ServerError
 	if errors.As(err, &remote) {
-		received, err = g.peers.Fetch(g.base, addr, "Peers.Table", all, &s, fetchLimit, peerStall)
+		received, err = g.peers.Fetch(g.base, addr, "Peers.Table", all, &s, limit, peerStall)
 	}
 	if err != nil || s.Document.Sum == 0 {
 		return s, received, err
@@ -246,7 +248,7 @@
 // endpoints.
 func (g *Gateway) fetch(addr string, all bool) {
 	begun := time.Now()
-	s, received, err := g.current(addr, all)
+	s, received, err := g.current(addr, all, fetchLimit)
 	took := time.Since(begun)
 	counters.Add("table_bytes_taken", received)
 	if err != nil {
@@ -255,8 +257,12 @@
 		}).Warn("routing table could not be fetched from a peer")
 		return
 	}
+	from := origin{source: "peer " + addr, took: took, bytes: received}
+	if len(s.Data) > 0 && g.Tables.Current() == nil {
+		g.takeNewest(addr, &s, &from)
+	}
 	if len(s.Data) > 0 {
-		g.installTable(s.Data, s.Version, origin{source: "peer " + addr, took: took, bytes: received})
+		g.installTable(s.Data, s.Version, from)
 	}
 	if len(s.Endpoints) > 0 && !g.Roster.IsReady() {
 		// The peer may run an earlier version that checked them less.
@@ -270,6 +276,43 @@
 	}
 }
 
+// takeNewest replaces the first routing table of this instance, from a seed, by that of
+// another member if this is newer. A seed that is behind would bring back what was in
+// force before, such as a key that has been withdrawn.
+func (g *Gateway) takeNewest(seed string, s *Stored, from *origin) {
+	list := slices.DeleteFunc(slices.Clone(s.Members), func(m member.Member) bool { return m.ID == g.id || m.RPC == seed || m.Leaving })
+	rand.Shuffle(len(list), func(i, k int) { list[i], list[k] = list[k], list[i] })
+	type answer struct {
+		Stored
+		origin
+	}
+	list = list[:min(len(list), witnesses)]
+	answers := make(chan answer, len(list))
+	for _, m := range list {
+		g.spawn(func() {
+			begun := time.Now()
+			other, received, err := g.current(m.RPC, false, witnessLimit)
+			counters.Add("table_bytes_taken", received)
+			if err != nil {
+				other = Stored{}
+			}
+			answers <- answer{other, origin{source: "peer " + m.RPC, took: time.Since(begun), bytes: received}}
+		})
+	}
+	limit := time.NewTimer(witnessLimit)
+	defer limit.Stop()
+	for range list {
+		select {
+		case a := <-answers:
+			if len(a.Data) > 0 && a.Version > s.Version {
+				s.Version, s.Data, *from = a.Version, a.Data, a.origin
+			}
+		case <-limit.C:
+			return
+		}
+	}
+}
+
 // register writes the row of this instance to the store, and retries until that
 // succeeds or the instance stops.
 func (g *Gateway) register() {
--- a/process/gateway/peers_test.go
+++ b/process/gateway/peers_test.go
@@ -81,6 +81,25 @@
 	require.Equal(t, int64(5), b.Tables.Version())
 }
 
+// Guards against a key that was withdrawn and is in use again at an instance that starts
+// while the store is away, because its seed is behind: the first table in force must be
+// the newest that the other members have.
+func TestStartFromASeedThatIsBehind(t *testing.T) {
+	a := startInstance(t, "a")
+	b := startInstance(t, "b", a.Settings.Peer)
+	a.InstallTable([]byte{3}, 3, "test")
+	require.Eventually(t, func() bool { return b.Tables.Version() == 3 && a.instanceCount() == 2 }, time.Minute, time.Millisecond)
+	a.fetching.Store(true) // it takes no newer one
+	b.InstallTable([]byte{5}, 5, "test")
+	for n := range 5 {
+		c, tables := prepareInstance(t, fmt.Sprint("c", n), nil, a.Settings.Peer)
+		require.NoError(t, c.Start(t.Context(), tables))
+		<-c.Tables.Ready()
+		require.Equal(t, int64(5), c.Tables.Version())
+		require.Equal(t, int64(3), a.Tables.Version())
+	}
+}
+
 // An instance that starts while the store does not answer must serve with the
 // endpoints of a peer. Otherwise it would be listed for callers and refuse
 // every request until the store is back.
