loads: prompts count once when an instance comes back to an endpoint

What an instance has sent to an endpoint is told as a number that only rises. Once its load there has lapsed (3 s without work), the others forgot that number, and with the next request all of the instance's prompts there counted as sent just now: the endpoint seemed to have them all before it, and was avoided until they would have been computed. With the first load after a lapse, no more counts now than uses memory there. Ruled out: remembering the number for each instance and endpoint; endpoints are replaced all the time, so that this grows without a bound, or forgets again. Before: TestSentCountsOnceAfterALapse counted 130 tokens in place of 30. After: 30; all tests of the package pass.

--- a/process/loads/loads.go
+++ b/process/loads/loads.go
@@ -239,13 +239,18 @@
 	}
 	if m.Seq+maxOvertaken > p.seq {
 		for _, l := range m.Loads {
-			old := p.loads[l.Endpoint]
+			old, known := p.loads[l.Endpoint]
 			if !l.isValid() || m.Seq <= old.seq {
 				continue
 			}
-			var sent int64
-			if !fresh {
-				sent = max(l.Sent-old.Sent, 0)
+			sent := max(l.Sent-old.Sent, 0)
+			switch {
+			case fresh:
+				sent = 0
+			case !known:
+				// The instance may have sent prompts there before its earlier load lapsed. Those
+				// that are new still use memory.
+				sent = min(sent, l.Tokens)
 			}
 			p.loads[l.Endpoint] = peerLoad{Load: l, seq: m.Seq, counted: old.counted + sent, expiry: now.Add(b.lifetime())}
 			b.sent[l.Endpoint] += sent
--- a/process/loads/loads_test.go
+++ b/process/loads/loads_test.go
@@ -200,3 +200,21 @@
 		require.Equal(t, Load{Endpoint: "e"}, b.Sum("e"))
 	}
 }
+
+// Guards against prompts that count again when an instance comes back to an endpoint after
+// its load there has lapsed: the endpoint would seem to have all of them before it.
+func TestSentCountsOnceAfterALapse(t *testing.T) {
+	b, sums := newBoard()
+	x := &Sender{From: "x"}
+	now := epoch
+	send(t, x, b, now, true, Load{Endpoint: "e", Runs: 1, Tokens: 100, Sent: 100})
+	for range 10 {
+		now = now.Add(RefreshInterval)
+		send(t, x, b, now, true, Load{Endpoint: "e", Sent: 100}, Load{Endpoint: "f", Runs: 1})
+		b.Expire(now)
+	}
+	send(t, x, b, now, false, Load{Endpoint: "e", Runs: 1, Tokens: 30, Sent: 130}, Load{Endpoint: "f", Runs: 1})
+	require.Equal(t, int64(30), sums["e"].Sent)
+	require.Equal(t, int64(30), b.Total("e", "").Sent)
+	require.Zero(t, b.Total("e", "x").Sent)
+}
