placement, loads: instances tell each other how fast engines are

Cause: TestEmptyEnginesAreNotOverrun/200ms (KNOWN-RED.txt), traced: three of four late first tokens are at the engines that take 1.3 times as long, a third of all. One of many placers does not know these: it sees too few first tokens of each. Each instance now counts the time that its generations take for tokens while their engine computes no prompt, and the time predicted for these. Both rise, and are summed up by relays like prompts; once a second they are told, at the name of an endpoint that earlier builds do not know (TestLoadsOfEarlierBuilds; two more fields of a load could not be read by these). Placement multiplies by the ratio.

--- a/process/gateway/loads.go
+++ b/process/gateway/loads.go
@@ -13,7 +13,10 @@
 	"github.com/eelgrassdock/eelgrassdock/process/member"
 )
 
-const batchDelay = 5 * time.Millisecond // changes within this time are sent in one datagram
+const (
+	batchDelay   = 5 * time.Millisecond // changes within this time are sent in one datagram
+	microseconds = 1e6                  // in a second
+)
 
 // peerCache holds the peers of the exchange for one snapshot of the members.
 type peerCache struct {
@@ -161,6 +164,7 @@
 		for _, w := range d.(*enginePool).sched.Own() {
 			list = append(list, loads.Load{
 				Endpoint: w.Endpoint, Runs: w.Runs, Tokens: int64(w.Tokens), Copied: int64(max(w.Copied, 0)), Sent: int64(max(w.Sent, 0)),
+				Took: int64(w.Took * microseconds), Predicted: int64(w.Predicted * microseconds),
 			})
 		}
 		return true
@@ -171,13 +175,20 @@
 // onRemoteLoad handles a change of the load of the other instances on an
 // engine.
 func (g *Gateway) onRemoteLoad(l loads.Load) {
+	l, isPace := l.Pace()
 	e, ok := g.Roster.Get(l.Endpoint)
 	if !ok {
 		return
 	}
-	if d, ok := g.enginePools.Load(e.Service); ok {
-		d.(*enginePool).setRemoteLoad(l)
+	d, ok := g.enginePools.Load(e.Service)
+	if !ok {
+		return
+	}
+	if isPace {
+		d.(*enginePool).sched.AddPace(l.Endpoint, float64(l.Took)/microseconds, float64(l.Predicted)/microseconds, time.Now())
+		return
 	}
+	d.(*enginePool).setRemoteLoad(l)
 }
 
 // listenLoads opens the socket for loads and starts exchanging them.
--- a/process/loads/exchange_test.go
+++ b/process/loads/exchange_test.go
@@ -210,6 +210,35 @@
 	require.LessOrEqual(t, float64(missed), 0.01*float64(waves*len(s.instances)), "an instance that misses one finds out by itself")
 }
 
+// Guards against times for tokens that relays do not pass on, or count twice: each instance
+// must learn most of those of all others. Some may be lost, as what follows a lapse is.
+func TestTimesForTokensPassRelays(t *testing.T) {
+	t.Parallel()
+	s := newSim(t, simMany, 0)
+	s.quiet = true
+	took := make([]int64, len(s.instances))
+	for k, i := range s.instances {
+		i.x.Board.OnChange = func(l Load) {
+			l, _ = l.Pace()
+			took[k] += l.Took
+		}
+		i.own["e0"] = Load{Endpoint: "e0", Runs: 1, Tokens: 3000, Took: 500, Predicted: 400}
+	}
+	s.run(2500 * time.Millisecond)
+	clear(took)
+	for _, i := range s.instances {
+		l := i.own["e0"]
+		l.Took, l.Predicted = l.Took+100, l.Predicted+80
+		i.own["e0"] = l
+	}
+	s.run(3 * time.Second)
+	all := int64(100 * (len(s.instances) - 1))
+	for k, i := range s.instances {
+		require.LessOrEqual(t, took[k], all, "at %s", i.ID)
+		require.GreaterOrEqual(t, took[k], all*9/10, "at %s", i.ID)
+	}
+}
+
 // FuzzReceive guards against a datagram that ends the process, or makes it tell an instance
 // loads out of their bounds.
 func FuzzReceive(f *testing.F) {
--- a/process/loads/loads.go
+++ b/process/loads/loads.go
@@ -54,6 +54,11 @@
 		Tokens   int64 // memory in use
 		Copied   int64 // part of Tokens that copies use
 		Sent     int64 // prompt tokens sent since the instance started
+
+		// Microseconds, since the instance started, that generations took for tokens while the
+		// endpoint computed no prompt, and those that were predicted for them. They are sent
+		// once a second, apart from the rest: see Pace.
+		Took, Predicted int64 `msgpack:"-"`
 	}
 
 	// Notice reports that an endpoint will leave or cannot be reached.
@@ -117,8 +122,9 @@
 	Sender struct {
 		From string
 
-		seq  uint64
-		told map[string]told // by endpoint
+		seq   uint64
+		told  map[string]told  // by endpoint
+		paces map[string]int64 // Predicted of the times for tokens that were sent, by endpoint
 	}
 
 	// told is a load that was sent.
@@ -174,6 +180,9 @@
 		}
 	}
 	s.told = now
+	if all {
+		list = s.addPaces(list, own)
+	}
 	return encode(s.From, &s.seq, list, nil, false)
 }
 
--- a/process/loads/loads_test.go
+++ b/process/loads/loads_test.go
@@ -46,6 +46,27 @@
 	require.Equal(t, 2, b.Sum("e").Runs)
 }
 
+// Guards against times for tokens that are counted twice, also after the load at an endpoint
+// has ended and begun again.
+func TestTimesForTokensCountOnce(t *testing.T) {
+	var took, predicted int64
+	b := &Board{OnChange: func(l Load) {
+		l, _ = l.Pace()
+		took, predicted = took+l.Took, predicted+l.Predicted
+	}}
+	x := &Sender{From: "x"}
+	load := func(runs int, took, predicted int64) Load {
+		return Load{Endpoint: "e", Runs: runs, Took: took, Predicted: predicted}
+	}
+	send(t, x, b, epoch, true, load(1, 1000, 900))
+	require.Zero(t, took, "what was taken before the first datagram of an instance must not count")
+	send(t, x, b, epoch, true, load(1, 3000, 2400))
+	send(t, x, b, epoch, false) // it has ended
+	send(t, x, b, epoch, true)
+	send(t, x, b, epoch, true, load(2, 4000, 3200))
+	require.Equal(t, []int64{3000, 2300}, []int64{took, predicted})
+}
+
 // Unchanged loads are not sent again, unless all loads are requested.
 func TestOnlyChangesAreSent(t *testing.T) {
 	s := &Sender{From: "x"}
@@ -172,6 +193,38 @@
 	require.Equal(t, 1, m.Loads[0].Runs)
 }
 
+// Guards against loads that instances of earlier builds cannot read, or that they send and
+// cannot be read here.
+func TestLoadsOfEarlierBuilds(t *testing.T) {
+	type load struct {
+		_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
+
+		Endpoint             string
+		Runs                 int
+		Tokens, Copied, Sent int64
+	}
+	type earlier struct {
+		_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
+
+		From    string
+		Seq     uint64
+		Loads   []load
+		Notices []Notice
+	}
+	list, err := (&Sender{From: "x"}).Changes([]Load{{Endpoint: "e", Runs: 1, Sent: 7, Took: 5, Predicted: 6}, {Endpoint: "f", Runs: 2}}, true)
+	require.NoError(t, err)
+	var m earlier
+	require.NoError(t, msgpack.Unmarshal(list[0], &m))
+	require.Len(t, m.Loads, 4, "two of them at an endpoint that they do not know")
+	require.Equal(t, []load{{Endpoint: "e", Runs: 1, Sent: 7}, {Endpoint: "f", Runs: 2}}, m.Loads[:2])
+	data, err := msgpack.Marshal(&earlier{From: "y", Seq: 1, Loads: []load{{Endpoint: "e", Runs: 3, Tokens: 9}, {Endpoint: "f", Runs: 4}}})
+	require.NoError(t, err)
+	b, _ := newBoard()
+	require.NoError(t, b.Receive(data, epoch))
+	require.Equal(t, Load{Endpoint: "e", Runs: 3, Tokens: 9}, b.Sum("e"))
+	require.Equal(t, 4, b.Sum("f").Runs)
+}
+
 // Guards against a panic on malformed datagrams.
 func FuzzTake(f *testing.F) {
 	list, _ := (&Sender{From: "x"}).Changes([]Load{{Endpoint: "e", Runs: 1}}, true)
--- a/process/loads/relay.go
+++ b/process/loads/relay.go
@@ -155,6 +155,8 @@
 	}
 	if all {
 		dirtyOwn = r.own.addEndpoints(r.addRecent(dirtyOwn, now))
+	} else {
+		dirtyOwn = withoutPaces(dirtyOwn)
 	}
 	if err := r.flushZone(r.targets(relays, now), dirtyOwn, send); err != nil {
 		return err
@@ -223,7 +225,7 @@
 		}
 	}
 	for id, s := range r.subscribers {
-		changed := dirty
+		changed := withoutPaces(dirty)
 		if now.Sub(s.full) >= RefreshInterval {
 			s.full = now
 			changed = r.zones.addEndpoints(r.own.addEndpoints(r.addRecent(dirty, now)))
--- a/process/placement/account.go
+++ b/process/placement/account.go
@@ -59,6 +59,10 @@
 		logSlowdown float64 // logarithm of its time for prompts relative to other endpoints
 		slowdownAt  int64   // Unix nanoseconds
 
+		took, predicted float64 // seconds that own generations took for tokens, and those predicted for them
+		pace            pace    // of the generations of all entries
+		relative        float64 // pace relative to that of all endpoints, 0 if none is known
+
 		suspect int64 // time before which it gets no new work; Unix nanoseconds
 		silent  bool  // requests wait for it if no other endpoint is usable
 		closed  bool  // drained or leaving
@@ -92,6 +96,12 @@
 		done         int
 		reforecastAt int // value of done at which ahead is computed again
 		ahead        load
+
+		// When the tokens were last counted for the pace, how many there were, and whether
+		// the engine seemed to compute no prompt then.
+		paceAt   int64 // Unix nanoseconds
+		paceDone int
+		paceIdle bool
 	}
 
 	sample struct {
@@ -266,6 +276,7 @@
 	s.advance(now)
 	if r := s.find(ticket); r != nil {
 		s.progress(r, n)
+		s.observePace(r)
 	}
 }
 
--- a/process/placement/fleet_test.go
+++ b/process/placement/fleet_test.go
@@ -68,7 +68,8 @@
 		list       []*fleetEngine
 		next       int
 		delayed    []fleetWork // snapshots of the work of all, the oldest first
-		sent       []map[string]float64
+		told       []map[string]Work
+		owed       []map[string]Work // times for tokens that a placer was not told yet
 		firsts     []time.Duration
 		crowded    int
 	}
@@ -90,7 +91,7 @@
 			Service: "s", Region: "r", EntryPlace: "p", Seed: uint64(i + 1), Chunked: true, MemoryCost: 0.5, FarCost: 0.15, LoadAge: l.age,
 		}
 		f.schedulers = append(f.schedulers, s)
-		f.sent = append(f.sent, map[string]float64{})
+		f.told, f.owed = append(f.told, map[string]Work{}), append(f.owed, map[string]Work{})
 	}
 	f.listEngines()
 	return f
@@ -228,33 +229,47 @@
 	changed := map[string]bool{}
 	for i, own := range w.list {
 		for id, l := range own {
-			sum := sums[id]
-			sum.Runs, sum.Tokens, sum.Sent = sum.Runs+l.Runs, sum.Tokens+l.Tokens, sum.Sent+max(l.Sent-f.sent[i][id], 0)
-			changed[id] = changed[id] || l.Sent != f.sent[i][id]
-			sums[id] = sum
+			since := l.since(f.told[i][id])
+			sums[id] = sums[id].plus(since, 1)
+			changed[id] = changed[id] || since.Sent > 0
 		}
 	}
 	for i, s := range f.schedulers {
 		for _, id := range slices.Sorted(maps.Keys(sums)) {
 			sum := sums[id]
-			own, had := w.list[i][id]
+			if own, had := w.list[i][id]; had {
+				sum = sum.plus(own.since(f.told[i][id]), -1)
+			}
+			owed := f.owed[i][id]
+			sum.Took, sum.Predicted = sum.Took+owed.Took, sum.Predicted+owed.Predicted
 			if !changed[id] && f.random.IntN(10) > 0 {
+				f.owed[i][id] = Work{Took: sum.Took, Predicted: sum.Predicted}
 				continue // the rest is told in rounds
 			}
+			delete(f.owed[i], id)
 			sum.Endpoint = id
-			if had {
-				sum.Runs, sum.Tokens, sum.Sent = sum.Runs-own.Runs, sum.Tokens-own.Tokens, sum.Sent-max(own.Sent-f.sent[i][id], 0)
-			}
 			s.SetOthers(sum, f.now)
+			s.AddPace(id, sum.Took, sum.Predicted, f.now)
 		}
 	}
 	for i, own := range w.list {
-		for id, l := range own {
-			f.sent[i][id] = l.Sent
-		}
+		maps.Copy(f.told[i], own)
 	}
 }
 
+// since returns the work with what was added to its totals since it was told.
+func (w Work) since(told Work) Work {
+	w.Sent, w.Took, w.Predicted = max(w.Sent-told.Sent, 0), max(w.Took-told.Took, 0), max(w.Predicted-told.Predicted, 0)
+	return w
+}
+
+// plus returns the sum of the work and other work times a sign.
+func (w Work) plus(x Work, sign float64) Work {
+	w.Runs, w.Tokens, w.Sent = w.Runs+int(sign)*x.Runs, w.Tokens+sign*x.Tokens, w.Sent+sign*x.Sent
+	w.Took, w.Predicted = w.Took+sign*x.Took, w.Predicted+sign*x.Predicted
+	return w
+}
+
 // BenchmarkLoadAge shows what callers see if each of 295 placers learns of the others' work
 // only after some time, before 130 engines of which 22 are replaced by empty ones each 3.3 s.
 func BenchmarkLoadAge(b *testing.B) {
--- a/process/placement/others.go
+++ b/process/placement/others.go
@@ -9,6 +9,10 @@
 	Tokens   float64 // memory in use
 	Copied   float64 // part of Tokens that copies use
 	Sent     float64 // prompt tokens sent: since the endpoint was added (Own), or since the last call (SetOthers)
+	// Took and Predicted are the seconds that generations took for their tokens while the
+	// engine computed no prompt, and the seconds that were predicted for these, since the
+	// endpoint was added. They show how fast the engine is. Only Own sets them; see AddPace.
+	Took, Predicted float64
 }
 
 // Own returns the work of this entry at the endpoints where it has or had some.
@@ -18,7 +22,7 @@
 	var list []Work
 	for _, e := range s.list {
 		if e.count > 0 || e.sent > 0 {
-			list = append(list, Work{Endpoint: e.ID, Runs: e.count, Tokens: e.used, Copied: e.copied, Sent: e.sent})
+			list = append(list, Work{Endpoint: e.ID, Runs: e.count, Tokens: e.used, Copied: e.copied, Sent: e.sent, Took: e.took, Predicted: e.predicted})
 		}
 	}
 	return list
--- a/process/placement/placement.go
+++ b/process/placement/placement.go
@@ -169,6 +169,7 @@
 		prefixes  prefixIndex
 		step      stepModel
 		fillSpeed fillSpeed
+		pace      pace // of all endpoints
 		unseen    unseenWork
 		sending   sendStats
 		own       ownTotals
--- a/process/placement/speed.go
+++ b/process/placement/speed.go
@@ -28,9 +28,12 @@
 	return s.FillTime.Seconds() / 1000 * math.Exp(s.fillSpeed.logRatio)
 }
 
-// slowdown returns the time that an endpoint takes relative to the others. It
-// decays to 1, so that a slow endpoint is tried again.
+// slowdown returns the time that an endpoint takes relative to the others: for tokens, if
+// that is known, else for prompts. It returns to 1, so that a slow endpoint is tried again.
 func (e *endpoint) slowdown(now int64) float64 {
+	if ratio, known := e.relativePace(now); known {
+		return ratio
+	}
 	if e.logSlowdown == 0 {
 		return 1
 	}
