placement: requests that are not known yet count twice in a choice

Cause: the choice among engines raised the cheapest ones by the requests that others have placed and that are not known yet, each counted once. That is the balance in which each request waits least itself; a request also delays those that come to the same engine after it, so the sum of the delays is least if they count twice. Ruled out: counting half (worse at all ages).

--- a/process/placement/unseen.go
+++ b/process/placement/unseen.go
@@ -10,6 +10,9 @@
 const (
 	unseenSeconds = 5.0  // time constant of the average rate of other entries' work
 	minUnseen     = 0.01 // seconds of stall: candidates that are nearly alike get equal parts
+	// unseenWeight is how much the requests of LoadAge count. Each of two requests at one
+	// engine delays the other: what a choice costs all is twice what it costs itself.
+	unseenWeight = 2.0
 )
 
 // unseenWork estimates the work that other entries have placed and that is not known here
@@ -47,9 +50,10 @@
 // with the same old view: one that is empty would otherwise get the next requests of all of
 // them. Together, the requests of LoadAge are expected to raise the cheapest candidates to
 // one level, like water that fills a vessel with an uneven ground. Each candidate is chosen
-// with a probability in proportion to its depth below that level.
+// with a probability in proportion to its depth below that level. The requests count
+// unseenWeight times.
 func (s *Scheduler) pickUnseen(o *inputs) *endpoint {
-	return s.pickBelow(s.unseen.rateAt(s.now) * s.LoadAge.Seconds() * o.fillTime * s.weights.Stall)
+	return s.pickBelow(s.unseen.rateAt(s.now) * s.LoadAge.Seconds() * o.fillTime * s.weights.Stall * unseenWeight)
 }
 
 // pickBelow returns a random candidate as pickUnseen says. The volume is the sum of the
