gateway: the metrics show how fast engines are

Cause: instances now place by the speeds of engines that they tell each other, and an operator could not see them: which engine is slow, and whether an instance knows it. `state` has `paces`, the time for a token relative to the mean of the service. Ruled out: a log line for each change; they change with every second. Before: nothing. After: TestSlowEnginesAreKnownFromOthers reads them.

--- a/process/gateway/metrics.go
+++ b/process/gateway/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"expvar"
+	"math"
 	"sync"
 	"time"
 
@@ -89,7 +90,20 @@
 		return map[string]any{
 			"version": g.Tables.Version(), "instances": g.instanceCount(), "active": g.Active(), "stopping": g.Stopping(),
 			"ready_after": g.readyAfter.Load(),
-			"limits":      g.limits.List(time.Now()),
+			"limits":      g.limits.List(time.Now()), "paces": g.paces(time.Now()),
 		}
 	}))
 }
+
+// paces returns the time that engines take for a token relative to the mean of their
+// service, in hundredths, as far as it is known.
+func (g *Gateway) paces(now time.Time) map[string]float64 {
+	all := map[string]float64{}
+	g.enginePools.Range(func(_, p any) bool {
+		for id, ratio := range p.(*enginePool).sched.Paces(now) {
+			all[id] = math.Round(ratio*100) / 100
+		}
+		return true
+	})
+	return all
+}
--- a/process/placement/pace.go
+++ b/process/placement/pace.go
@@ -77,6 +77,20 @@
 	e.relative = min(max(e.relative, minSlowdown), maxSlowdown)
 }
 
+// Paces returns the time that each endpoint takes for a token relative to the mean of all,
+// as far as it is known: 1.3 is slow.
+func (s *Scheduler) Paces(now time.Time) map[string]float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	paces := map[string]float64{}
+	for _, e := range s.list {
+		if ratio, known := e.relativePace(now.UnixNano()); known {
+			paces[e.ID] = ratio
+		}
+	}
+	return paces
+}
+
 // relativePace returns the time that an endpoint takes for a token relative to the others,
 // and whether it is known.
 func (e *endpoint) relativePace(now int64) (ratio float64, known bool) {
--- a/process/placement/pace_test.go
+++ b/process/placement/pace_test.go
@@ -25,6 +25,8 @@
 	}
 	slow, fast := s.byID["slow"].slowdown(now.UnixNano()), s.byID["fast"].slowdown(now.UnixNano())
 	require.InDelta(t, 1.3, slow/fast, 0.05)
+	require.Len(t, s.Paces(now), 2)
+	require.Empty(t, s.Paces(now.Add(2*paceMemory)))
 	later := now.Add(2 * paceMemory)
 	require.InDelta(t, 1, s.byID["slow"].slowdown(later.UnixNano()), 0, "it is tried again")
 	s.AddPace("unknown", 1, 1, now)
