docs: where instances know the speeds of engines from

Cause: the pages and package comments still said that an engine's speed is learned from own first tokens only. Before and after: no change of the code.

--- a/process/loads/loads.go
+++ b/process/loads/loads.go
@@ -5,7 +5,8 @@
 // once a second, so that the next full round repairs the loss of a datagram.
 // Loads that are not renewed expire. Instances that place work with these sums
 // avoid choosing the same endpoint at the same moment, and need no load reports
-// from the endpoints.
+// from the endpoints. They also tell each other how long endpoints take for tokens, so
+// that each knows the speed of those that it seldom uses.
 //
 // An Exchange decides whom to send to: all others, or one of them that sums up.
 package loads
--- a/process/placement/placement.go
+++ b/process/placement/placement.go
@@ -21,6 +21,10 @@
 // memory, so that fewer generations are delayed. The quarter is selected by
 // hash, so that all entries agree on it without messages.
 //
+// Engines differ in speed. Entries that exchange their work also exchange the time that
+// generations took for tokens, and the time that was predicted for these; the ratio, relative
+// to that of all engines, scales what a step and a prompt are expected to take there.
+//
 // The risk of sending is the probability that the memory fills plus the excess
 // of the step time over the gap target, each times its weight. Work is sent if
 // the risk is within a budget that grows with the time the work has waited, so
