loads, gateway: work that was done once for each subscriber, and a count at two callers

Cause: found in the reading of the whole change. A relay filtered the times for tokens out of the same list for each of its subscribers, 20 times a second; it does so once for all now. The bytes of a table from a peer were counted by both callers of current; it counts them itself. Ruled out: one call for both times of an engine in AddPace; it needs another datagram or a wait.

--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -234,6 +234,7 @@
 	if errors.As(err, &remote) {
 		received, err = g.peers.Fetch(g.base, addr, "Peers.Table", all, &s, limit, peerStall)
 	}
+	counters.Add("table_bytes_taken", received)
 	if err != nil || s.Document.Sum == 0 {
 		return s, received, err
 	}
@@ -250,7 +251,6 @@
 	begun := time.Now()
 	s, received, err := g.current(addr, all, fetchLimit)
 	took := time.Since(begun)
-	counters.Add("table_bytes_taken", received)
 	if err != nil {
 		g.Log.WithError(err).WithFields(logrus.Fields{
 			"event": "peer_unanswered", "peer": addr, "took": took.Milliseconds(), "bytes": received,
@@ -292,7 +292,6 @@
 		g.spawn(func() {
 			begun := time.Now()
 			other, received, err := g.current(m.RPC, false, witnessLimit)
-			counters.Add("table_bytes_taken", received)
 			if err != nil {
 				other = Stored{}
 			}
--- a/process/loads/relay.go
+++ b/process/loads/relay.go
@@ -228,8 +228,9 @@
 			notices = append(notices, n.Notice)
 		}
 	}
+	frequent := withoutPaces(dirty)
 	for id, s := range r.subscribers {
-		changed := withoutPaces(dirty)
+		changed := frequent
 		if now.Sub(s.full) >= RefreshInterval {
 			s.full = now
 			changed = r.zones.addEndpoints(r.own.addEndpoints(r.addRecent(dirty, now)))
