--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -28,6 +28,7 @@
 	"overlap": playOverlap,
 	"path":    playPath,
 	"memory":  playMemory,
+	"stop":    playStop,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- a/review/rig/overlap.go
+++ b/review/rig/overlap.go
@@ -3,14 +3,10 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
-
-	"github.com/eelgrassdock/eelgrassdock/platform/wire"
 )
 
 const (
@@ -70,16 +66,7 @@
 		}
 		engines[e.addr] = e
 	}
-	err := r.configure(wire.Table{
-		Routes: []wire.Route{{
-			Name: "r-guide", Host: host, Prefix: "/guide/", Kind: "streaming", Timeout: 39000, Aim: 1800, Gap: 180, Priority: 1,
-			Service: engineService, Attempts: 1,
-		}},
-		Services: []wire.Service{{Name: engineService, Channels: 232, Engine: &wire.Engine{
-			Slots: 24, Tokens: 34307, TokenBytes: 35136, LinkMbps: 5100, Moves: true, Backups: true, Stride: 4, HandleS: keepTime.Seconds(),
-		}}},
-	})
-	if err != nil {
+	if err := r.configure(guideTable()); err != nil {
 		return false, err
 	}
 	if err := r.start(ctx, 3); err != nil {
@@ -133,28 +120,9 @@
 // was whole.
 func (r *rig) readStream(ctx context.Context, i *instance, id string) bool {
 	const events = 120
-	ctx, cancel := context.WithTimeout(ctx, guideTime)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+i.settings.Callers+"/guide/2f", strings.NewReader(fmt.Sprintf("events=%d", events)))
-	if err != nil {
-		return false
-	}
-	req.Host = host
-	req.Header.Set(wire.HeaderRequest, id)
-	req.Header.Set(wire.HeaderDeadline, "39000")
-	req.Header.Set("Authorization", "Bearer "+key)
-	req.Header.Set("Model-Name", "m")
-	req.Header.Set(wire.HeaderTokens, fmt.Sprintf("1000,%d", 4*events))
-	req.Header.Set(wire.HeaderParts, id+":1000")
 	r.note("sent", id, "to", i.settings.Name)
-	res, err := http.DefaultClient.Do(req)
-	if err != nil {
-		r.note("answer", id, err.Error())
-		return false
-	}
-	defer res.Body.Close()
-	data, err := io.ReadAll(res.Body)
-	ok := err == nil && res.StatusCode == http.StatusOK && strings.Count(string(data), "\n\n") == events
-	r.note("answer", id, fmt.Sprintf("status %d, %d events, whole %v", res.StatusCode, strings.Count(string(data), "\n\n"), ok))
+	status, got, err := readEvents(ctx, http.DefaultClient, i.settings.Callers, id, events)
+	ok := err == nil && status == http.StatusOK && got == events
+	r.note("answer", id, fmt.Sprintf("status %d, %d events, whole %v", status, got, ok))
 	return ok
 }
