gateway: requests of unknown duration are refused late in any stop

Cause: latestSend asked for an estimate of a request's time only if another instance could serve it. Otherwise it let any request pass until 2 s before the end.

Evidence: a line taken, new, for each request that a stopping instance sends to an endpoint.

Now such a request is sent until 2.5 s after the signal. The rule excuses the cut of what was sent up to 3 s after it, and a refusal is true.

--- a/process/gateway/run.go
+++ b/process/gateway/run.go
@@ -120,6 +120,7 @@
 func (g *Gateway) Stop(drain func()) {
 	now := time.Now()
 	s := &stopping{
+		begun:  now,
 		listed: now.Add(time.Duration(float64(seconds(g.currentSettings().Keep)) * keepFactor)),
 		end:    now.Add(seconds(g.currentSettings().Grace) - stopReserve),
 	}
--- a/process/gateway/stopping.go
+++ b/process/gateway/stopping.go
@@ -16,6 +16,11 @@
 )
 
 const (
+	// unknownLimit is the time after the signal until which a request of unknown duration
+	// may be sent to an endpoint if no other instance can serve it. The platform excuses
+	// the cut of a request that its caller sent up to 3 s after the signal, which this
+	// process may notice late.
+	unknownLimit    = 2500 * time.Millisecond
 	waitReserve     = time.Second            // before the end of active requests; nothing is sent to an endpoint any more
 	deadlineReserve = 100 * time.Millisecond // for the answer to a request whose deadline has passed
 	expectedShare   = 0.99                   // quantile of the recent times that a request is expected to take
@@ -28,6 +33,7 @@
 type (
 	// stopping is the state of an instance that is stopping.
 	stopping struct {
+		begun  time.Time // when the signal to stop was received
 		listed time.Time // until which callers use answers that list this instance
 		end    time.Time // by which active requests must have ended
 	}
@@ -43,8 +49,9 @@
 // latestSend returns the time until which a request may be sent to an endpoint although
 // this instance stops: as long as it will probably end in time, or has to because of its
 // deadline. If nothing is known of the time that it takes, another instance should serve
-// it. Once a part of the answer was passed on, the caller can't be told to use another
-// instance.
+// it. If there is none, it is sent until unknownLimit: a refusal tells its caller that it
+// has not run, a cut does not. Once a part of the answer was passed on, the caller can't
+// be told to use another instance.
 func (g *Gateway) latestSend(s *stopping, j *job) time.Time {
 	latest := s.end.Add(-waitReserve)
 	if j.answering.Load() {
@@ -62,6 +69,8 @@
 		latest = earlier(latest, s.end.Add(-expectedFactor*expected))
 	case others:
 		return time.Time{}
+	default:
+		latest = earlier(latest, s.begun.Add(unknownLimit))
 	}
 	return latest
 }
@@ -100,15 +109,22 @@
 }
 
 // checkStop returns the refusal of a request that is too late for this instance to serve
-// it, nil otherwise.
+// it, nil otherwise. It is called before the request is sent to an endpoint.
 func (g *Gateway) checkStop(j *job) *refusal.Error {
+	f := g.refuseLate(j)
+	if s := g.stopping.Load(); f == nil && s != nil && j.Arrived.After(s.begun) {
+		g.logDecision(j, "taken", g.stopFields(s, j))
+	}
+	return f
+}
+
+// refuseLate returns the refusal of a request that is too late for this instance to serve
+// it, nil otherwise.
+func (g *Gateway) refuseLate(j *job) *refusal.Error {
 	if !g.tooLate(j) {
 		return nil
 	}
-	expected, _ := g.expectedTime(j)
-	g.logDecision(j, "not_taken", logrus.Fields{
-		"left": time.Until(g.stopping.Load().end).Milliseconds(), "expected": expected.Milliseconds(), "others": g.hasOther(),
-	})
+	g.logDecision(j, "not_taken", g.stopFields(g.stopping.Load(), j))
 	f := refusal.New(refusal.Stopping, refusal.NotRun, "instance is stopping; use another one")
 	if !g.hasOther() {
 		f.RetryAt = retryTime(time.Now())
@@ -116,6 +132,16 @@
 	return f
 }
 
+// stopFields returns what it depends on whether a request is sent to an endpoint although
+// this instance stops, for a log line.
+func (g *Gateway) stopFields(s *stopping, j *job) logrus.Fields {
+	expected, _ := g.expectedTime(j)
+	return logrus.Fields{
+		"after": j.Arrived.Sub(s.begun).Milliseconds(), "left": time.Until(s.end).Milliseconds(),
+		"expected": expected.Milliseconds(), "others": g.hasOther(),
+	}
+}
+
 // CheckStop returns the refusal of a request whose body has not been received, if it is
 // too late for this instance to serve it, nil otherwise.
 func (g *Gateway) CheckStop(r *Request) *refusal.Error {
@@ -127,7 +153,7 @@
 	if route == nil {
 		return nil // Serve says so
 	}
-	return g.checkStop(&job{Request: r, table: t, route: route, service: route.Pick(rand.Float64())})
+	return g.refuseLate(&job{Request: r, table: t, route: route, service: route.Pick(rand.Float64())})
 }
 
 // waitContext returns a context that ends with ctx, or when the request may no longer be
--- a/process/gateway/stopping_test.go
+++ b/process/gateway/stopping_test.go
@@ -36,12 +36,14 @@
 	pause  time.Duration // between two events
 	sent   int
 	cut    int // attempts that ended before their answer was complete
+	cutIDs []string
 	n      int
 }
 
 // pacedEvents is the body of a stream that sends an event after each pause.
 type pacedEvents struct {
 	s          *stoppingGateway
+	id         string // of the request
 	ctx        context.Context
 	next, last int
 	pause      time.Duration
@@ -76,21 +78,22 @@
 	work, events, pause := s.work, s.events, s.pause
 	s.mu.Unlock()
 	if !sleepFor(ctx, work) {
-		s.countCut()
+		s.countCut(c.ID)
 		return nil, refusal.FromCallError(ctx.Err(), true)
 	}
 	if !c.Stream {
 		return plainAnswer(http.StatusOK, "x"), nil
 	}
 	a := eventStream("s", 1, 0, false)
-	a.Body = &pacedEvents{s: s, ctx: ctx, next: 1, last: events, pause: pause}
+	a.Body = &pacedEvents{s: s, id: c.ID, ctx: ctx, next: 1, last: events, pause: pause}
 	return a, nil
 }
 
-func (s *stoppingGateway) countCut() {
+func (s *stoppingGateway) countCut(id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.cut++
+	s.cutIDs = append(s.cutIDs, id)
 }
 
 func (b *pacedEvents) Read(p []byte) (int, error) {
@@ -99,7 +102,7 @@
 		case b.next > b.last:
 			return 0, io.EOF
 		case b.next > 1 && !sleepFor(b.ctx, b.pause):
-			b.s.countCut()
+			b.s.countCut(b.id)
 			return 0, b.ctx.Err()
 		}
 		b.rest = fmt.Appendf(nil, "id: %d\ndata: s\n\n", b.next)
@@ -181,6 +184,13 @@
 	return func() { <-ended }
 }
 
+// asked returns the number of requests that were sent to the gateway.
+func (s *stoppingGateway) asked() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.n
+}
+
 func (s *stoppingGateway) counts() (sent, cut int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -270,6 +280,102 @@
 	}
 }
 
+// lateBound is the time after the signal until which the cut of a request is excused.
+const lateBound = 3 * time.Second
+
+// noOthers lists the instances that live beside the one that stops, where none of them
+// can serve its callers.
+var noOthers = map[string][]member.Member{"last instance": nil, "others leave": {{ID: "i2-x", Leaving: true}}}
+
+// Guards against requests of unknown duration that come late in the stop of the last
+// instance, are passed on because nobody else can serve them, and are cut at its end.
+func TestLateRequestsOfUnknownDuration(t *testing.T) {
+	for _, path := range []string{"/book/1", "/read/1", "/guide/1", "/short/1"} {
+		for name, others := range noOthers {
+			t.Run(path+name, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					s := newStoppingGateway(t, time.Minute, 3)
+					s.setOthers(others...)
+					await := s.begin()
+					for _, at := range []time.Duration{lateBound, lateBound + time.Second, lateBound + 3*time.Second} {
+						time.Sleep(time.Until(s.stopping.Load().begun.Add(at)))
+						f := s.refusalOf(s.ask(path))
+						assert.Equal(t, refusal.Stopping, f.Reason)
+						assert.Equal(t, refusal.NotRun, f.Outcome)
+						assert.True(t, f.RetryAt.After(time.Now()), "time to come back")
+					}
+					await()
+					sent, _ := s.counts()
+					assert.Zero(t, sent, "passed on")
+				})
+			})
+		}
+	}
+}
+
+// Guards against requests that came early in the stop of the last instance, waited for an
+// engine, and are passed on late although nothing is known of their duration.
+func TestWaitOfUnknownDurationEndsEarly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStoppingGateway(t, time.Minute, 3)
+		s.setOthers()
+		s.Tables.Current().Routes[1].Aim = time.Minute
+		s.pauseAll("e", 4*time.Second)
+		await := s.begin()
+		begun := time.Now()
+		f := s.refusalOf(s.ask("/short/1"))
+		assert.Equal(t, refusal.Stopping, f.Reason)
+		assert.Equal(t, refusal.NotRun, f.Outcome)
+		assert.LessOrEqual(t, time.Since(begun), lateBound)
+		await()
+		sent, _ := s.counts()
+		assert.Zero(t, sent, "passed on")
+	})
+}
+
+// Guards against the cut of requests that were sent late in the stop of the last instance,
+// after it has answered none, few or many requests of their routes.
+func TestLateRequestsAtTheLastInstance(t *testing.T) {
+	for seed := range uint64(12) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				random := rand.New(rand.NewPCG(seed, 41))
+				work := time.Duration(20+random.IntN(2500)) * time.Millisecond
+				events := 1 + random.IntN(120)
+				s := newStoppingGateway(t, work, events)
+				s.setOthers(member.Member{ID: "i2-x", Leaving: true})
+				paths := []string{"/book/1", "/read/1", "/guide/1", "/short/1"}
+				draw := func() { s.set(work/2+time.Duration(random.Int64N(int64(work))), 1+random.IntN(2*events)) }
+				for range seed % 4 {
+					for _, path := range paths {
+						draw()
+						s.askMany(path, batch)
+					}
+				}
+				begun := time.Now()
+				await := s.begin()
+				late := map[string]bool{}
+				var wg sync.WaitGroup
+				for time.Since(begun) < testGrace*time.Second {
+					draw()
+					path := paths[random.IntN(len(paths))]
+					if time.Since(begun) > lateBound {
+						late[fmt.Sprint("q", s.asked()+1)] = true
+					}
+					wg.Go(func() { _ = s.ask(path) })
+					synctest.Wait()
+					time.Sleep(time.Duration(random.IntN(60)) * time.Millisecond)
+				}
+				wg.Wait()
+				await()
+				for _, id := range s.cutIDs {
+					assert.False(t, late[id], "%s was sent late and cut", id)
+				}
+			})
+		})
+	}
+}
+
 // Guards against the refusal of a request that ends in time whatever its endpoint does,
 // because its deadline is before the end of the grace time.
 func TestDeadlineBeforeTheEndOfAStop(t *testing.T) {
