gateway: refused callers return when an instance serves again

Callers that were refused while all instances stop in turn were told to come back after 0.2 to 0.5 s. Most repeat a request once, met another stopping instance and were refused for good.

Cause: retryTime spreads callers and says nothing of when an instance serves. Now serveTime names when the first stopping instance is expected back: the grace time after it was first seen to stop, and as long as this instance took to start.

--- a/process/gateway/enginepool.go
+++ b/process/gateway/enginepool.go
@@ -162,7 +162,7 @@
 			if decision.Endpoint != "" {
 				p.sched.Done(decision.Ticket, 0, false, time.Now())
 			}
-			return roster.Endpoint{}, 0, refuseStopping()
+			return roster.Endpoint{}, 0, p.g.refuseWaiting()
 		}
 		if err != nil {
 			return roster.Endpoint{}, 0, err
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -216,6 +216,7 @@
 		peers        peer.Pool
 		documents    delta.Cache // large rows, of all tables
 		stopping     atomic.Pointer[stopping]
+		departures   departures
 		reloaded     atomic.Pointer[Settings] // settings after a reload, nil before
 		storeEra     atomic.Int64             // latest era of the store in which this instance has written its row again
 
--- a/process/gateway/limit.go
+++ b/process/gateway/limit.go
@@ -197,7 +197,7 @@
 			continue
 		}
 		if best.ID == "" && wait.Err() != nil && ctx.Err() == nil {
-			return best, refuseStopping()
+			return best, g.refuseWaiting()
 		}
 		if best.ID == "" {
 			f := refusal.New(refusal.NoEndpoint, refusal.NotRun, "no replica of service "+j.service+" can be used")
@@ -209,7 +209,7 @@
 			case ctx.Err() != nil:
 				return best, refusal.FromContext(ctx.Err())
 			case wait.Err() != nil:
-				return best, refuseStopping()
+				return best, g.refuseWaiting()
 			}
 			_, due = g.nextGrant(list, tried, now)
 			return best, g.refuseLimited(j, due, now)
--- a/process/gateway/run.go
+++ b/process/gateway/run.go
@@ -170,7 +170,8 @@
 // membersChanged logs all changes within memberLogDelay in one line: when many
 // instances start together, the list changes once for each of them. New instances are told
 // which requests are condemned.
-func (g *Gateway) membersChanged([]member.Member) {
+func (g *Gateway) membersChanged(list []member.Member) {
+	g.noteLeaving(list, time.Now())
 	if !g.memberLogDue.CompareAndSwap(false, true) {
 		return
 	}
--- a/process/gateway/stopping.go
+++ b/process/gateway/stopping.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -21,6 +22,8 @@
 	// the cut of a request that its caller sent up to 3 s after the signal, which this
 	// process may notice late.
 	unknownLimit    = 2500 * time.Millisecond
+	lateStart       = 2 * time.Second        // for which an instance that has ended is expected back beyond the usual time
+	maxDeparture    = time.Minute            // for which the begin of another instance's stop is kept
 	waitReserve     = time.Second            // before the end of active requests; nothing is sent to an endpoint any more
 	deadlineReserve = 100 * time.Millisecond // for the answer to a request whose deadline has passed
 	expectedShare   = 0.99                   // quantile of the recent times that a request is expected to take
@@ -38,6 +41,12 @@
 		end    time.Time // by which active requests must have ended
 	}
 
+	// departures holds when other instances were first seen to be stopping, by instance ID.
+	departures struct {
+		mu    sync.Mutex
+		begun map[string]time.Time
+	}
+
 	// requestTimes holds how long recent requests took, by service and route.
 	requestTimes struct {
 		call  pace.Recorder // plain requests
@@ -125,11 +134,7 @@
 		return nil
 	}
 	g.logDecision(j, "not_taken", g.stopFields(g.stopping.Load(), j))
-	f := refusal.New(refusal.Stopping, refusal.NotRun, "instance is stopping; use another one")
-	if !g.hasOther() {
-		f.RetryAt = retryTime(time.Now())
-	}
-	return f
+	return g.refuseStopping()
 }
 
 // stopFields returns what it depends on whether a request is sent to an endpoint although
@@ -172,14 +177,62 @@
 	}
 }
 
-// refuseStopping returns the refusal of a request that waited until this instance stopped.
-// Many of them are refused together.
-func refuseStopping() *refusal.Error {
+// refuseStopping returns the refusal of a request because this instance stops.
+func (g *Gateway) refuseStopping() *refusal.Error {
 	f := refusal.New(refusal.Stopping, refusal.NotRun, "instance is stopping; use another one")
-	f.RetryAt = retryTime(time.Now())
+	if !g.hasOther() {
+		f.RetryAt = g.serveTime(time.Now())
+	}
+	return f
+}
+
+// refuseWaiting returns the refusal of a request that waited until this instance stopped.
+// Many of them are refused together.
+func (g *Gateway) refuseWaiting() *refusal.Error {
+	f := g.refuseStopping()
+	if f.RetryAt.IsZero() {
+		f.RetryAt = retryTime(time.Now())
+	}
 	return f
 }
 
+// noteLeaving records when instances were first seen to be stopping.
+func (g *Gateway) noteLeaving(list []member.Member, now time.Time) {
+	g.departures.mu.Lock()
+	defer g.departures.mu.Unlock()
+	for _, m := range list {
+		if _, known := g.departures.begun[m.ID]; m.Leaving && !known {
+			if g.departures.begun == nil {
+				g.departures.begun = map[string]time.Time{}
+			}
+			g.departures.begun[m.ID] = now
+		}
+	}
+	for id, begun := range g.departures.begun {
+		if now.Sub(begun) > maxDeparture {
+			delete(g.departures.begun, id)
+		}
+	}
+}
+
+// serveTime returns when a caller may return if all instances are stopping: when the
+// first of them will have ended and started again, as far as is known.
+func (g *Gateway) serveTime(now time.Time) time.Time {
+	took := seconds(g.currentSettings().Grace) + time.Duration(g.readyAfter.Load())*time.Millisecond
+	var first time.Time
+	if s := g.stopping.Load(); s != nil {
+		first = s.begun.Add(took)
+	}
+	g.departures.mu.Lock()
+	for _, begun := range g.departures.begun {
+		if at := begun.Add(took); now.Sub(at) < lateStart {
+			first = earlier(first, at)
+		}
+	}
+	g.departures.mu.Unlock()
+	return later(retryTime(now), first.Add(jitter(retryDelaySpread)))
+}
+
 // recordCall records how long a plain request took, unless its caller left: the time then
 // says little about the service.
 func (g *Gateway) recordCall(ctx context.Context, j *job, begun time.Time, err error) {
--- a/process/gateway/stopping_test.go
+++ b/process/gateway/stopping_test.go
@@ -313,6 +313,51 @@
 	}
 }
 
+// Guards against callers that come back while all instances are still stopping, and are
+// refused again: the time to come back is when the first of them serves again.
+func TestRefusedCallersReturnWhenAnInstanceServes(t *testing.T) {
+	const start = 500 * time.Millisecond // of an instance, until it is ready
+	for name, x := range map[string]struct {
+		left  time.Duration // another instance began to stop so long before this one; 0 if there is none
+		gone  bool          // its process has ended
+		after time.Duration // from the begin of the stop until callers return
+	}{
+		"alone":                    {0, false, testGrace*time.Second + start},
+		"another began before":     {3 * time.Second, false, (testGrace-3)*time.Second + start},
+		"another ended before":     {4 * time.Second, true, (testGrace-4)*time.Second + start},
+		"another starts now":       {6 * time.Second, true, lateBound + minRetryDelay},
+		"another should be ready":  {20 * time.Second, false, testGrace*time.Second + start},
+		"another should come back": {time.Hour, true, testGrace*time.Second + start},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newStoppingGateway(t, time.Minute, 3)
+				s.readyAfter.Store(start.Milliseconds())
+				s.setOthers()
+				if x.left > 0 {
+					s.setOthers(member.Member{ID: "i2-x", Leaving: true})
+					s.membersChanged(s.listMembers())
+					time.Sleep(x.left)
+				}
+				if x.gone {
+					s.setOthers()
+					s.membersChanged(s.listMembers())
+				}
+				begun := time.Now()
+				await := s.begin()
+				time.Sleep(lateBound)
+				f := s.refusalOf(s.ask("/guide/1"))
+				after := f.RetryAt.Sub(begun)
+				assert.GreaterOrEqual(t, after, x.after)
+				assert.LessOrEqual(t, after, x.after+retryDelaySpread)
+				s.setOthers(member.Member{ID: "i3-x"})
+				assert.Zero(t, s.refusalOf(s.ask("/guide/1")).RetryAt, "another instance serves already")
+				await()
+			})
+		})
+	}
+}
+
 // Guards against requests that came early in the stop of the last instance, waited for an
 // engine, and are passed on late although nothing is known of their duration.
 func TestWaitOfUnknownDurationEndsEarly(t *testing.T) {
