gateway: the test of a stop guards its list of instances

The race detector found that TestRefusedCallersReturnWhenAnInstanceServes replaces the list of live instances while the gateway reads it. The list is kept under the lock of the test's gateway now. go test -race ./process/gateway passes (one run of all, three of the tests of stops).

--- a/process/gateway/stopping_test.go
+++ b/process/gateway/stopping_test.go
@@ -37,6 +37,7 @@
 	sent   int
 	cut    int // attempts that ended before their answer was complete
 	cutIDs []string
+	alive  []member.Member
 	n      int
 }
 
@@ -60,15 +61,25 @@
 		Send: func(string, []byte) error { return nil },
 	}
 	s.setOthers(member.Member{ID: "i2-x"})
+	s.listMembers = s.living
 	s.Registered = func(context.Context) (mirror.Page, error) { return mirror.Page{}, nil }
 	s.requests, s.endRequests = context.WithCancel(t.Context())
 	s.Backend.Send = s.serve
 	return s
 }
 
+// setOthers sets which other instances live.
 func (s *stoppingGateway) setOthers(list ...member.Member) {
-	list = append(list, member.Member{ID: s.id})
-	s.listMembers = func() []member.Member { return list }
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.alive = append(list, member.Member{ID: s.id})
+}
+
+// living returns the live instances.
+func (s *stoppingGateway) living() []member.Member {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.alive
 }
 
 // serve is the Send function of the backend.
