gateway: a run is stopped before its request goes on elsewhere

Cause: the end of a connection was taken for the end of the run. Most engines drop a request when its channel closes, so some do not. The order that can stop a run was never sent so, and its answer "no such run" was an error like any other.

Ruled out: a race between the end of the run and the second send.

Now the engine before is ordered to stop its run first, for streams that go on from a copy and for new runs of streams that may be resumed, unless it has not run the request or counts as lost. The order brings the rest of the memory too. An order that another copy stands in the way of, or whose answer is lost, is repeated for 2 s; an engine that can't be reached is not waited for. No copy is begun at an engine that a run is leaving.

--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -120,14 +120,15 @@
 		Run  string // ID of the request
 		From roster.Endpoint
 		To   roster.Endpoint
+		Last bool // the engine stops the run first and closes its stream
 	}
 
 	// Moved is the answer to a Move.
 	Moved struct {
 		Signals
-		Handle string
-		Events int  // number of events produced when the copy was complete
-		Failed bool // the other engine has no room or cannot be reached
+		Handle string // may be empty if Failed is set, unless the run was stopped
+		Events int    // number of events produced when the copy was complete
+		Failed bool   // the other engine has no room or cannot be reached
 	}
 
 	// Backend holds the functions that communicate with endpoints. All fields
@@ -144,7 +145,9 @@
 		// connection can be opened is marked ErrUnreachable, and also ErrRefused if
 		// its host refused the connection.
 		Report func(ctx context.Context, e roster.Endpoint) (Report, error)
-		// Move copies a generation's memory. Free releases a copy, which is
+		// Move copies a generation's memory. Its error is marked ErrNoRun if the engine
+		// does not run the request, ErrMoveBusy if it makes another copy of the run, and
+		// ErrUnreachable like that of Report. Free releases a copy, which is
 		// identified by the engine it was made from and its handle.
 		Move func(ctx context.Context, m Move) (Moved, error)
 		Free func(ctx context.Context, from roster.Endpoint, handle string) (Signals, error)
--- a/process/gateway/generate.go
+++ b/process/gateway/generate.go
@@ -60,6 +60,7 @@
 		backup   *memoryCopy
 		events   int
 		ended    bool
+		moving   bool                    // it leaves endpoint for another engine
 		withdraw context.CancelCauseFunc // ends the current attempt
 	}
 
@@ -158,6 +159,7 @@
 		return nil, r.withdrawn(a)
 	}
 	if err != nil {
+		r.current.lost = isLost(attemptCtx)
 		return r.handleSendError(ctx, a, lossError(attemptCtx, refusal.From(err)))
 	}
 	r.g.checkAddress(a.endpoint, answer)
@@ -191,6 +193,7 @@
 	if isWithdrawn(attemptCtx) {
 		return nil, r.withdrawn(a)
 	}
+	r.current.lost = isLost(attemptCtx)
 	return r.handleBrokenStream(ctx, a, err, lossError(attemptCtx, streamRefusal(err)))
 }
 
@@ -199,7 +202,7 @@
 func (r *run) switchTo(a *attempt, withdraw context.CancelCauseFunc) {
 	r.mu.Lock()
 	old, tokens := r.ticket, r.events*r.engine.Stride
-	r.endpoint, r.ticket, r.withdraw = a.endpoint, a.ticket, withdraw
+	r.endpoint, r.ticket, r.withdraw, r.moving = a.endpoint, a.ticket, withdraw, false
 	r.mu.Unlock()
 	if a.memory != "" {
 		r.enginePool.sched.Adopt(a.ticket)
@@ -263,8 +266,7 @@
 		return r.retryElsewhere(ctx, a, f)
 	}
 	if ctx.Err() == nil {
-		if next := r.takeBackup(); next != nil {
-			r.hops++
+		if next := r.goOnFromCopy(ctx, a); next != nil {
 			return next, nil
 		}
 	}
@@ -328,13 +330,18 @@
 // rerun returns an attempt that runs the request again from the last event that
 // was passed on, if the route allows this.
 func (r *run) rerun(ctx context.Context, a *attempt, f *refusal.Error) (*attempt, error) {
-	if f.Outcome != refusal.NotRun || r.sends > 0 {
+	mayRun := f.Outcome != refusal.NotRun
+	if mayRun || r.sends > 0 {
 		f = refusal.New(f.Reason, refusal.Unknown, f.Detail)
 	}
 	if ctx.Err() != nil || !r.j.route.Resume || r.sends >= max(r.j.route.Attempts, 1) {
 		return nil, r.finalError(f)
 	}
-	return r.retryElsewhere(ctx, a, f)
+	next, err := r.retryElsewhere(ctx, a, f)
+	if next != nil && mayRun {
+		r.stopRun(ctx, a, next)
+	}
+	return next, err
 }
 
 // finalError returns the error that ends a request: a *CutError if a part of the
--- a/process/gateway/move.go
+++ b/process/gateway/move.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"maps"
 	"slices"
 	"sync"
@@ -160,7 +161,7 @@
 // engine or lost its copy while a call for the copy was in progress.
 func (r *run) copyAgain() {
 	r.mu.Lock()
-	exposed, at := !r.ended && r.backup == nil, r.endpoint
+	exposed, at := !r.ended && !r.moving && r.backup == nil, r.endpoint
 	r.mu.Unlock()
 	if exposed && (r.engine.Backups || r.leaves(at)) {
 		r.startCopy()
@@ -181,8 +182,11 @@
 		return
 	}
 	r.mu.Lock()
-	at := r.endpoint
+	at, moving := r.endpoint, r.moving
 	r.mu.Unlock()
+	if moving {
+		return
+	}
 	r.g.spawn(func() { r.g.protect(r, at) })
 }
 
@@ -276,7 +280,7 @@
 func (r *run) isAt(e roster.Endpoint) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return !r.ended && r.endpoint.ID == e.ID
+	return !r.ended && !r.moving && r.endpoint.ID == e.ID
 }
 
 // keepCopy makes a finished copy the copy of its run and starts renewing it. It
@@ -290,7 +294,7 @@
 	}
 	r.mu.Lock()
 	old, ended := r.backup, r.ended
-	wanted := !ended && r.endpoint.ID == from.ID && (old == nil || !old.isHeld(g) || r.enginePool.isDown(old.endpoint.ID))
+	wanted := !ended && !r.moving && r.endpoint.ID == from.ID && (old == nil || !old.isHeld(g) || r.enginePool.isDown(old.endpoint.ID))
 	if wanted {
 		r.backup = b
 	}
@@ -479,6 +483,18 @@
 	}
 }
 
+// goOnFromCopy returns the attempt that continues from the copy of the run after an
+// attempt that may still run at its engine, or nil if there is no copy.
+func (r *run) goOnFromCopy(ctx context.Context, a *attempt) *attempt {
+	next := r.takeBackup()
+	if next == nil {
+		return nil
+	}
+	r.hops++
+	r.stopRun(ctx, a, next)
+	return next
+}
+
 // usableCopy returns the run's copy, or nil if there is none, it is no longer held
 // or its engine is unreachable.
 func (r *run) usableCopy() *memoryCopy {
--- a/process/gateway/relay.go
+++ b/process/gateway/relay.go
@@ -157,8 +157,7 @@
 	if r.checkCrash(a, f) && !r.headWritten {
 		return nil, r.finalError(f) // it would probably crash the next engine as well
 	}
-	if next := r.takeBackup(); next != nil {
-		r.hops++
+	if next := r.goOnFromCopy(ctx, a); next != nil {
 		return next, nil
 	}
 	return r.rerun(ctx, a, f)
--- a/process/gateway/silence.go
+++ b/process/gateway/silence.go
@@ -186,6 +186,9 @@
 	})
 }
 
+// isLost reports whether an attempt was ended by its silenceWatch.
+func isLost(ctx context.Context) bool { return errors.IsAny(context.Cause(ctx), errSilent, errGone) }
+
 // lossError returns the error of an attempt that was ended by its silenceWatch, and
 // f for other attempts.
 func lossError(ctx context.Context, f *refusal.Error) *refusal.Error {
