entry: the last entry refuses calls that its stop would cut

Cause: checkStop took a call of unknown duration if no other entry lives, since nobody else could serve it. But a caller cannot learn the outcome of a call that was cut, and a refusal is true.

TestLastEntryCutsNoCalls failed before (connection closed, the client's second try refused). The case "last entry" of TestShortCallsAreServedInAStop asked for this exception, so it was wrong; in its place the last entry must serve calls of known duration and calls with a deadline before its end. go test -race ./process/entry passes.

--- a/process/entry/late_test.go
+++ b/process/entry/late_test.go
@@ -57,16 +57,36 @@
 	require.Equal(t, 1, runs(s, "own"))
 }
 
+// TestLastEntryCutsNoCalls guards against a call of unknown duration that the last entry
+// takes in its graceful stop because no other one can serve it, and cuts at the end.
+func TestLastEntryCutsNoCalls(t *testing.T) {
+	t.Parallel()
+	const limit = 3 * time.Second
+	s, work := startShort(t, 1, limit)
+	n := s.Nodes()[0]
+	work.Store(int64(2 * limit))
+	n.Stop()
+	time.Sleep(limit / 3)
+	status, _, text := post(t, n.Entry.Addr(), http.MethodPost, orders, "late", "Idempotency-Key", n.Entry.ID()+"."+uuid.Must(uuid.NewV7()).String())
+	assert.Equal(t, http.StatusServiceUnavailable, status, text)
+	f := refusal.Parse([]byte(text))
+	assert.Equal(t, refusal.Stopping, f.Reason)
+	assert.Equal(t, refusal.NotRun, f.Outcome)
+	<-n.Done
+	require.NoError(t, n.Err, "calls were cut")
+	require.Zero(t, runs(s, "late"))
+}
+
 // TestShortCallsAreServedInAStop guards against the refusal of calls that end before the
-// entry does: by what is known of them, by their deadline, or because there is no other
-// entry.
+// entry does, by what is known of them or by their deadline, also at the last entry.
 func TestShortCallsAreServedInAStop(t *testing.T) {
 	const limit = 5 * time.Second
 	for name, tt := range map[string]struct {
 		entries, before int
 		deadline        time.Duration
 	}{
-		"known": {2, 10, time.Minute}, "deadline": {2, 0, time.Second}, "last entry": {1, 0, time.Minute},
+		"known": {2, 10, time.Minute}, "deadline": {2, 0, time.Second},
+		"last entry, known": {1, 10, time.Minute}, "last entry, deadline": {1, 0, time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/process/entry/stop.go
+++ b/process/entry/stop.go
@@ -3,12 +3,10 @@
 import (
 	"context"
 	"fmt"
-	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/eelgrassdock/eelgrassdock/process/member"
 	"github.com/eelgrassdock/eelgrassdock/process/pace"
 	"github.com/eelgrassdock/eelgrassdock/request/refusal"
 )
@@ -45,8 +43,8 @@
 }
 
 // checkStop returns the refusal of a call that would probably be cut off by the graceful
-// stop of the entry, nil otherwise. If nothing is known of the call and no other entry
-// lives, it is not refused.
+// stop of the entry, nil otherwise. That no other entry lives is no reason to take it: its
+// caller can't learn the outcome of a call that is cut off.
 func (e *Entry) checkStop(key pace.Key, deadline time.Time) error {
 	limit := e.limit.Load()
 	if limit == nil || !deadline.After(*limit) {
@@ -60,10 +58,6 @@
 	if !now.Add(expectedFactor * expected).After(*limit) {
 		return nil
 	}
-	others := slices.ContainsFunc(e.members.Members(), func(m member.Member) bool { return m.ID != e.id && !m.Leaving })
-	if !known && !others {
-		return nil
-	}
 	return refusal.New(refusal.Stopping, refusal.NotRun, "entry is stopping; use another entry")
 }
 
