gateway: what comes late in a stop must end by its deadline

Callers of the last instance got 502 for plain requests that they had sent 3.0 to 3.5 s after its SIGTERM, among them such that may run once (LOST).

Cause: a request with an estimate was taken until the end, if nobody else could serve it. An estimate from recent requests does not bound the next one.

Now a request that comes later than 3 s after the signal, or 3 x keep if that is less, is sent only if its deadline is before the end. As the listeners close half a second later, it concerns that half second, at an instance that is the last one.

--- a/process/gateway/stopping.go
+++ b/process/gateway/stopping.go
@@ -17,11 +17,8 @@
 )
 
 const (
-	// unknownLimit is the time after the signal until which a request of unknown duration
-	// may be sent to an endpoint if no other instance can serve it. The platform excuses
-	// the cut of a request that its caller sent up to 3 s after the signal, which this
-	// process may notice late.
-	unknownLimit    = 2500 * time.Millisecond
+	cutExcuse       = 3 * time.Second        // after the signal; the platform excuses the cut of a request that was sent by then
+	noticeReserve   = 500 * time.Millisecond // part of cutExcuse, because the signal may be noticed late
 	lateStart       = 2 * time.Second        // for which an instance that has ended is expected back beyond the usual time
 	maxDeparture    = time.Minute            // for which the begin of another instance's stop is kept
 	waitReserve     = time.Second            // before the end of active requests; nothing is sent to an endpoint any more
@@ -58,9 +55,10 @@
 // latestSend returns the time until which a request may be sent to an endpoint although
 // this instance stops: as long as it will probably end in time, or has to because of its
 // deadline. If nothing is known of the time that it takes, another instance should serve
-// it. If there is none, it is sent until unknownLimit: a refusal tells its caller that it
-// has not run, a cut does not. Once a part of the answer was passed on, the caller can't
-// be told to use another instance.
+// it. If there is none, it is sent for as long as its cut would be excused. A request that
+// comes later is sent only if its deadline is before the end, because any other may take
+// longer than recent ones: a refusal tells its caller that it has not run, a cut does not.
+// Once a part of the answer was passed on, the caller can't be told to use another instance.
 func (g *Gateway) latestSend(s *stopping, j *job) time.Time {
 	latest := s.end.Add(-waitReserve)
 	if j.answering.Load() {
@@ -73,13 +71,16 @@
 	if deadline := j.deadlineOn(j.route); !deadline.After(s.end.Add(-deadlineReserve)) {
 		return latest // its caller gets an answer by then in any case
 	}
+	if j.Arrived.After(earlier(s.listed, s.begun.Add(cutExcuse))) {
+		return time.Time{}
+	}
 	switch expected, known := g.expectedTime(j); {
 	case known:
 		latest = earlier(latest, s.end.Add(-expectedFactor*expected))
 	case others:
 		return time.Time{}
 	default:
-		latest = earlier(latest, s.begun.Add(unknownLimit))
+		latest = earlier(latest, s.begun.Add(cutExcuse-noticeReserve))
 	}
 	return latest
 }
--- a/process/gateway/stopping_test.go
+++ b/process/gateway/stopping_test.go
@@ -390,7 +390,8 @@
 }
 
 // Guards against the cut of requests that were sent late in the stop of the last instance,
-// after it has answered none, few or many requests of their routes.
+// after it has answered none, few or many requests of their routes. Some take far longer than
+// all of these.
 func TestLateRequestsAtTheLastInstance(t *testing.T) {
 	for seed := range uint64(12) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
@@ -414,6 +415,9 @@
 				var wg sync.WaitGroup
 				for time.Since(begun) < testGrace*time.Second {
 					draw()
+					if random.IntN(4) == 0 {
+						s.set(testGrace*time.Second, 1)
+					}
 					path := paths[random.IntN(len(paths))]
 					if time.Since(begun) > lateBound {
 						late[fmt.Sprint("q", s.asked()+1)] = true
