soak: engines that work on, spoilt events, stops of all in turn

One engine in two now works on a run without its connection until it is done, its deadline has passed or it is ordered to stop. Engines spoil events of sound runs (Spoil), and all instances are stopped in turn (Turn), drawn apart so that other faults stay the same for a seed. A run at another engine counts as an overlap after 0.4 s, as the users' rule says, in place of 0.5 s.

--- a/internal/soak/endpoints.go
+++ b/internal/soak/endpoints.go
@@ -16,6 +16,7 @@
 	drainTime     = 4 * time.Second         // from the notice that a plain replica will leave to its end
 	rowTTL        = 1500 * time.Millisecond // until the row of a silent endpoint is deleted
 	faultShare    = 0.3                     // share of requests that a faulty endpoint mishandles
+	lastingSites  = 2                       // one engine in this many works on without its connection
 	plainDuration = 30 * time.Millisecond   // for one request at a plain replica
 )
 
@@ -65,6 +66,7 @@
 		SaysLeaving: p.s.ledger.SaysLeaving, SaysBusy: p.s.ledger.SaysBusy,
 		Ended: func(r fake.Run, whole bool) { p.s.ledger.Ended(r.Request, r.Endpoint, whole) }, Peer: p.s.endpointAt,
 	}
+	e.Spoils = func(r fake.Run) { p.s.ledger.Spoils(r.Request) }
 	e.Crashes = func(r fake.Run) { p.crashes(e, r) }
 	p.mu.Unlock()
 	e.Start(l)
@@ -186,6 +188,18 @@
 func (p *site) injectFaults(m fake.EndpointFaults, last time.Duration) {
 	e, _ := p.current()
 	p.s.ledger.Disturb(e.ID, time.Now().Add(last))
+	m.WorksOn = p.s.defaultFaults(p.n).WorksOn
+	e.SetFaults(m)
+	sleep.For(p.s.ctx, last)
+	e.SetFaults(p.s.defaultFaults(p.n))
+}
+
+// spoil makes the endpoint spoil events for a limited time, which is no disturbance: the
+// runs are sound.
+func (p *site) spoil(last time.Duration) {
+	e, _ := p.current()
+	m := p.s.defaultFaults(p.n)
+	m.Spoil = faultShare
 	e.SetFaults(m)
 	sleep.For(p.s.ctx, last)
 	e.SetFaults(p.s.defaultFaults(p.n))
@@ -210,7 +224,8 @@
 }
 
 // defaultFaults returns the faults that the n-th endpoint of a service has
-// throughout: none, unless a promise is violated on purpose.
+// throughout: none, unless a promise is violated on purpose. Some engines work on a run
+// without its connection, which is no fault.
 func (s *Soak) defaultFaults(n int) fake.EndpointFaults {
 	switch s.Sabotage {
 	case NotRun:
@@ -236,5 +251,5 @@
 	case Limits:
 		return fake.EndpointFaults{Limit: minLimit, LimitHidden: true}
 	}
-	return fake.EndpointFaults{}
+	return fake.EndpointFaults{WorksOn: s.Sabotage == "" && n%lastingSites == 0}
 }
--- a/internal/soak/hang.go
+++ b/internal/soak/hang.go
@@ -169,7 +169,7 @@
 func (l *Ledger) closeLosses() {
 	for _, x := range l.losses {
 		r := l.requests[x.id]
-		excused := len(r.worked) == 0
+		excused := len(r.worked) == 0 || r.spoilt
 		for endpoint := range r.worked {
 			_, left := l.leaving[endpoint]
 			excused = excused || left || x.at.Sub(x.disturbed[endpoint]) <= settleTime
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -10,6 +10,8 @@
 	"github.com/eelgrassdock/eelgrassdock/platform/fake"
 )
 
+const turnGap = 500 * time.Millisecond // between two stops of a Turn
+
 // inject injects one fault, and for most kinds ends it after f.Last.
 func (s *Soak) inject(f Fault) {
 	i := s.instances[f.Target%len(s.instances)]
@@ -34,6 +36,8 @@
 		s.stallAll(until)
 	case Stop:
 		s.stopAndRestart(f, i)
+	case Turn:
+		s.stopInTurn(f)
 	case Hup:
 		s.ledger.Plan(i.name, time.Now())
 		if err := i.changeSettings(f.Target%2 == 0); err != nil {
@@ -82,6 +86,8 @@
 		p.injectFaults(fake.EndpointFaults{Fail: faultShare, Refuse: faultShare}, f.Last)
 	case Garble:
 		p.injectFaults(fake.EndpointFaults{Cut: faultShare, Stray: faultShare}, f.Last)
+	case Spoil:
+		p.spoil(f.Last)
 	case Drop:
 		p.injectFaults(fake.EndpointFaults{Lose: faultShare}, f.Last)
 	case Restore:
@@ -105,6 +111,18 @@
 	}
 }
 
+// stopInTurn stops all instances gracefully, one after the other, and starts each again
+// when it has ended. For some seconds none lives that is not stopping.
+func (s *Soak) stopInTurn(f Fault) {
+	var all conc.WaitGroup
+	defer all.Wait()
+	for n := range s.instances {
+		target := n + len(s.instances)*(f.Target%2) // selects the requests of askLate
+		all.Go(func() { s.stopAndRestart(Fault{Kind: Stop, Target: target}, s.instances[n]) })
+		sleep.For(s.ctx, turnGap)
+	}
+}
+
 // stopAndRestart stops an instance gracefully, checks that it ends in time, and
 // starts it again.
 func (s *Soak) stopAndRestart(f Fault, i *instance) {
--- a/internal/soak/late.go
+++ b/internal/soak/late.go
@@ -131,7 +131,7 @@
 	defer l.mu.Unlock()
 	l.initMaps()
 	r := l.requests[id]
-	excused := len(r.worked) == 0 || !l.undisturbed(r.instance, at)
+	excused := len(r.worked) == 0 || r.spoilt || !l.undisturbed(r.instance, at)
 	excused = excused || r.sent.Sub(stopped) <= lateBound && at.Sub(stopped) >= total-total/lateShare
 	calm := map[string]time.Duration{} // since the latest disturbance of each endpoint that worked on it
 	for endpoint := range r.worked {
--- a/internal/soak/late_test.go
+++ b/internal/soak/late_test.go
@@ -28,6 +28,18 @@
 	}
 }
 
+// Guards against requests that are cut at the end of a planned stop while all instances stop
+// in turn, so that no other one can serve them.
+func TestSoakStopsInTurn(t *testing.T) {
+	s := Soak{
+		Binary: build(t), Dir: t.TempDir(), Seed: 3, Duration: 36 * time.Second, Instances: 5,
+		Faults: []Fault{{Kind: Turn, After: quietStart, Target: 2}, {Kind: Turn, After: quietStart + turnTime, Target: 4}},
+	}
+	sum, err := s.Run(context.Background())
+	requireKept(t, &s, sum, err)
+	require.Positive(t, sum.Checks[Planned])
+}
+
 // Guards against a check that excuses all that a planned stop cuts, or nothing.
 func TestLedgerCountsLateRequests(t *testing.T) {
 	stopped := time.Now()
@@ -45,6 +57,7 @@
 		"endpoint leaves": {3300 * time.Millisecond, end, true, func(l *Ledger) { l.Leaves("d", stopped) }, false},
 		"endpoint fails":  {3300 * time.Millisecond, end, true, func(l *Ledger) { l.Disturb("d", stopped.Add(4*time.Second)) }, false},
 		"instance killed": {3300 * time.Millisecond, end, true, func(l *Ledger) { l.Disturb("i1", stopped.Add(end)) }, false},
+		"spoilt":          {3300 * time.Millisecond, end, true, func(l *Ledger) { l.Spoils("q") }, false},
 		"run ended":       {3300 * time.Millisecond, end, true, func(l *Ledger) { l.Ended("q", "d", false) }, true},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -44,7 +44,8 @@
 	budgetRatio  = 0.2             // repeated runs per request
 	budgetWindow = 10 * time.Second
 	budgetSlack  = 52
-	maxOverlap   = 500 * time.Millisecond // time for an engine to notice that its reader has disconnected
+	maxOverlap   = 500 * time.Millisecond // time for a replica to notice that its reader has disconnected
+	engineBound  = 400 * time.Millisecond // from the begin of a run at another engine until the one before has ended
 	limitContact = 4 * time.Second        // from the first answer with a limit until it applies
 	limitWindow  = 4 * time.Second
 	limitFactor  = 1.5
@@ -110,6 +111,7 @@
 		worked      map[string]bool      // endpoints that have worked on the request
 		completed   bool                 // an endpoint produced the complete answer
 		interrupted bool                 // an endpoint ended the run early
+		spoilt      bool                 // an endpoint has spoilt a part of the answer
 	}
 )
 
@@ -285,7 +287,11 @@
 	}
 	for other, since := range r.active {
 		if l.undisturbed(other, at) && l.undisturbed(r.instance, at) {
-			time.AfterFunc(maxOverlap, func() { l.checkTakeover(id, other, endpoint, since) })
+			bound := maxOverlap
+			if r.service == fake.EngineService {
+				bound = engineBound
+			}
+			time.AfterFunc(bound, func() { l.checkTakeover(id, other, endpoint, since) })
 		}
 	}
 	r.active[endpoint], r.worked[endpoint] = at, true
@@ -329,6 +335,17 @@
 	}
 }
 
+// Spoils records that an endpoint spoils a part of the answer to a request, which then need
+// not be whole.
+func (l *Ledger) Spoils(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.initMaps()
+	if r := l.requests[id]; r != nil {
+		r.spoilt = true
+	}
+}
+
 // Refused records an answer that promises that the request has not run and
 // never will.
 func (l *Ledger) Refused(id string) {
@@ -352,7 +369,7 @@
 	defer l.mu.Unlock()
 	l.initMaps()
 	r, now := l.requests[id], time.Now()
-	lost := r.starts > 0 && (r.completed || len(r.active) > 0) && !r.interrupted && l.undisturbed(r.instance, now)
+	lost := r.starts > 0 && !r.spoilt && (r.completed || len(r.active) > 0) && !r.interrupted && l.undisturbed(r.instance, now)
 	for endpoint := range r.worked {
 		lost = lost && l.undisturbed(endpoint, now)
 	}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -37,6 +37,8 @@
 	Overload   = "overload"   // all endpoints of one service turn requests away at once
 	Flood      = "flood"      // callers send many different requests that crash endpoints
 	Outage     = "outage"     // all endpoints of one place crash at once
+	Spoil      = "spoil"      // an engine spoils events of streams whose runs are sound
+	Turn       = "turn"       // all instances are stopped in turn and started again
 )
 
 const (
@@ -51,6 +53,10 @@
 	minLong     = 8 * time.Second // shortest duration of one
 	maxLong     = 14 * time.Second
 	longStream  = 21 // second half of the seed of longKinds
+
+	meanSoundGap = 3 * time.Second  // between the faults of soundKinds
+	soundStream  = 41               // second half of the seed of soundKinds
+	turnTime     = 16 * time.Second // from the first stop of a Turn until all instances serve again
 )
 
 // Kinds of faults to draw from; a kind that is listed n times is n times as
@@ -70,6 +76,8 @@
 	}
 	// longKinds are drawn apart from the others, so that these stay the same for a seed.
 	longKinds = []string{Limit, Restore}
+	// soundKinds are drawn apart too. They are no disturbance: no promise is excused.
+	soundKinds = []string{Spoil, Spoil, Spoil, Turn}
 )
 
 // Fault is one planned fault.
@@ -88,7 +96,7 @@
 // Plan returns the faults of a Soak. They depend only on the seed and the
 // duration.
 func Plan(seed uint64, total time.Duration) []Fault {
-	plan := append(drawPlan(seed, total, mildKinds, allKinds), drawLong(seed, total)...)
+	plan := slices.Concat(drawPlan(seed, total, mildKinds, allKinds), drawLong(seed, total), drawSound(seed, total))
 	slices.SortStableFunc(plan, func(a, b Fault) int { return int(a.After - b.After) })
 	return plan
 }
@@ -105,6 +113,22 @@
 	return slices.DeleteFunc(plan, func(f Fault) bool { return f.After+f.Last > total-quietEnd })
 }
 
+// drawSound draws random faults of soundKinds.
+func drawSound(seed uint64, total time.Duration) (plan []Fault) {
+	random := rand.New(rand.NewPCG(seed, soundStream))
+	for at := quietStart; at < total-quietEnd; at += time.Duration(random.ExpFloat64() * float64(meanSoundGap)) {
+		f := Fault{
+			Kind: soundKinds[random.IntN(len(soundKinds))], After: at, Target: random.IntN(1 << 16),
+			Last: minFault + time.Duration(random.Int64N(int64(maxFault-minFault))),
+		}
+		if f.Kind == Turn {
+			f.Last = turnTime
+		}
+		plan = append(plan, f)
+	}
+	return slices.DeleteFunc(plan, func(f Fault) bool { return f.After+f.Last > total-quietEnd })
+}
+
 // EntryPlan returns the faults of an Entries soak. They depend only on the seed
 // and the duration.
 func EntryPlan(seed uint64, total time.Duration) []Fault {
