gateway: the order to stop a run is repeated at longer intervals

An engine that turns the order away without a time to come back got it each 50 ms for 2 s, 40 new connections for one stream. The pause doubles now: six orders at the most.

--- a/process/gateway/stoprun.go
+++ b/process/gateway/stoprun.go
@@ -13,7 +13,7 @@
 
 const (
 	stopRunLimit = copyLimit             // for the order that stops a run; the caller waits for it
-	stopRunPause = 50 * time.Millisecond // before the order is sent again
+	stopRunPause = 50 * time.Millisecond // before the order is sent again; doubles each time
 )
 
 var (
@@ -42,9 +42,9 @@
 	defer cancel()
 	var moved Moved
 	var err error
-	for {
+	for pause := stopRunPause; ; pause *= 2 {
 		moved, err = r.orderStop(ctx, a.endpoint, next.endpoint, begun.Add(stopRunLimit))
-		if isStopped(moved, err) || errors.IsAny(err, ErrNoRun, ErrUnreachable, errLimited) || !sleep.For(ctx, stopRunPause) {
+		if isStopped(moved, err) || errors.IsAny(err, ErrNoRun, ErrUnreachable, errLimited) || !sleep.For(ctx, pause) {
 			break
 		}
 	}
