gateway: streams that their engines have closed don't wait for the order

Cause: each stream that went on elsewhere waited for the order that stops its run, also where the engine had ended.

Now a request goes on at once if the engine has closed the connection itself, and the order follows beside it, with another destination for the copy, which is freed. Only where this instance has ended the connection because of what it received does the request wait: such an engine is sound. Ruled out: to send no order after a notice or a reset; an engine may cut an answer and work on, also then.

--- a/process/gateway/generate.go
+++ b/process/gateway/generate.go
@@ -193,7 +193,7 @@
 	if isWithdrawn(attemptCtx) {
 		return nil, r.withdrawn(a)
 	}
-	r.current.lost = isLost(attemptCtx)
+	r.current.lost, r.current.closed = isLost(attemptCtx), isClosed(err)
 	return r.handleBrokenStream(ctx, a, err, lossError(attemptCtx, streamRefusal(err)))
 }
 
--- a/process/gateway/quarantine.go
+++ b/process/gateway/quarantine.go
@@ -28,6 +28,7 @@
 	since     time.Time // when the attempt was sent, or its head received
 	answering bool      // the engine has sent the head of its answer
 	passed    bool      // an event was passed on
+	closed    bool      // the engine has closed its connection
 	lost      bool      // it was ended because the engine has ended or does not answer
 }
 
--- a/process/gateway/stoprun.go
+++ b/process/gateway/stoprun.go
@@ -2,6 +2,10 @@
 
 import (
 	"context"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -31,19 +35,58 @@
 //
 // An engine that has ended, does not run the request any more or can't be reached does not
 // hold the request up. One that is reached and does not confirm the order does, for
-// stopRunLimit at most.
+// stopRunLimit at most. An engine that has closed the connection itself has mostly ended,
+// so the request goes on beside the order, which takes far less time than two engines may
+// work on a request.
 func (r *run) stopRun(ctx context.Context, a, next *attempt) {
 	if !r.engine.Moves || r.current.lost {
 		return
 	}
+	if r.current.closed {
+		// A copy that is in use is not added to.
+		to := r.g.anyOther(r.j.service, a.endpoint, next.endpoint)
+		r.g.spawn(func() { r.stopBehind(a, to) })
+		return
+	}
 	r.setMoving()
+	moved, err := r.repeatStop(ctx, a, next.endpoint, r.copying.Load)
+	if isStopped(moved, err) && !moved.Failed {
+		next.memory, next.after, next.begun = r.g.Backend.Handle(a.endpoint, moved.Handle), r.resumePoint(), time.Now()
+	}
+}
+
+// stopBehind stops the run of an attempt that the request has left, and frees the copy of
+// its memory that comes with the order.
+func (r *run) stopBehind(a *attempt, to roster.Endpoint) {
+	moved, err := r.repeatStop(r.g.base, a, to, func() bool { return false })
+	if isStopped(moved, err) {
+		r.g.freeCopy(a.endpoint, moved.Handle)
+	}
+}
+
+// anyOther returns an endpoint of a service that is not leaving and is neither of two,
+// the second of these if there is none.
+func (g *Gateway) anyOther(service string, first, second roster.Endpoint) roster.Endpoint {
+	list := slices.DeleteFunc(slices.Clone(g.Roster.List(service)), func(e roster.Endpoint) bool {
+		return e.Leaving || e.ID == first.ID || e.ID == second.ID
+	})
+	if len(list) == 0 {
+		return second
+	}
+	return list[rand.IntN(len(list))]
+}
+
+// repeatStop orders the engine of an attempt to stop its run and to copy its memory, again
+// until it is known whether the engine runs the request. No order is sent while the run is
+// busy: the engine would refuse it.
+func (r *run) repeatStop(ctx context.Context, a *attempt, to roster.Endpoint, busy func() bool) (moved Moved, err error) {
 	begun := time.Now()
 	ctx, cancel := r.g.Stalls.WithTimeout(ctx, stopRunLimit)
 	defer cancel()
-	var moved Moved
-	var err error
 	for pause := stopRunPause; ; pause *= 2 {
-		moved, err = r.orderStop(ctx, a.endpoint, next.endpoint, begun.Add(stopRunLimit))
+		for busy() && sleep.For(ctx, stopRunPause) {
+		}
+		moved, err = r.orderStop(ctx, a.endpoint, to, begun.Add(stopRunLimit))
 		if isStopped(moved, err) || errors.IsAny(err, ErrNoRun, ErrUnreachable, errLimited) || !sleep.For(ctx, pause) {
 			break
 		}
@@ -54,28 +97,18 @@
 	case !errors.IsAny(err, ErrNoRun, ErrUnreachable):
 		counters.Add("runs_not_stopped", 1)
 	}
-	copied := isStopped(moved, err) && !moved.Failed
-	if copied {
-		next.memory, next.after, next.begun = r.g.Backend.Handle(a.endpoint, moved.Handle), r.resumePoint(), time.Now()
-	}
 	r.logAttempt("stop_ordered", a, logrus.Fields{
-		"to": next.endpoint.ID, "stopped": isStopped(moved, err), "copied": copied, "events": moved.Events,
+		"to": to.ID, "stopped": isStopped(moved, err), "copied": isStopped(moved, err) && !moved.Failed, "events": moved.Events,
 		"took": time.Since(begun).Milliseconds(), "detail": errorText(err),
 	})
+	return moved, err
 }
 
 // isStopped reports whether an engine has confirmed the order to stop a run. It names a
 // handle also if the copy failed.
 func isStopped(moved Moved, err error) bool { return err == nil && moved.Handle != "" }
 
-// orderStop orders an engine to stop the run and to copy its memory. An order is not
-// sent while another copy of the run is being made, because the engine would refuse it.
 func (r *run) orderStop(ctx context.Context, from, to roster.Endpoint, until time.Time) (Moved, error) {
-	for r.copying.Load() {
-		if !sleep.For(ctx, stopRunPause) {
-			return Moved{}, ErrMoveBusy
-		}
-	}
 	if !r.g.limits.Wait(ctx, from.ID, until) {
 		return Moved{}, errLimited
 	}
@@ -84,6 +117,12 @@
 	return moved, err
 }
 
+// isClosed reports whether the error of an answer shows that the engine has ended it, and not
+// this instance because of what it sent.
+func isClosed(err error) bool {
+	return errors.IsAny(err, errNoEvents, io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET)
+}
+
 // setMoving records that the run leaves its engine: it is no longer copied there.
 func (r *run) setMoving() {
 	r.mu.Lock()
