gateway: the begin of a long stop is not forgotten

Where the grace time is longer, the stop then counted as begun anew, and callers of a last instance were told to return too late. It is kept now for as long as that instance is listed as stopping or is still expected back. TestDeparturesOfInstances failed before (the begin was gone after two minutes).

--- a/process/gateway/stopping.go
+++ b/process/gateway/stopping.go
@@ -19,8 +19,7 @@
 const (
 	cutExcuse       = 3 * time.Second        // after the signal; the platform excuses the cut of a request that was sent by then
 	noticeReserve   = 500 * time.Millisecond // part of cutExcuse, because the signal may be noticed late
-	lateStart       = 2 * time.Second        // for which an instance that has ended is expected back beyond the usual time
-	maxDeparture    = time.Minute            // for which the begin of another instance's stop is kept
+	lateStart       = 2 * time.Second        // for which a stopped instance is expected back beyond the usual time
 	waitReserve     = time.Second            // before the end of active requests; nothing is sent to an endpoint any more
 	deadlineReserve = 100 * time.Millisecond // for the answer to a request whose deadline has passed
 	expectedShare   = 0.99                   // quantile of the recent times that a request is expected to take
@@ -201,33 +200,42 @@
 func (g *Gateway) noteLeaving(list []member.Member, now time.Time) {
 	g.departures.mu.Lock()
 	defer g.departures.mu.Unlock()
-	for _, m := range list {
-		if _, known := g.departures.begun[m.ID]; m.Leaving && !known {
-			if g.departures.begun == nil {
-				g.departures.begun = map[string]time.Time{}
-			}
-			g.departures.begun[m.ID] = now
+	before := g.departures.begun
+	g.departures.begun = map[string]time.Time{}
+	for id, begun := range before {
+		if g.isAwaited(begun, now) {
+			g.departures.begun[id] = begun
 		}
 	}
-	for id, begun := range g.departures.begun {
-		if now.Sub(begun) > maxDeparture {
-			delete(g.departures.begun, id)
+	for _, m := range list {
+		if begun, known := before[m.ID]; m.Leaving && known {
+			g.departures.begun[m.ID] = begun
+		} else if m.Leaving {
+			g.departures.begun[m.ID] = now
 		}
 	}
 }
 
+// returnAt returns when an instance that began to stop at a time is expected to serve
+// again: the platform starts it again, and it takes as long as this one to get ready.
+func (g *Gateway) returnAt(begun time.Time) time.Time {
+	return begun.Add(seconds(g.currentSettings().Grace) + time.Duration(g.readyAfter.Load())*time.Millisecond)
+}
+
+// isAwaited reports whether an instance that began to stop at a time may still be expected.
+func (g *Gateway) isAwaited(begun, now time.Time) bool { return now.Sub(g.returnAt(begun)) < lateStart }
+
 // serveTime returns when a caller may return if all instances are stopping: when the
 // first of them will have ended and started again, as far as is known.
 func (g *Gateway) serveTime(now time.Time) time.Time {
-	took := seconds(g.currentSettings().Grace) + time.Duration(g.readyAfter.Load())*time.Millisecond
 	var first time.Time
 	if s := g.stopping.Load(); s != nil {
-		first = s.begun.Add(took)
+		first = g.returnAt(s.begun)
 	}
 	g.departures.mu.Lock()
 	for _, begun := range g.departures.begun {
-		if at := begun.Add(took); now.Sub(at) < lateStart {
-			first = earlier(first, at)
+		if g.isAwaited(begun, now) {
+			first = earlier(first, g.returnAt(begun))
 		}
 	}
 	g.departures.mu.Unlock()
--- a/process/gateway/stopping_test.go
+++ b/process/gateway/stopping_test.go
@@ -369,6 +369,21 @@
 	}
 }
 
+// Guards against a stop that counts as begun anew, or is kept for ever, where instances stop
+// for longer than usual.
+func TestDeparturesOfInstances(t *testing.T) {
+	w := newTestGateway(t)
+	w.Settings.Grace = 300
+	begun := time.Now()
+	list := []member.Member{{ID: "i2-x", Leaving: true}, {ID: "i3-x"}}
+	for after := time.Duration(0); after < 10*time.Minute; after += time.Minute {
+		w.noteLeaving(list, begun.Add(after))
+		require.Equal(t, map[string]time.Time{"i2-x": begun}, w.departures.begun)
+	}
+	w.noteLeaving(nil, begun.Add(10*time.Minute))
+	require.Empty(t, w.departures.begun)
+}
+
 // Guards against requests that came early in the stop of the last instance, waited for an
 // engine, and are passed on late although nothing is known of their duration.
 func TestWaitOfUnknownDurationEndsEarly(t *testing.T) {
