ratelimit: a grant that is due takes no timer

A grant that is due at once now returns without a timer, which it hardly ever needs. Other selects on expired timers remain (internal/sleep with a time that has passed).

--- a/process/ratelimit/ratelimit.go
+++ b/process/ratelimit/ratelimit.go
@@ -372,6 +372,21 @@
 		if !ok {
 			return false
 		}
+		// The race detector crashes on a select with a timer that has expired in a synctest
+		// bubble. Most grants are due at once.
+		if !time.Now().Before(at) {
+			if ctx.Err() != nil {
+				l.cancel(endpoint, at)
+				return false
+			}
+			select {
+			case <-changed:
+				continue
+			default:
+			}
+			l.count(endpoint)
+			return true
+		}
 		timer := time.NewTimer(time.Until(at))
 		select {
 		case <-timer.C:
--- a/process/ratelimit/ratelimit_test.go
+++ b/process/ratelimit/ratelimit_test.go
@@ -221,3 +221,13 @@
 	l.Unnamed(again, late, late)
 	require.False(t, l.Limited("e"))
 }
+
+// Guards against a grant for a request that has ended already.
+func TestGrantThatIsDueEndsWithItsRequest(t *testing.T) {
+	var l Limiter
+	ctx, cancel := context.WithCancel(t.Context())
+	until := time.Now().Add(time.Minute)
+	require.True(t, l.Wait(ctx, "e", until))
+	cancel()
+	require.False(t, l.Wait(ctx, "e", until))
+}
