--- a/process/ratelimit/ratelimit.go
+++ b/process/ratelimit/ratelimit.go
@@ -374,36 +374,26 @@
 		}
 		// The race detector crashes on a select with a timer that has expired in a synctest
 		// bubble. Most grants are due at once.
-		if !time.Now().Before(at) {
-			if ctx.Err() != nil {
-				l.cancel(endpoint, at)
-				return false
-			}
+		if d := time.Until(at); d > 0 {
+			timer := time.NewTimer(d)
 			select {
+			case <-timer.C:
 			case <-changed:
-				continue
-			default:
+				timer.Stop()
+			case <-ctx.Done():
+				timer.Stop()
+				l.cancel(endpoint, at)
+				return false
 			}
-			l.count(endpoint)
-			return true
+		} else if ctx.Err() != nil {
+			l.cancel(endpoint, at)
+			return false
 		}
-		timer := time.NewTimer(time.Until(at))
 		select {
-		case <-timer.C:
-			select {
-			case <-changed:
-				continue
-			default:
-			}
+		case <-changed: // the place in the order was one of the previous rate
+		default:
 			l.count(endpoint)
 			return true
-		case <-changed:
-			// The place in the order was one of the previous rate.
-			timer.Stop()
-		case <-ctx.Done():
-			timer.Stop()
-			l.cancel(endpoint, at)
-			return false
 		}
 	}
 }
