soak: one function draws the faults that are drawn apart

drawSound was drawLong with other figures, spoil was injectFaults without the disturbance. The figures are data now, and both ways hold the faults of an endpoint by one function.

--- a/internal/soak/endpoints.go
+++ b/internal/soak/endpoints.go
@@ -189,9 +189,7 @@
 	e, _ := p.current()
 	p.s.ledger.Disturb(e.ID, time.Now().Add(last))
 	m.WorksOn = p.s.defaultFaults(p.n).WorksOn
-	e.SetFaults(m)
-	sleep.For(p.s.ctx, last)
-	e.SetFaults(p.s.defaultFaults(p.n))
+	p.holdFaults(e, m, last)
 }
 
 // spoil makes the endpoint spoil events for a limited time, which is no disturbance: the
@@ -200,6 +198,11 @@
 	e, _ := p.current()
 	m := p.s.defaultFaults(p.n)
 	m.Spoil = faultShare
+	p.holdFaults(e, m, last)
+}
+
+// holdFaults sets faults of an endpoint of the site, and its default ones after a time.
+func (p *site) holdFaults(e *fake.Endpoint, m fake.EndpointFaults, last time.Duration) {
 	e.SetFaults(m)
 	sleep.For(p.s.ctx, last)
 	e.SetFaults(p.s.defaultFaults(p.n))
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -49,14 +49,7 @@
 	minFault     = 300 * time.Millisecond // shortest duration of a fault
 	maxFault     = 4 * time.Second        // longest duration of a fault
 
-	meanLongGap = 6 * time.Second // between the faults of longKinds
-	minLong     = 8 * time.Second // shortest duration of one
-	maxLong     = 14 * time.Second
-	longStream  = 21 // second half of the seed of longKinds
-
-	meanSoundGap = 3 * time.Second  // between the faults of soundKinds
-	soundStream  = 41               // second half of the seed of soundKinds
-	turnTime     = 16 * time.Second // from the first stop of a Turn until all instances serve again
+	turnTime = 16 * time.Second // from the first stop of a Turn until all instances serve again
 )
 
 // Kinds of faults to draw from; a kind that is listed n times is n times as
@@ -74,52 +67,54 @@
 	entryKinds = []string{
 		Kill, Kill, Pause, Stop, Stop, Herd, Refuse, Lose, Slow, Garble, Garble, Garble, Crash, Crash, Grey, Grey, Drop, Drop, Reclaim, Reclaim,
 	}
-	// longKinds are drawn apart from the others, so that these stay the same for a seed.
-	longKinds = []string{Limit, Restore}
-	// soundKinds are drawn apart too. They are no disturbance: no promise is excused.
-	soundKinds = []string{Spoil, Spoil, Spoil, Turn}
+	longFaults = apart{
+		kinds: []string{Limit, Restore}, stream: 21, meanGap: 6 * time.Second, shortest: 8 * time.Second, longest: 14 * time.Second,
+	}
+	// soundFaults are no disturbance: no promise is excused.
+	soundFaults = apart{
+		kinds: []string{Spoil, Spoil, Spoil, Turn}, stream: 41, meanGap: 3 * time.Second, shortest: minFault, longest: maxFault,
+	}
 )
 
-// Fault is one planned fault.
-type Fault struct {
-	Kind string `json:"kind"`
-	// After is the time from the start of the soak to the fault, Last its
-	// duration.
-	After time.Duration `json:"after"`
-	Last  time.Duration `json:"last"`
-	// Target selects an instance or endpoint by index, Harm the fault of a
-	// link.
-	Target int    `json:"target"`
-	Harm   string `json:"harm,omitempty"`
-}
+type (
+	// Fault is one planned fault.
+	Fault struct {
+		Kind string `json:"kind"`
+		// After is the time from the start of the soak to the fault, Last its
+		// duration.
+		After time.Duration `json:"after"`
+		Last  time.Duration `json:"last"`
+		// Target selects an instance or endpoint by index, Harm the fault of a
+		// link.
+		Target int    `json:"target"`
+		Harm   string `json:"harm,omitempty"`
+	}
+
+	// apart describes faults that are drawn apart from the others, so that these stay the same
+	// for a seed.
+	apart struct {
+		kinds             []string
+		stream            uint64        // second half of the seed
+		meanGap           time.Duration // between two of them
+		shortest, longest time.Duration
+	}
+)
 
 // Plan returns the faults of a Soak. They depend only on the seed and the
 // duration.
 func Plan(seed uint64, total time.Duration) []Fault {
-	plan := slices.Concat(drawPlan(seed, total, mildKinds, allKinds), drawLong(seed, total), drawSound(seed, total))
+	plan := slices.Concat(drawPlan(seed, total, mildKinds, allKinds), longFaults.draw(seed, total), soundFaults.draw(seed, total))
 	slices.SortStableFunc(plan, func(a, b Fault) int { return int(a.After - b.After) })
 	return plan
 }
 
-// drawLong draws random faults of longKinds.
-func drawLong(seed uint64, total time.Duration) (plan []Fault) {
-	random := rand.New(rand.NewPCG(seed, longStream))
-	for at := quietStart; at < total-quietEnd; at += time.Duration(random.ExpFloat64() * float64(meanLongGap)) {
-		plan = append(plan, Fault{
-			Kind: longKinds[random.IntN(len(longKinds))], After: at, Target: random.IntN(1 << 16),
-			Last: minLong + time.Duration(random.Int64N(int64(maxLong-minLong))),
-		})
-	}
-	return slices.DeleteFunc(plan, func(f Fault) bool { return f.After+f.Last > total-quietEnd })
-}
-
-// drawSound draws random faults of soundKinds.
-func drawSound(seed uint64, total time.Duration) (plan []Fault) {
-	random := rand.New(rand.NewPCG(seed, soundStream))
-	for at := quietStart; at < total-quietEnd; at += time.Duration(random.ExpFloat64() * float64(meanSoundGap)) {
+// draw draws random faults of the kinds.
+func (x apart) draw(seed uint64, total time.Duration) (plan []Fault) {
+	random := rand.New(rand.NewPCG(seed, x.stream))
+	for at := quietStart; at < total-quietEnd; at += time.Duration(random.ExpFloat64() * float64(x.meanGap)) {
 		f := Fault{
-			Kind: soundKinds[random.IntN(len(soundKinds))], After: at, Target: random.IntN(1 << 16),
-			Last: minFault + time.Duration(random.Int64N(int64(maxFault-minFault))),
+			Kind: x.kinds[random.IntN(len(x.kinds))], After: at, Target: random.IntN(1 << 16),
+			Last: x.shortest + time.Duration(random.Int64N(int64(x.longest-x.shortest))),
 		}
 		if f.Kind == Turn {
 			f.Last = turnTime
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -38,7 +38,7 @@
 			kinds[f.Kind] = true
 		}
 	}
-	for _, kind := range slices.Concat(allKinds, longKinds, soundKinds) {
+	for _, kind := range slices.Concat(allKinds, longFaults.kinds, soundFaults.kinds) {
 		require.True(t, kinds[kind], kind)
 	}
 }
@@ -263,7 +263,7 @@
 		at += 2 * minFault
 	}
 	const copyAge = 4 // seconds, so that the copy has none of these changes
-	plan = append(plan, Fault{Kind: Restore, After: at, Last: minLong, Target: copyAge}, Fault{Kind: Withdraw, After: at + 4*time.Second, Last: minFault})
+	plan = append(plan, Fault{Kind: Restore, After: at, Last: longFaults.shortest, Target: copyAge}, Fault{Kind: Withdraw, After: at + 4*time.Second, Last: minFault})
 	s := Soak{Binary: build(t), Dir: t.TempDir(), Seed: 21, Duration: at + 12*time.Second, Instances: 5, Faults: plan}
 	sum, err := s.Run(context.Background())
 	requireKept(t, &s, sum, err)
