--- a/process/gateway/move.go
+++ b/process/gateway/move.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"context"
 	"maps"
 	"slices"
 	"sync"
@@ -161,7 +160,7 @@
 // engine or lost its copy while a call for the copy was in progress.
 func (r *run) copyAgain() {
 	r.mu.Lock()
-	exposed, at := !r.ended && !r.moving && r.backup == nil, r.endpoint
+	exposed, at := !r.ended && r.backup == nil, r.endpoint
 	r.mu.Unlock()
 	if exposed && (r.engine.Backups || r.leaves(at)) {
 		r.startCopy()
@@ -176,7 +175,7 @@
 }
 
 // startCopy starts copying the memory of a run, unless its engine does not
-// support it or its route allows a repetition.
+// support it, its route allows a repetition or it is leaving its engine.
 func (r *run) startCopy() {
 	if !r.engine.Moves || r.j.route.Repeatable() {
 		return
@@ -483,18 +482,6 @@
 	}
 }
 
-// goOnFromCopy returns the attempt that continues from the copy of the run after an
-// attempt that may still run at its engine, or nil if there is no copy.
-func (r *run) goOnFromCopy(ctx context.Context, a *attempt) *attempt {
-	next := r.takeBackup()
-	if next == nil {
-		return nil
-	}
-	r.hops++
-	r.stopRun(ctx, a, next)
-	return next
-}
-
 // usableCopy returns the run's copy, or nil if there is none, it is no longer held
 // or its engine is unreachable.
 func (r *run) usableCopy() *memoryCopy {
--- a/process/gateway/stoprun.go
+++ b/process/gateway/stoprun.go
@@ -28,6 +28,18 @@
 	ErrMoveBusy = errors.New("another copy of the run is being made")
 )
 
+// goOnFromCopy returns the attempt that continues from the copy of the run after an
+// attempt that may still run at its engine, or nil if there is no copy.
+func (r *run) goOnFromCopy(ctx context.Context, a *attempt) *attempt {
+	next := r.takeBackup()
+	if next == nil {
+		return nil
+	}
+	r.hops++
+	r.stopRun(ctx, a, next)
+	return next
+}
+
 // stopRun stops the run of an attempt before the request goes on with the next one. The
 // end of its connection does not show that it has ended: an engine may go on without one.
 // The order that stops it also copies what the next engine lacks of its memory, from which
