routing, roster, gateway: types for regions, evacuations and cold endpoints

The routing table, the rows of the operators and the settings name regions, cold times and evacuated places; nothing decoded them. The types are agreed first, so that the parts can be built side by side.

--- a/process/gateway/settings.go
+++ b/process/gateway/settings.go
@@ -48,10 +48,26 @@
 		// instances, in seconds.
 		Keep  float64 `json:"keep" validate:"gt=0,lte=600"`
 		Retry Retry   `json:"retry"`
+		// Evacuation is the time in milliseconds after the acknowledgement of an evacuation
+		// from which nothing may reach the place; 0 if there are no evacuations.
+		Evacuation int `json:"evacuation,omitempty" validate:"gte=0,lte=3600000"`
+		// Cold bounds the requests to cold endpoints beyond the rate of their service.
+		Cold Cold `json:"cold"`
+		// Memory is the memory of this process in MB, and Files the number of its
+		// descriptors; 0 if there is no limit.
+		Memory int `json:"memory,omitempty" validate:"gte=0,lte=16777216"`
+		Files  int `json:"files,omitempty" validate:"gte=0,lte=16777216"`
 		// Level is the lowest log level that is written: "info" if empty.
 		Level string `json:"level,omitempty" validate:"omitempty,oneof=debug info warn error"`
 	}
 
+	// Cold is how far the requests to a cold endpoint in one second, from all instances
+	// together, may exceed the rate that its service tolerates: Rate x Factor + Slack.
+	Cold struct {
+		Factor float64 `json:"factor,omitempty" validate:"gte=0,lte=1000"`
+		Slack  float64 `json:"slack,omitempty" validate:"gte=0,lte=100000"`
+	}
+
 	// Retry is the retry budget for each service, shared by all instances.
 	Retry struct {
 		Ratio  float64 `json:"ratio" validate:"gte=0,lte=10"`     // repeats per request
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -25,6 +25,8 @@
 		Slots   int
 		Leaving bool
 		Born    int64 // Unix milliseconds of its start, 0 if unknown
+		// Evacuated is set while the operator keeps new requests from its place.
+		Evacuated bool
 	}
 
 	// Change is a new or changed row of the platform's list or, if Gone is set,
@@ -60,6 +62,7 @@
 		watched  map[string]chan struct{}        // by service; closed after its next change
 		borrowed map[string]bool                 // IDs from Borrow that the list has not confirmed
 		services sync.Map                        // service to *atomic.Pointer[[]Endpoint]
+		places   map[string]bool                 // that are evacuated
 	}
 )
 
@@ -208,6 +211,7 @@
 		if mark, ok := r.left[e.ID]; ok && e.Born <= mark.born && (mark.addr == "" || mark.addr == e.Addr) {
 			e.Leaving = true
 		}
+		e.Evacuated = r.places[e.Place]
 		if old != nil && *old == e {
 			continue
 		}
--- a/version/routing/routing.go
+++ b/version/routing/routing.go
@@ -43,6 +43,7 @@
 		Rank     int           // 0 is the most urgent
 		Open     bool          // callers need no key
 		Resume   bool          // a broken stream may be run again at another endpoint, which continues after the last event
+		Regions  Regions       // in which its requests may be served; nil allows all
 	}
 
 	// Target is a service that receives a weighted share of a route's requests.
@@ -56,6 +57,14 @@
 		ID       string
 		Channels int     // connections that one endpoint accepts from all callers
 		Engine   *Engine // nil for a plain service
+		Cold     Cold
+	}
+
+	// Cold says how an endpoint is used while it is cold: for some time after its process
+	// starts, and whenever it says so. The zero value is a service without cold endpoints.
+	Cold struct {
+		Time time.Duration // for which an endpoint that starts is cold
+		Rate float64       // requests per second that a cold endpoint tolerates from all instances together
 	}
 
 	// Engine holds the properties that all model engines of a service share.
@@ -73,6 +82,9 @@
 		Name string
 		Keys []string
 		Rank *int // overrides the route's rank unless nil
+		// Regions in which requests of the account may be served; nil allows all. Those of
+		// the route bind too.
+		Regions Regions
 	}
 
 	// Limits are the largest header and body of a request.
