gateway, platform: evacuated places get nothing new

Cause: rows evacuate/PLACE of the operators' table were ignored, and whether an endpoint may get new work was decided by whether its process leaves.

New work is decided by Closed everywhere, and checked again when the connection is open, right before the request is written; what was not sent goes elsewhere without a charge to the retry budget. Copies in a place are dropped, its runs are copied outside within a fifth of the bound and are not ended, and orders, reports and probes end at half of it. If all endpoints of a service are in evacuated places, requests are refused at once. An instance that starts takes the places with the routing table of a peer.

--- a/process/balance/balance.go
+++ b/process/balance/balance.go
@@ -68,7 +68,7 @@
 }
 
 // Pick chooses one of the listed replicas and counts an attempt in flight there
-// until Done. It skips leaving replicas and those in exclude. A replica whose
+// until Done. It skips closed replicas and those in exclude. A replica whose
 // connections failed recently gets a large penalty, so that it is used only if
 // the others are worse or there are none. Pick reports false if no replica is
 // left.
@@ -80,7 +80,7 @@
 	costs := make([]float64, len(list))
 	for i, e := range list {
 		costs[i] = math.Inf(1)
-		if e.Leaving || slices.Contains(exclude, e.ID) {
+		if e.Closed() || slices.Contains(exclude, e.ID) {
 			continue
 		}
 		costs[i] = b.cost(e, now)
--- a/process/gateway/call.go
+++ b/process/gateway/call.go
@@ -134,6 +134,7 @@
 		*refusal.Error
 		unsent bool // nothing reached the endpoint, or another endpoint now has its address
 		silent bool // the endpoint accepted no connection, but its host did not refuse one
+		closed bool // the endpoint was closed before the request was sent
 	}
 )
 
@@ -149,6 +150,10 @@
 	answer, err := g.send(ctx, Call{
 		Request: j.Request, Endpoint: e, Account: j.account, Deadline: j.deadline, Since: since, Rank: j.rank, After: j.After, Sent: onSent,
 	})
+	if errors.Is(err, ErrClosed) {
+		p.balance.Done(e.ID, balance.Result{Refused: true})
+		return nil, &fault{Error: refusal.From(err), unsent: true, closed: true}
+	}
 	if err != nil {
 		f := attemptError(ctx, refusal.From(err))
 		unsent := f.Reason == refusal.Dial
--- a/process/gateway/enginepool.go
+++ b/process/gateway/enginepool.go
@@ -80,7 +80,7 @@
 	for _, e := range list {
 		endpoints = append(endpoints, placement.Endpoint{
 			ID: e.ID, Place: e.Place, Region: p.g.Settings.RegionOf(e.Place), Tokens: engine.Tokens,
-			Drain: e.Leaving || p.isGone(e.ID),
+			Drain: e.Closed() || p.isGone(e.ID),
 		})
 	}
 	p.sched.SetEndpoints(endpoints)
@@ -119,7 +119,7 @@
 }
 
 // listedUntil returns the time until which a request waits for an engine to be listed if
-// all are leaving: a first attempt until it would be refused anyway. A repeat may be the
+// all are closed: a first attempt until it would be refused anyway. A repeat may be the
 // rest of a stream, and waits for as long as a continuation.
 func (j *job) listedUntil(tried []string, now, until time.Time) time.Time {
 	if len(tried) == 0 {
@@ -177,7 +177,7 @@
 		}
 		e, ok := p.g.Roster.Get(decision.Endpoint)
 		switch {
-		case !ok || e.Leaving: // since it was chosen
+		case !ok || e.Closed(): // since it was chosen
 			request.Exclude = append(slices.Clip(request.Exclude), decision.Endpoint)
 		case p.g.limits.Take(e.ID, time.Now()):
 			p.g.announce()
@@ -198,7 +198,7 @@
 	best, next := p.g.nextGrant(list, tried, now)
 	due := 0
 	for _, e := range list {
-		if !e.Leaving && !slices.Contains(tried, e.ID) {
+		if !e.Closed() && !slices.Contains(tried, e.ID) {
 			due = min(due+p.g.limits.Due(e.ID, until, now), math.MaxInt32)
 		}
 	}
@@ -217,7 +217,7 @@
 		return err
 	}
 	reason, detail := refusal.NoEndpoint, "no engine of service "+p.service+" can be used"
-	if len(p.g.Roster.List(p.service)) > 0 {
+	if list := p.g.Roster.List(p.service); len(list) > 0 && !areEvacuated(list) {
 		reason, detail = refusal.Overload, "no engine of service "+p.service+" had memory for the request in time"
 	}
 	fault := refusal.New(reason, refusal.NotRun, detail)
--- /dev/null
+++ b/process/gateway/evacuation_test.go
@@ -0,0 +1,223 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/eelgrassdock/eelgrassdock/process/roster"
+	"github.com/eelgrassdock/eelgrassdock/request/refusal"
+)
+
+// evacuated is a gateway whose endpoints 0 and 1 of each service are in place p0 and the
+// others in p2 of the same region, and what reaches those of p0.
+type evacuated struct {
+	*testGateway
+	connect time.Duration // for which a connection is opened
+
+	mu      sync.Mutex
+	reached map[string]time.Time // latest time, by kind
+}
+
+func newEvacuated(t *testing.T) *evacuated {
+	x := &evacuated{testGateway: newLeavingGateway(t), reached: map[string]time.Time{}}
+	x.Settings.Places["p2"] = "r0"
+	for i := range 4 {
+		x.place(fmt.Sprint("e", i), i)
+		x.place(fmt.Sprint("d", i), i)
+	}
+	x.serve()
+	b := x.Backend
+	x.Backend.Send = func(ctx context.Context, c Call) (*Answer, error) {
+		time.Sleep(x.connect)
+		if c.Closed() {
+			return nil, ErrClosed
+		}
+		x.reach("request", c.Endpoint)
+		return b.Send(ctx, c)
+	}
+	x.Backend.Report = func(ctx context.Context, e roster.Endpoint) (Report, error) {
+		x.reach("order", e)
+		return b.Report(ctx, e)
+	}
+	x.Backend.Move = func(ctx context.Context, m Move) (Moved, error) {
+		x.reach("order", m.From)
+		x.reach("copy", m.To)
+		return b.Move(ctx, m)
+	}
+	x.Backend.Free = func(ctx context.Context, e roster.Endpoint, handle string) (Signals, error) {
+		x.reach("order", e)
+		return b.Free(ctx, e, handle)
+	}
+	return x
+}
+
+func (x *evacuated) place(id string, i int) {
+	e, _ := x.Roster.Get(id)
+	if i > 1 {
+		e.Place = "p2"
+	}
+	x.Roster.Set(e)
+}
+
+func (x *evacuated) reach(kind string, e roster.Endpoint) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if e.Place == "p0" {
+		x.reached[kind] = time.Now()
+	}
+}
+
+func (x *evacuated) close(places ...string) {
+	set := map[string]bool{}
+	for _, place := range places {
+		set[place] = true
+	}
+	x.SetEvacuated(set)
+}
+
+// Guards against anything new that reaches a place after it was evacuated, on each way, and
+// against runs that end because of it.
+func TestNothingNewReachesAnEvacuatedPlace(t *testing.T) {
+	ask := func(path string) func(*evacuated) {
+		return func(x *evacuated) {
+			x.close("p0")
+			for range 10 {
+				_, err := x.ask(path, 5*time.Second)
+				require.NoError(x.t, err)
+			}
+		}
+	}
+	connecting := func(path string) func(*evacuated) {
+		return func(x *evacuated) {
+			x.connect = 100 * time.Millisecond
+			x.Tables.Current().Routes[2].Attempts, x.Tables.Current().Routes[0].Attempts = 1, 1
+			engines, replicas := &x.countRequest(engineService).policy.Budget, &x.countRequest(plainService).policy.Budget
+			tokens := engines.Tokens() + replicas.Tokens()
+			time.AfterFunc(50*time.Millisecond, func() { x.close("p0") })
+			var wg sync.WaitGroup
+			for range 10 {
+				wg.Go(func() {
+					_, err := x.ask(path, 5*time.Second)
+					require.NoError(x.t, err, "it goes elsewhere, although one attempt is allowed")
+				})
+			}
+			wg.Wait()
+			require.GreaterOrEqual(x.t, engines.Tokens()+replicas.Tokens(), tokens)
+		}
+	}
+	// running has a run in p0, with a copy at the other engine there, and closes places.
+	running := func(places []string, end error) func(*evacuated) {
+		return func(x *evacuated) {
+			x.close("p2")
+			writer, done := x.startBreakingStream(false)
+			_, _ = io.WriteString(writer, "id: 1\ndata: x\n\n")
+			time.Sleep(time.Second)
+			r := x.runsOf("q")[0]
+			require.Equal(x.t, "p0", r.usableCopy().endpoint.Place)
+			x.close(places...)
+			time.Sleep(3 * time.Second)
+			if len(places) == 1 {
+				require.Equal(x.t, "p2", r.usableCopy().endpoint.Place, "it is copied elsewhere")
+			} else {
+				require.Nil(x.t, r.usableCopy())
+			}
+			require.Len(x.t, x.calls, 1)
+			_ = writer.CloseWithError(end)
+			if err := <-done; end == io.EOF || len(places) == 1 {
+				require.NoError(x.t, err)
+			}
+		}
+	}
+	for name, play := range map[string]func(*evacuated){
+		"plain": ask("/read/1"), "stream": ask("/guide/1"),
+		"plain connects": connecting("/book/1"), "stream connects": connecting("/guide/1"),
+		"retried": func(x *evacuated) {
+			x.answer = func(n int, _ Call) (*Answer, error) {
+				if n == 0 {
+					x.close("p0")
+					return nil, connectionLost()
+				}
+				return plainAnswer(200, "x"), nil
+			}
+			_, err := x.ask("/read/1", 5*time.Second)
+			require.NoError(x.t, err)
+		},
+		"added": func(x *evacuated) {
+			x.Tables.Current().Routes[3].Aim = time.Second
+			x.answer = func(n int, _ Call) (*Answer, error) {
+				if n == 0 {
+					x.close("p0")
+					time.Sleep(3 * time.Second)
+				}
+				return plainAnswer(200, "x"), nil
+			}
+			_, err := x.ask("/read/1", 5*time.Second)
+			require.NoError(x.t, err)
+			require.Len(x.t, x.calls, 2)
+		},
+		"ends in peace": running([]string{"p0"}, io.EOF), "continues outside": running([]string{"p0"}, errors.New("connection reset")),
+		"all closed": running([]string{"p0", "p2"}, io.EOF), "all closed, broken": running([]string{"p0", "p2"}, errors.New("connection reset")),
+		"probed": func(x *evacuated) {
+			x.unreachable["e0"] = true
+			x.testEnginePool().suspect("e0")
+			time.Sleep(time.Second)
+			x.close("p0")
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				x := newEvacuated(t)
+				play(x)
+				time.Sleep(time.Minute)
+				at, ok := x.evacuation.since("p0")
+				require.True(t, ok)
+				x.mu.Lock()
+				defer x.mu.Unlock()
+				require.False(t, x.reached["request"].After(at))
+				require.False(t, x.reached["copy"].After(at))
+				require.False(t, x.reached["order"].After(at.Add(defaultEvacuation/2)))
+				x.cancel()
+			})
+		})
+	}
+}
+
+// Guards against a place that stays closed, or an endpoint that is open because it was
+// listed after the order; and against waits for endpoints that do not come.
+func TestEvacuationBeginsAndEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newEvacuated(t)
+		var opened []string
+		x.evacuation.opened = func(list []roster.Endpoint) {
+			for _, e := range list {
+				opened = append(opened, e.ID)
+			}
+		}
+		x.close("p0", "p2")
+		x.Roster.Set(roster.Endpoint{ID: "d9", Service: plainService, Addr: "10.0.2.1:1", Place: "p2", Slots: 6})
+		for _, path := range []string{"/read/1", "/guide/1"} {
+			begun := time.Now()
+			_, err := x.ask(path, 5*time.Second)
+			f := x.refusalOf(err)
+			require.Equal(t, refusal.NotRun, f.Outcome)
+			require.Equal(t, refusal.NoEndpoint, f.Reason)
+			require.False(t, f.RetryAt.IsZero())
+			require.Equal(t, begun, time.Now(), "it is refused at once")
+		}
+		x.borrowEvacuated(nil, "peer")
+		require.Equal(t, []string{"p0", "p2"}, x.evacuated(), "the store counts")
+		x.close("p0")
+		require.ElementsMatch(t, []string{"d2", "d3", "d9", "e2", "e3"}, opened)
+		_, err := x.ask("/read/1", 5*time.Second)
+		require.NoError(t, err)
+		x.cancel()
+	})
+}
--- a/process/gateway/feed.go
+++ b/process/gateway/feed.go
@@ -214,6 +214,20 @@
 	f.confirm(now, origin{source: fromStore, took: now.Sub(begun)})
 }
 
+// age returns the time since the store confirmed the table, feedMaxAge if that is not
+// known. It is 0 for a nil feed.
+func (f *feed) age() time.Duration {
+	if f == nil {
+		return 0
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.confirmed.IsZero() {
+		return feedMaxAge
+	}
+	return time.Since(f.confirmed)
+}
+
 // latestOrigin returns the origin of the latest changes. A nil feed has none.
 func (f *feed) latestOrigin() origin {
 	if f == nil {
@@ -348,7 +362,7 @@
 			continue
 		}
 		for _, e := range g.runs.engines() {
-			if now, ok := g.Roster.Get(e.ID); !ok || now.Leaving {
+			if now, ok := g.Roster.Get(e.ID); !ok || now.Closed() {
 				continue
 			}
 			g.spawn(func() {
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -73,6 +73,9 @@
 		After    string // ID of the event after which the stream continues
 		Memory   string // memory to continue from, as returned by Backend.Handle
 		Sent     func() // called when the request has been written; may be nil
+		// Closed reports whether the endpoint is closed by now, and is called right before
+		// the request is written. Send then fails with ErrClosed. It may be nil.
+		Closed func() bool
 	}
 
 	// Signals is what an endpoint says about itself in any of its answers.
@@ -188,6 +191,7 @@
 
 		Tables        routing.Keeper
 		Roster        roster.Roster
+		evacuation    evacuation
 		lengths       length.Learner
 		enginePools   sync.Map // service ID to *enginePool
 		pools         sync.Map // service ID to *pool
--- a/process/gateway/generate.go
+++ b/process/gateway/generate.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/eelgrassdock/eelgrassdock/process/placement"
@@ -158,6 +159,9 @@
 	if err != nil && isWithdrawn(attemptCtx) {
 		return nil, r.withdrawn(a)
 	}
+	if errors.Is(err, ErrClosed) {
+		return r.sendElsewhere(ctx, a, refusal.From(err))
+	}
 	if err != nil {
 		r.current.lost = isLost(attemptCtx)
 		return r.handleSendError(ctx, a, lossError(attemptCtx, refusal.From(err)))
@@ -327,6 +331,22 @@
 	return true
 }
 
+// sendElsewhere returns an attempt in place of one that was not sent, because its engine
+// was closed since it had been chosen. That costs nothing of the retry budget, unless the
+// run left another engine for this one.
+func (r *run) sendElsewhere(ctx context.Context, a *attempt, f *refusal.Error) (*attempt, error) {
+	r.logFailure(a, f)
+	if a.memory != "" {
+		return r.rerun(ctx, a, f)
+	}
+	refusal.CountRetry(f.Reason)
+	next, err := r.place(ctx)
+	if err != nil {
+		return nil, r.finalError(refusal.From(refusal.Downgrade(err, r.sends > 0)))
+	}
+	return next, nil
+}
+
 // rerun returns an attempt that runs the request again from the last event that
 // was passed on, if the route allows this.
 func (r *run) rerun(ctx context.Context, a *attempt, f *refusal.Error) (*attempt, error) {
--- a/process/gateway/health.go
+++ b/process/gateway/health.go
@@ -76,7 +76,7 @@
 	pause, begun := minCheckPause, time.Now()
 	for unclear := 0; unclear < maxUnclearAnswers; pause = min(2*pause, maxCheckPause) {
 		e, ok := p.g.Roster.Get(id)
-		if !ok || e.Leaving {
+		if !ok || e.Closed() {
 			return false // it gets no new work in any case
 		}
 		err := p.probe(p.g.base, e)
@@ -173,7 +173,7 @@
 func (p *enginePool) hasOther(ctx context.Context, id string) bool {
 	probes := 0
 	for _, e := range p.g.Roster.List(p.service) {
-		if e.ID == id || e.Leaving || p.isDown(e.ID) || !p.g.limits.Ready(e.ID, time.Now()) {
+		if e.ID == id || e.Closed() || p.isDown(e.ID) || !p.g.limits.Ready(e.ID, time.Now()) {
 			continue
 		}
 		err := p.probe(ctx, e)
--- a/process/gateway/limit.go
+++ b/process/gateway/limit.go
@@ -97,8 +97,15 @@
 // send sends a call to an endpoint and records the limit that its answer names. The
 // call must have been granted by g.limits.
 func (g *Gateway) send(ctx context.Context, c Call) (*Answer, error) {
+	c.Closed = func() bool { return g.isClosed(c.Endpoint) }
+	if c.Closed() {
+		return nil, refuseClosed()
+	}
 	sent := time.Now()
 	answer, err := g.Backend.Send(ctx, c)
+	if errors.Is(err, ErrClosed) {
+		return nil, refuseClosed()
+	}
 	if err == nil {
 		g.recordLimit(c.Endpoint, answer, sent)
 		if !answer.AddressReused {
@@ -159,8 +166,12 @@
 	}
 }
 
-// report requests an engine's state, unless its limit allows no request now.
+// report requests an engine's state, unless its limit allows no request now or its place
+// is evacuated.
 func (g *Gateway) report(ctx context.Context, e roster.Endpoint) (Report, error) {
+	if !g.mayOrder(e) {
+		return Report{}, errEvacuated
+	}
 	if !g.limits.Take(e.ID, time.Now()) {
 		counters.Add("reports_limited", 1)
 		return Report{}, errLimited
@@ -214,7 +225,7 @@
 			_, due = g.nextGrant(list, tried, now)
 			return best, g.refuseLimited(j, due, now)
 		}
-		if e, ok := g.Roster.Get(best.ID); ok && !e.Leaving {
+		if e, ok := g.Roster.Get(best.ID); ok && !e.Closed() {
 			p.balance.Pick([]roster.Endpoint{e}, nil) // counts the attempt
 			return e, nil
 		}
@@ -255,18 +266,22 @@
 	return others <= 0 || sleep.For(ctx, jitter(others*ratelimit.ReleaseInterval))
 }
 
-// awaitEndpoint waits, if all endpoints of a service are leaving, until another one is
-// listed, and reports whether it is. It returns false at once if there are no endpoints
-// at all: nothing shows then that others will follow.
+// awaitEndpoint waits, if all endpoints of a service are closed, until one is listed that
+// is open, and reports whether it is. It returns false at once if there are no endpoints
+// at all, or only ones in evacuated places: nothing shows then that others will follow.
 func (g *Gateway) awaitEndpoint(ctx context.Context, service string, until time.Time) bool {
 	ctx, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
 	for waited := false; ; waited = true {
 		changed := g.Roster.Watch(service)
 		list := g.Roster.List(service)
-		if stays := slices.ContainsFunc(list, func(e roster.Endpoint) bool { return !e.Leaving }); stays || len(list) == 0 && !waited {
+		if stays := slices.ContainsFunc(list, func(e roster.Endpoint) bool { return !e.Closed() }); stays || len(list) == 0 && !waited {
 			return stays && waited
 		}
+		if len(list) > 0 && areEvacuated(list) {
+			counters.Add("refused_all_evacuated", 1)
+			return false
+		}
 		if !waited {
 			counters.Add("waits_all_leaving", 1)
 		}
@@ -279,11 +294,11 @@
 }
 
 // nextGrant returns the endpoint of a list to which a request is due first, and when.
-// The endpoint is empty if all of them are leaving or excluded. The time is never
+// The endpoint is empty if all of them are closed or excluded. The time is never
 // reached if this instance may send to none of them.
 func (g *Gateway) nextGrant(list []roster.Endpoint, exclude []string, now time.Time) (best roster.Endpoint, due time.Time) {
 	for _, e := range list {
-		if e.Leaving || slices.Contains(exclude, e.ID) {
+		if e.Closed() || slices.Contains(exclude, e.ID) {
 			continue
 		}
 		at, ok := g.limits.Next(e.ID, now)
--- a/process/gateway/move.go
+++ b/process/gateway/move.go
@@ -175,7 +175,8 @@
 }
 
 // startCopy starts copying the memory of a run, unless its engine does not
-// support it, its route allows a repetition or it is leaving its engine.
+// support it, its route allows a repetition, it is leaving its engine or that gets no
+// orders any more.
 func (r *run) startCopy() {
 	if !r.engine.Moves || r.j.route.Repeatable() {
 		return
@@ -183,7 +184,7 @@
 	r.mu.Lock()
 	at, moving := r.endpoint, r.moving
 	r.mu.Unlock()
-	if moving {
+	if moving || !r.g.mayOrder(at) {
 		return
 	}
 	r.g.spawn(func() { r.g.protect(r, at) })
@@ -259,7 +260,7 @@
 			g.logDecision(r.j, "copy_failed", logrus.Fields{
 				"endpoint": from.ID, "to": to.ID, "detail": detail, "took": time.Since(begun).Milliseconds(),
 			})
-			if detail == noRoom {
+			if detail == noRoom || !g.mayOrder(from) {
 				return false // memory is scarce; copies to further engines would use up more of it
 			}
 		}
@@ -269,10 +270,11 @@
 	}
 }
 
-// leaves reports whether an engine has given notice or is gone.
+// leaves reports whether an engine is closed or gone: its runs need a copy elsewhere, and
+// none continues there.
 func (r *run) leaves(e roster.Endpoint) bool {
 	now, ok := r.g.Roster.Get(e.ID)
-	return !ok || now.Leaving
+	return !ok || now.Closed()
 }
 
 // isAt reports whether the run is active at an engine.
@@ -325,11 +327,10 @@
 	return g.stays(b.endpoint) && time.Now().UnixNano() < b.expiry.Load()
 }
 
-// stays reports whether an endpoint is listed as the same process and has not given
-// notice.
+// stays reports whether an endpoint is listed as the same process and is open.
 func (g *Gateway) stays(e roster.Endpoint) bool {
 	now, ok := g.Roster.Get(e.ID)
-	return ok && !now.Leaving && now.Born == e.Born
+	return ok && !now.Closed() && now.Born == e.Born
 }
 
 // renewalInterval returns the interval at which a copy is renewed that its engine keeps for
@@ -397,6 +398,9 @@
 func (g *Gateway) copyMemory(r *run, from, to roster.Endpoint) (Moved, error) {
 	ctx, cancel := g.Stalls.WithTimeout(g.base, copyLimit)
 	defer cancel()
+	if !g.mayCopy(from, to) {
+		return Moved{}, errEvacuated
+	}
 	if !g.limits.Take(from.ID, time.Now()) {
 		return Moved{}, errLimited
 	}
@@ -408,7 +412,7 @@
 // freeCopy frees a copy that is no longer needed. If that fails, the copy
 // expires on its own.
 func (g *Gateway) freeCopy(from roster.Endpoint, handle string) {
-	if !g.limits.Take(from.ID, time.Now()) {
+	if !g.mayOrder(from) || !g.limits.Take(from.ID, time.Now()) {
 		return
 	}
 	ctx, cancel := g.Stalls.WithTimeout(g.base, freeLimit)
@@ -433,7 +437,7 @@
 		return roster.Endpoint{}, 0, false
 	}
 	e, ok := r.g.Roster.Get(d.Endpoint)
-	if !ok || e.Leaving {
+	if !ok || e.Closed() {
 		r.enginePool.release(d.Ticket, 0, false)
 		return e, 0, false
 	}
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -57,6 +57,7 @@
 		Document  delta.Encoded // the same; only in answers to Current
 		Members   []member.Member
 		Endpoints []roster.Endpoint // empty if the peer has not read the list of endpoints
+		Evacuated []string          // places; earlier builds name none
 	}
 )
 
@@ -72,6 +73,7 @@
 		reply.Version, reply.Document = s.version, e
 		counters.Add("table_bytes_given", int64(len(e.Data)))
 	}
+	reply.Evacuated = p.g.evacuated()
 	p.addState(wanted.All, reply)
 	return nil
 }
@@ -258,6 +260,9 @@
 		return
 	}
 	from := origin{source: "peer " + addr, took: took, bytes: received}
+	// An instance serves once it has a routing table and endpoints. It must not do so
+	// before it knows of evacuations.
+	g.borrowEvacuated(s.Evacuated, from.source)
 	if len(s.Data) > 0 && g.Tables.Current() == nil {
 		g.takeNewest(addr, &s, &from)
 	}
--- a/process/gateway/replicaattempts.go
+++ b/process/gateway/replicaattempts.go
@@ -229,7 +229,7 @@
 	if a.added && f.unsent {
 		x.p.policy.Budget.Return()
 	}
-	if !f.silent || !time.Now().Before(x.connectUntil) {
+	if !f.closed && (!f.silent || !time.Now().Before(x.connectUntil)) {
 		x.tried = append(x.tried, a.endpoint.ID)
 	}
 	if !f.unsent {
--- a/process/gateway/silence.go
+++ b/process/gateway/silence.go
@@ -116,6 +116,7 @@
 		switch {
 		case ctx.Err() != nil || !w.lastEvent().Equal(last):
 			return
+		case errors.Is(err, errEvacuated): // it is not asked any more; only the list shows whether it has ended
 		case !isSilence(err):
 			if !errors.Is(err, errLimited) {
 				w.answer()
@@ -123,7 +124,7 @@
 			w.timer.Reset(silenceTimeout)
 			return
 		}
-		if !logged {
+		if !logged && !errors.Is(err, errEvacuated) {
 			logged = true
 			w.logSilence(err, since)
 			w.r.enginePool.avoid(w.endpoint.ID)
@@ -151,7 +152,7 @@
 		return errGone
 	case w.listed && !listed && silent >= minLossTime: // an engine that leaves is dropped while it still works
 		return errGone
-	case silent >= w.r.g.lossTime() && w.canContinue(ctx):
+	case !errors.Is(err, errEvacuated) && silent >= w.r.g.lossTime() && w.canContinue(ctx):
 		return errSilent
 	}
 	return nil
--- a/process/gateway/stoprun.go
+++ b/process/gateway/stoprun.go
@@ -76,11 +76,11 @@
 	}
 }
 
-// anyOther returns an endpoint of a service that is not leaving and is neither of two,
+// anyOther returns an endpoint of a service that is open and is neither of two,
 // the second of these if there is none.
 func (g *Gateway) anyOther(service string, first, second roster.Endpoint) roster.Endpoint {
 	list := slices.DeleteFunc(slices.Clone(g.Roster.List(service)), func(e roster.Endpoint) bool {
-		return e.Leaving || e.ID == first.ID || e.ID == second.ID
+		return e.Closed() || e.ID == first.ID || e.ID == second.ID
 	})
 	if len(list) == 0 {
 		return second
@@ -99,7 +99,7 @@
 		for busy() && sleep.For(ctx, stopRunPause) {
 		}
 		moved, err = r.orderStop(ctx, a.endpoint, to, begun.Add(stopRunLimit))
-		if isStopped(moved, err) || errors.IsAny(err, ErrNoRun, ErrUnreachable, errLimited) || !sleep.For(ctx, pause) {
+		if isStopped(moved, err) || errors.IsAny(err, ErrNoRun, ErrUnreachable, errLimited, errEvacuated) || !sleep.For(ctx, pause) {
 			break
 		}
 	}
@@ -124,6 +124,9 @@
 	if !r.g.limits.Wait(ctx, from.ID, until) {
 		return Moved{}, errLimited
 	}
+	if !r.g.mayCopy(from, to) {
+		return Moved{}, errEvacuated
+	}
 	moved, err := r.g.Backend.Move(ctx, Move{Run: r.j.ID, From: from, To: to, Last: true})
 	r.g.heed(from, moved.Signals, roster.FromEndpoint)
 	return moved, err
--- a/process/roster/evacuated.go
+++ b/process/roster/evacuated.go
@@ -10,8 +10,9 @@
 func (e Endpoint) Closed() bool { return e.Leaving || e.Evacuated }
 
 // SetEvacuated sets the places that are evacuated, and calls Changed for the services
-// whose endpoints that affects. It returns the endpoints that were open before.
-func (r *Roster) SetEvacuated(places map[string]bool) (closed []Endpoint) {
+// whose endpoints that affects. It returns the endpoints that were open before and are
+// closed now, and those that were closed and are open now.
+func (r *Roster) SetEvacuated(places map[string]bool) (closed, opened []Endpoint) {
 	services := map[string]bool{}
 	r.mu.Lock()
 	r.places = maps.Clone(places)
@@ -23,8 +24,12 @@
 		e.Evacuated = !old.Evacuated
 		r.put(&e)
 		services[e.Service] = true
-		if e.Evacuated && !e.Leaving {
+		switch {
+		case e.Leaving:
+		case e.Evacuated:
 			closed = append(closed, e)
+		default:
+			opened = append(opened, e)
 		}
 	}
 	names := slices.Sorted(maps.Keys(services))
@@ -35,5 +40,5 @@
 	for _, service := range names {
 		r.notifyChanged(service)
 	}
-	return closed
+	return closed, opened
 }
