refusal, diagnosis: a reason for requests without an endpoint in their regions

A request whose route or account names regions can find all endpoints of its service outside of them. Callers and operators need to tell this from a service without endpoints. TestCauses passes.

--- a/internal/diagnosis/diagnosis.go
+++ b/internal/diagnosis/diagnosis.go
@@ -313,6 +313,8 @@
 		return "the instance was stopping" + tail
 	case "endpoint_limit":
 		return "all endpoints that could be used had named limits or asked for pauses; the lines limit_named and pause_asked say which" + tail
+	case "region":
+		return "no endpoint could be used in the regions that the route and the account of the request allow: " + end.Text + tail
 	case "quarantined":
 		if held, ok := lastEvent(list, "quarantined", "withdrawn"); ok && strings.HasPrefix(end.Text, "the request") {
 			return "the request had crashed the endpoints that ran it; the lines crash_suspect with digest " + held.get("digest") + " name them" + tail
--- a/internal/diagnosis/diagnosis_test.go
+++ b/internal/diagnosis/diagnosis_test.go
@@ -19,6 +19,9 @@
 `
 	unknown = `{"attempt":1,"endpoint":"i-aa","event":"attempt_failed","msg":"attempt_failed","outcome":"unknown","reason":"timeout","request":"q3","time":"2026-04-22T09:00:01Z"}
 {"event":"refused","msg":"i/o timeout","outcome":"unknown","reason":"timeout","request":"q3","status":504,"time":"2026-04-22T09:00:02Z","version":4}
+`
+	elsewhere = `{"endpoints":3,"event":"not_placed","msg":"not_placed","reason":"region","regions":"eu","request":"q6","service":"desk","time":"2026-04-22T09:00:01Z"}
+{"event":"refused","msg":"no endpoint of service desk is in the regions that the request may use: eu","outcome":"not run","reason":"region","request":"q6","status":503,"time":"2026-04-22T09:00:01Z","version":4}
 `
 	served = `{"endpoint":"i-aa","event":"served","msg":"served","request":"q4","status":200,"time":"2026-04-22T09:00:01Z"}
 `
@@ -35,7 +38,9 @@
 // Each kind of failure must be explained from its lines alone, in whatever
 // order the files of the instances are read.
 func TestCauses(t *testing.T) {
-	l := read(t, served, unknown, storeAway, cutOff)
+	l := read(t, served, unknown, storeAway, cutOff, elsewhere)
+	require.Equal(t, "no endpoint could be used in the regions that the route and the account of the request allow: "+
+		"no endpoint of service desk is in the regions that the request may use: eu; the request has not run", l.Cause("q6"))
 	require.Equal(t, "engine i-70 ended the stream after its notice (seen at 2026-04-22T09:36:41.36Z by list), and there was no copy of its memory", l.Cause("q1"))
 	require.Equal(t, "the instance knew no routing table, because the store did not answer since 2026-04-22T09:00:01Z; the request has not run", l.Cause("q2"))
 	require.Equal(t, "endpoint i-aa gave no answer in time; it is not known whether the request ran", l.Cause("q3"))
