placement, routing: requests and copies name their regions

Regions in Request and Copy limit which endpoints are usable, and for which silent ones a request waits. The share of memory from which an overload is assumed is counted over the endpoints that a request may use: a full region must not change the budget of requests that may run elsewhere, and the other way round. Requests without regions are placed as before. go test ./process/placement passes.

--- a/process/placement/baseline.go
+++ b/process/placement/baseline.go
@@ -12,7 +12,7 @@
 
 // mayBecomeUsable reports whether an endpoint is usable, apart from its silence.
 func (s *Scheduler) mayBecomeUsable(e *endpoint, req *Request) bool {
-	return !e.closed && e.suspect <= s.nanos &&
+	return !e.closed && e.suspect <= s.nanos && req.Regions.Allows(e.Region) &&
 		(len(req.Exclude) == 0 || !slices.Contains(req.Exclude, e.ID))
 }
 
--- a/process/placement/choose.go
+++ b/process/placement/choose.go
@@ -110,7 +110,9 @@
 		lowest = min(lowest, cost)
 		s.scratch = append(s.scratch, candidate{e, cost})
 	}
-	s.poolShare = used / max(total, 1)
+	if req.Regions == nil {
+		s.poolShare = used / max(total, 1)
+	}
 	if len(s.scratch) == 0 {
 		return nil, wait
 	}
@@ -158,7 +160,7 @@
 	o.prompt = float64(req.Prompt)
 	o.size = o.prompt
 	waited := max(s.now.Sub(req.Arrived).Seconds(), 0)
-	o.budget = s.budget(waited)
+	o.budget = s.budget(waited, s.poolShareFor(req))
 	if s.policy != Previous {
 		// Without this, small requests could overtake a large one without end.
 		fade := min(waited/sizeSeconds, 1)
@@ -208,21 +210,38 @@
 	}
 }
 
+// poolShareFor returns the share of memory in use from which an overload is assumed. A
+// region may be full while others have room, so a request that names regions counts its own
+// endpoints, and does not change what the others see.
+func (s *Scheduler) poolShareFor(req *Request) float64 {
+	if req.Regions == nil {
+		return s.poolShare
+	}
+	var used, total float64
+	for _, e := range s.list {
+		if s.usable(e, req) {
+			used += e.others + e.used
+			total += e.total
+		}
+	}
+	return used / max(total, 1)
+}
+
 // budget returns the risk that is accepted for a request that has waited for the
-// given number of seconds. It falls as the memory of all endpoints fills: in an
+// given number of seconds. It falls as poolShare, the share of memory in use, rises: in an
 // overload, sending more would fill the engines without shortening any queue.
 // Instead, the budget then grows linearly with the waiting time, so that the
 // entry with the oldest work gets memory that becomes free; otherwise, work
 // expires at entries with more than their share of the requests while other
 // entries hold almost none. After maxWaitSeconds there is no bound.
-func (s *Scheduler) budget(waited float64) float64 {
+func (s *Scheduler) budget(waited, poolShare float64) float64 {
 	if s.policy == Previous {
 		return s.weights.Stall * (previousBaseBudget + waited/previousGrowthSeconds*waited/previousGrowthSeconds)
 	}
 	if waited >= maxWaitSeconds {
 		return math.Inf(1)
 	}
-	overload := min(max((s.poolShare-overloadFrom)/(overloadTo-overloadFrom), 0), 1)
+	overload := min(max((poolShare-overloadFrom)/(overloadTo-overloadFrom), 0), 1)
 	growth := min(waited/budgetGrowthSeconds*waited/budgetGrowthSeconds, maxBudgetGrowth)
 	base := min(s.weights.Stall*(baseBudget+growth), s.weights.Preempt*maxUsefulRisk)
 	// In an overload the stall weight alone does not raise the budget: when it
--- a/process/placement/copy.go
+++ b/process/placement/copy.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/eelgrassdock/eelgrassdock/version/routing"
 )
 
 const (
@@ -42,8 +44,9 @@
 	Done    int    // tokens produced
 	Max     int    // limit of tokens to produce; zero means none
 	Exclude []string
-	Urgent  bool // its endpoint is about to leave
-	Near    bool // allow only endpoints in the same place
+	Urgent  bool            // its endpoint is about to leave
+	Near    bool            // allow only endpoints in the same place
+	Regions routing.Regions // in which the copy may be kept; nil allows all
 }
 
 // PlaceCopy chooses an endpoint for a copy and reserves memory there until Done.
@@ -55,7 +58,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.advance(now)
-	req := &Request{Account: c.Account, Prompt: c.Prompt + c.Done, Arrived: now, Exclude: append(slices.Clone(c.Exclude), c.From)}
+	req := &Request{Account: c.Account, Prompt: c.Prompt + c.Done, Arrived: now, Exclude: append(slices.Clone(c.Exclude), c.From), Regions: c.Regions}
 	s.matchPrefix(req)
 	var o inputs
 	s.fillInputs(&o, req, &estimate)
--- a/process/placement/placement.go
+++ b/process/placement/placement.go
@@ -41,6 +41,7 @@
 	"time"
 
 	"github.com/eelgrassdock/eelgrassdock/process/length"
+	"github.com/eelgrassdock/eelgrassdock/version/routing"
 )
 
 // Policies.
@@ -97,8 +98,9 @@
 		Max      int      // limit of tokens to produce; zero means none
 		Rank     int      // for the queue and the engine; not used by the decision
 		Arrived  time.Time
-		Deadline time.Time // time from which the request is not sent; zero means none
-		Exclude  []string  // endpoints that have failed this request
+		Deadline time.Time       // time from which the request is not sent; zero means none
+		Exclude  []string        // endpoints that have failed this request
+		Regions  routing.Regions // in which it may run; nil allows all
 	}
 
 	// Ticket is the reservation of a placed generation.
@@ -183,7 +185,7 @@
 		bytes     int64
 		ahead     [horizons]int
 		sentSince float64 // sum over list
-		poolShare float64 // share of the memory of all usable endpoints in use at the last Place
+		poolShare float64 // share of the memory of all usable endpoints in use at the last Place without regions
 	}
 )
 
