queue, dispatch: an item holds back only items of its own regions

An item that does not fit holds back all others of its service but 16 cheaper ones. One that waits for a full or silent region would so delay generations that have room in another. It now holds back only items that may run in no other regions, and what is queued beside it is offered at once, not at the next poll (20 ms). Items without regions are handled as before. TestItemHoldsBackOnlyItsRegions passes, as do the earlier tests of both packages.

--- a/process/dispatch/dispatch.go
+++ b/process/dispatch/dispatch.go
@@ -88,6 +88,11 @@
 		fault.RetryAt = now.Add(overloadWait)
 		return placement.Decision{}, fault
 	}
+	// Work that waits for a full or silent region would else delay all other work until
+	// the next call of Offer.
+	if d.Queue.Bound() > 0 {
+		d.offer(now)
+	}
 	return placement.Decision{Wait: true}, nil
 }
 
@@ -99,7 +104,11 @@
 	if d.Queue.Len() == 0 {
 		return
 	}
-	now := d.now()
+	d.offer(d.now())
+}
+
+// offer is Offer with the mutex held.
+func (d *Dispatcher) offer(now time.Time) {
 	for _, item := range d.Queue.Expire(now) {
 		item.Value.(*waiter).ready <- placement.Decision{None: true}
 	}
--- a/process/queue/flow.go
+++ b/process/queue/flow.go
@@ -44,7 +44,7 @@
 		now       time.Time
 		take      func(*Item) bool
 		blocked   []*Item // items of this pass that did not fit, in order
-		leastCost float64 // lowest cost among them
+		leastCost float64 // lowest cost among those of them that may run in all regions
 		visited   int
 		offers    int
 		found     *Item
@@ -202,7 +202,9 @@
 		return false
 	}
 	for _, it := range w.blocked {
-		it.passed++
+		if it.holdsBack(w.found) {
+			it.passed++
+		}
 	}
 	q.sinceLate++
 	if w.found.late {
@@ -259,7 +261,7 @@
 	if !it.Deadline.IsZero() && !it.Deadline.After(w.now) {
 		return true
 	}
-	if it.refusedRound != w.queue.round && it.cost() < w.leastCost {
+	if it.refusedRound != w.queue.round && it.cost() < w.bound(it) {
 		if w.offers > maxOffers {
 			return false
 		}
@@ -272,8 +274,30 @@
 	}
 	if it.refusedRound == w.queue.round && !slices.Contains(w.blocked, it) {
 		w.blocked = append(w.blocked, it)
+		if it.Regions != nil {
+			return true
+		}
 		w.leastCost = min(w.leastCost, it.cost())
 		return it.passed < MaxPass
 	}
 	return true
 }
+
+// holdsBack reports whether an item that does not fit may be overtaken by another one only
+// as Queue describes: if it could take the place of the other one wherever that may run.
+func (it *Item) holdsBack(other *Item) bool { return it.Regions.Covers(other.Regions) }
+
+// bound returns the cost below which an item may overtake those that did not fit.
+func (w *walk) bound(it *Item) float64 {
+	least := w.leastCost
+	for _, b := range w.blocked {
+		switch {
+		case b.Regions == nil || !b.holdsBack(it): // the former are in leastCost
+		case b.passed >= MaxPass:
+			return 0
+		default:
+			least = min(least, b.cost())
+		}
+	}
+	return least
+}
--- a/process/queue/queue.go
+++ b/process/queue/queue.go
@@ -18,7 +18,9 @@
 // served. Each item is thus reached after a bounded number of others.
 //
 // An item that does not fit can be overtaken by cheaper ones, but at most
-// MaxPass times; after that, everything behind it waits.
+// MaxPass times; after that, everything behind it waits. An item that may run in some
+// regions only, and does not fit, holds back only items that may run in no others: there may
+// be room for the rest elsewhere.
 package queue
 
 import (
@@ -28,6 +30,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/google/btree"
+
+	"github.com/eelgrassdock/eelgrassdock/version/routing"
 )
 
 // Defaults and bounds.
@@ -62,8 +66,9 @@
 		Caller   string
 		Rank     int
 		Arrived  time.Time
-		Deadline time.Time // zero means none
-		Cost     float64   // amount of service that the work uses; 0 counts as 1
+		Deadline time.Time       // zero means none
+		Cost     float64         // amount of service that the work uses; 0 counts as 1
+		Regions  routing.Regions // in which the work may run; nil allows all
 		Value    any
 
 		queue        *Queue
@@ -91,6 +96,7 @@
 		seq        uint64
 		round      uint64 // calls of Next
 		n          int
+		bound      int                // items with Regions
 		levels     [MaxRank + 1]group // groups of accounts
 		counts     map[string]int     // items by account
 		deadlines  *btree.BTreeG[*Item]
@@ -141,6 +147,9 @@
 	it.queue, it.seq, it.passed, it.refusedRound = q, q.seq, 0, 0
 	it.level, it.late = min(max(it.Rank, 0), MaxRank), false
 	q.n++
+	if it.Regions != nil {
+		q.bound++
+	}
 	q.counts[it.Account]++
 	if !it.Deadline.IsZero() {
 		q.deadlines.ReplaceOrInsert(it)
@@ -211,6 +220,9 @@
 	}
 	it.queue = nil
 	q.n--
+	if it.Regions != nil {
+		q.bound--
+	}
 	if q.counts[it.Account]--; q.counts[it.Account] == 0 {
 		delete(q.counts, it.Account)
 	}
@@ -281,6 +293,13 @@
 	return q.n
 }
 
+// Bound returns the number of items that may run in some regions only.
+func (q *Queue) Bound() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.bound
+}
+
 // Count returns the number of items of the account.
 func (q *Queue) Count(account string) int {
 	q.mu.Lock()
--- a/process/queue/queue_test.go
+++ b/process/queue/queue_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"github.com/eelgrassdock/eelgrassdock/version/routing"
 )
 
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -232,3 +234,24 @@
 		})
 	}
 }
+
+// Guards against work that waits behind an item whose regions it does not need, and against an
+// item that is overtaken without end in its own regions.
+func TestItemHoldsBackOnlyItsRegions(t *testing.T) {
+	q := &Queue{}
+	require.NoError(t, q.Push(&Item{Account: "large", Arrived: epoch, Cost: 9, Regions: routing.Regions{"a", "b"}}))
+	taken := map[string]int{}
+	for range 3 * MaxPass {
+		for name, regions := range map[string]routing.Regions{"own": {"a"}, "other": {"c"}, "both": {"b", "c"}, "all": nil} {
+			require.NoError(t, q.Push(&Item{Account: name, Arrived: epoch, Cost: 1, Regions: regions}))
+		}
+		q.Next(epoch, func(it *Item) bool {
+			if it.Cost == 1 {
+				taken[it.Account]++
+			}
+			return it.Cost == 1
+		})
+	}
+	require.Equal(t, map[string]int{"own": MaxPass, "other": 3 * MaxPass, "both": 3 * MaxPass, "all": 3 * MaxPass}, taken)
+	require.Equal(t, 1+2*MaxPass, q.Bound())
+}
