gateway: requests stay in the regions of their route and account

Routes and accounts may name the regions in which their requests may be served, cached and stored; requests went to any region. admit sets job.regions, and each path on which a request can leave for an endpoint uses only endpoints that it allows: attempts of plain calls, added ones too, generations, repeats, copies and the orders to stop a run. What waits counts only these endpoints: for one to be listed, for a grant, for the time to return, and before a silent engine is left. A request without an endpoint in its regions is refused at once as not run, with reason region. Requests without regions are decided as before.

--- a/process/gateway/call.go
+++ b/process/gateway/call.go
@@ -265,7 +265,7 @@
 		return last, nil
 	}
 	if f.Outcome == refusal.NotRun && f.RetryAt.IsZero() {
-		f.RetryAt = g.returnTime(j.service)
+		f.RetryAt = g.returnTime(j)
 	}
 	return callResult{}, refusal.Downgrade(f.Error, mayHaveRun)
 }
--- a/process/gateway/enginepool.go
+++ b/process/gateway/enginepool.go
@@ -5,7 +5,6 @@
 	"math"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -39,7 +38,7 @@
 	sched      *placement.Scheduler
 	dispatcher dispatch.Dispatcher
 	start      sync.Once
-	waiting    atomic.Int32 // requests in acquire
+	waiting    waitCounter // requests in acquire
 
 	mu       sync.Mutex
 	failures map[string]int  // failures in a row, by engine
@@ -140,24 +139,24 @@
 	// gateway does for each route, here and in PlaceCopy. The queue item has the
 	// client account.
 	request := placement.Request{
-		Account: j.route.Name, Prompt: j.Prompt, Max: j.Max, Rank: j.rank, Arrived: now, Deadline: until, Exclude: tried,
+		Account: j.route.Name, Prompt: j.Prompt, Max: j.Max, Rank: j.rank, Arrived: now, Deadline: until, Exclude: tried, Regions: j.regions,
 	}
 	if f := p.g.checkStop(j); f != nil {
 		return roster.Endpoint{}, 0, f
 	}
 	wait, done := p.g.waitContext(ctx, j)
 	defer done()
-	p.waiting.Add(1)
-	defer p.waiting.Add(-1)
+	p.waiting.add(j.regions, 1)
+	defer p.waiting.add(j.regions, -1)
 	for {
 		if err := p.checkLimits(j, tried, until); err != nil {
 			return roster.Endpoint{}, 0, err
 		}
 		item := &queue.Item{
-			Account: j.account, Rank: queue.MaxRank - j.rank, Arrived: now, Deadline: until, Cost: float64(j.Prompt),
+			Account: j.account, Rank: queue.MaxRank - j.rank, Arrived: now, Deadline: until, Cost: float64(j.Prompt), Regions: j.regions,
 		}
 		decision, err := p.dispatcher.Reserve(wait, request, item)
-		listed := err == nil && decision.Endpoint == "" && p.g.awaitEndpoint(wait, p.service, j.listedUntil(tried, now, until))
+		listed := err == nil && decision.Endpoint == "" && p.g.awaitEndpoint(wait, j, j.listedUntil(tried, now, until))
 		if wait.Err() != nil && ctx.Err() == nil {
 			if decision.Endpoint != "" {
 				p.sched.Done(decision.Ticket, 0, false, time.Now())
@@ -179,6 +178,8 @@
 		switch {
 		case !ok || e.Leaving: // since it was chosen
 			request.Exclude = append(slices.Clip(request.Exclude), decision.Endpoint)
+		case !p.g.allows(j, e): // its row names another place by now
+			request.Exclude = append(slices.Clip(request.Exclude), decision.Endpoint)
 		case p.g.limits.Take(e.ID, time.Now()):
 			p.g.announce()
 			return e, decision.Ticket, nil
@@ -187,14 +188,14 @@
 	}
 }
 
-// checkLimits returns a refusal if all engines that can be used have limits and these
+// checkLimits returns a refusal if all engines that the request can use have limits and these
 // allow fewer requests by until than are waiting, with this one.
 func (p *enginePool) checkLimits(j *job, tried []string, until time.Time) error {
 	if !p.g.limits.Any() {
 		return nil
 	}
 	now := time.Now()
-	list := p.g.Roster.List(p.service)
+	list := p.g.endpointsFor(j)
 	best, next := p.g.nextGrant(list, tried, now)
 	due := 0
 	for _, e := range list {
@@ -202,7 +203,7 @@
 			due = min(due+p.g.limits.Due(e.ID, until, now), math.MaxInt32)
 		}
 	}
-	if best.ID == "" || due >= int(p.waiting.Load()) {
+	if best.ID == "" || due >= p.waiting.competing(j.regions) {
 		return nil
 	}
 	if !next.After(until) {
@@ -216,12 +217,15 @@
 	if err := p.checkLimits(j, tried, time.Now()); err != nil {
 		return err
 	}
+	if f := p.g.checkRegions(j); f != nil {
+		return f
+	}
 	reason, detail := refusal.NoEndpoint, "no engine of service "+p.service+" can be used"
 	if len(p.g.Roster.List(p.service)) > 0 {
 		reason, detail = refusal.Overload, "no engine of service "+p.service+" had memory for the request in time"
 	}
 	fault := refusal.New(reason, refusal.NotRun, detail)
-	fault.RetryAt = p.g.returnTime(p.service)
+	fault.RetryAt = p.g.returnTime(j)
 	p.g.logDecision(j, "not_placed", logrus.Fields{
 		"reason": reason, "waited": time.Since(begun).Milliseconds(), "queue": p.dispatcher.Queue.Len(),
 	})
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -258,7 +258,8 @@
 		service  string
 		deadline time.Time // for the complete answer
 		rank     int
-		identity uint64 // the same each time the request is sent; see quarantine.Identity
+		regions  routing.Regions // in which it may be served, under the table of its admission; nil allows all
+		identity uint64          // the same each time the request is sent; see quarantine.Identity
 		// answering is set when a part of the answer of a generation is passed on.
 		answering atomic.Bool
 	}
@@ -280,6 +281,9 @@
 	if err != nil {
 		return err
 	}
+	if f := g.checkRegions(j); f != nil {
+		return f
+	}
 	// A caller that does not read its answer would block the request beyond its
 	// deadline. Not all writers support this, but that of net/http does.
 	control := http.NewResponseController(w)
@@ -371,9 +375,10 @@
 	if j.route == nil {
 		return nil, refusal.New(refusal.NoService, refusal.NotRun, "no route for "+r.Host+r.Path)
 	}
-	j.rank = j.route.Rank
+	j.rank, j.regions = j.route.Rank, j.route.Regions
 	if a := t.Account(r.Key); a != nil {
 		j.account = a.Name
+		j.regions = j.regions.Intersect(a.Regions)
 		if a.Rank != nil {
 			j.rank = *a.Rank
 		}
--- a/process/gateway/generate.go
+++ b/process/gateway/generate.go
@@ -351,7 +351,7 @@
 		return cutByFault(f)
 	}
 	if f.Outcome == refusal.NotRun && f.RetryAt.IsZero() {
-		f.RetryAt = r.g.returnTime(r.j.service)
+		f.RetryAt = r.g.returnTime(r.j)
 	}
 	return f
 }
--- a/process/gateway/health.go
+++ b/process/gateway/health.go
@@ -167,15 +167,18 @@
 	p.startCheck(id, true)
 }
 
-// hasOther reports whether another engine than the given one answers a probe. It
-// probes no more than maxOthers, and none that accepts no request now because of its
+// hasOther reports whether another engine than the given one, which the request may use,
+// answers a probe. It probes no more than maxOthers, and none that accepts no request now because of its
 // limit or a pause.
-func (p *enginePool) hasOther(ctx context.Context, id string) bool {
+func (p *enginePool) hasOther(ctx context.Context, j *job, id string) bool {
 	probes := 0
 	for _, e := range p.g.Roster.List(p.service) {
 		if e.ID == id || e.Leaving || p.isDown(e.ID) || !p.g.limits.Ready(e.ID, time.Now()) {
 			continue
 		}
+		if !p.g.allows(j, e) {
+			continue
+		}
 		err := p.probe(ctx, e)
 		switch {
 		case isSilence(err):
--- a/process/gateway/limit.go
+++ b/process/gateway/limit.go
@@ -188,20 +188,23 @@
 	wait, done := g.waitContext(ctx, j)
 	defer done()
 	for {
-		if e, ok := g.takeReplica(j.service, p, tried); ok {
+		if e, ok := g.takeReplica(j, p, tried); ok {
 			return e, nil
 		}
-		list, now := g.Roster.List(j.service), time.Now()
+		list, now := g.endpointsFor(j), time.Now()
 		best, due := g.nextGrant(list, tried, now)
-		if best.ID == "" && len(tried) == 0 && g.awaitReplica(wait, j.service, p, until) {
+		if best.ID == "" && len(tried) == 0 && g.awaitReplica(wait, j, p, until) {
 			continue
 		}
 		if best.ID == "" && wait.Err() != nil && ctx.Err() == nil {
 			return best, g.refuseWaiting()
 		}
 		if best.ID == "" {
+			if f := g.checkRegions(j); f != nil {
+				return best, f
+			}
 			f := refusal.New(refusal.NoEndpoint, refusal.NotRun, "no replica of service "+j.service+" can be used")
-			f.RetryAt = g.returnTime(j.service)
+			f.RetryAt = g.returnTime(j)
 			return best, f
 		}
 		if due.After(until) || !g.limits.Wait(wait, best.ID, until) {
@@ -216,16 +219,19 @@
 		}
 		if e, ok := g.Roster.Get(best.ID); ok && !e.Leaving {
 			p.balance.Pick([]roster.Endpoint{e}, nil) // counts the attempt
-			return e, nil
+			if g.allows(j, e) {
+				return e, nil
+			}
+			p.balance.Done(e.ID, balance.Result{Refused: true}) // its row names another place by now
 		}
 	}
 }
 
-// takeReplica chooses a replica that is not in tried and can get a request now, and counts
-// the request there. It returns false if there is none.
-func (g *Gateway) takeReplica(service string, p *pool, tried []string) (roster.Endpoint, bool) {
+// takeReplica chooses a replica that the request may use, that is not in tried and can get a
+// request now, and counts the request there. It returns false if there is none.
+func (g *Gateway) takeReplica(j *job, p *pool, tried []string) (roster.Endpoint, bool) {
 	for {
-		list, now := g.Roster.List(service), time.Now()
+		list, now := g.endpointsFor(j), time.Now()
 		if g.limits.Any() {
 			list = slices.DeleteFunc(slices.Clone(list), func(e roster.Endpoint) bool { return !g.limits.Ready(e.ID, now) })
 		}
@@ -245,25 +251,25 @@
 
 // awaitReplica waits as awaitEndpoint does, and then for a random time that grows with the
 // number of requests that wait, so that they do not reach the replica together.
-func (g *Gateway) awaitReplica(ctx context.Context, service string, p *pool, until time.Time) bool {
+func (g *Gateway) awaitReplica(ctx context.Context, j *job, p *pool, until time.Time) bool {
 	p.waiting.Add(1)
 	defer p.waiting.Add(-1)
-	if !g.awaitEndpoint(ctx, service, until) {
+	if !g.awaitEndpoint(ctx, j, until) {
 		return false
 	}
 	others := time.Duration(p.waiting.Load() - 1)
 	return others <= 0 || sleep.For(ctx, jitter(others*ratelimit.ReleaseInterval))
 }
 
-// awaitEndpoint waits, if all endpoints of a service are leaving, until another one is
-// listed, and reports whether it is. It returns false at once if there are no endpoints
-// at all: nothing shows then that others will follow.
-func (g *Gateway) awaitEndpoint(ctx context.Context, service string, until time.Time) bool {
+// awaitEndpoint waits, if all endpoints that a request may use are leaving, until another
+// one is listed, and reports whether it is. It returns false at once if there are no such
+// endpoints at all: nothing shows then that others will follow.
+func (g *Gateway) awaitEndpoint(ctx context.Context, j *job, until time.Time) bool {
 	ctx, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
 	for waited := false; ; waited = true {
-		changed := g.Roster.Watch(service)
-		list := g.Roster.List(service)
+		changed := g.Roster.Watch(j.service)
+		list := g.endpointsFor(j)
 		if stays := slices.ContainsFunc(list, func(e roster.Endpoint) bool { return !e.Leaving }); stays || len(list) == 0 && !waited {
 			return stays && waited
 		}
@@ -310,13 +316,13 @@
 }
 
 // returnTime returns when the caller of a request that was refused may return: soon, or
-// when an endpoint of the service accepts requests of this instance again.
-func (g *Gateway) returnTime(service string) time.Time {
+// when an endpoint that the request may use accepts requests of this instance again.
+func (g *Gateway) returnTime(j *job) time.Time {
 	now := time.Now()
 	if !g.limits.Any() {
 		return retryTime(now)
 	}
-	_, due := g.nextGrant(g.Roster.List(service), nil, now)
+	_, due := g.nextGrant(g.endpointsFor(j), nil, now)
 	return spreadReturn(due, now)
 }
 
--- a/process/gateway/move.go
+++ b/process/gateway/move.go
@@ -428,6 +428,7 @@
 	r.mu.Unlock()
 	d := r.enginePool.sched.PlaceCopy(placement.Copy{
 		Account: r.j.route.Name, From: from.ID, Place: from.Place, Prompt: r.j.Prompt, Done: done, Max: r.j.Max, Urgent: urgent, Near: !urgent,
+		Regions: r.j.regions,
 	}, time.Now())
 	if d.Endpoint == "" {
 		return roster.Endpoint{}, 0, false
@@ -437,6 +438,10 @@
 		r.enginePool.release(d.Ticket, 0, false)
 		return e, 0, false
 	}
+	if !r.g.allows(r.j, e) { // its row names another place by now
+		r.enginePool.release(d.Ticket, 0, false)
+		return e, 0, false
+	}
 	r.g.announce()
 	return e, d.Ticket, true
 }
--- a/process/gateway/replicaattempts.go
+++ b/process/gateway/replicaattempts.go
@@ -193,7 +193,7 @@
 	for _, a := range x.running {
 		exclude = append(exclude, a.endpoint.ID)
 	}
-	e, ok := x.g.takeReplica(x.j.service, x.p, exclude)
+	e, ok := x.g.takeReplica(x.j, x.p, exclude)
 	if !ok {
 		budget.Return()
 		x.watch()
--- a/process/gateway/silence.go
+++ b/process/gateway/silence.go
@@ -166,7 +166,7 @@
 		return !isSilence(err) && !errors.Is(err, errLimited)
 	}
 	budget := &w.r.pool.policy.Budget
-	return w.repeatable && !w.r.g.tooLate(w.r.j) && budget.Tokens() >= 1 && w.r.enginePool.hasOther(ctx, w.endpoint.ID) && w.r.charge()
+	return w.repeatable && !w.r.g.tooLate(w.r.j) && budget.Tokens() >= 1 && w.r.enginePool.hasOther(ctx, w.r.j, w.endpoint.ID) && w.r.charge()
 }
 
 // isSilence reports whether an error of a probe means that the engine did not
--- a/process/gateway/stoprun.go
+++ b/process/gateway/stoprun.go
@@ -56,7 +56,7 @@
 	}
 	if r.current.closed {
 		// A copy that is in use is not added to.
-		to := r.g.anyOther(r.j.service, a.endpoint, next.endpoint)
+		to := r.g.anyOther(r.j, a.endpoint, next.endpoint)
 		r.g.spawn(func() { r.stopBehind(a, to) })
 		return
 	}
@@ -76,12 +76,13 @@
 	}
 }
 
-// anyOther returns an endpoint of a service that is not leaving and is neither of two,
-// the second of these if there is none.
-func (g *Gateway) anyOther(service string, first, second roster.Endpoint) roster.Endpoint {
-	list := slices.DeleteFunc(slices.Clone(g.Roster.List(service)), func(e roster.Endpoint) bool {
+// anyOther returns an endpoint that a request may use, that is not leaving and is neither
+// of two, the second of these if there is none.
+func (g *Gateway) anyOther(j *job, first, second roster.Endpoint) roster.Endpoint {
+	list := slices.DeleteFunc(slices.Clone(g.Roster.List(j.service)), func(e roster.Endpoint) bool {
 		return e.Leaving || e.ID == first.ID || e.ID == second.ID
 	})
+	list = g.allowed(j, list)
 	if len(list) == 0 {
 		return second
 	}
