gateway: instances that are behind read changes elsewhere

Cause: the instances of a region learn of changes through one that polls the store. If it is cut off from the store without an error, it notices after a poll of the store (3.7 s), and the others act on lists that are up to 3.9 s old.

Change: datagrams of the membership name the latest small row of each table that their sender has. An instance that lacks a row for 0.4 s leaves the instance that it polls; the next one of the order polls the store. One that polls the store already, or has lost it, asks the instance that has the row. Changes carry the longest time for which they can have been in the store, from which the time for orders to an evacuated place is counted.

--- a/process/gateway/evacuation.go
+++ b/process/gateway/evacuation.go
@@ -24,8 +24,8 @@
 	// defaultEvacuation stands for Settings.Evacuation if that is 0 and a place is
 	// evacuated all the same; the users' figure for the deployments that have evacuations.
 	defaultEvacuation = 5 * time.Second
-	// orderShare is the share of Settings.Evacuation, counted from when the store confirmed
-	// the row, for which orders for runs, reports and probes are still sent to a place. The
+	// orderShare is the share of Settings.Evacuation, counted from when the row can have been
+	// written, for which orders for runs, reports and probes are still sent to a place. The
 	// other half is for the time until the row is known, and for calls under way.
 	orderShare = 0.5
 	// awayShare is the share of Settings.Evacuation over which an instance starts to copy
@@ -45,14 +45,15 @@
 // evacuation holds the places that are evacuated.
 type evacuation struct {
 	mu     sync.Mutex                           // serializes changes
-	places atomic.Pointer[map[string]time.Time] // when the store confirmed that they are
+	places atomic.Pointer[map[string]time.Time] // the earliest time at which the row can have been written
 	known  bool                                 // from the store; until then a peer may tell
 	// opened is called with the endpoints that were closed and are not any more, and
 	// counts them as cold. It is set before Start and may be nil.
 	opened func([]roster.Endpoint)
 }
 
-// since returns when the store confirmed that a place is evacuated, and whether it is.
+// since returns the earliest time at which the evacuation of a place can have been written,
+// and whether it is evacuated.
 func (x *evacuation) since(place string) (time.Time, bool) {
 	places := x.places.Load()
 	if places == nil {
--- a/process/gateway/feed.go
+++ b/process/gateway/feed.go
@@ -58,8 +58,10 @@
 		partial   bool         // rows that have not changed lately were dropped from rows
 		from      int64        // rows holds all changes after this version; -1 before the first answer
 		version   int64
-		era       int64     // of rows, from and version
-		confirmed time.Time // when the store confirmed the table
+		era       int64                // of rows, from and version
+		confirmed time.Time            // when the store confirmed the table
+		written   time.Time            // before which none of the latest changes was written; zero if that is not known
+		writtenAt map[string]time.Time // the same for each of rows
 		late      []lateRow
 		missing   map[string]bool // rows that the store no longer lists, kept for ReturnGrace
 		reviving  bool            // rows that the store lists are ignored for ReviveGrace
@@ -68,6 +70,7 @@
 		changed   chan struct{} // closed at each confirmation and at a failure
 		avoid     map[string]time.Time
 		origin    origin
+		lag       lag
 	}
 
 	// lateRow is a row that was passed on after the version of the table had become known: it
@@ -102,6 +105,9 @@
 		// that the instance has.
 		Encoded bool
 		Held    []uint64
+		// Late asks for the changes although the store has not confirmed the table lately, as
+		// the instance is known to have some. Earlier builds do not know it.
+		Late bool
 	}
 
 	// Changes is the answer to a Poll. If Follows is false, the instance is not
@@ -112,7 +118,10 @@
 		Lost    bool
 		// Age is the time since the store confirmed the table. Answers of earlier builds
 		// have none.
-		Age       time.Duration
+		Age time.Duration
+		// Written is the longest time for which the changes can have been in the store, 0 if
+		// that is not known.
+		Written   time.Duration
 		Documents []Document
 	}
 
@@ -173,29 +182,35 @@
 		return page, err
 	}
 	t.Follow = func(ctx context.Context, after int64, wait time.Duration) (mirror.Page, error) {
-		begun := time.Now()
-		if source, ok := g.awaitSource(ctx, f); ok {
-			page, err := g.request(ctx, source, f, f.nextPoll(after))
-			if errors.Is(err, errStoreLost) && f.storeLost() {
-				page, err = g.pollInOutage(ctx, source, f, f.nextPoll(after))
-			}
-			switch {
-			case err == nil, errors.Is(err, mirror.ErrWaited):
-				return page, err
-			case !errors.Is(err, errNotFollowing) && !errors.Is(err, errStoreLost):
-				wait = directWait
-			}
-			f.avoidPeer(source.ID)
+		return g.followTable(ctx, f, after, wait)
+	}
+}
+
+// followOnce makes one poll for the changes of a table after a version, and returns the
+// instance that was polled last, without an ID if that is the store.
+func (g *Gateway) followOnce(ctx context.Context, f *feed, after int64, wait time.Duration) (_ mirror.Page, source member.Member, _ error) {
+	begun := time.Now()
+	if source, ok := g.awaitSource(ctx, f); ok {
+		page, err := g.request(ctx, source, f, f.nextPoll(after))
+		if errors.Is(err, errStoreLost) && f.storeLost() {
+			page, err = g.pollInOutage(ctx, source, f, f.nextPoll(after))
 		}
-		// What was done so far and this poll must fit into the time that the table allows for one.
-		wait = max(wait-time.Since(begun), directWait)
-		begun = time.Now()
-		page, err := f.follow(ctx, after, wait)
-		if err == nil {
-			f.storeAnswered(begun)
+		switch {
+		case err == nil, errors.Is(err, mirror.ErrWaited), isBehind(ctx):
+			return page, source, err
+		case !errors.Is(err, errNotFollowing) && !errors.Is(err, errStoreLost):
+			wait = directWait
 		}
-		return page, err
+		f.avoidPeer(source.ID)
+	}
+	// What was done so far and this poll must fit into the time that the table allows for one.
+	wait = max(wait-time.Since(begun), directWait)
+	begun = time.Now()
+	page, err := f.follow(ctx, after, wait)
+	if err == nil {
+		f.storeAnswered(begun)
 	}
+	return page, source, err
 }
 
 // confirm records that the store confirmed the table at a time.
@@ -208,24 +223,32 @@
 	}
 }
 
-// storeAnswered records an answer of the store to a call that began at a time.
+// storeAnswered records an answer of the store to a call that began at a time. What the
+// answer holds was written after the store confirmed the table before: the answer came at
+// once if it was there when the call began, and else as soon as it was written.
 func (f *feed) storeAnswered(begun time.Time) {
 	now := time.Now()
+	f.mu.Lock()
+	f.written = time.Time{}
+	if !f.confirmed.IsZero() {
+		f.written = now.Add(min(f.confirmed.Sub(begun), 0))
+	}
+	f.mu.Unlock()
 	f.confirm(now, origin{source: fromStore, took: now.Sub(begun)})
 }
 
-// age returns the time since the store confirmed the table, feedMaxAge if that is not
-// known. It is 0 for a nil feed.
+// age returns for how long the latest changes can have been in the store, feedMaxAge if
+// that is not known. It is 0 for a nil feed.
 func (f *feed) age() time.Duration {
 	if f == nil {
 		return 0
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.confirmed.IsZero() {
+	if f.written.IsZero() {
 		return feedMaxAge
 	}
-	return time.Since(f.confirmed)
+	return time.Since(f.written)
 }
 
 // latestOrigin returns the origin of the latest changes. A nil feed has none.
@@ -253,10 +276,20 @@
 			f.documents.Add(r.Value)
 		}
 	}
+	f.recordProgress(rows)
+	if f.writtenAt == nil {
+		f.writtenAt = map[string]time.Time{}
+	}
+	for _, r := range rows {
+		f.writtenAt[r.Key] = f.written
+	}
 	f.rows = slices.DeleteFunc(f.rows, func(r mirror.Row) bool { return added[r.Key] })
 	f.rows = append(f.rows, rows...)
 	if n := len(f.rows) - feedRows; n > 0 {
 		f.from, f.partial = f.rows[n-1].Version, true
+		for _, r := range f.rows[:n] {
+			delete(f.writtenAt, r.Key)
+		}
 		f.rows = slices.Clone(f.rows[n:])
 	}
 }
@@ -267,12 +300,14 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.era, f.rows, f.partial, f.from, f.version, f.late = era, nil, false, -1, 0, nil
+	f.writtenAt, f.lag.latest = nil, progressOf{era: era}
 }
 
 func (f *feed) setVersion(version int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.era, f.missing, f.reviving = f.table.Era(), f.table.Missing(), f.table.Reviving()
+	f.lag.latest.era = f.era
 	if f.from < 0 {
 		f.from = version // the first answer holds the whole table
 	}
--- a/process/gateway/feed_test.go
+++ b/process/gateway/feed_test.go
@@ -42,7 +42,7 @@
 	table.Follow = f.follow // not from other instances
 	go table.Run(t.Context())
 	changes := func(era, after int64) (mirror.Page, bool) {
-		c, _ := f.changes(era, after)
+		c, _ := f.changes(era, after, false)
 		return c.Page, c.Follows
 	}
 	list := func(era, version int64, key string) {
--- a/process/gateway/join_test.go
+++ b/process/gateway/join_test.go
@@ -121,7 +121,7 @@
 	f := w.feeds["t"]
 	for time.Since(begun) < time.Minute {
 		time.Sleep(10 * time.Millisecond)
-		if c, _ := f.changes(0, 2); c.Follows && c.Page.Version == 5 {
+		if c, _ := f.changes(0, 2, false); c.Follows && c.Page.Version == 5 {
 			return f
 		}
 	}
@@ -151,7 +151,7 @@
 		rows.apply(c.Page.Rows)
 		for range 40 {
 			time.Sleep(100 * time.Millisecond)
-			c, _ = f.changes(0, c.Page.Version)
+			c, _ = f.changes(0, c.Page.Version, false)
 			require.True(t, c.Follows)
 			rows.apply(c.Page.Rows)
 		}
@@ -167,7 +167,7 @@
 		rows, version := copyOf{"here": true, "gone": true}, int64(2)
 		for range 40 {
 			time.Sleep(100 * time.Millisecond)
-			c, _ := f.changes(0, version)
+			c, _ := f.changes(0, version, false)
 			require.True(t, c.Follows)
 			rows.apply(c.Page.Rows)
 			version = c.Page.Version
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -178,10 +178,10 @@
 	return list, nil
 }
 
-// payload returns the version of the routing table in force, plus 1, as the
-// data that membership messages carry.
+// payload returns the version of the routing table in force, plus 1, and the latest row of
+// each table, as the data that membership messages carry.
 func (g *Gateway) payload() []byte {
-	return binary.BigEndian.AppendUint64(nil, uint64(g.Tables.Version()+1))
+	return g.appendProgress(binary.BigEndian.AppendUint64(nil, uint64(g.Tables.Version()+1)))
 }
 
 // onPayload fetches the routing table of a peer whose version is newer, unless the feed
@@ -191,6 +191,7 @@
 		counters.Add("payloads_malformed", 1)
 		return
 	}
+	g.onProgress(from, data[payloadBytes:])
 	version := int64(binary.BigEndian.Uint64(data)) - 1
 	if version <= g.Tables.Version() || !g.fetching.CompareAndSwap(false, true) {
 		return
--- a/process/gateway/poll.go
+++ b/process/gateway/poll.go
@@ -48,6 +48,9 @@
 	if poll.Whole && errors.Is(err, errNotFollowing) {
 		return c.Page, err // it has just started too
 	}
+	if err != nil && isBehind(ctx) {
+		return c.Page, err
+	}
 	if errors.Is(err, errStoreLost) {
 		counters.Add("feed_store_lost", 1)
 		return c.Page, err
@@ -60,10 +63,34 @@
 		}).Warn("changes could not be read from another instance; reading them from the store")
 		return c.Page, err
 	}
+	f.setWritten(c.Written, begun)
 	f.confirm(c.confirmed(begun, now), origin{source: "peer " + source.RPC, took: now.Sub(begun), bytes: received})
 	return c.Page, nil
 }
 
+// setWritten records for how long the changes that answer a poll can have been in the store.
+func (f *feed) setWritten(d time.Duration, begun time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.written = time.Time{}
+	if d > 0 {
+		f.written = begun.Add(-d)
+	}
+}
+
+// writtenFor returns the longest time for which rows can have been in the store, 0 if that
+// is not known. f.mu must be held.
+func (f *feed) writtenFor(rows []mirror.Row) (longest time.Duration) {
+	for _, r := range rows {
+		at := f.writtenAt[r.Key]
+		if at.IsZero() {
+			return 0
+		}
+		longest = max(longest, time.Since(at), 1)
+	}
+	return longest
+}
+
 // confirmed returns the earliest time at which the store can have confirmed the changes
 // that answer a poll, the zero time if it is not known.
 func (c *Changes) confirmed(begun, now time.Time) time.Time {
@@ -98,7 +125,7 @@
 	if f == nil {
 		return errors.Newf("table %q is not followed", poll.Table)
 	}
-	changes := func() (Changes, <-chan struct{}) { return f.changes(poll.Era, poll.After) }
+	changes := func() (Changes, <-chan struct{}) { return f.changes(poll.Era, poll.After, poll.Late) }
 	if poll.Whole {
 		changes = f.whole
 	}
@@ -155,13 +182,14 @@
 
 // changes returns the changes after a version of an era; in a later era, it returns
 // only that era. Follows is false if this feed is not up to date with the store, is in an
-// earlier era or no longer holds all these changes. The channel is closed at the next
-// confirmation or failure of the store.
-func (f *feed) changes(era, after int64) (c Changes, changed <-chan struct{}) {
+// earlier era or no longer holds all these changes; with late, the store need not have
+// confirmed the table lately. The channel is closed at the next confirmation or failure of
+// the store.
+func (f *feed) changes(era, after int64, late bool) (c Changes, changed <-chan struct{}) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	c.Age, c.Lost = max(time.Since(f.confirmed), 1), f.lost
-	follows := !f.lost && c.Age < feedMaxAge && f.from >= 0
+	follows := (late || !f.lost && c.Age < feedMaxAge) && f.from >= 0
 	c.Page.Era = f.era
 	switch {
 	case follows && era > 0 && f.era > era:
@@ -182,6 +210,7 @@
 			c.Page.Rows = append(c.Page.Rows, r.Row)
 		}
 	}
+	c.Written = f.writtenFor(c.Page.Rows)
 	return c, f.changed
 }
 
--- a/process/gateway/poll_test.go
+++ b/process/gateway/poll_test.go
@@ -113,7 +113,7 @@
 		list := r.list()
 		for range 200 {
 			for _, i := range list {
-				c, _ := i.feeds["t"].changes(0, 10)
+				c, _ := i.feeds["t"].changes(0, 10, false)
 				require.True(t, c.Follows, "%s at an age of %v", i.id, c.Age)
 			}
 			time.Sleep(50 * time.Millisecond)
@@ -123,7 +123,7 @@
 		r.mu.Unlock()
 		time.Sleep(storeWait + feedMaxAge)
 		for _, i := range list {
-			c, _ := i.feeds["t"].changes(0, 10)
+			c, _ := i.feeds["t"].changes(0, 10, false)
 			require.False(t, c.Follows, "%s at an age of %v", i.id, c.Age)
 		}
 	})
--- a/process/gateway/spread_test.go
+++ b/process/gateway/spread_test.go
@@ -44,6 +44,7 @@
 	changed chan struct{}
 	away    bool               // the store does not answer
 	refuses func(i *host) bool // the store refuses the connections of an instance; may be nil
+	hangs   func(i *host) bool // nothing of an instance reaches the store any more; may be nil
 	calls   int                // to the store
 	reads   int64              // bytes of the configuration that instances have read from the store
 	lists   int                // times that an instance has read the whole table from the store
@@ -167,7 +168,7 @@
 			r.mu.Unlock()
 			return mirror.Page{}, errors.Join(errors.New("connection reset"), pause(ctx, 4*time.Millisecond))
 		}
-		if r.away {
+		if r.away || r.hangs != nil && r.hangs(h) {
 			r.mu.Unlock()
 			<-ctx.Done()
 			return mirror.Page{}, ctx.Err()
@@ -192,11 +193,28 @@
 			return mirror.Page{}, ctx.Err()
 		case <-changed:
 		case <-timer.C:
+			if r.isCut(h) {
+				<-ctx.Done()
+				return mirror.Page{}, ctx.Err()
+			}
 			return mirror.Page{Version: after}, pause(ctx, 4*time.Millisecond)
 		}
 	}
 }
 
+// cut drops, without an error, what passes between the store and some instances.
+func (r *region) cut(hangs func(*host) bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.hangs = hangs
+}
+
+func (r *region) isCut(h *host) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.hangs != nil && r.hangs(h)
+}
+
 // refuse has the store refuse the connections of some instances, and end their polls.
 func (r *region) refuse(refuses func(*host) bool) {
 	r.mu.Lock()
