ratelimit: cold endpoints

A cold endpoint crashes if more than rate x factor + slack requests reach it in one second, from all instances together, whether or not these know each other.

Cool records a cold time. The instances that know each other send at most half of the bound, or two thirds of the rate if that is more, in any 1.2 s: the quota is divided by rank among the instances of the region, each of which sends its part at any time within the window. No holder depends on when another one learns of it, so none begins at a random time. Instances without a part send when the cold time ends, if that is within the longest wait.

--- a/process/ratelimit/pause.go
+++ b/process/ratelimit/pause.go
@@ -22,17 +22,39 @@
 	if x.pause.IsZero() {
 		l.paused.Add(1)
 	}
-	x.pause, x.release = until, time.Time{}
+	x.pause = until
+	x.reorder(now)
+}
+
+// reorder voids the grants for later times, so that those who wait for one ask again. The
+// lock must be held.
+func (x *limit) reorder(now time.Time) {
+	x.release = time.Time{}
 	if x.interval > 0 {
 		x.next = x.latest(now).Add(x.interval)
 	}
-	x.notify()
+	x.notify(now)
 }
 
 // opens returns the time of the next grant, as far as this instance may send at all, and
-// the interval to the one after it; both are zero if there is nothing to wait for. The
-// lock must be held.
-func (l *Limiter) opens(x *limit, now time.Time) (at time.Time, interval time.Duration) {
+// the interval to the one after it; both are zero if there is nothing to wait for. It
+// reports false if this instance may not send. The lock must be held.
+func (l *Limiter) opens(x *limit, now time.Time) (at time.Time, interval time.Duration, ok bool) {
+	if x.cold != nil && !now.Before(x.cold.Until) {
+		l.endCold(x, now)
+	}
+	at, interval = l.opensWarm(x, now)
+	ok = x.rate == 0 || interval > 0
+	if x.cold == nil {
+		return at, interval, ok
+	}
+	coldAt, coldInterval, holds := l.opensCold(x, now)
+	return later(at, coldAt), max(interval, coldInterval), ok && holds
+}
+
+// opensWarm returns what opens does if an endpoint is not cold. The interval is zero if there
+// is a rate and this instance has no part of it. The lock must be held.
+func (l *Limiter) opensWarm(x *limit, now time.Time) (at time.Time, interval time.Duration) {
 	if !x.pause.IsZero() && !now.Before(x.pause) {
 		l.endPause(x)
 	}
--- a/process/ratelimit/ratelimit.go
+++ b/process/ratelimit/ratelimit.go
@@ -25,7 +25,6 @@
 
 import (
 	"cmp"
-	"context"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -80,15 +79,20 @@
 		Changed func(Change)
 		// Unsent is called when Updates has something to return; it may be nil.
 		Unsent func()
+		// ColdChanged is called with each begin and end of a cold time, without locks held; it
+		// may be nil. The end is reported by the next call of Retain.
+		ColdChanged func(ColdChange)
 
 		limited atomic.Int32 // limits in force
 		paused  atomic.Int32 // pauses that are not known to have ended
+		cold    atomic.Int32 // cold endpoints whose cold time is not known to have ended
 		mu      sync.Mutex
 		limits  map[string]*limit // by endpoint
 		id      string            // of this instance
 		members map[string]seenMember
-		views   int  // changes of the members so far
-		settled bool // settleTime has passed
+		views   int          // changes of the members so far
+		settled bool         // settleTime has passed
+		warm    []ColdChange // ends of cold times that are not reported yet
 	}
 
 	seenMember struct {
@@ -113,7 +117,8 @@
 		next     time.Time     // earliest time of the next request
 		pause    time.Time     // before which nothing is sent; zero if there is no pause
 		dropAt   time.Time     // when the record is dropped if the endpoint is not listed by then; zero if it is listed
-		release  time.Time     // of the next request that waited for the end of a pause, without a rate
+		release  time.Time     // of the next request that waited for the end of a pause or of a cold time, without a rate
+		cold     *coldTime     // nil if the endpoint is not cold
 	}
 )
 
@@ -225,6 +230,9 @@
 	if !x.pause.IsZero() {
 		l.endPause(x)
 	}
+	if x.cold != nil {
+		l.endCold(x, x.cold.Until)
+	}
 }
 
 // set puts a rate in force. The lock must be held.
@@ -240,12 +248,15 @@
 	}
 	c.Granted = x.granted
 	x.rate, x.view = rate, -1
-	x.notify()
+	x.notify(now)
 	return c
 }
 
 // notify voids the grants for later times. The lock must be held.
-func (x *limit) notify() {
+func (x *limit) notify(now time.Time) {
+	if x.cold != nil {
+		x.cold.void(now)
+	}
 	close(x.changed)
 	x.changed = make(chan struct{})
 }
@@ -269,10 +280,15 @@
 // until its pause ends, as it may come back. Retain is called when the endpoints have
 // changed, and about once a second.
 func (l *Limiter) Retain(now time.Time, find func(id string) (Endpoint, bool)) {
+	defer l.reportWarm()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, x := range l.limits {
+		if x.cold != nil && !now.Before(x.cold.Until) {
+			l.endCold(x, now)
+		}
 		switch e, ok := find(x.ID); {
+		case ok && e.Born < x.Born && x.cold != nil: // its row has been read and is about to be listed
 		case ok && e.Born != x.Born:
 			l.drop(x)
 		case ok:
@@ -285,170 +301,12 @@
 	}
 }
 
-// Limited reports whether a limit of an endpoint is in force.
-func (l *Limiter) Limited(endpoint string) bool {
-	if l.limited.Load() == 0 {
-		return false
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	x := l.limits[endpoint]
-	return x != nil && x.rate > 0
-}
-
-// Any reports whether a limit or a pause of any endpoint may be in force.
-func (l *Limiter) Any() bool { return l.limited.Load()+l.paused.Load() > 0 }
-
-// Take grants one request to an endpoint now, and reports whether it did. A request
-// to an endpoint without a limit and a pause is always granted.
-func (l *Limiter) Take(endpoint string, now time.Time) bool {
-	return l.take(endpoint, now, true)
-}
-
-// Ready reports whether Take would grant a request.
-func (l *Limiter) Ready(endpoint string, now time.Time) bool {
-	return l.take(endpoint, now, false)
-}
-
-func (l *Limiter) take(endpoint string, now time.Time, grant bool) bool {
-	if !l.Any() {
-		return true
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	x := l.limits[endpoint]
-	if x == nil {
-		return true
-	}
-	at, interval := l.opens(x, now)
-	if x.rate > 0 && interval == 0 || now.Before(at) {
-		return false
-	}
-	if grant && x.rate > 0 {
-		x.next = now.Add(interval)
-		x.granted++
-	}
-	return true
-}
-
-// Next returns when Take will grant the next request to an endpoint: a time in the
-// past if it would do so now, and false if this instance may not send to it.
-func (l *Limiter) Next(endpoint string, now time.Time) (time.Time, bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	x := l.limits[endpoint]
-	if x == nil {
-		return time.Time{}, true
-	}
-	at, interval := l.opens(x, now)
-	return at, x.rate == 0 || interval > 0
-}
-
-// Due returns how many requests of this instance to an endpoint will be granted by a
-// time; many if the endpoint has neither a limit nor a pause.
-func (l *Limiter) Due(endpoint string, until, now time.Time) int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	x := l.limits[endpoint]
-	if x == nil {
-		return math.MaxInt32
-	}
-	at, interval := l.opens(x, now)
-	switch {
-	case interval == 0 && x.rate == 0:
-		return math.MaxInt32
-	case interval == 0 || at.After(until):
-		return 0
-	}
-	return 1 + int(until.Sub(at)/interval)
-}
-
-// Wait waits for a grant of one request to an endpoint, and reports whether it was
-// granted. Requests are granted in the order of the calls. It fails at once if the
-// grant would come after a time, and when ctx ends.
-func (l *Limiter) Wait(ctx context.Context, endpoint string, until time.Time) bool {
-	for {
-		at, changed, ok := l.reserve(endpoint, until, time.Now())
-		if !ok {
-			return false
-		}
-		// The race detector crashes on a select with a timer that has expired in a synctest
-		// bubble. Most grants are due at once.
-		if d := time.Until(at); d > 0 {
-			timer := time.NewTimer(d)
-			select {
-			case <-timer.C:
-			case <-changed:
-				timer.Stop()
-			case <-ctx.Done():
-				timer.Stop()
-				l.cancel(endpoint, at)
-				return false
-			}
-		} else if ctx.Err() != nil {
-			l.cancel(endpoint, at)
-			return false
-		}
-		select {
-		case <-changed: // the place in the order was one of the previous rate
-		default:
-			l.count(endpoint)
-			return true
-		}
-	}
-}
-
-// reserve grants the next request to an endpoint, for a time not after until. The
-// grant is void if changed is closed before that time.
-func (l *Limiter) reserve(endpoint string, until, now time.Time) (at time.Time, changed <-chan struct{}, ok bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	x := l.limits[endpoint]
-	if x == nil {
-		return now, nil, true
-	}
-	at, interval := l.opens(x, now)
-	at = later(at, now)
-	switch {
-	case interval == 0 && x.rate == 0:
-		return at, x.changed, true
-	case interval == 0 || at.After(until):
-		return at, nil, false
-	case x.rate > 0:
-		x.next = at.Add(interval)
-	default:
-		x.release = at.Add(interval)
-	}
-	return at, x.changed, true
-}
-
-// count records that a request was granted.
-func (l *Limiter) count(endpoint string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if x := l.limits[endpoint]; x != nil {
-		x.granted++
-	}
-}
-
-// cancel takes a grant back if no later one depends on it.
-func (l *Limiter) cancel(endpoint string, at time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if x := l.limits[endpoint]; x != nil && x.interval > 0 && x.next.Equal(at.Add(x.interval)) {
-		x.next = at
-	}
-}
-
 // divide computes the part of this instance in a limit. A new part begins at a random
 // time within its interval, so that the holders do not send together. When the
 // interval changes, grants for later times are void, and the next one follows the
 // latest request at the new interval. The lock must be held.
 func (l *Limiter) divide(x *limit, now time.Time) {
-	if !l.settled && !now.Before(l.Start.Add(settleTime)) {
-		l.settled = true
-		l.views++
-	}
+	l.settle(now)
 	if x.view == l.views {
 		return
 	}
@@ -466,7 +324,15 @@
 		x.next = x.latest(now).Add(interval)
 	}
 	x.interval = interval
-	x.notify()
+	x.notify(now)
+}
+
+// settle notices the end of settleTime. The lock must be held.
+func (l *Limiter) settle(now time.Time) {
+	if !l.settled && !now.Before(l.Start.Add(settleTime)) {
+		l.settled = true
+		l.views++
+	}
 }
 
 // holders returns the number of holders of a limit and whether this instance is one.
@@ -475,6 +341,18 @@
 	if !l.settled {
 		return 0, false
 	}
+	near := l.ranked(x)
+	if len(near) == 0 {
+		return 1, true
+	}
+	n = int(min(1+x.rate, float64(len(near))))
+	return n, slices.Contains(near[:n], l.id)
+}
+
+// ranked returns the members among which the holders of an endpoint's grants are chosen, in
+// the order in which they are: those of its region, or all if there are none. The lock must
+// be held.
+func (l *Limiter) ranked(x *limit) []string {
 	var near, all []string
 	for id, m := range l.members {
 		all = append(all, id)
@@ -485,11 +363,7 @@
 	if len(near) == 0 {
 		near = all
 	}
-	if len(near) == 0 {
-		return 1, true
-	}
-	n = int(min(1+x.rate, float64(len(near))))
 	rank := func(id string) uint64 { return xxhash.Sum64String(x.ID + " " + id) }
 	slices.SortFunc(near, func(a, b string) int { return cmp.Compare(rank(a), rank(b)) })
-	return n, slices.Contains(near[:n], l.id)
+	return near
 }
--- a/process/ratelimit/wire.go
+++ b/process/ratelimit/wire.go
@@ -40,6 +40,8 @@
 		Part     float64   `json:"part"`    // requests per second of this instance
 		Granted  int64     `json:"granted"` // requests of this instance since then
 		Pause    time.Time `json:"pause"`   // before which this instance sends nothing, zero if there is none
+		// Cold is until when the endpoint is cold; zero if it is not.
+		Cold time.Time `json:"cold,omitzero"`
 	}
 )
 
@@ -124,13 +126,16 @@
 	defer l.mu.Unlock()
 	list := []State{}
 	for _, x := range l.limits {
-		if l.opens(x, now); x.rate == 0 && x.pause.IsZero() {
+		if l.opens(x, now); x.rate == 0 && x.pause.IsZero() && x.cold == nil {
 			continue
 		}
 		s := State{Endpoint: x.ID, Rate: x.rate, Since: x.since, Granted: x.granted, Pause: x.pause}
 		if x.interval > 0 {
 			s.Part = float64(time.Second) / float64(x.interval)
 		}
+		if x.cold != nil {
+			s.Cold = x.cold.Until
+		}
 		list = append(list, s)
 	}
 	return list
