gateway, platform: cold endpoints

An endpoint that has just started, or says that it is cold, crashed at the load of an ordinary one: cold_remaining_ms was decoded and dropped, Cold-Ms was not read.

A cold time is recorded with the limits when a row appears during traffic, shows a later start or says so, when an answer says so, when an engine is silent and answers again, and when the evacuation of a place ends (coolEndpoints). A row is noted before the roster lists its endpoint, so that its first request takes a grant. Whatever is sent to an endpoint takes a grant already. Copies may be placed at a cold engine if runs can soon continue there; a copy that arrives is no request. An unreachable engine is probed by the holders of grants, which tell the others when it answers; the others probe it rarely. No effect without Settings.Cold or without a rate of the service.

Tests: each source, all sends of one instance, an instance without grants, probes by 40 instances (known everywhere after 30 ms of simulated time, 1 probe).

--- a/process/gateway/enginepool.go
+++ b/process/gateway/enginepool.go
@@ -42,11 +42,12 @@
 	waiting    atomic.Int32 // requests in acquire
 
 	mu       sync.Mutex
-	failures map[string]int  // failures in a row, by engine
-	checking map[string]bool // engines that are being probed
-	avoided  map[string]bool // engines among them that did not answer a request
-	down     map[string]bool // engines among them that do not answer
-	gone     map[string]bool // engines among them whose process has ended or counts as lost
+	failures map[string]int           // failures in a row, by engine
+	checking map[string]bool          // engines that are being probed
+	avoided  map[string]bool          // engines among them that did not answer a request
+	down     map[string]bool          // engines among them that do not answer
+	gone     map[string]bool          // engines among them whose process has ended or counts as lost
+	back     map[string]chan struct{} // closed when another instance gets an answer, by engine
 }
 
 func (g *Gateway) enginePool(service string, engine *routing.Engine) *enginePool {
@@ -56,6 +57,7 @@
 	d := &enginePool{
 		g: g, service: service, failures: map[string]int{},
 		checking: map[string]bool{}, avoided: map[string]bool{}, down: map[string]bool{}, gone: map[string]bool{},
+		back: map[string]chan struct{}{},
 	}
 	d.sched = &placement.Scheduler{
 		Service: service, Region: g.Settings.Region, EntryPlace: g.Settings.Place, Length: &g.lengths,
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -83,6 +83,8 @@
 		// what it names instead if that is not a time.
 		RetryAt      time.Time
 		InvalidRetry string
+		// ColdUntil is until when the endpoint is cold, zero if it does not say so.
+		ColdUntil time.Time
 	}
 
 	// Answer is an endpoint's answer. Its Close function must be called.
@@ -204,6 +206,7 @@
 		unconfirmed   quarantine.Unconfirmed[crash]
 		updatesUnsent chan struct{} // signals that there are updates for the other instances
 		limits        ratelimit.Limiter
+		cold          coldRegister
 		times         requestTimes
 		feeds         map[string]*feed // by table
 		configuration string           // table of the routing table
--- a/process/gateway/health.go
+++ b/process/gateway/health.go
@@ -8,7 +8,6 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
-	"github.com/eelgrassdock/eelgrassdock/internal/sleep"
 	"github.com/eelgrassdock/eelgrassdock/process/loads"
 	"github.com/eelgrassdock/eelgrassdock/process/roster"
 )
@@ -82,19 +81,27 @@
 		err := p.probe(p.g.base, e)
 		switch {
 		case err == nil:
+			if p.isDown(id) {
+				p.g.noteAnswered(e, true)
+			}
 			return true
 		case isSilence(err):
 			unclear = 0
+			p.g.noteUnanswered(e)
 			p.sched.SetSilent(id, true)
 			p.markUnreachable(e, err, notify)
 			if errors.Is(err, ErrRefused) || p.g.Stalls.RanSince(begun) >= p.g.lossTime() {
 				p.markGone(e, err)
 			}
-		default:
+		case !p.g.isDelayed(e, err):
 			unclear++
 		}
-		if !sleep.For(p.g.base, pause) {
+		switch answered, ok := p.awaitProbe(p.g.base, e, pause); {
+		case !ok:
 			return false
+		case answered:
+			p.g.noteAnswered(e, false)
+			return true
 		}
 	}
 	return false
@@ -226,7 +233,12 @@
 	if !ok || e.Born != n.Born {
 		return
 	}
-	if d, ok := g.enginePools.Load(e.Service); ok && n.Gone {
+	d, ok := g.enginePools.Load(e.Service)
+	switch {
+	case !ok:
+	case n.Gone:
 		d.(*enginePool).startCheck(e.ID, false)
+	case !n.Leaving:
+		d.(*enginePool).onAnswered(e.ID)
 	}
 }
--- a/process/gateway/limit.go
+++ b/process/gateway/limit.go
@@ -33,6 +33,7 @@
 // watchLimits connects the limits to the log and to the exchange with the other
 // instances.
 func (g *Gateway) watchLimits() {
+	g.watchCold()
 	g.limits.Unsent = g.sendUpdates
 	g.limits.Changed = func(c ratelimit.Change) {
 		if c.Rate > 0 {
@@ -128,6 +129,9 @@
 		}
 	}
 	now := time.Now()
+	if s.ColdUntil.After(now) && !g.isReplaced(e) {
+		g.cool(coldSign{endpoint: e, until: s.ColdUntil, source: coldByAnswer})
+	}
 	if !s.RetryAt.After(now) || g.isReplaced(e) {
 		return
 	}
@@ -170,11 +174,11 @@
 	return r, err
 }
 
-// limitOf reports whether an endpoint has a limit or a pause, and whether a request to it
-// would be granted now.
+// limitOf reports whether copies must not be placed at an endpoint because of a limit, a
+// pause or a cold time, and whether a request to it would be granted now.
 func (g *Gateway) limitOf(endpoint string) (limited, ready bool) {
-	ready = g.limits.Ready(endpoint, time.Now())
-	return !ready || g.limits.Limited(endpoint), ready
+	now := time.Now()
+	return !g.limits.AllowsCopies(endpoint, now), g.limits.Ready(endpoint, now)
 }
 
 // pickReplica chooses a replica for an attempt and takes a grant of one request to it.
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -125,6 +125,7 @@
 	now := time.Now()
 	g.stored.Store(&storedTable{version: t.Version, data: data})
 	g.installed.Store(&now)
+	g.coolPending()
 	g.Log.WithFields(logrus.Fields{
 		"event": "table_installed", "version": t.Version, "row": version, "source": from.source,
 		"routes": len(t.Routes), "accounts": len(t.Accounts), "bytes": len(data),
--- a/process/gateway/silence.go
+++ b/process/gateway/silence.go
@@ -112,7 +112,7 @@
 	last, logged := w.lastEvent(), false
 	since := w.silentSince(time.Now())
 	for w.lastEvent().Equal(last) {
-		err := w.r.enginePool.probe(ctx, w.endpoint)
+		err := w.r.enginePool.probeKnown(ctx, w.endpoint)
 		switch {
 		case ctx.Err() != nil || !w.lastEvent().Equal(last):
 			return
@@ -163,6 +163,9 @@
 func (w *silenceWatch) canContinue(ctx context.Context) bool {
 	if b := w.r.usableCopy(); b != nil {
 		err := w.r.enginePool.probe(ctx, b.endpoint)
+		if w.r.g.isDelayed(b.endpoint, err) {
+			return !w.r.enginePool.isDown(b.endpoint.ID)
+		}
 		return !isSilence(err) && !errors.Is(err, errLimited)
 	}
 	budget := &w.r.pool.policy.Budget
--- a/process/placement/choose.go
+++ b/process/placement/choose.go
@@ -93,7 +93,7 @@
 			continue
 		}
 		wait = true
-		if limited, ready := s.limitOf(e); limited && !ready {
+		if _, ready := s.limitOf(e); !ready {
 			continue
 		}
 		used += e.others + e.used
--- a/process/placement/placement.go
+++ b/process/placement/placement.go
@@ -147,9 +147,9 @@
 		// it is not zero, the choice allows for the requests that other entries have placed in
 		// this time.
 		LoadAge time.Duration
-		// Limited reports whether an endpoint has named a limit on its requests, and
-		// whether one may be sent to it now. No copies are placed at such an
-		// endpoint. If nil, no endpoint has a limit.
+		// Limited reports whether an endpoint takes no copies, because it has named a
+		// limit on its requests for example, and whether a request may be sent to it
+		// now. If nil, all endpoints take both.
 		Limited func(endpoint string) (limited, ready bool)
 		// FarCost is the cost of an endpoint in another region, in seconds of stall,
 		// in addition to the cost of the bytes; 0.03 if zero.
