--- a/process/gateway/cold.go
+++ b/process/gateway/cold.go
@@ -29,6 +29,10 @@
 // about a quarter of the bound at 25 requests per second, of which grants use half.
 const coldProbeTime = 100 * time.Millisecond
 
+// maxColdPending is the number of endpoints of which coldRegister keeps what was learned, as
+// many as the roster remembers. Rows may name any number.
+const maxColdPending = 8192
+
 // errDown is the error of a probe that is not sent, as the engine did not answer the latest one.
 var errDown = errors.New("the engine does not answer and may send no further probe now")
 
@@ -36,7 +40,7 @@
 	// coldRegister holds what was learned of cold endpoints before the first routing table.
 	coldRegister struct {
 		mu      sync.Mutex
-		pending []coldSign
+		pending map[string]coldSign // by endpoint
 	}
 
 	// coldSign is a piece of information that an endpoint is cold.
@@ -98,7 +102,7 @@
 	g.cold.mu.Lock()
 	wait := g.Tables.Current() == nil
 	if wait {
-		g.cold.pending = append(g.cold.pending, s)
+		g.cold.add(s)
 	}
 	g.cold.mu.Unlock()
 	if wait {
@@ -118,6 +122,22 @@
 	}, time.Now())
 }
 
+// add keeps what was learned, with what is known of the same process. The lock must be held.
+func (r *coldRegister) add(s coldSign) {
+	id := s.endpoint.ID
+	old, ok := r.pending[id]
+	switch {
+	case !ok && len(r.pending) >= maxColdPending:
+		return
+	case ok && old.endpoint.Born == s.endpoint.Born:
+		s.until, s.started = later(s.until, old.until), later(s.started, old.started)
+	}
+	if r.pending == nil {
+		r.pending = map[string]coldSign{}
+	}
+	r.pending[id] = s
+}
+
 // coolPending applies what was learned before the first routing table.
 func (g *Gateway) coolPending() {
 	g.cold.mu.Lock()
