docs: cold endpoints

Lines for operators: the events, the counters, and the refusal endpoint_limit, which explain reads too.

--- a/internal/diagnosis/diagnosis.go
+++ b/internal/diagnosis/diagnosis.go
@@ -312,7 +312,7 @@
 	case "stopping":
 		return "the instance was stopping" + tail
 	case "endpoint_limit":
-		return "all endpoints that could be used had named limits or asked for pauses; the lines limit_named and pause_asked say which" + tail
+		return "all endpoints that could be used had named limits, asked for pauses or were cold; the lines limit_named, pause_asked and endpoint_cold say which" + tail
 	case "quarantined":
 		if held, ok := lastEvent(list, "quarantined", "withdrawn"); ok && strings.HasPrefix(end.Text, "the request") {
 			return "the request had crashed the endpoints that ran it; the lines crash_suspect with digest " + held.get("digest") + " name them" + tail
--- a/process/ratelimit/ratelimit.go
+++ b/process/ratelimit/ratelimit.go
@@ -1,7 +1,8 @@
 // Package ratelimit decides whether a request may be sent to an endpoint now, and if
 // not, when. It keeps the requests that all instances together send to an endpoint
 // within a rate that the endpoint names in its answers, and sends none before the end of
-// a pause that the endpoint has asked this instance for.
+// a pause that the endpoint has asked this instance for. While an endpoint is cold, it keeps
+// them within what the endpoint tolerates in any second (Cool).
 //
 // A rate is in force until an answer to a later request names none. All instances
 // learn it from the one that got the answer, and it is divided without messages:
