ratelimit, gateway: rank members with one hash each, list the events

The order of the holders was computed with two hashes for each comparison; with cold endpoints it is computed for many at once, under one lock. The lines about cold times did not have the form that TestEventsAreDocumented looks for: it failed.

--- a/process/gateway/cold.go
+++ b/process/gateway/cold.go
@@ -55,16 +55,17 @@
 // watchCold connects the cold times to the log and the counters.
 func (g *Gateway) watchCold() {
 	g.limits.ColdChanged = func(c ratelimit.ColdChange) {
-		fields := logrus.Fields{"endpoint": c.Endpoint, "source": c.Source}
-		if !c.Ended {
-			counters.Add("cold_begun", 1)
-			fields["event"], fields["left"] = "endpoint_cold", time.Until(c.Until).Milliseconds()
-		} else {
+		fields := logrus.Fields{"event": "endpoint_cold", "endpoint": c.Endpoint, "source": c.Source, "left": time.Until(c.Until).Milliseconds()}
+		if c.Ended {
+			fields = logrus.Fields{
+				"event": "endpoint_warm", "endpoint": c.Endpoint, "source": c.Source, "lasted": c.Lasted.Milliseconds(),
+				"granted": c.Granted, "refused": c.Refused, "delayed": c.Delayed,
+			}
 			counters.Add("cold_ended", 1)
 			counters.Add("cold_refused", c.Refused)
 			counters.Add("cold_delayed", c.Delayed)
-			fields["event"], fields["lasted"] = "endpoint_warm", c.Lasted.Milliseconds()
-			fields["granted"], fields["refused"], fields["delayed"] = c.Granted, c.Refused, c.Delayed
+		} else {
+			counters.Add("cold_begun", 1)
 		}
 		switch {
 		case c.Source == coldBySilence:
--- a/process/ratelimit/ratelimit.go
+++ b/process/ratelimit/ratelimit.go
@@ -354,17 +354,33 @@
 // the order in which they are: those of its region, or all if there are none. The lock must
 // be held.
 func (l *Limiter) ranked(x *limit) []string {
-	var near, all []string
+	isNear := func(m seenMember) bool { return m.region == x.Region }
+	if !hasMember(l.members, isNear) {
+		isNear = func(seenMember) bool { return true }
+	}
+	type member struct {
+		id   string
+		rank uint64
+	}
+	var list []member
 	for id, m := range l.members {
-		all = append(all, id)
-		if m.region == x.Region {
-			near = append(near, id)
+		if isNear(m) {
+			list = append(list, member{id, xxhash.Sum64String(x.ID + " " + id)})
 		}
 	}
-	if len(near) == 0 {
-		near = all
+	slices.SortFunc(list, func(a, b member) int { return cmp.Compare(a.rank, b.rank) })
+	ids := make([]string, len(list))
+	for i, m := range list {
+		ids[i] = m.id
+	}
+	return ids
+}
+
+func hasMember(members map[string]seenMember, is func(seenMember) bool) bool {
+	for _, m := range members {
+		if is(m) {
+			return true
+		}
 	}
-	rank := func(id string) uint64 { return xxhash.Sum64String(x.ID + " " + id) }
-	slices.SortFunc(near, func(a, b string) int { return cmp.Compare(rank(a), rank(b)) })
-	return near
+	return false
 }
