gateway: the end of an evacuation makes endpoints cold before it opens them

The parts of evacuations and of cold endpoints were built side by side; the hook between them was called after the endpoints had been opened, so that the first requests needed no grant. The endpoints that open are recorded as cold first.

--- a/process/gateway/evacuation.go
+++ b/process/gateway/evacuation.go
@@ -47,9 +47,6 @@
 	mu     sync.Mutex                           // serializes changes
 	places atomic.Pointer[map[string]time.Time] // the earliest time at which the row can have been written
 	known  bool                                 // from the store; until then a peer may tell
-	// opened is called with the endpoints that were closed and are not any more, and
-	// counts them as cold. It is set before Start and may be nil.
-	opened func([]roster.Endpoint)
 }
 
 // since returns the earliest time at which the evacuation of a place can have been written,
@@ -108,7 +105,10 @@
 		next[place] = at
 	}
 	x.places.Store(&next)
-	closed, opened := g.Roster.SetEvacuated(places)
+	if len(old) > 0 {
+		g.coolOpened(places) // before they get requests
+	}
+	closed := g.Roster.SetEvacuated(places)
 	for _, place := range slices.Sorted(maps.Keys(next)) {
 		if _, ok := old[place]; !ok {
 			g.logPlace(place, true, source, age)
@@ -122,9 +122,13 @@
 	if len(closed) > 0 {
 		g.spawn(func() { g.clearEndpoints(closed) })
 	}
-	if len(opened) > 0 && x.opened != nil {
-		x.opened(opened)
-	}
+}
+
+// coolOpened records that the endpoints whose evacuation ends are cold.
+func (g *Gateway) coolOpened(places map[string]bool) {
+	g.coolEndpoints(slices.DeleteFunc(g.Roster.All(), func(e roster.Endpoint) bool {
+		return e.Leaving || !e.Evacuated || places[e.Place]
+	}))
 }
 
 // logPlace logs that a place was closed or opened, on information of an age.
--- a/process/gateway/evacuation_test.go
+++ b/process/gateway/evacuation_test.go
@@ -191,15 +191,21 @@
 }
 
 // Guards against a place that stays closed, or an endpoint that is open because it was
-// listed after the order; and against waits for endpoints that do not come.
+// listed after the order; against waits for endpoints that do not come; and against
+// endpoints that are open again before they count as cold.
 func TestEvacuationBeginsAndEnds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		x := newEvacuated(t)
-		var opened []string
-		x.evacuation.opened = func(list []roster.Endpoint) {
-			for _, e := range list {
-				opened = append(opened, e.ID)
+		x.makeCold()
+		opened := map[string]bool{} // whether they were cold
+		changed := x.Roster.Changed
+		x.Roster.Changed = func(service string) {
+			for _, e := range x.Roster.List(service) {
+				if _, seen := opened[e.ID]; e.Place == "p2" && !e.Closed() && !seen {
+					opened[e.ID] = x.limits.IsCold(e.ID, time.Now())
+				}
 			}
+			changed(service)
 		}
 		x.close("p0", "p2")
 		x.Roster.Set(roster.Endpoint{ID: "d9", Service: plainService, Addr: "10.0.2.1:1", Place: "p2", Slots: 6})
@@ -215,7 +221,7 @@
 		x.borrowEvacuated(nil, "peer")
 		require.Equal(t, []string{"p0", "p2"}, x.evacuated(), "the store counts")
 		x.close("p0")
-		require.ElementsMatch(t, []string{"d2", "d3", "d9", "e2", "e3"}, opened)
+		require.Equal(t, map[string]bool{"d2": true, "d3": true, "d9": true, "e2": true, "e3": true}, opened)
 		_, err := x.ask("/read/1", 5*time.Second)
 		require.NoError(t, err)
 		x.cancel()
--- a/process/roster/evacuated.go
+++ b/process/roster/evacuated.go
@@ -11,8 +11,8 @@
 
 // SetEvacuated sets the places that are evacuated, and calls Changed for the services
 // whose endpoints that affects. It returns the endpoints that were open before and are
-// closed now, and those that were closed and are open now.
-func (r *Roster) SetEvacuated(places map[string]bool) (closed, opened []Endpoint) {
+// closed now.
+func (r *Roster) SetEvacuated(places map[string]bool) (closed []Endpoint) {
 	services := map[string]bool{}
 	r.mu.Lock()
 	r.places = maps.Clone(places)
@@ -24,12 +24,8 @@
 		e.Evacuated = !old.Evacuated
 		r.put(&e)
 		services[e.Service] = true
-		switch {
-		case e.Leaving:
-		case e.Evacuated:
+		if e.Evacuated && !e.Leaving {
 			closed = append(closed, e)
-		default:
-			opened = append(opened, e)
 		}
 	}
 	names := slices.Sorted(maps.Keys(services))
@@ -40,5 +36,5 @@
 	for _, service := range names {
 		r.notifyChanged(service)
 	}
-	return closed, opened
+	return closed
 }
