placement: cached parts of prompts are weighed against the wait

Cause: serve passed no parts of prompts to the placement, and an index that knows only own placements finds nothing when one instance of 70 places few of the requests.

Change: requests on routes with session affinity carry their parts; the scheduler predicts for each engine what it has cached, from its turnover and its free memory, and prefers the same homes for a part as all other instances. Off unless the setting prefix is set; without it the choices are the same as before.

--- a/process/gateway/enginepool.go
+++ b/process/gateway/enginepool.go
@@ -14,6 +14,7 @@
 	"github.com/eelgrassdock/eelgrassdock/process/dispatch"
 	"github.com/eelgrassdock/eelgrassdock/process/loads"
 	"github.com/eelgrassdock/eelgrassdock/process/placement"
+	"github.com/eelgrassdock/eelgrassdock/process/quarantine"
 	"github.com/eelgrassdock/eelgrassdock/process/queue"
 	"github.com/eelgrassdock/eelgrassdock/process/roster"
 	"github.com/eelgrassdock/eelgrassdock/request/refusal"
@@ -60,7 +61,7 @@
 	d.sched = &placement.Scheduler{
 		Service: service, Region: g.Settings.Region, EntryPlace: g.Settings.Place, Length: &g.lengths,
 		Seed: xxhash.Sum64String(g.id + service), Violation: g.logViolation, Chunked: true,
-		MemoryCost: memoryCost, FarCost: farCost, LoadAge: g.exchange.Age(), Limited: g.limitOf,
+		MemoryCost: memoryCost, FarCost: farCost, LoadAge: g.exchange.Age(), Limited: g.limitOf, Parts: g.Settings.Prefix,
 	}
 	d.dispatcher.Service, d.dispatcher.Sched = service, d.sched
 	actual, _ := g.enginePools.LoadOrStore(service, d)
@@ -79,7 +80,7 @@
 	endpoints := make([]placement.Endpoint, 0, len(list))
 	for _, e := range list {
 		endpoints = append(endpoints, placement.Endpoint{
-			ID: e.ID, Place: e.Place, Region: p.g.Settings.RegionOf(e.Place), Tokens: engine.Tokens,
+			ID: e.ID, Place: e.Place, Region: p.g.Settings.RegionOf(e.Place), Tokens: engine.Tokens, Born: e.Born,
 			Drain: e.Closed() || p.isGone(e.ID),
 		})
 	}
@@ -141,6 +142,7 @@
 	// client account.
 	request := placement.Request{
 		Account: j.route.Name, Prompt: j.Prompt, Max: j.Max, Rank: j.rank, Arrived: now, Deadline: until, Exclude: tried,
+		Parts: p.parts(j),
 	}
 	if f := p.g.checkStop(j); f != nil {
 		return roster.Endpoint{}, 0, f
@@ -187,6 +189,18 @@
 	}
 }
 
+// parts returns the parts of the prompt of a request, nil if they are not used to place it.
+func (p *enginePool) parts(j *job) []placement.Part {
+	if !p.sched.Parts || !j.route.Affinity || len(j.Sizes) != len(j.Parts) {
+		return nil
+	}
+	parts := make([]placement.Part, min(len(j.Parts), placement.MaxParts))
+	for i := range parts {
+		parts[i] = placement.Part{ID: quarantine.ID(j.service, j.Parts[i]), Tokens: j.Sizes[i]}
+	}
+	return parts
+}
+
 // checkLimits returns a refusal if all engines that can be used have limits and these
 // allow fewer requests by until than are waiting, with this one.
 func (p *enginePool) checkLimits(j *job, tried []string, until time.Time) error {
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -59,6 +59,7 @@
 		Max      int       // maximum number of tokens to produce, 0 if not stated
 		After    string    // ID of the last event that the caller has received
 		Parts    []string  // IDs of the parts of the prompt, in order; the last belongs to the request or its session
+		Sizes    []int     // tokens of these parts
 	}
 
 	// Call is one attempt to send a request to one endpoint.
--- a/process/gateway/settings.go
+++ b/process/gateway/settings.go
@@ -53,6 +53,9 @@
 		Evacuation int `json:"evacuation,omitempty" validate:"gte=0,lte=3600000"`
 		// Cold bounds the requests to cold endpoints beyond the rate of their service.
 		Cold Cold `json:"cold"`
+		// Prefix places generations where a part of their prompt is probably cached, if what
+		// that saves outweighs the wait there, on routes with session affinity.
+		Prefix bool `json:"prefix,omitempty"`
 		// Memory is the memory of this process in MB, and Files the number of its
 		// descriptors; 0 if there is no limit.
 		Memory int `json:"memory,omitempty" validate:"gte=0,lte=16777216"`
--- a/process/placement/account.go
+++ b/process/placement/account.go
@@ -55,6 +55,8 @@
 		fillAt   int64   // Unix nanoseconds
 		matchSeq uint64  // the matchPrefix call for which cached is valid
 		cached   float64 // prompt tokens of that call's request in the prefix cache
+		match    float64 // probability that the parts so far are cached; of matchParts
+		hit      float64 // the same for one part
 
 		logSlowdown float64 // logarithm of its time for prompts relative to other endpoints
 		slowdownAt  int64   // Unix nanoseconds
@@ -74,6 +76,7 @@
 		report      Report
 		received    time.Time
 		sent        float64 // total of prompt tokens placed
+		turnover    float64 // prompt tokens that all entries have placed, less those expected to be cached
 		placedSince int     // own generations placed since the report
 
 		// Prefix cache.
@@ -257,7 +260,11 @@
 	s.sending.recordPlacement(r.prompt, s.now)
 	r.placed, r.backlog = now, ep.fill
 	s.sending.recordFill(fillShare(r.prompt, s.fillTime()))
+	ep.turnover += r.prompt
 	s.prefixes.placed(ep, req.Prefix)
+	if s.Parts {
+		s.parts.placed(ep, req.Parts, now)
+	}
 	s.countTransfer(ep, req.Prompt*bytesPerPrompt)
 	return Ticket(uint64(r.gen)<<32 | uint64(i))
 }
--- a/process/placement/choose.go
+++ b/process/placement/choose.go
@@ -50,8 +50,9 @@
 type (
 	// candidate is an endpoint whose risk is within the budget.
 	candidate struct {
-		ep   *endpoint
-		cost float64
+		ep    *endpoint
+		cost  float64
+		saved float64 // part of the cost that cached parts of the prompt save
 	}
 
 	// inputs are the values of a decision that do not depend on the endpoint.
@@ -83,6 +84,7 @@
 // but none within the budget.
 func (s *Scheduler) choose(req *Request, estimate *length.Estimate) (best *endpoint, wait bool) {
 	s.matchPrefix(req)
+	s.matchParts(req)
 	var o inputs
 	s.fillInputs(&o, req, estimate)
 	s.scratch = s.scratch[:0]
@@ -108,14 +110,14 @@
 			continue
 		}
 		lowest = min(lowest, cost)
-		s.scratch = append(s.scratch, candidate{e, cost})
+		s.scratch = append(s.scratch, candidate{e, cost, s.savedBy(e, &o)})
 	}
 	s.poolShare = used / max(total, 1)
 	if len(s.scratch) == 0 {
 		return nil, wait
 	}
 	if s.LoadAge > 0 && s.policy != Previous {
-		return s.pickUnseen(&o), false
+		return s.pickWithParts(&o), false
 	}
 	return s.pick(lowest, &o), false
 }
--- a/process/placement/copy.go
+++ b/process/placement/copy.go
@@ -84,7 +84,7 @@
 		// Preferring endpoints with less memory in use spreads the copies.
 		cost += (e.others + e.used) / e.total
 		lowest = min(lowest, cost)
-		s.scratch = append(s.scratch, candidate{e, cost})
+		s.scratch = append(s.scratch, candidate{ep: e, cost: cost})
 	}
 	if len(s.scratch) == 0 {
 		return Decision{None: true}
--- a/process/placement/others.go
+++ b/process/placement/others.go
@@ -44,6 +44,7 @@
 	e.reportAt = s.nanos
 	if w.Sent > 0 {
 		s.unseen.record(w.Sent, s.now)
+		e.turnover += w.Sent
 		e.fill = e.pending(s.nanos, s.fillTime()) + w.Sent
 		e.fillAt = s.nanos
 	}
--- a/process/placement/placement.go
+++ b/process/placement/placement.go
@@ -69,6 +69,7 @@
 		Place  string
 		Region string
 		Tokens int64 // memory; replaced by the total in a report
+		Born   int64 // start of the process in Unix milliseconds, 0 if unknown
 		Drain  bool
 	}
 
@@ -94,6 +95,7 @@
 		Account  string
 		Prompt   int      // tokens
 		Prefix   []uint64 // hashes of the prompt's prefixes, one every PrefixTokens
+		Parts    []Part   // of the prompt, in order; used if Scheduler.Parts is set
 		Max      int      // limit of tokens to produce; zero means none
 		Rank     int      // for the queue and the engine; not used by the decision
 		Arrived  time.Time
@@ -128,6 +130,9 @@
 		// PrefixTokens is the number of prompt tokens for each prefix hash, 256
 		// if zero.
 		PrefixTokens int
+		// Parts weighs, for each request with Request.Parts, the computing time that an
+		// endpoint saves which has probably cached the beginning of the prompt.
+		Parts bool
 		// FillTime is the prefill time of an engine for 1,000 prompt tokens, 30 ms if
 		// zero. Started corrects the estimate with observed times.
 		FillTime time.Duration
@@ -171,6 +176,7 @@
 		slots     []reservation
 		free      []uint32
 		prefixes  prefixIndex
+		parts     partIndex
 		step      stepModel
 		fillSpeed fillSpeed
 		pace      pace // of all endpoints
@@ -207,6 +213,9 @@
 			ep = &endpoint{history: &history{}}
 			s.byID[e.ID] = ep
 		}
+		if ep.Born != e.Born {
+			ep.turnover += ep.total // nothing that was cached before is left
+		}
 		ep.Endpoint = e
 		ep.updateDerived()
 		ep.far = e.Region != s.Region
--- a/process/placement/unseen.go
+++ b/process/placement/unseen.go
@@ -52,13 +52,14 @@
 // one level, like water that fills a vessel with an uneven ground. Each candidate is chosen
 // with a probability in proportion to its depth below that level. The requests count
 // unseenWeight times.
-func (s *Scheduler) pickUnseen(o *inputs) *endpoint {
+// It also returns the expected cost of the choice.
+func (s *Scheduler) pickUnseen(o *inputs) (best *endpoint, expected float64) {
 	return s.pickBelow(s.unseen.rateAt(s.now) * s.LoadAge.Seconds() * o.fillTime * s.weights.Stall * unseenWeight)
 }
 
 // pickBelow returns a random candidate as pickUnseen says. The volume is the sum of the
 // candidates' depths.
-func (s *Scheduler) pickBelow(volume float64) *endpoint {
+func (s *Scheduler) pickBelow(volume float64) (best *endpoint, expected float64) {
 	slices.SortFunc(s.scratch, func(a, b candidate) int { return cmp.Compare(a.cost, b.cost) })
 	volume = max(volume, minUnseen)
 	level, sum, n := math.Inf(1), 0.0, 0
@@ -72,9 +73,14 @@
 	}
 	x := s.rand.Float64() * volume
 	for _, c := range s.scratch[:n] {
-		if x -= level - c.cost; x < 0 {
-			return c.ep
+		depth := level - c.cost
+		expected += c.cost * depth / volume
+		if x -= depth; x < 0 && best == nil {
+			best = c.ep
 		}
 	}
-	return s.scratch[0].ep
+	if best == nil {
+		best = s.scratch[0].ep
+	}
+	return best, expected
 }
--- a/process/placement/unseen_test.go
+++ b/process/placement/unseen_test.go
@@ -44,9 +44,10 @@
 		for range draws {
 			s.scratch = s.scratch[:0]
 			for i, c := range x.costs {
-				s.scratch = append(s.scratch, candidate{&endpoint{Endpoint: Endpoint{ID: fmt.Sprint(i)}}, c})
+				s.scratch = append(s.scratch, candidate{ep: &endpoint{Endpoint: Endpoint{ID: fmt.Sprint(i)}}, cost: c})
 			}
-			got[s.pickBelow(x.volume).ID] += 1. / draws
+			best, _ := s.pickBelow(x.volume)
+			got[best.ID] += 1. / draws
 		}
 		for i, part := range x.want {
 			require.InDelta(t, part, got[fmt.Sprint(i)], 0.02, "%v, %v", x.costs, x.volume)
--- a/version/routing/routing.go
+++ b/version/routing/routing.go
@@ -43,6 +43,7 @@
 		Rank     int           // 0 is the most urgent
 		Open     bool          // callers need no key
 		Resume   bool          // a broken stream may be run again at another endpoint, which continues after the last event
+		Affinity bool          // requests that share parts of their prompts may be placed together
 		Regions  Regions       // in which its requests may be served; nil allows all
 	}
 
