gateway, placement: tests of regions for silent engines and for every policy

With the check of hasOther taken out, all tests passed: the stream of the silent engine did not end with its attempt. It does now, and the test fails without the check. A test of placement itself covers the policies, copies and silent endpoints.

--- a/process/gateway/regions_test.go
+++ b/process/gateway/regions_test.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
-	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -83,6 +82,7 @@
 		prepare func(w *testGateway)
 		status  int // of a request that ends well
 		calls   int
+		reason  refusal.Reason // of the refusal
 	}
 	for name, x := range map[string]setting{
 		"plain":     {path: "/book/1", status: 200, calls: 1},
@@ -100,12 +100,12 @@
 		"grant": {path: "/read/1", prepare: func(w *testGateway) {
 			w.pauseRegion("d", 2*time.Second)
 		}, status: 200, calls: 1},
-		"no grant": {path: "/read/1", prepare: func(w *testGateway) { w.pauseRegion("d", time.Minute) }},
+		"no grant": {path: "/read/1", prepare: func(w *testGateway) { w.pauseRegion("d", time.Minute) }, reason: refusal.EndpointLimit},
 		"moved while it waits": {path: "/read/1", prepare: func(w *testGateway) {
 			w.Roster.Remove("d3")
 			w.pauseRegion("d", 2*time.Second)
 			time.AfterFunc(time.Second, func() { w.place("d2", "p0") })
-		}},
+		}, reason: refusal.Region},
 		"all leave": {path: "/read/1", prepare: func(w *testGateway) {
 			w.sayLeaving("d2")
 			w.sayLeaving("d3")
@@ -121,7 +121,7 @@
 		"generation":          {path: "/guide/1", status: 200, calls: 1},
 		"generation refused":  {path: "/short/1", prepare: func(w *testGateway) { w.answer = firstThen(func() (*Answer, error) { return refusedAnswer(), nil }) }, status: 200, calls: 2},
 		"generation repeated": {path: "/short/1", prepare: func(w *testGateway) { w.answer = firstThen(lost) }, status: 200, calls: 2},
-		"engines pause":       {path: "/guide/1", prepare: func(w *testGateway) { w.pauseRegion("e", time.Minute) }},
+		"engines pause":       {path: "/guide/1", prepare: func(w *testGateway) { w.pauseRegion("e", time.Minute) }, reason: refusal.EndpointLimit},
 		"continued":           {path: "/guide/1", prepare: func(w *testGateway) { w.answer = firstThen(reset) }, status: 200, calls: 2},
 		"stopped":             {path: "/guide/1", prepare: func(w *testGateway) { w.answer = firstThen(spoilt) }, status: 200, calls: 2},
 		"urgent": {path: "/guide/1", prepare: func(w *testGateway) {
@@ -138,8 +138,14 @@
 			w.Roster.Remove("e3")
 			w.unreachable["e2"] = true
 			w.answer = firstThen(func() (*Answer, error) {
+				reader, writer := io.Pipe()
+				w.closeWithAttempt(reader)
+				time.AfterFunc(10*time.Second, func() {
+					_, _ = io.WriteString(writer, "id: 1\ndata: s\n\n")
+					_ = writer.Close()
+				})
 				a := eventStream("s", 1, 1, false)
-				a.Body = io.MultiReader(a.Body, delayedFailure{10 * time.Second, io.EOF}, strings.NewReader("id: 2\ndata: s\n\n"))
+				a.Body = reader
 				return a, nil
 			})
 		}, status: 200, calls: 1},
@@ -155,6 +161,9 @@
 				if err == nil {
 					require.Equal(t, x.status, status)
 				}
+				if x.reason != "" {
+					require.Equal(t, x.reason, w.refusalOf(err).Reason)
+				}
 				time.Sleep(time.Minute)
 				require.Len(t, w.calls, x.calls)
 				for _, e := range w.sent() {
--- a/process/placement/placement_test.go
+++ b/process/placement/placement_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/sourcegraph/conc"
 	"pgregory.net/rapid"
+
+	"github.com/eelgrassdock/eelgrassdock/version/routing"
 )
 
 func request(prompt int, arrived time.Time) Request {
@@ -176,6 +178,35 @@
 	}
 }
 
+// Guards against requests and copies at endpoints outside of their regions, under every policy,
+// and against a wait for a silent one there.
+func TestRegions(t *testing.T) {
+	for _, p := range []Policy{Current, Previous, RoundRobin, LeastConn, TwoChoice} {
+		s := fleet(4, p)
+		list := endpoints(4)
+		for i := range list {
+			list[i].Region = []string{"a", "b"}[i/2]
+		}
+		s.SetEndpoints(list)
+		s.SetSilent("e000", true)
+		req, c := request(10, start), Copy{From: "e002", Prompt: 10, Urgent: true}
+		req.Regions = routing.Regions{"b", "c"}
+		c.Regions = req.Regions
+		for n := range 5 { // more may be held, since peers are assumed to use memory too
+			if d := s.Place(req, start); d.Endpoint != "e002" && d.Endpoint != "e003" && (n == 0 || !d.Wait) {
+				t.Errorf("%s: decision %+v", p, d)
+			}
+			if d := s.PlaceCopy(c, start); d.Endpoint != "e003" {
+				t.Errorf("%s: decision %+v on a copy", p, d)
+			}
+		}
+		req.Regions, c.Regions = routing.Regions{"c"}, routing.Regions{}
+		if d, copied := s.Place(req, start), s.PlaceCopy(c, start); !d.None || !copied.None {
+			t.Errorf("%s: decisions %+v, %+v without a region", p, d, copied)
+		}
+	}
+}
+
 // Guards against a late report replacing a newer one that says that the endpoint
 // is leaving. After staleAfter, an earlier time must be accepted, because the
 // endpoint may have restarted with an earlier clock.
