--- a/client/client.go
+++ b/client/client.go
@@ -30,6 +30,7 @@
 	"github.com/eelgrassdock/eelgrassdock/internal/direct"
 	"github.com/eelgrassdock/eelgrassdock/internal/sleep"
 	"github.com/eelgrassdock/eelgrassdock/request/refusal"
+	"github.com/eelgrassdock/eelgrassdock/request/uri"
 )
 
 const (
@@ -202,10 +203,15 @@
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { sent = true },
 	})
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+e.Addr+path, io.NopCloser(bytes.NewReader(body)))
+	target, err := uri.New(e.Addr, path)
 	if err != nil {
 		return nil, false, fmt.Errorf("make request: %w", err)
 	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+e.Addr, io.NopCloser(bytes.NewReader(body)))
+	if err != nil {
+		return nil, false, fmt.Errorf("make request: %w", err)
+	}
+	req.URL = target
 	// Without GetBody net/http cannot send the body a second time.
 	req.ContentLength = int64(len(body))
 	req.Header = header.Clone()
--- a/connection/service/service.go
+++ b/connection/service/service.go
@@ -20,6 +20,7 @@
 	"github.com/eelgrassdock/eelgrassdock/connection/engine"
 	"github.com/eelgrassdock/eelgrassdock/internal/direct"
 	"github.com/eelgrassdock/eelgrassdock/request/refusal"
+	"github.com/eelgrassdock/eelgrassdock/request/uri"
 )
 
 const (
@@ -84,10 +85,15 @@
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) { conn = info },
 	})
-	req, err := http.NewRequestWithContext(ctx, call.Method, "http://"+c.Addr+call.Path, oneShotBody{bytes.NewReader(call.Body)})
+	target, err := uri.New(c.Addr, call.Path)
 	if err != nil {
 		return Answer{}, refusal.New(refusal.BadRequest, refusal.NotRun, err.Error())
 	}
+	req, err := http.NewRequestWithContext(ctx, call.Method, "http://"+c.Addr, oneShotBody{bytes.NewReader(call.Body)})
+	if err != nil {
+		return Answer{}, refusal.New(refusal.BadRequest, refusal.NotRun, err.Error())
+	}
+	req.URL = target
 	req.ContentLength = int64(len(call.Body))
 	req.Close = true
 	if call.Header != nil {
--- a/process/entry/call.go
+++ b/process/entry/call.go
@@ -7,6 +7,7 @@
 	"net/url"
 	"path"
 	"strconv"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
@@ -18,6 +19,7 @@
 	"github.com/eelgrassdock/eelgrassdock/process/pace"
 	"github.com/eelgrassdock/eelgrassdock/request/claim"
 	"github.com/eelgrassdock/eelgrassdock/request/refusal"
+	"github.com/eelgrassdock/eelgrassdock/request/uri"
 	"github.com/eelgrassdock/eelgrassdock/version/config"
 )
 
@@ -30,6 +32,7 @@
 
 const (
 	accountHeader = "X-Account" // account of the caller, sent to plain services
+	servicesPath  = "/v1/services/"
 )
 
 // callService handles a call to a plain service: it checks the request and the
@@ -49,6 +52,11 @@
 		e.refuse(w, refusal.New(refusal.BadRequest, refusal.NotRun, "path must be clean, without empty or dot segments"))
 		return
 	}
+	target, err := callTarget(r.URL, p.ByName("path"))
+	if err != nil {
+		e.refuse(w, err)
+		return
+	}
 	route := s.Route(r.Method, p.ByName("path"))
 	if route == nil {
 		e.refuse(w, refusal.New(refusal.NoService, refusal.NotRun, "service has no route "+r.Method+" "+p.ByName("path")))
@@ -72,14 +80,11 @@
 	}
 	defer end()
 	out := service.Call{
-		Method: r.Method, Path: (&url.URL{Path: p.ByName("path")}).EscapedPath(), Header: passHeader(r.Header), Body: body,
+		Method: r.Method, Path: target, Header: passHeader(r.Header), Body: body,
 		Key: r.Header.Get(KeyHeader), Deadline: c.deadline,
 	}
 	out.Header.Set(accountHeader, c.account.ID)
 	out.Header.Set(CallerHeader, publicName(c.caller))
-	if r.URL.RawQuery != "" {
-		out.Path += "?" + r.URL.RawQuery
-	}
 	ctx, q := e.callCandidate(ctx, c, s, out, act)
 	result, err := e.executeCall(ctx, c, s, route, out, q)
 	q.end(err)
@@ -127,6 +132,30 @@
 	})
 }
 
+// callTarget returns the path, below that of the service, and the query of a call as they
+// came. The decoded path is the one by which the call is routed. An error is a
+// *refusal.Error: of a target that cannot be sent as it came, or whose segments an endpoint may
+// read otherwise, as with escaped slashes.
+func callTarget(u *url.URL, decoded string) (string, error) {
+	escaped := u.EscapedPath()
+	below, found := strings.CutPrefix(escaped, servicesPath)
+	_, path, hasPath := strings.Cut(below, "/")
+	path = "/" + path
+	plain, err := url.PathUnescape(path)
+	switch {
+	case !found, !hasPath, err != nil, plain != decoded, strings.Count(path, "/") != strings.Count(plain, "/"):
+		return "", refusal.New(refusal.BadRequest, refusal.NotRun, "path must not have escaped slashes")
+	case u.RawPath != "" && u.RawPath != escaped:
+		return "", refusal.New(refusal.BadRequest, refusal.NotRun, "path must be in the characters of a URL")
+	case u.RawQuery != "" || u.ForceQuery:
+		path += "?" + u.RawQuery
+	}
+	if _, err := uri.New("", path); err != nil {
+		return "", refusal.New(refusal.BadRequest, refusal.NotRun, err.Error())
+	}
+	return path, nil
+}
+
 // fingerprint returns a hash that distinguishes requests with the same key. It
 // includes the caller, so that another caller of the same account cannot read
 // the result.
--- a/process/entry/http.go
+++ b/process/entry/http.go
@@ -57,7 +57,7 @@
 	for _, method := range []string{
 		http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete,
 	} {
-		router.Handle(method, "/v1/services/:service/*path", e.callService)
+		router.Handle(method, servicesPath+":service/*path", e.callService)
 	}
 	router.GET("/v1/health", e.health)
 	router.Handler(http.MethodGet, "/debug/vars", expvar.Handler())
