gateway: nothing is sent after a freeze until the places are known

Cause: a process that stood still sends what waited on a table from before. A place that was evacuated meanwhile gets requests later than the users' 5 s.

Change: if a poll of the table has been overtaken by a stall of a second or more, sends wait until a poll that began later is answered, or the store is known to be away; orders and probes are left out. Only where the setting evacuation is set.

Result: go test -race of process/gateway passes; the new test fails without the wait.

--- a/process/gateway/evacuation.go
+++ b/process/gateway/evacuation.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"maps"
 	"slices"
 	"sync"
@@ -32,6 +33,10 @@
 	// the runs of a place: all instances learn of the row nearly at once. It leaves 1.5 s
 	// of the 2.5 s for orders; an engine makes one copy at a time.
 	awayShare = 0.2
+	// freezeTime is the length of a stall of this process after which it sends nothing until
+	// a later poll of the table is answered. Beside the age that the table has at the most
+	// in its absence, feedMaxAge, it is within the users' 5 s.
+	freezeTime = time.Second
 )
 
 var (
@@ -217,6 +222,9 @@
 // mayOrder reports whether an order for a run, or a request for a report, may be sent to
 // an endpoint.
 func (g *Gateway) mayOrder(e roster.Endpoint) bool {
+	if _, doubtful := g.isDoubtful(); doubtful {
+		return false
+	}
 	at, ok := g.evacuation.since(e.Place)
 	return !ok || time.Since(at) < time.Duration(float64(g.evacuationTime())*orderShare)
 }
@@ -227,6 +235,38 @@
 	return !evacuated && g.mayOrder(from)
 }
 
+// isDoubtful reports whether a place may have been evacuated while this process stood still,
+// and returns a channel that is closed when that can have changed.
+func (g *Gateway) isDoubtful() (changed <-chan struct{}, doubtful bool) {
+	f := g.feeds[g.configuration]
+	if f == nil || g.Settings.Evacuation == 0 {
+		return nil, false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.lost || f.asked.IsZero() {
+		return nil, false
+	}
+	return f.changed, time.Since(f.asked)-g.Stalls.RanSince(f.asked) >= freezeTime
+}
+
+// awaitPlaces waits, after this process stood still, until it knows the evacuated places
+// again or that the store is away.
+func (g *Gateway) awaitPlaces(ctx context.Context) error {
+	for {
+		changed, doubtful := g.isDoubtful()
+		if !doubtful {
+			return nil
+		}
+		counters.Add("waits_after_freeze", 1)
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return refusal.FromContext(ctx.Err())
+		}
+	}
+}
+
 // refuseClosed returns the error of a request that was not sent because its endpoint was
 // closed.
 func refuseClosed() error {
--- a/process/gateway/evacuation_test.go
+++ b/process/gateway/evacuation_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,7 +13,9 @@
 	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
 
+	"github.com/eelgrassdock/eelgrassdock/process/mirror"
 	"github.com/eelgrassdock/eelgrassdock/process/roster"
+	"github.com/eelgrassdock/eelgrassdock/process/stall"
 	"github.com/eelgrassdock/eelgrassdock/request/refusal"
 )
 
@@ -190,6 +193,46 @@
 	}
 }
 
+// Guards against a request that is sent right after a freeze, in which its place may have
+// been evacuated, on a table from before it.
+func TestNothingIsSentAfterAFreezeUnlessTheTableIsKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newEvacuated(t)
+		x.Settings.Evacuation = 5000
+		x.shareTable(&mirror.Table{Name: "op"})
+		x.configuration = "op"
+		f := x.feeds["op"]
+		var frozen atomic.Bool
+		f.storeAnswered(time.Now())
+		x.Stalls = &stall.Meter{Hold: func() {
+			if frozen.Swap(false) {
+				time.Sleep(3 * time.Second)
+			}
+		}}
+		go x.Stalls.Run(x.base)
+		time.Sleep(time.Second)
+		asked := time.Now()
+		frozen.Store(true)
+		time.Sleep(2900 * time.Millisecond)
+		done := make(chan error)
+		go func() { _, err := x.ask("/read/1", 5*time.Second); done <- err }()
+		for _, begun := range []time.Time{asked, time.Now().Add(300 * time.Millisecond)} {
+			time.Sleep(500 * time.Millisecond)
+			for i := range 4 {
+				require.Zero(t, x.sentTo(fmt.Sprint("d", i)))
+			}
+			if begun != asked {
+				x.close("p0")
+			}
+			f.storeAnswered(begun)
+			f.setVersion(1)
+		}
+		require.NoError(t, <-done)
+		require.Empty(t, x.reached)
+		x.cancel()
+	})
+}
+
 // Guards against a place that stays closed, or an endpoint that is open because it was
 // listed after the order; and against waits for endpoints that do not come.
 func TestEvacuationBeginsAndEnds(t *testing.T) {
--- a/process/gateway/feed.go
+++ b/process/gateway/feed.go
@@ -60,6 +60,7 @@
 		version   int64
 		era       int64                // of rows, from and version
 		confirmed time.Time            // when the store confirmed the table
+		asked     time.Time            // when the latest poll that was answered began
 		written   time.Time            // before which none of the latest changes was written; zero if that is not known
 		writtenAt map[string]time.Time // the same for each of rows
 		late      []lateRow
@@ -229,7 +230,7 @@
 func (f *feed) storeAnswered(begun time.Time) {
 	now := time.Now()
 	f.mu.Lock()
-	f.written = time.Time{}
+	f.asked, f.written = begun, time.Time{}
 	if !f.confirmed.IsZero() {
 		f.written = now.Add(min(f.confirmed.Sub(begun), 0))
 	}
--- a/process/gateway/limit.go
+++ b/process/gateway/limit.go
@@ -98,6 +98,9 @@
 // call must have been granted by g.limits.
 func (g *Gateway) send(ctx context.Context, c Call) (*Answer, error) {
 	c.Closed = func() bool { return g.isClosed(c.Endpoint) }
+	if err := g.awaitPlaces(ctx); err != nil {
+		return nil, err
+	}
 	if c.Closed() {
 		return nil, refuseClosed()
 	}
--- a/process/gateway/poll.go
+++ b/process/gateway/poll.go
@@ -68,11 +68,12 @@
 	return c.Page, nil
 }
 
-// setWritten records for how long the changes that answer a poll can have been in the store.
+// setWritten records that a poll which began at a time was answered, and for how long the
+// changes in the answer can have been in the store.
 func (f *feed) setWritten(d time.Duration, begun time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.written = time.Time{}
+	f.asked, f.written = begun, time.Time{}
 	if d > 0 {
 		f.written = begun.Add(-d)
 	}
