gateway: time to fall behind counts only while the process runs

Cause: after a stall of this process, the time in which it waits for a row that others have is over before it has read the answer that arrived meanwhile. It would leave an instance that answers.

Change: the wait is a timer of package stall.

Result: the tests of behind.go, of outages and of evacuations pass with -race.

--- a/process/gateway/behind.go
+++ b/process/gateway/behind.go
@@ -13,6 +13,7 @@
 
 	"github.com/eelgrassdock/eelgrassdock/process/member"
 	"github.com/eelgrassdock/eelgrassdock/process/mirror"
+	"github.com/eelgrassdock/eelgrassdock/process/stall"
 )
 
 // An instance that polls the store for its region and is cut off from it without an error
@@ -51,7 +52,7 @@
 		act    time.Time     // when this instance counts as behind
 		grace  time.Duration // latest wait
 		cancel context.CancelCauseFunc
-		timer  *time.Timer
+		timer  *stall.Timer
 	}
 )
 
@@ -132,14 +133,15 @@
 	}
 }
 
-// arm has the present call end when this instance counts as behind. f.mu must be held.
+// arm has the present call end when this instance counts as behind. Only the time counts in
+// which this process ran: the answer may have arrived while it stood still. f.mu must be held.
 func (f *feed) arm() {
 	f.disarm()
 	cancel := f.lag.cancel
 	if cancel == nil || !f.lacks() {
 		return
 	}
-	f.lag.timer = time.AfterFunc(max(time.Until(f.lag.act), minBehindWait), func() {
+	f.lag.timer = f.stalls.AfterFunc(max(time.Until(f.lag.act), minBehindWait), func() {
 		f.mu.Lock()
 		behind := f.lacks()
 		f.mu.Unlock()
--- a/process/gateway/feed.go
+++ b/process/gateway/feed.go
@@ -14,6 +14,7 @@
 	"github.com/eelgrassdock/eelgrassdock/process/delta"
 	"github.com/eelgrassdock/eelgrassdock/process/member"
 	"github.com/eelgrassdock/eelgrassdock/process/mirror"
+	"github.com/eelgrassdock/eelgrassdock/process/stall"
 )
 
 // In each region one instance polls the store for the changes of a table. The
@@ -52,6 +53,7 @@
 		peers peer.Pool
 		// documents are large rows that this instance has.
 		documents *delta.Cache
+		stalls    *stall.Meter
 
 		mu        sync.Mutex
 		rows      []mirror.Row // the latest change of each row
@@ -139,7 +141,7 @@
 func (g *Gateway) shareTable(t *mirror.Table) {
 	f := &feed{
 		table: t, follow: t.Follow, from: -1, changed: make(chan struct{}), avoid: map[string]time.Time{},
-		peers: peer.Pool{Dial: g.peers.Dial}, documents: &g.documents,
+		peers: peer.Pool{Dial: g.peers.Dial}, documents: &g.documents, stalls: g.Stalls,
 	}
 	if g.feeds == nil {
 		g.feeds = map[string]*feed{}
