--- a/process/gateway/feed.go
+++ b/process/gateway/feed.go
@@ -14,6 +14,7 @@
 	"github.com/eelgrassdock/eelgrassdock/process/delta"
 	"github.com/eelgrassdock/eelgrassdock/process/member"
 	"github.com/eelgrassdock/eelgrassdock/process/mirror"
+	"github.com/eelgrassdock/eelgrassdock/process/stall"
 )
 
 // In each region one instance polls the store for the changes of a table. The
@@ -52,6 +53,7 @@
 		peers peer.Pool
 		// documents are large rows that this instance has.
 		documents *delta.Cache
+		stalls    *stall.Meter
 
 		mu        sync.Mutex
 		rows      []mirror.Row // the latest change of each row
@@ -60,6 +62,7 @@
 		version   int64
 		era       int64                // of rows, from and version
 		confirmed time.Time            // when the store confirmed the table
+		asked     time.Time            // when the latest poll that was answered began
 		written   time.Time            // before which none of the latest changes was written; zero if that is not known
 		writtenAt map[string]time.Time // the same for each of rows
 		late      []lateRow
@@ -138,7 +141,7 @@
 func (g *Gateway) shareTable(t *mirror.Table) {
 	f := &feed{
 		table: t, follow: t.Follow, from: -1, changed: make(chan struct{}), avoid: map[string]time.Time{},
-		peers: peer.Pool{Dial: g.peers.Dial}, documents: &g.documents,
+		peers: peer.Pool{Dial: g.peers.Dial}, documents: &g.documents, stalls: g.Stalls,
 	}
 	if g.feeds == nil {
 		g.feeds = map[string]*feed{}
@@ -229,7 +232,7 @@
 func (f *feed) storeAnswered(begun time.Time) {
 	now := time.Now()
 	f.mu.Lock()
-	f.written = time.Time{}
+	f.asked, f.written = begun, time.Time{}
 	if !f.confirmed.IsZero() {
 		f.written = now.Add(min(f.confirmed.Sub(begun), 0))
 	}
