soak: evacuations and cold endpoints

Two promises: nothing reaches an evacuated place 5 s after the evacuation was stored, and a cold endpoint gets no more requests in a second than it tolerates.

--- a/cmd/eelgrassdock/soak.go
+++ b/cmd/eelgrassdock/soak.go
@@ -24,6 +24,7 @@
 	Headers bool   `help:"Let endpoints say in headers alone that they leave, or when to come back, in place of all other faults."`
 	Stalls  bool   `help:"Suspend instances for moments, in series, beside changes of the configuration and releases, in place of all other faults."`
 	Deadly  bool   `help:"Let callers send requests that crash the endpoints, beside few other faults."`
+	Places  bool   `help:"Let the operator evacuate places and endpoints turn cold, beside few other faults."`
 	Entries bool   `help:"Run entries with the product's own interface instead of instances on the users' platform."`
 }
 
@@ -58,6 +59,8 @@
 		plan = soak.HeaderPlan(c.Seed, total)
 	case c.Stalls:
 		plan = soak.StallPlan(c.Seed, total)
+	case c.Places:
+		plan = soak.PlacePlan(c.Seed, total)
 	}
 	if err := json.NewEncoder(std.err).Encode(map[string]any{"seed": c.Seed, "plan": plan, "logs": dir}); err != nil {
 		return fmt.Errorf("print the plan: %w", err)
@@ -76,7 +79,7 @@
 	} else {
 		s := soak.Soak{
 			Binary: binary, Dir: dir, Seed: c.Seed, Duration: total, Instances: c.Processes, Callers: c.Callers, Faults: plan, Sabotage: c.Break,
-			Progress: std.err,
+			Cold: c.Places, Progress: std.err,
 		}
 		var result soak.Summary
 		result, err = s.Run(ctx)
--- a/internal/soak/endpoints.go
+++ b/internal/soak/endpoints.go
@@ -70,6 +70,7 @@
 	e.Crashes = func(r fake.Run) { p.crashes(e, r) }
 	p.mu.Unlock()
 	e.Start(l)
+	p.s.ledger.starts(e.ID, p.place)
 	e.SetFaults(p.s.defaultFaults(p.n))
 	p.mu.Lock()
 	p.endpoint, p.link, p.busy, p.leaving, p.ended = e, link, false, false, false
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -76,6 +76,10 @@
 		s.flood(f, until)
 	case Outage:
 		s.outage(f)
+	case Evacuate:
+		s.evacuate(f, until)
+	case TurnCold:
+		p.turnCold(until)
 	case Link:
 		p.harmLink(f.Harm, f.Last)
 	case Reclaim:
--- a/internal/soak/instance.go
+++ b/internal/soak/instance.go
@@ -36,7 +36,8 @@
 	s := &i.settings
 	*s = gateway.Settings{
 		Name: name, Place: place, Region: places[place], Places: places, Beat: 500, Grace: grace, Keep: addressTTL,
-		Retry: gateway.Retry{Ratio: budgetRatio, Window: budgetWindow.Seconds(), Slack: budgetSlack},
+		Retry:      gateway.Retry{Ratio: budgetRatio, Window: budgetWindow.Seconds(), Slack: budgetSlack},
+		Evacuation: int(evacuateBound.Milliseconds()), Cold: gateway.Cold{Factor: coldFactor, Slack: coldSlack},
 	}
 	for _, addr := range []*string{&s.Callers, &s.Ready, &s.Locate, &s.Peer, &s.Probe, &s.Metrics} {
 		var err error
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -31,7 +31,7 @@
 )
 
 // Promises lists every promise.
-var Promises = []string{Order, Own, NotRun, Once, Single, Leaving, Planned, Config, Budget, Revoked, Limits, Whole, Drain, Backoff, Deadly, Served}
+var Promises = []string{Order, Own, NotRun, Once, Single, Leaving, Planned, Config, Budget, Revoked, Limits, Whole, Drain, Backoff, Deadly, Served, Evacuated, Cold}
 
 // Bounds of the promises, as the platform's specification states them, and
 // tolerances of the checks.
@@ -83,6 +83,8 @@
 		busy      map[pair][]*busyTime // of the endpoint, as the instance was told
 		forgot    map[string]time.Time // latest start or freeze, by instance
 
+		placeLedger
+
 		identities  map[string]*identity // of requests that come again, by request
 		crashes     int64                // of endpoints, by requests
 		quarantined int64                // refusals of deadly requests as such
@@ -124,6 +126,7 @@
 		l.told, l.busy, l.forgot = map[pair]time.Time{}, map[pair][]*busyTime{}, map[string]time.Time{}
 		l.stalled = map[string]time.Time{}
 		l.identities = map[string]*identity{}
+		l.places, l.evacuated, l.cold = map[string]string{}, map[string]time.Time{}, map[string]*coldEndpoint{}
 		l.limits, l.hangs = map[string]*limited{}, map[string]hang{}
 		l.checks, l.breaches = map[string]int64{}, map[string]int64{}
 	}
@@ -223,6 +226,7 @@
 	l.initMaps()
 	l.checkTold(id, endpoint, at)
 	l.countArrival(id, endpoint, at)
+	l.checkPlace(id, endpoint, at)
 	x := l.limits[endpoint]
 	if rate == 0 {
 		delete(l.limits, endpoint)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -66,6 +66,8 @@
 		// Adapt changes the settings of an instance before its first start; may
 		// be nil.
 		Adapt func(instance int, s *gateway.Settings)
+		// Cold makes endpoints cold for coldTime after each start.
+		Cold bool
 		// Callers is the number of callers per instance, Pause the mean pause
 		// of a caller between requests. Zero values get defaults.
 		Callers int
@@ -161,6 +163,9 @@
 	s.outcomes, s.byAddr = map[string]int64{}, map[string]*instance{}
 	s.operators.s = s
 	s.placeNames = []string{"a1", "a2", "b1"}
+	if s.Cold {
+		s.store.ColdS, s.store.ColdRate = coldTime, coldRate
+	}
 	if s.Callers == 0 {
 		s.Callers = callersEach
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -130,6 +130,13 @@
 					return sum.Breaches[promise] > 0 || promise == Budget || promise == NotRun || promise == Whole
 				},
 			}
+			if promise == Evacuated || promise == Cold {
+				s.Faults = []Fault{{Kind: Evacuate, After: minFault, Last: longestEvacuate, Target: 1}}
+				for n := range 6 {
+					s.Faults = append(s.Faults, Fault{Kind: TurnCold, After: quietStart, Last: longestCold, Target: n})
+				}
+				s.Pause = time.Millisecond
+			}
 			if promise == Deadly || promise == Served {
 				s.Faults = []Fault{{Kind: Deadly, After: minFault, Last: s.Duration - time.Second, Target: 1}}
 			}
