gateway: a repeat that is not placed does not make a generation not run

A generation whose first attempt may have run, and whose repeat then found no engine or was refused, was refused as not run (503). Plain calls remember that an earlier attempt may have run; generations did not. They do now, and the outcome is unknown. Found with the refusals for regions, which a repeat can get too.

--- a/process/gateway/generate.go
+++ b/process/gateway/generate.go
@@ -40,6 +40,7 @@
 		order       *stream.EventCheck // of the events that are passed on
 		tried       []string
 		sends       int
+		mayHaveRun  bool          // an attempt that has ended may have run
 		hops        int           // engines at which the run continued from memory
 		firstDelay  time.Duration // from the request's arrival to its first event
 		longestGap  time.Duration // longest time between two events
@@ -167,6 +168,7 @@
 		answer.Close(false)
 		return r.handleRefusal(ctx, a, answer)
 	}
+	r.mayHaveRun = true
 	if answer.Status != http.StatusOK || !strings.HasPrefix(answer.Header.Get("Content-Type"), "text/event-stream") {
 		return r.handlePlainAnswer(ctx, a, answer)
 	}
@@ -241,6 +243,7 @@
 
 // handleSendError decides how to proceed after an attempt without an answer.
 func (r *run) handleSendError(ctx context.Context, a *attempt, f *refusal.Error) (*attempt, error) {
+	r.mayHaveRun = r.mayHaveRun || f.Outcome != refusal.NotRun
 	// A request that ended before an answer was due says nothing about its engine.
 	known := ctx.Err() == nil || r.g.Stalls.RanSince(r.current.since) >= max(r.j.route.Aim, silenceTimeout)
 	switch {
@@ -345,7 +348,7 @@
 }
 
 // finalError returns the error that ends a request: a *CutError if a part of the
-// answer was passed on.
+// answer was passed on. The outcome is unknown if an earlier attempt may have run.
 func (r *run) finalError(f *refusal.Error) error {
 	if r.headWritten {
 		return cutByFault(f)
@@ -353,7 +356,7 @@
 	if f.Outcome == refusal.NotRun && f.RetryAt.IsZero() {
 		f.RetryAt = r.g.returnTime(r.j)
 	}
-	return f
+	return refusal.Downgrade(f, r.mayHaveRun)
 }
 
 // logFailure logs an attempt that ended without an answer that could be passed on.
--- a/process/gateway/generate_test.go
+++ b/process/gateway/generate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -55,6 +56,37 @@
 	require.NotEqual(t, w.calls[0].Endpoint.ID, w.calls[1].Endpoint.ID)
 }
 
+// Guards against a generation that is refused as not run because no engine takes its repeat,
+// although an attempt before may have run.
+func TestRepeatThatIsNotPlacedMayHaveRun(t *testing.T) {
+	for name, x := range map[string]struct {
+		first  func() (*Answer, error)
+		second func(w *testGateway) // after the first attempt has ended
+	}{
+		"refused, after no answer": {func() (*Answer, error) { return nil, connectionLost() }, func(*testGateway) {}},
+		"refused, after the head":  {func() (*Answer, error) { return eventStream("s", 1, 0, true), nil }, func(*testGateway) {}},
+		"no engine is left":        {func() (*Answer, error) { return nil, connectionLost() }, func(w *testGateway) { w.keepOnly("e9") }},
+		"none in the regions": {func() (*Answer, error) { return nil, connectionLost() }, func(w *testGateway) {
+			for i := range 4 {
+				w.place(fmt.Sprint("e", i), "p0")
+			}
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newRegionalGateway(t)
+			w.answer = func(n int, _ Call) (*Answer, error) {
+				if n > 0 {
+					return refusedAnswer(), nil
+				}
+				x.second(w)
+				return x.first()
+			}
+			_, err := w.request("/short/1")
+			require.Equal(t, refusal.Unknown, w.refusalOf(err).Outcome, "%v", err)
+		})
+	}
+}
+
 // An engine stops sending without closing its connections. Its generation must
 // continue from the copy once the engine counts as lost, and not before.
 func TestSilentEngineIsReplaced(t *testing.T) {
