gateway: instances without grants probe an unreachable engine at the usual pace

They waited for up to 0.1 s times the number of instances between two probes also if only they did not reach the engine, because of their own link for example. They do so only if another instance has reported the engine as unreachable too.

--- a/process/gateway/cold.go
+++ b/process/gateway/cold.go
@@ -190,6 +190,13 @@
 	}
 }
 
+// onUnreached records that another instance does not reach an engine.
+func (p *enginePool) onUnreached(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.reported[id] = true
+}
+
 // onAnswered handles that another instance has got an answer of an engine that is being
 // probed here.
 func (p *enginePool) onAnswered(id string) {
@@ -202,7 +209,8 @@
 }
 
 // awaitProbe waits before the next probe of an engine. If the engine is cold, it waits for a
-// grant. It returns early when the endpoints of the service change, and with answered if
+// grant, and without a part in the grants for longer if others do not reach the engine
+// either: if only this instance does not, nobody else probes it. It returns early when the endpoints of the service change, and with answered if
 // another instance has got an answer; ok is false if ctx ends.
 func (p *enginePool) awaitProbe(ctx context.Context, e roster.Endpoint, pause time.Duration) (answered, ok bool) {
 	now := time.Now()
@@ -211,13 +219,14 @@
 	}
 	at, _ := p.g.limits.Next(e.ID, now)
 	wait := max(at.Sub(now), pause)
-	if !p.g.limits.Holds(e.ID, now) {
-		wait += jitter(coldProbeTime * time.Duration(max(p.g.instanceCount(), 1)))
-	}
 	back := make(chan struct{})
 	p.mu.Lock()
 	p.back[e.ID] = back
+	reported := p.reported[e.ID]
 	p.mu.Unlock()
+	if reported && !p.g.limits.Holds(e.ID, now) {
+		wait += jitter(coldProbeTime * time.Duration(max(p.g.instanceCount(), 1)))
+	}
 	defer func() {
 		p.mu.Lock()
 		defer p.mu.Unlock()
--- a/process/gateway/enginepool.go
+++ b/process/gateway/enginepool.go
@@ -47,6 +47,7 @@
 	avoided  map[string]bool          // engines among them that did not answer a request
 	down     map[string]bool          // engines among them that do not answer
 	gone     map[string]bool          // engines among them whose process has ended or counts as lost
+	reported map[string]bool          // engines among them that another instance does not reach
 	back     map[string]chan struct{} // closed when another instance gets an answer, by engine
 }
 
@@ -57,7 +58,7 @@
 	d := &enginePool{
 		g: g, service: service, failures: map[string]int{},
 		checking: map[string]bool{}, avoided: map[string]bool{}, down: map[string]bool{}, gone: map[string]bool{},
-		back: map[string]chan struct{}{},
+		reported: map[string]bool{}, back: map[string]chan struct{}{},
 	}
 	d.sched = &placement.Scheduler{
 		Service: service, Region: g.Settings.Region, EntryPlace: g.Settings.Place, Length: &g.lengths,
--- a/process/gateway/health.go
+++ b/process/gateway/health.go
@@ -50,6 +50,7 @@
 		delete(p.down, id)
 		delete(p.gone, id)
 		delete(p.checking, id)
+		delete(p.reported, id)
 		p.mu.Unlock()
 		if avoided && !down && p.sched.SuspectedUntil(id).Before(begun) {
 			p.sched.Suspect(id, time.Now().Add(suspectTime)) // it answers probes, but not requests
@@ -237,6 +238,7 @@
 	switch {
 	case !ok:
 	case n.Gone:
+		d.(*enginePool).onUnreached(e.ID)
 		d.(*enginePool).startCheck(e.ID, false)
 	case !n.Leaving:
 		d.(*enginePool).onAnswered(e.ID)
