intake: a memory budget and bounded listeners

Cause: nothing bounds what untrusted clients make a process hold: heads that net/http parses (about 250 bytes a line), bodies, buffered answers, connections, received bytes that are not read. 200 to 300 clients took a process to 200 to 3,600 MB. Change: Budget is charged before bytes are read; Gate wraps a listener: connections by descriptors and memory, heads in bytes and lines before net/http parses them, timeouts in force in place of the fixed ones of net/http, the order in which connections are closed. ReadBody and Buffer grow with what arrives. Listen bounds the receive buffers and the connections that wait to be accepted. Bound derives the budget and the soft limit of the Go runtime from the memory of the process. Result: go test -race -count=3 ./connection/intake passes.

--- /dev/null
+++ b/connection/intake/intake_test.go
@@ -0,0 +1,290 @@
+package intake
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// Guards against a budget that is exceeded, or not credited in full, or whose reserve for
+// small charges is taken by larger ones or by one holder.
+func TestBudgetIsKept(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const size = 1 << 20
+		b := NewBudget(size)
+		accounts := make([]*Account, 12)
+		for i := range accounts {
+			accounts[i] = &Account{Budget: b, Holders: []string{fmt.Sprint(i % 3)}}
+		}
+		charged := make([]int64, len(accounts))
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			i := rapid.IntRange(0, len(accounts)-1).Draw(t, "account")
+			n := rapid.Int64Range(1, size/4).Draw(t, "bytes")
+			used, _ := b.Used()
+			if rapid.Bool().Draw(t, "charge") {
+				small := charged[i]+n <= SmallCharge
+				if accounts[i].Charge(n) {
+					charged[i] += n
+					require.True(t, small || used+n <= size*3/4)
+				} else {
+					require.False(t, small && used+n <= size, "a small charge was refused while there was room")
+				}
+			} else {
+				accounts[i].Credit(n)
+				charged[i] -= min(n, charged[i])
+			}
+			sum := int64(0)
+			for _, n := range charged {
+				sum += n
+			}
+			used, _ = b.Used()
+			require.Equal(t, sum, used)
+			require.LessOrEqual(t, used, int64(size))
+		}
+		for _, a := range accounts {
+			a.Release()
+			require.False(t, a.Charge(1), "after Release")
+		}
+		used, _ := b.Used()
+		require.Zero(t, used)
+		require.Empty(t, b.holders)
+	})
+}
+
+// Guards against bodies that are changed, cut or charged wrongly, whatever their length,
+// the parts in which they arrive and whether the length is known.
+func TestBodyIsReadWhole(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		body := bytes.Repeat([]byte("0123456789abcde"), rapid.IntRange(0, 20000).Draw(t, "length"))
+		b := NewBudget(8 << 20)
+		a := &Account{Budget: b}
+		length := int64(len(body))
+		if rapid.Bool().Draw(t, "unknown") {
+			length = -1
+		}
+		limit := int64(len(body) + rapid.IntRange(-1, 1).Draw(t, "limit"))
+		if limit <= 0 {
+			return
+		}
+		read, err := ReadBody(iotest.HalfReader(bytes.NewReader(body)), length, limit, a, nil)
+		if int64(len(body)) > limit {
+			require.ErrorIs(t, err, ErrLong)
+		} else {
+			require.NoError(t, err)
+			require.True(t, bytes.Equal(body, read))
+			used, _ := b.Used()
+			require.Equal(t, int64(cap(read)), used)
+		}
+		a.Release()
+		used, _ := b.Used()
+		require.Zero(t, used)
+	})
+}
+
+// Guards against a caller that announces a long body and sends a part, and thereby keeps
+// memory for all of it, and against a refusal by any other error than ErrFull.
+func TestBodyIsChargedAsItArrives(t *testing.T) {
+	b := NewBudget(8 << 20)
+	for _, sent := range []int{0, 1, 30 << 10, 100 << 10, 1 << 20} {
+		a := &Account{Budget: b}
+		body := io.MultiReader(strings.NewReader(strings.Repeat("x", sent)), iotest.ErrReader(io.ErrUnexpectedEOF))
+		_, err := ReadBody(body, 4<<20, 4<<20, a, nil)
+		require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+		used, _ := b.Used()
+		require.LessOrEqual(t, used, int64(max(growth*sent, firstPart)), "%d bytes", sent)
+		a.Release()
+	}
+	other := &Account{Budget: b}
+	require.True(t, other.Charge(5<<20))
+	_, err := ReadBody(bytes.NewReader(make([]byte, 4<<20)), 4<<20, 4<<20, &Account{Budget: b}, nil)
+	require.ErrorIs(t, err, ErrFull)
+}
+
+// testServer serves a gate and answers each request with the number of its header lines.
+func testServer(t testing.TB, limits Limits, budget *Budget, most int) (*Gate, string) {
+	t.Helper()
+	l, err := Listen("127.0.0.1:0", budget)
+	require.NoError(t, err)
+	g := &Gate{Listener: l, Budget: budget, Most: most, Limits: func() Limits { return limits }}
+	server := g.Server(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		lines := 0
+		for _, values := range r.Header {
+			lines += len(values)
+		}
+		fmt.Fprint(w, lines)
+	}))
+	go func() { _ = server.Serve(g) }() // ends with the test
+	t.Cleanup(func() { _ = server.Close() })
+	return g, l.Addr().String()
+}
+
+// exchange sends a text and returns the status and the body of the first answer.
+func exchange(conn net.Conn, text string) (int, string, error) {
+	if err := conn.SetDeadline(time.Now().Add(time.Minute)); err != nil {
+		return 0, "", err
+	}
+	go func() { _, _ = io.WriteString(conn, text) }()
+	res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return 0, "", err
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(res.Body)
+	return res.StatusCode, string(body), err
+}
+
+// Guards against a legal head that is refused, whatever its lines, up to the limit in
+// bytes and with the shortest lines, on the budget of the smallest instance, and against
+// heads over the limits that are passed on.
+func TestLegalHeadsAreServed(t *testing.T) {
+	const limit = 16 << 10
+	_, addr := testServer(t, Limits{HeadBytes: limit, HeadTime: time.Minute, IdleTime: time.Minute}, Bound(112), 0)
+	rapid.Check(t, func(t *rapid.T) {
+		conn, err := net.Dial("tcp", addr)
+		require.NoError(t, err)
+		defer conn.Close()
+		for range rapid.IntRange(1, 3).Draw(t, "requests") {
+			text, lines := "GET / HTTP/1.1\r\nHost: h\r\n", 0
+			size := rapid.SampledFrom([]int{500, 4096, limit - 100, limit}).Draw(t, "size")
+			name := strings.Repeat("x", rapid.SampledFrom([]int{1, 1, 2, 10}).Draw(t, "name"))
+			value := strings.Repeat("y", rapid.SampledFrom([]int{0, 0, 1, 20, 200}).Draw(t, "value"))
+			line := name + ":" + value + "\r\n"
+			for len(text)+len(line)+len(line)+2 <= size {
+				text += line
+				lines++
+			}
+			// The last line fills the head up to the size.
+			text += name + ":" + value + strings.Repeat("z", size-len(text)-len(line)-2) + "\r\n\r\n"
+			require.Len(t, text, size)
+			status, body, err := exchange(conn, text)
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, status)
+			require.Equal(t, fmt.Sprint(lines+1), body)
+		}
+	})
+	for _, line := range []string{"a:\r\n", "a:\n", "x: " + strings.Repeat("y", 3000) + "\r\n"} {
+		conn, err := net.Dial("tcp", addr)
+		require.NoError(t, err)
+		status, _, err := exchange(conn, "GET / HTTP/1.1\r\nHost: h\r\nb: c"+strings.Repeat(line, 40000/len(line)))
+		if err == nil {
+			require.Contains(t, []int{http.StatusBadRequest, http.StatusRequestHeaderFieldsTooLarge}, status)
+		}
+		_ = conn.Close()
+	}
+}
+
+// Guards against an idle connection that is closed while there is room, and against the
+// order in which connections are closed when there is none: those that never sent a request
+// first, then the one that has been idle for longest.
+func TestIdleConnectionsMakeRoom(t *testing.T) {
+	g, addr := testServer(t, Limits{HeadBytes: 16 << 10}, NewBudget(0), 3)
+	var conns []net.Conn
+	open := func() {
+		conn, err := net.Dial("tcp", addr)
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = conn.Close() })
+		conns = append(conns, conn)
+	}
+	ask := func(n int) error {
+		status, _, err := exchange(conns[n], "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		if err == nil && status != http.StatusOK {
+			err = errors.Newf("status %d", status)
+		}
+		return err
+	}
+	awaitIdle := func(n int) {
+		require.Eventually(t, func() bool {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			return g.queues[idle].Len() == n
+		}, time.Minute, time.Millisecond)
+	}
+	for n := range 2 {
+		open()
+		require.NoError(t, ask(n))
+		awaitIdle(n + 1)
+	}
+	open() // fresh
+	require.Eventually(t, func() bool { return g.connections() == 3 }, time.Minute, time.Millisecond)
+	open()
+	require.NoError(t, ask(3))
+	awaitIdle(3)
+	require.Error(t, ask(2), "the connection without a request is closed first")
+	open()
+	require.NoError(t, ask(4))
+	require.Error(t, ask(0), "then the one that has been idle for longest")
+	require.NoError(t, ask(1))
+}
+
+// Guards against a head that is held open beyond its time, and against the timeout of a head that
+// still runs while a request is answered.
+func TestHeadTime(t *testing.T) {
+	_, addr := testServer(t, Limits{HeadTime: 50 * time.Millisecond, IdleTime: time.Minute}, nil, 0)
+	conn, err := net.Dial("tcp", addr)
+	require.NoError(t, err)
+	defer conn.Close()
+	for range 2 {
+		status, _, err := exchange(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, status)
+		time.Sleep(100 * time.Millisecond) // longer than the time of a head, which does not count here
+	}
+	_, _, err = exchange(conn, "GET / HTTP/1.1\r\n")
+	require.Error(t, err)
+}
+
+// The cost of a charge and its credit; the goal is less than a microsecond.
+func BenchmarkCharge(b *testing.B) {
+	budget := NewBudget(1 << 30)
+	b.RunParallel(func(pb *testing.PB) {
+		a := &Account{Budget: budget, Holders: []string{"127.0.0.1", "account club"}}
+		for pb.Next() {
+			a.Charge(4096)
+			a.Credit(4096)
+		}
+	})
+}
+
+// The cost of a request on a kept connection, with and without a gate.
+func BenchmarkRequest(b *testing.B) {
+	ok := http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})
+	for _, bound := range []bool{false, true} {
+		b.Run(fmt.Sprint("gate ", bound), func(b *testing.B) {
+			budget := NewBudget(1 << 30)
+			l, err := Listen("127.0.0.1:0", budget)
+			require.NoError(b, err)
+			g := &Gate{Listener: l, Budget: budget, Most: 100, Limits: func() Limits { return Defaults }}
+			server := g.Server(ok)
+			if !bound {
+				server.ConnState = nil
+				go func() { _ = server.Serve(l) }() // ends with the benchmark
+			} else {
+				go func() { _ = server.Serve(g) }() // ends with the benchmark
+			}
+			defer server.Close()
+			conn, err := net.Dial("tcp", l.Addr().String())
+			require.NoError(b, err)
+			defer conn.Close()
+			r := bufio.NewReader(conn)
+			text := []byte("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3000\r\n\r\n" + strings.Repeat("x", 3000))
+			b.ReportAllocs()
+			for b.Loop() {
+				_, _ = conn.Write(text)
+				res, err := http.ReadResponse(r, nil)
+				require.NoError(b, err)
+				_ = res.Body.Close()
+			}
+		})
+	}
+}
