platform, gateway, peer: clients are bounded at each listener

Change: the listeners of callers, directory, ready, metrics and peers are gates of one budget. max_header_bytes, max_body_bytes, header_timeout_ms and idle_timeout_ms apply, 64 KB, 16 MB, 10 s and 120 s before the first configuration. A body without room is refused with 503 as not run (reason memory), one that is announced over the limit with 413 before it is read. Answers without room are passed on as they arrive. A call of a peer has 1 MB at most, a connection 32 calls in work. The size of a header is the least that it has on the wire, so that legal heads of short lines are not refused. At most 20 log lines a second about faulty requests.

--- a/connection/peer/peer.go
+++ b/connection/peer/peer.go
@@ -24,6 +24,7 @@
 	"github.com/sourcegraph/conc/panics"
 	"golang.org/x/time/rate"
 
+	"github.com/eelgrassdock/eelgrassdock/connection/intake"
 	"github.com/eelgrassdock/eelgrassdock/internal/background"
 	"github.com/eelgrassdock/eelgrassdock/internal/progress"
 	"github.com/eelgrassdock/eelgrassdock/internal/sleep"
@@ -69,7 +70,8 @@
 	// countedConn counts the bytes of a connection.
 	countedConn struct {
 		net.Conn
-		pace *rate.Limiter // of long writes; nil means no limit
+		pace   *rate.Limiter // of long writes; nil means no limit
+		serves bool          // calls arrive on it; an answer that is not read for writeLimit ends it
 
 		mu       sync.Mutex
 		received int64
@@ -188,6 +190,9 @@
 
 func (c *countedConn) Write(b []byte) (n int, err error) {
 	defer func() { traffic.Add("sent", int64(n)) }()
+	if c.serves {
+		_ = c.SetWriteDeadline(time.Now().Add(writeLimit)) // fails on a closed connection only
+	}
 	if c.pace == nil || len(b) < longAnswer {
 		return c.Conn.Write(b)
 	}
@@ -196,6 +201,9 @@
 		if err = c.pace.WaitN(context.Background(), len(part)); err != nil {
 			return n, fmt.Errorf("wait for the turn of an answer: %w", err)
 		}
+		if c.serves {
+			_ = c.SetWriteDeadline(time.Now().Add(writeLimit)) // as above
+		}
 		var sent int
 		sent, err = c.Conn.Write(part)
 		n += sent
@@ -281,11 +289,12 @@
 
 // Serve answers calls on the listener until it is closed. Then it closes all
 // connections, waits until their calls have ended and returns nil.
-func Serve(l net.Listener, server *rpc.Server) error { return ServePaced(l, server, nil) }
+func Serve(l net.Listener, server *rpc.Server) error { return ServePaced(l, server, nil, nil) }
 
 // ServePaced is Serve with a limit, in bytes per second, for the long answers on all
-// connections together. Short ones do not wait.
-func ServePaced(l net.Listener, server *rpc.Server, pace *rate.Limiter) error {
+// connections together. Short ones do not wait. Long calls are charged to the budget, which
+// may be nil.
+func ServePaced(l net.Listener, server *rpc.Server, pace *rate.Limiter, budget *intake.Budget) error {
 	var (
 		mu    sync.Mutex
 		conns = map[net.Conn]struct{}{}
@@ -300,7 +309,7 @@
 		conns[conn] = struct{}{}
 		mu.Unlock()
 		wg.Go(func() {
-			server.ServeConn(&countedConn{Conn: conn, pace: pace})
+			serveBounded(&countedConn{Conn: conn, pace: pace, serves: true}, server, budget)
 			mu.Lock()
 			delete(conns, conn)
 			mu.Unlock()
--- a/process/gateway/call.go
+++ b/process/gateway/call.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/eelgrassdock/eelgrassdock/connection/intake"
 	"github.com/eelgrassdock/eelgrassdock/internal/sleep"
 	"github.com/eelgrassdock/eelgrassdock/process/balance"
 	"github.com/eelgrassdock/eelgrassdock/process/roster"
@@ -164,7 +165,7 @@
 			unsent: answer.AddressReused,
 		}
 	}
-	a, err := bufferAnswer(answer)
+	a, err := bufferAnswer(answer, j.answers)
 	if err != nil {
 		if ctx.Err() != nil {
 			err = errors.CombineErrors(ctx.Err(), err)
@@ -181,16 +182,17 @@
 	return a, nil
 }
 
-// bufferAnswer reads an answer up to maxBufferedAnswer bytes.
-func bufferAnswer(answer *Answer) (*bufferedAnswer, error) {
+// bufferAnswer reads an answer up to maxBufferedAnswer bytes, or as far as there is memory
+// for it.
+func bufferAnswer(answer *Answer, charges *intake.Account) (*bufferedAnswer, error) {
 	a := &bufferedAnswer{status: answer.Status, header: answer.Header, length: answer.Length}
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBufferedAnswer))
+	body, whole, err := intake.Buffer(answer.Body, answer.Length, maxBufferedAnswer, charges)
 	if err != nil {
 		answer.Close(false)
 		return nil, err
 	}
 	a.body = body
-	if len(body) == maxBufferedAnswer {
+	if !whole {
 		a.rest = answer
 		return a, nil
 	}
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -27,6 +27,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/eelgrassdock/eelgrassdock/connection/intake"
 	"github.com/eelgrassdock/eelgrassdock/connection/peer"
 	"github.com/eelgrassdock/eelgrassdock/process/delta"
 	"github.com/eelgrassdock/eelgrassdock/process/length"
@@ -181,6 +182,9 @@
 		// Stalls measures for how long this process has run. Limits on how long an
 		// endpoint may take count that time only. It may be nil.
 		Stalls *stall.Meter
+		// Budget bounds the memory of answers that are buffered and of calls of other
+		// instances; nil means no bound.
+		Budget *intake.Budget
 		// Busy returns the number of connections on which a request is being
 		// received or answered. If it is nil, Stop waits only for requests that
 		// are in Serve.
@@ -258,7 +262,8 @@
 		service  string
 		deadline time.Time // for the complete answer
 		rank     int
-		identity uint64 // the same each time the request is sent; see quarantine.Identity
+		answers  *intake.Account // of what is buffered of answers
+		identity uint64          // the same each time the request is sent; see quarantine.Identity
 		// answering is set when a part of the answer of a generation is passed on.
 		answering atomic.Bool
 	}
@@ -280,6 +285,7 @@
 	if err != nil {
 		return err
 	}
+	defer j.answers.Release()
 	// A caller that does not read its answer would block the request beyond its
 	// deadline. Not all writers support this, but that of net/http does.
 	control := http.NewResponseController(w)
@@ -367,7 +373,7 @@
 		f.RetryAt = retryTime(time.Now())
 		return nil, f
 	}
-	j := &job{Request: r, w: w, table: t, route: t.Route(r.Host, r.Path)}
+	j := &job{Request: r, w: w, table: t, route: t.Route(r.Host, r.Path), answers: &intake.Account{Budget: g.Budget}}
 	if j.route == nil {
 		return nil, refusal.New(refusal.NoService, refusal.NotRun, "no route for "+r.Host+r.Path)
 	}
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/time/rate"
 
+	"github.com/eelgrassdock/eelgrassdock/connection/intake"
 	"github.com/eelgrassdock/eelgrassdock/connection/peer"
 	"github.com/eelgrassdock/eelgrassdock/internal/sleep"
 	"github.com/eelgrassdock/eelgrassdock/process/delta"
@@ -371,7 +372,7 @@
 }
 
 func (g *Gateway) listenPeers() (net.Listener, error) {
-	l, err := net.Listen("tcp", g.Settings.Peer)
+	l, err := intake.Listen(g.Settings.Peer, g.Budget)
 	if err != nil {
 		return nil, fmt.Errorf("listen for peers: %w", err)
 	}
@@ -386,7 +387,11 @@
 	}
 	link := max(g.Settings.Link, slowestLink)
 	pace := rate.NewLimiter(rate.Limit(link*bytesPerMegabit*tableShare), peer.PaceBytes)
-	g.spawn(func() { _ = peer.ServePaced(l, server, pace) })
+	gate := &intake.Gate{
+		Listener: l, Name: "peer", Budget: g.Budget, Log: g.Log, Raw: true, Most: intake.PeerConns(g.Settings.Files),
+		Limits: func() intake.Limits { return intake.Limits{} },
+	}
+	g.spawn(func() { _ = peer.ServePaced(gate, server, pace, g.Budget) })
 	return nil
 }
 
--- a/process/gateway/relay.go
+++ b/process/gateway/relay.go
@@ -123,7 +123,7 @@
 // handlePlainAnswer passes on an answer that is not an event stream.
 func (r *run) handlePlainAnswer(ctx context.Context, a *attempt, answer *Answer) (*attempt, error) {
 	r.sends++
-	kept, err := bufferAnswer(answer)
+	kept, err := bufferAnswer(answer, r.j.answers)
 	var f *refusal.Error
 	switch {
 	case err != nil:
--- a/request/refusal/refusal.go
+++ b/request/refusal/refusal.go
@@ -98,6 +98,7 @@
 	Stopping       Reason = "stopping"        // entry is stopping
 	Quarantined    Reason = "quarantined"     // a part of the prompt has crashed engines
 	EndpointLimit  Reason = "endpoint_limit"  // every usable endpoint has named a limit or asked for a pause, and no request to one is due in time
+	Memory         Reason = "memory"          // no memory for the request, or for its body
 	Canceled       Reason = "canceled"        // the caller left
 	Internal       Reason = "internal"        // error in the entry itself
 )
@@ -107,7 +108,7 @@
 	All = []Reason{
 		BadRequest, TooLarge, LongHeader, BadKey, BadToken, Forbidden, NoService, NoKey, KeyExpired, KeyBarred, KeyReused, KeyTaken,
 		RateLimit, ActiveLimit, TokenLimit, Deadline, Overload, NoEndpoint, Leaving, Rejected, Dial, Broken,
-		Timeout, Garbage, GenerationLost, Budget, Store, Stale, Stopping, Quarantined, EndpointLimit, Canceled, Internal,
+		Timeout, Garbage, GenerationLost, Budget, Store, Stale, Stopping, Quarantined, EndpointLimit, Memory, Canceled, Internal,
 	}
 
 	refusals = newCounters("refusals")
--- a/version/routing/routing.go
+++ b/version/routing/routing.go
@@ -87,10 +87,12 @@
 		Regions Regions
 	}
 
-	// Limits are the largest header and body of a request.
+	// Limits bound what a caller may send. A field that is zero sets no limit.
 	Limits struct {
-		HeaderBytes int
-		BodyBytes   int64
+		HeaderBytes int           // largest header of a request
+		BodyBytes   int64         // largest body
+		HeaderTime  time.Duration // for sending a header
+		IdleTime    time.Duration // for which a connection without a request is kept
 	}
 
 	// Document is the content of one version of the routing table.
