entry: clients are bounded as at serve

Cause: the product's own front end had no limits on heads but 1 MB of net/http, on connections, and on bodies in sum. Change: settings memory and files; its two listeners are gates, bodies are charged.

--- a/internal/hostile/process.go
+++ b/internal/hostile/process.go
@@ -154,7 +154,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := entry.Settings{Name: "hostile", Place: "a1", Region: "a", Platform: "http://" + addr, Keep: 1, Stop: 5}
+	s := entry.Settings{Name: "hostile", Place: "a1", Region: "a", Platform: "http://" + addr, Keep: 1, Stop: 5, Memory: limits.Memory, Files: limits.Files}
 	for name, addr := range map[string]*string{"callers": &s.Addr, "peer": &s.Peer} {
 		if *addr, err = port.Addr(); err != nil {
 			return nil, fmt.Errorf("reserve address: %w", err)
--- a/process/entry/call.go
+++ b/process/entry/call.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"net/url"
 	"path"
@@ -54,9 +53,10 @@
 		e.refuse(w, refusal.New(refusal.NoService, refusal.NotRun, "service has no route "+r.Method+" "+p.ByName("path")))
 		return
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	body, release, err := e.readBody(w, r, c)
+	defer release()
 	if err != nil {
-		e.refuse(w, refusal.New(refusal.BadRequest, refusal.NotRun, "read body of at most 1 MiB: "+err.Error()))
+		e.refuse(w, err)
 		return
 	}
 	grant, err := e.admit(c, 0)
--- a/process/entry/completion.go
+++ b/process/entry/completion.go
@@ -1,13 +1,13 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
 	"strings"
 
-	"github.com/cockroachdb/errors"
 	"github.com/julienschmidt/httprouter"
 
 	"github.com/eelgrassdock/eelgrassdock/request/refusal"
@@ -127,12 +127,13 @@
 // service. It sets the caller from the body if no header named one.
 func (e *Entry) readCompletion(w http.ResponseWriter, r *http.Request, c *call) (CompletionRequest, *config.Service, error) {
 	var req CompletionRequest
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(&req); err != nil {
-		detail := "body must be a JSON object: " + err.Error()
-		if size := new(http.MaxBytesError); errors.As(err, &size) {
-			detail = "body is over 1 MiB"
-		}
-		return req, nil, refusal.New(refusal.BadRequest, refusal.NotRun, detail)
+	body, release, err := e.readBody(w, r, *c)
+	defer release()
+	if err != nil {
+		return req, nil, err
+	}
+	if err := json.NewDecoder(bytes.NewReader(body)).Decode(&req); err != nil {
+		return req, nil, refusal.New(refusal.BadRequest, refusal.NotRun, "body must be a JSON object: "+err.Error())
 	}
 	if c.caller == "" {
 		c.caller = req.User
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -30,6 +30,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 
+	"github.com/eelgrassdock/eelgrassdock/connection/intake"
 	"github.com/eelgrassdock/eelgrassdock/connection/peer"
 	"github.com/eelgrassdock/eelgrassdock/internal/background"
 	"github.com/eelgrassdock/eelgrassdock/process/lease"
@@ -50,8 +51,7 @@
 	defaultKeep  = 30 * time.Second  // how long callers may cache a locate answer
 	defaultStop  = 300 * time.Second // longest graceful stop
 	defaultStart = 30 * time.Second  // longest wait for the configuration at the start
-	readHeader   = 10 * time.Second  // time for a caller to send the request header
-	idleConn     = 120 * time.Second // idle connections to callers and endpoints are closed after this
+	idleConn     = 120 * time.Second // idle connections to endpoints are closed after this
 	dialTimeout  = 2 * time.Second   // time to connect to an endpoint, after which the attempt fails
 	maxHeader    = 64 << 10          // bytes of the header of an endpoint's answer, with interim answers
 )
@@ -107,6 +107,7 @@
 	serving  context.Context           // context of all requests; expire ends it at the limit of a graceful stop
 	expire   context.CancelFunc
 
+	budget         *intake.Budget
 	server         *http.Server
 	peerListener   net.Listener
 	socket         *member.Socket
@@ -175,18 +176,21 @@
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	e.background, e.cancel = background, cancel
-	l, err := net.Listen("tcp", e.Settings.Addr)
+	e.budget = intake.Bound(e.Settings.Memory)
+	l, err := intake.Listen(e.Settings.Addr, e.budget)
 	if err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
+	gate := e.newGate(l, "callers")
+	gate.Most = intake.CallerConns(e.Settings.Files)
 	if err := e.join(ctx); err != nil {
 		_ = l.Close()
 		e.shutdown()
 		return fmt.Errorf("join the system: %w", err)
 	}
-	e.server = &http.Server{Handler: e.Handler(), ReadHeaderTimeout: readHeader, IdleTimeout: idleConn}
+	e.server = gate.Server(e.Handler())
 	e.wg.Go(func() {
-		if err := e.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := e.server.Serve(gate); !errors.Is(err, http.ErrServerClosed) {
 			e.Log.WithError(err).Error("caller listener failed")
 		}
 	})
@@ -203,6 +207,13 @@
 	return err
 }
 
+// newGate returns a gate for a listener of the entry.
+func (e *Entry) newGate(l net.Listener, name string) *intake.Gate {
+	return &intake.Gate{
+		Listener: l, Name: name, Budget: e.budget, Log: e.Log, Limits: func() intake.Limits { return intake.Defaults },
+	}
+}
+
 // withDeadline returns a context that ends at a time, and if the process stands still
 // then, once the answers that arrived meanwhile can have been handled.
 func (e *Entry) withDeadline(ctx context.Context, at time.Time) (context.Context, context.CancelFunc) {
--- a/process/entry/join.go
+++ b/process/entry/join.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"expvar"
 	"fmt"
-	"net"
 	"net/http"
 	"net/rpc"
 	"time"
@@ -14,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc/panics"
 
+	"github.com/eelgrassdock/eelgrassdock/connection/intake"
 	"github.com/eelgrassdock/eelgrassdock/connection/peer"
 	"github.com/eelgrassdock/eelgrassdock/internal/background"
 	"github.com/eelgrassdock/eelgrassdock/process/member"
@@ -63,7 +63,7 @@
 	e.members = e.newMembers()
 	e.newOperators()
 	e.watchVerdicts()
-	l, err := net.Listen("tcp", e.Settings.Peer)
+	l, err := intake.Listen(e.Settings.Peer, e.budget)
 	if err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
 	}
@@ -73,7 +73,9 @@
 		return err
 	}
 	e.peerListener = l
-	e.wg.Go(func() { _ = peer.Serve(l, server) })
+	gate := e.newGate(l, "peer")
+	gate.Raw, gate.Most = true, intake.PeerConns(e.Settings.Files)
+	e.wg.Go(func() { _ = peer.ServePaced(gate, server, nil, e.budget) })
 	if e.socket, err = member.ListenUDP(e.Settings.Peer); err != nil {
 		return fmt.Errorf("listen for membership: %w", err)
 	}
--- a/process/entry/settings.go
+++ b/process/entry/settings.go
@@ -35,6 +35,10 @@
 	Stop int `json:"stop,omitempty" validate:"gte=0,lte=86400"`
 	// Keep is how long callers may cache a locate answer, in seconds; 30 if 0.
 	Keep int `json:"keep,omitempty" validate:"gte=0,lte=600"`
+	// Memory is the memory of this process in MB, and Files the number of its descriptors;
+	// no limit if 0.
+	Memory int `json:"memory,omitempty" validate:"gte=0,lte=16777216"`
+	Files  int `json:"files,omitempty" validate:"gte=0,lte=16777216"`
 	// Level is the lowest level that is logged: "info" if empty.
 	Level string `json:"level,omitempty" validate:"omitempty,oneof=debug info warn error"`
 }
