--- a/process/placement/account.go
+++ b/process/placement/account.go
@@ -63,6 +63,10 @@
 		pace            pace    // of the generations of all entries
 		relative        float64 // pace relative to that of all endpoints, 0 if none is known
 
+		forecast float64 // seconds until the first token of a request, by the last choose
+		stall    float64 // seconds, see stallFor
+		stallAt  int64   // Unix nanoseconds
+
 		suspect int64 // time before which it gets no new work; Unix nanoseconds
 		silent  bool  // requests wait for it if no other endpoint is usable
 		closed  bool  // drained or leaving
@@ -92,6 +96,7 @@
 		prompt       float64 // prompt tokens that use memory of their own, outside the prefix cache
 		placed       int64   // Unix nanoseconds
 		copy         bool    // copy of a generation that runs elsewhere
+		firstAfter   float64 // seconds until its first token, by forecast; 0 if unknown
 		backlog      float64 // prompt tokens to compute at its endpoint when placed, its own included
 		done         int
 		reforecastAt int // value of done at which ahead is computed again
--- a/process/placement/choose.go
+++ b/process/placement/choose.go
@@ -70,6 +70,9 @@
 		meanSent      float64           // mean of sentSince over the endpoints
 		fillTime      float64           // seconds for one prompt token
 		budget        float64
+		reserve       float64 // share of the memory that must stay free
+		firstBy       float64 // seconds from now; endpoints whose first token is forecast later are left out
+		first         float64 // forecast of the last evaluate, in seconds from now
 		perStep       float64 // inverse of the step time from which steps add risk
 		typicalFill   float64 // mean fillShare of prompts, weighted by fillShare
 
@@ -85,7 +88,7 @@
 	s.matchPrefix(req)
 	var o inputs
 	s.fillInputs(&o, req, estimate)
-	s.scratch = s.scratch[:0]
+	s.scratch, s.late = s.scratch[:0], false
 	lowest := math.Inf(1)
 	var used, total float64
 	for _, e := range s.list {
@@ -107,10 +110,18 @@
 		if risk > o.budget {
 			continue
 		}
+		s.late = true
+		e.forecast = o.first
+		if o.first > o.firstBy {
+			continue
+		}
 		lowest = min(lowest, cost)
 		s.scratch = append(s.scratch, candidate{e, cost})
 	}
 	s.poolShare = used / max(total, 1)
+	if req.Bind && len(s.scratch) == 0 {
+		return s.bind(req, &o), wait
+	}
 	if len(s.scratch) == 0 {
 		return nil, wait
 	}
@@ -159,6 +170,10 @@
 	o.size = o.prompt
 	waited := max(s.now.Sub(req.Arrived).Seconds(), 0)
 	o.budget = s.budget(waited)
+	o.firstBy, o.reserve = math.Inf(1), req.ReserveShare
+	if !req.FirstBy.IsZero() {
+		o.firstBy = req.FirstBy.Sub(s.now).Seconds()
+	}
 	if s.policy != Previous {
 		// Without this, small requests could overtake a large one without end.
 		fade := min(waited/sizeSeconds, 1)
@@ -258,7 +273,7 @@
 		mean := max(grown*o.alive[h]+e.ahead.mean[h]+o.ahead.mean[h], floor)
 		variance := grown*grown*perRun*o.aliveVariance[h] + e.ahead.variance[h] + o.ahead.variance[h] + spread
 		variance = max(variance, 1)
-		room := e.total - mean
+		room := e.total*(1-o.reserve) - mean
 		if room *= math.Abs(room); room*roomVariance < roomSquare*variance {
 			roomSquare, roomVariance = room, variance
 		}
@@ -275,6 +290,7 @@
 	risk = w.Preempt*memoryRisk + w.Gap*gapRisk
 
 	filling := (e.pending(o.now, o.fillTime) + uncached) * o.fillTime * slowdown
+	o.first = e.queue + filling + step + e.stallFor(o.now)
 	burst := max((step+filling)*(1/gapTarget)-1, 0)
 	if s.Chunked {
 		burst = 0
--- a/process/placement/placement.go
+++ b/process/placement/placement.go
@@ -70,6 +70,7 @@
 		Region string
 		Tokens int64 // memory; replaced by the total in a report
 		Drain  bool
+		Slots  int // generations that it runs at once; zero means unknown
 	}
 
 	// Report is the load of an endpoint at the time At.
@@ -99,6 +100,14 @@
 		Arrived  time.Time
 		Deadline time.Time // time from which the request is not sent; zero means none
 		Exclude  []string  // endpoints that have failed this request
+		// FirstBy is the time by which the first token is wanted; zero means no such time.
+		// An endpoint that is forecast to produce it later is not chosen.
+		FirstBy time.Time
+		// ReserveShare is the share of an endpoint's memory that must stay free beside the request.
+		ReserveShare float64
+		// Bind sends the request also if no endpoint has room for it: to the one that is
+		// forecast to have room first, where it waits. Other entries see its memory in use.
+		Bind bool
 	}
 
 	// Ticket is the reservation of a placed generation.
@@ -109,6 +118,7 @@
 	Decision struct {
 		Endpoint string
 		Wait     bool   // no endpoint is within the risk budget now; try again later
+		Late     bool   // with Wait: an endpoint is within the risk budget, but not by FirstBy
 		None     bool   // no endpoint is usable
 		Ticket   Ticket // for Progress and Done, if Endpoint is set
 	}
@@ -154,6 +164,9 @@
 		// FarCost is the cost of an endpoint in another region, in seconds of stall,
 		// in addition to the cost of the bytes; 0.03 if zero.
 		FarCost float64
+		// Forecast, if not nil, is called at each first token with the time that was forecast
+		// for it and the time that it took. It must not call the Scheduler.
+		Forecast func(forecast, took time.Duration)
 		// Violation is called when an invariant does not hold. If nil, a violation
 		// panics in tests and is counted in expvar otherwise.
 		Violation func(string)
@@ -183,6 +196,7 @@
 		bytes     int64
 		ahead     [horizons]int
 		sentSince float64 // sum over list
+		late      bool    // the last choose left an endpoint out because of FirstBy only
 		poolShare float64 // share of the memory of all usable endpoints in use at the last Place
 	}
 )
@@ -365,9 +379,11 @@
 	}
 	if ep == nil {
 		wait = wait || slices.ContainsFunc(s.list, func(e *endpoint) bool { return s.mayBecomeUsable(e, &req) })
-		return Decision{Wait: wait, None: !wait}
+		return Decision{Wait: wait, None: !wait, Late: wait && s.late}
 	}
-	return Decision{Endpoint: ep.ID, Ticket: s.reserve(ep, &req, &estimate)}
+	ticket := s.reserve(ep, &req, &estimate)
+	s.find(ticket).firstAfter = ep.forecast
+	return Decision{Endpoint: ep.ID, Ticket: ticket}
 }
 
 // Bytes returns the number of bytes that placed work has moved between regions.
--- a/process/placement/speed.go
+++ b/process/placement/speed.go
@@ -46,6 +46,10 @@
 	defer s.mu.Unlock()
 	s.advance(now)
 	r := s.find(ticket)
+	if r != nil && r.placed != 0 && r.firstAfter > 0 && s.Forecast != nil {
+		s.Forecast(time.Duration(r.firstAfter*float64(time.Second)), time.Duration(s.nanos-r.placed))
+		r.firstAfter = 0
+	}
 	if r == nil || r.placed == 0 || r.backlog < minBacklog {
 		return
 	}
@@ -54,10 +58,11 @@
 	if took <= 0 {
 		return
 	}
+	e := r.ep
+	e.observeStall(took, r.backlog*s.fillTime()*e.slowdown(s.nanos), s.nanos)
 	ratio := math.Log(took / (r.backlog * s.fillTime()))
 	s.fillSpeed.n++
 	s.fillSpeed.logRatio += ratio * max(speedGain, 1/float64(s.fillSpeed.n+1))
-	e := r.ep
 	if e.slowdownAt != 0 {
 		e.logSlowdown *= math.Exp2(-float64(s.nanos-e.slowdownAt) / float64(slowdownHalfLife))
 	}
