admission: what is sent to idle engines, and a wider margin

Cause: after an overload in which prompts had taken long, an instance would have sent nothing any more: even idle engines were forecast to be late, and nothing showed that they were not. With three times as many engines and instances, 15 to 19 of 100 long generations were still late.

Change: while less than half of the memory is in use, requests are sent without a margin, and late ones too; so is a kind whose mean request no idle engine serves in time. Else first tokens must be forecast 0.35 of the latency target earlier, in place of 0.25.

--- a/process/admission/admission.go
+++ b/process/admission/admission.go
@@ -51,7 +51,7 @@
 	// earlier in an overload: requests of other instances that are not known here yet, and moved
 	// generations, delay it. With margins of 0, 0.1, 0.2 and 0.3, 11.8, 13.0, 13.7 and 14.1 requests
 	// a second were in time at three times the capacity, and below the capacity it has no effect.
-	timelyMargin = 0.25
+	timelyMargin = 0.35
 	// minReturn is the shortest time after which a refused caller may return.
 	minReturn = 200 * time.Millisecond
 	// returnMargin is kept between the last return and the last start that is in time: a
@@ -68,7 +68,7 @@
 	wholeMargin = 100 * time.Millisecond
 	wholeShare  = 0.4
 	// idleShare is the share of the slots in use below which nothing is refused at once while
-	// nothing waits.
+	// nothing waits, and the share of the memory below which there is no overload.
 	idleShare = 0.5
 )
 
@@ -195,13 +195,24 @@
 	c.init()
 	k := c.kind(r)
 	aimAt := r.First.Add(r.Aim)
+	isCalm := c.sent >= calmShare
+	var engines []placement.EngineLoad
+	var f Times
 	timely := p
 	timely.FirstBy = aimAt
-	if c.sent < calmShare {
-		timely.FirstBy = aimAt.Add(-time.Duration(float64(r.Aim) * timelyMargin))
-	}
-	if c.sent < calmShare && r.Rank > 0 {
-		timely.ReserveShare = rankReserve
+	if !isCalm {
+		engines = c.Sched.Engines(p, now)
+		f = Forecast(engines, float64(r.Prompt), ahead)
+		margin := time.Duration(float64(r.Aim) * timelyMargin)
+		if f.Memory < idleShare {
+			// What is sent now shows whether prompts are still as slow as they were in the
+			// overload. Without it, nothing might be sent any more.
+			margin = 0
+		}
+		timely.FirstBy = aimAt.Add(-margin)
+		if r.Rank > 0 {
+			timely.ReserveShare = rankReserve
+		}
 	}
 	d := c.Sched.Place(timely, now)
 	if d.Endpoint != "" {
@@ -211,13 +222,18 @@
 	if d.None {
 		return d, Decision{}
 	}
-	engines := c.Sched.Engines(p, now)
+	if isCalm {
+		engines = c.Sched.Engines(p, now)
+		f = Forecast(engines, float64(r.Prompt), ahead)
+	}
 	if len(engines) == 0 { // all are silent, and may answer again
 		return d, Decision{Action: Hold}
 	}
-	f := Forecast(engines, float64(r.Prompt), ahead)
 	out := Decision{First: now.Add(f.First), Room: now.Add(f.Room)}
-	if c.sent >= calmShare && now.Add(f.Idle).After(aimAt) {
+	// What even an idle engine would answer late: a large request, or that of a caller that
+	// has returned late. In an overload it is not sent, unless its whole kind is like that.
+	isKindLate := float64(f.Idle)*k.prompt > float64(r.Aim)*float64(max(r.Prompt, 1))
+	if now.Add(f.Idle).After(aimAt) && (isCalm || f.Memory < idleShare || isKindLate) {
 		if d = c.Sched.Place(p, now); d.Endpoint != "" {
 			c.record(k, r, true)
 			out.Late = true
--- a/process/admission/admission_test.go
+++ b/process/admission/admission_test.go
@@ -74,3 +74,20 @@
 		require.Zero(t, arrive(c, timeout-5*time.Second), "nobody has all of the timeout")
 	}
 }
+
+// Guards against an instance that sends nothing any more after prompts were once slow: idle
+// engines must be used, and show that they are not.
+func TestIdleEnginesAreUsedAgain(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, prompts := range []time.Duration{30, 240, 290, 600} { // ms for 1,000 tokens; 3,000 take from 90 ms to 1.8 s
+		s := &placement.Scheduler{Service: "s", Region: "r", Chunked: true, FillTime: prompts * time.Millisecond}
+		s.SetEndpoints([]placement.Endpoint{{ID: "e", Place: "p", Region: "r", Tokens: 27_000, Slots: 24}})
+		c := &Controller{Sched: s}
+		c.init()
+		c.sent = 0
+		r := &Request{Kind: "k", Prompt: 3000, Rank: 2, Arrived: now, Deadline: now.Add(39 * time.Second), Aim: time.Second}
+		c.Arrive(r)
+		d, _ := c.Place(placement.Request{Account: "k", Prompt: 3000, Max: 400, Arrived: now}, r, true, 0, now)
+		require.Equal(t, "e", d.Endpoint, "%v ms", int(prompts))
+	}
+}
