gateway: admission of generations in an overload

Cause: in an overload, nearly all that is sent to engines waits there until it is late, and what is refused has waited for 0.6 of its latency target before.

Change: first attempts of generations on routes with a latency target go through process/admission: sent if they can be in time, else held for an eighth of the target or refused at once, with a time to return from the forecast. Engines that reject a request are forecast to be later for some seconds. Counters, histograms of forecasts against first tokens, fields of the line not_placed, and explain tell of it.

--- a/internal/diagnosis/diagnosis.go
+++ b/internal/diagnosis/diagnosis.go
@@ -308,6 +308,9 @@
 	case "no_service", "bad_key", "bad_request", "too_large":
 		return "routing table " + end.get("version") + " allows no such request: " + end.Text + tail
 	case "overload", "no_endpoint":
+		if text, ok := describeAdmission(list); ok {
+			return text + tail
+		}
 		return "no engine or replica could take the request: " + end.Text + tail
 	case "stopping":
 		return "the instance was stopping" + tail
--- a/internal/diagnosis/diagnosis_test.go
+++ b/internal/diagnosis/diagnosis_test.go
@@ -169,3 +169,12 @@
 `)
 	require.Equal(t, "engine i-70 sent something else than the next event, and there was no copy of its memory", l.Cause("q1"))
 }
+
+// Guards against a refusal in an overload that does not say what there was too little of.
+func TestRefusalInAnOverload(t *testing.T) {
+	l := read(t, `{"cause":"late","event":"not_placed","forecast":2300,"queue":3,"reason":"overload","request":"q1","retry":640,"room":0,"time":"2026-04-22T09:36:43.06Z","waited":1}
+{"event":"refused","msg":"no engine can serve the request in time (late)","outcome":"not run","reason":"overload","request":"q1","time":"2026-04-22T09:36:43.07Z"}
+`)
+	require.Contains(t, l.Cause("q1"), "overload: the prompts that engines still had to compute would have made it late")
+	require.Contains(t, l.Cause("q1"), "first event forecast in 2300 ms")
+}
--- a/process/gateway/enginepool.go
+++ b/process/gateway/enginepool.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
+	"github.com/eelgrassdock/eelgrassdock/process/admission"
 	"github.com/eelgrassdock/eelgrassdock/process/dispatch"
 	"github.com/eelgrassdock/eelgrassdock/process/loads"
 	"github.com/eelgrassdock/eelgrassdock/process/placement"
@@ -60,9 +61,10 @@
 	d.sched = &placement.Scheduler{
 		Service: service, Region: g.Settings.Region, EntryPlace: g.Settings.Place, Length: &g.lengths,
 		Seed: xxhash.Sum64String(g.id + service), Violation: g.logViolation, Chunked: true,
-		MemoryCost: memoryCost, FarCost: farCost, LoadAge: g.exchange.Age(), Limited: g.limitOf,
+		MemoryCost: memoryCost, FarCost: farCost, LoadAge: g.exchange.Age(), Limited: g.limitOf, Forecast: observeForecast,
 	}
 	d.dispatcher.Service, d.dispatcher.Sched = service, d.sched
+	d.dispatcher.Admission = &admission.Controller{Sched: d.sched, Seed: d.sched.Seed}
 	actual, _ := g.enginePools.LoadOrStore(service, d)
 	d = actual.(*enginePool)
 	d.start.Do(func() {
@@ -80,7 +82,7 @@
 	for _, e := range list {
 		endpoints = append(endpoints, placement.Endpoint{
 			ID: e.ID, Place: e.Place, Region: p.g.Settings.RegionOf(e.Place), Tokens: engine.Tokens,
-			Drain: e.Leaving || p.isGone(e.ID),
+			Drain: e.Leaving || p.isGone(e.ID), Slots: e.Slots,
 		})
 	}
 	p.sched.SetEndpoints(endpoints)
@@ -156,8 +158,8 @@
 		item := &queue.Item{
 			Account: j.account, Rank: queue.MaxRank - j.rank, Arrived: now, Deadline: until, Cost: float64(j.Prompt),
 		}
-		decision, err := p.dispatcher.Reserve(wait, request, item)
-		listed := err == nil && decision.Endpoint == "" && p.g.awaitEndpoint(wait, p.service, j.listedUntil(tried, now, until))
+		decision, refused, err := p.reserve(wait, j, request, item)
+		listed := err == nil && refused == nil && decision.Endpoint == "" && p.g.awaitEndpoint(wait, p.service, j.listedUntil(tried, now, until))
 		if wait.Err() != nil && ctx.Err() == nil {
 			if decision.Endpoint != "" {
 				p.sched.Done(decision.Ticket, 0, false, time.Now())
@@ -167,6 +169,9 @@
 		if err != nil {
 			return roster.Endpoint{}, 0, err
 		}
+		if refused != nil {
+			return roster.Endpoint{}, 0, p.refuseCrowded(j, refused, now)
+		}
 		if listed {
 			until = later(until, earlier(j.deadline, time.Now().Add(j.queueTime())))
 			request.Deadline = until
--- a/process/gateway/generate.go
+++ b/process/gateway/generate.go
@@ -279,6 +279,7 @@
 	if !answer.AddressReused {
 		r.sends++
 	}
+	r.enginePool.sched.Rejected(a.endpoint.ID, time.Now())
 	r.logAttempt("attempt_refused", a, logrus.Fields{"status": answer.Status, "elsewhere": answer.AddressReused})
 	f := refusal.New(refusal.Rejected, refusal.NotRun, "engine did not run the request")
 	if a.memory != "" {
--- a/process/gateway/metrics.go
+++ b/process/gateway/metrics.go
@@ -21,6 +21,10 @@
 	heldTime  = "held"  // time that a generation waited for an engine
 	copyTime  = "copy"  // time from a notice until a copy of a generation's memory was complete
 	callTime  = "call"  // from a request's arrival to the answer of a plain service
+
+	forecastTime  = "forecast"       // from the choice of an engine to the first token, as forecast
+	forecastLate  = "forecast_late"  // by which a first token came later than forecast, or 0
+	forecastEarly = "forecast_early" // by which a first token came earlier than forecast, or 0
 )
 
 type (
@@ -43,7 +47,7 @@
 var (
 	counters   = expvar.NewMap("gateway")
 	exchanged  = expvar.NewMap("exchange") // datagrams with loads and what goes with them
-	histograms = newHistograms(firstTime, pauseTime, heldTime, copyTime, callTime)
+	histograms = newHistograms(firstTime, pauseTime, heldTime, copyTime, callTime, forecastTime, forecastLate, forecastEarly)
 )
 
 func newHistograms(names ...string) map[string]*histogram {
