--- a/process/gateway/settings.go
+++ b/process/gateway/settings.go
@@ -56,6 +56,9 @@
 		// Prefix places generations where a part of their prompt is probably cached, if what
 		// that saves outweighs the wait there, on routes with session affinity.
 		Prefix bool `json:"prefix,omitempty"`
+		// Admission sends, holds or refuses generations by a forecast of when they would be
+		// answered.
+		Admission bool `json:"admission,omitempty"`
 		// Memory is the memory of this process in MB, and Files the number of its
 		// descriptors; 0 if there is no limit.
 		Memory int `json:"memory,omitempty" validate:"gte=0,lte=16777216"`
--- a/process/ratelimit/grant.go
+++ b/process/ratelimit/grant.go
@@ -20,6 +20,9 @@
 // Any reports whether a limit, a pause or a cold time of any endpoint may be in force.
 func (l *Limiter) Any() bool { return l.limited.Load()+l.paused.Load()+l.cold.Load() > 0 }
 
+// Asked reports whether a limit or a pause that an endpoint has asked for may be in force.
+func (l *Limiter) Asked() bool { return l.limited.Load()+l.paused.Load() > 0 }
+
 // Take grants one request to an endpoint now, and reports whether it did. A request
 // to an endpoint without a limit and a pause that is not cold is always granted.
 func (l *Limiter) Take(endpoint string, now time.Time) bool {
