--- a/cmd/eelgrassdock/main.go
+++ b/cmd/eelgrassdock/main.go
@@ -3,7 +3,7 @@
 // endpoints, and a demonstration.
 //
 // Exit codes: 0 for success, 1 when the command ran and failed, 2 for wrong
-// arguments.
+// arguments; of audit also 2 for a file that cannot be read.
 package main
 
 import (
@@ -15,6 +15,7 @@
 	"syscall"
 
 	"github.com/alecthomas/kong"
+	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 )
 
@@ -30,6 +31,7 @@
 	Soak    soakCommand    `cmd:"" help:"Run processes of this program under faults and check what callers and endpoints see; one JSON summary, exit code 1 if a promise was broken."`
 	Explain explainCommand `cmd:"" help:"Tell from logs what became of a request, and why."`
 	Check   checkCommand   `cmd:"" help:"Check a settings or configuration file and name every fault."`
+	Audit   auditCommand   `cmd:"" help:"Check the platform's routing table before it is sent, as serve would decode it, and tell what it changes."`
 	Publish publishCommand `cmd:"" help:"Store the first version of the configuration in the platform."`
 	Ask     askCommand     `cmd:"" help:"Send one query or command of the operators' language to an entry."`
 	Standin standinCommand `cmd:"" help:"Run a simulated engine, service or platform."`
@@ -66,6 +68,9 @@
 	}
 	if err := ctx.Run(std); err != nil {
 		fmt.Fprintln(std.err, "eelgrassdock:", err)
+		if errors.Is(err, errUnreadable) {
+			return exitUsage
+		}
 		return exitFailed
 	}
 	return 0
