intake: a bound on large bodies without a setting

Change: without the setting memory, larger charges (over 64 KB of one request) sum up to 32 MB at most; buffers of bodies grow by 16, which leaves an eighth of a body as garbage in place of two thirds. The prompt of a completion is charged until it ends.

--- a/connection/intake/body.go
+++ b/connection/intake/body.go
@@ -10,7 +10,10 @@
 
 const (
 	firstPart = 32 << 10 // for which a buffer is allocated before anything has arrived; most bodies are shorter
-	growth    = 4        // of the buffer when it is full: it is at most so many times what has arrived
+	// growth of the buffer when it is full: it is at most so many times what has arrived. A
+	// body of 4 MB is copied once, when 512 KB of it have arrived; with a growth of 4, the
+	// smaller buffers are two thirds of its length in garbage.
+	growth = 16
 
 	bodyGrace = time.Second // after which the rate of a body counts
 	bodyRate  = 32 << 10    // bytes per second below which a body is slow: 40 callers at once on a link of 10 Mbit/s
--- a/connection/intake/bound.go
+++ b/connection/intake/bound.go
@@ -19,6 +19,11 @@
 	// garbageFactor is how much memory a charged byte takes, with what is not collected yet.
 	garbageFactor = 2
 
+	// defaultLarge is the most that larger charges may sum up to if the memory of a process
+	// is not known: 8 bodies of 4 MB. With what is not collected yet, the process stays below
+	// the 112 MB of the smallest instance.
+	defaultLarge = 32 * megabyte
+
 	// Shares of the descriptors of a process. The rest is for connections to endpoints,
 	// one for each request in work, to the store and to other instances.
 	callerShare = 3.0 / 8
@@ -31,10 +36,13 @@
 var Defaults = Limits{HeadBytes: 64 << 10, HeadTime: 10 * time.Second, IdleTime: 120 * time.Second}
 
 // Bound returns the budget of a process with a memory in MB, and sets the soft memory limit
-// of the Go runtime. With 0, neither has a bound.
+// of the Go runtime. With 0, neither has a bound, except that the larger charges, of
+// bodies and answers, have one that fits every instance.
 func Bound(memory int) *Budget {
 	if memory <= 0 {
-		return NewBudget(0)
+		b := NewBudget(0)
+		b.most = defaultLarge
+		return b
 	}
 	total := int64(memory) * megabyte
 	debug.SetMemoryLimit(max(total-outsideMemory, total/2))
--- a/connection/intake/budget.go
+++ b/connection/intake/budget.go
@@ -11,6 +11,7 @@
 
 import (
 	"expvar"
+	"math"
 	"sync"
 	"time"
 )
@@ -52,7 +53,9 @@
 	Budget struct {
 		mu       sync.Mutex
 		size     int64 // 0 means no bound
+		most     int64 // of larger charges; 0 means no bound of their own
 		used     int64
+		large    int64 // larger charges
 		peak     int64
 		holders  map[string]int64 // larger charges by holder
 		gates    []*Gate
@@ -110,7 +113,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	large = a.charged+n > SmallCharge
-	if a.released || b.size > 0 && !b.hasRoomLocked(a, n, large) {
+	if a.released || !b.hasRoomLocked(a, n, large) {
 		counters.Add("charges_refused", 1)
 		return false, large && !a.released
 	}
@@ -121,6 +124,7 @@
 		return true, false
 	}
 	a.large += n
+	b.large += n
 	if b.holders == nil {
 		b.holders = map[string]int64{}
 	}
@@ -132,9 +136,15 @@
 
 func (b *Budget) hasRoomLocked(a *Account, n int64, large bool) bool {
 	if !large {
-		return b.used+n <= b.size
+		return b.size == 0 || b.used+n <= b.size
+	}
+	free := int64(math.MaxInt64 / (2 * holderFactor))
+	if b.size > 0 {
+		free = int64(float64(b.size)*largeShare) - b.used - n
+	}
+	if b.most > 0 {
+		free = min(free, b.most-b.large-n)
 	}
-	free := int64(float64(b.size)*largeShare) - b.used - n
 	if free < 0 {
 		return false
 	}
@@ -180,6 +190,7 @@
 		return
 	}
 	a.large -= large
+	b.large -= large
 	for _, h := range a.Holders {
 		if b.holders[h] -= large; b.holders[h] <= 0 {
 			delete(b.holders, h)
--- a/process/entry/call.go
+++ b/process/entry/call.go
@@ -53,8 +53,9 @@
 		e.refuse(w, refusal.New(refusal.NoService, refusal.NotRun, "service has no route "+r.Method+" "+p.ByName("path")))
 		return
 	}
-	body, release, err := e.readBody(w, r, c)
-	defer release()
+	charges := e.newCharges(r, c)
+	defer charges.Release()
+	body, err := e.readBody(w, r, charges)
 	if err != nil {
 		e.refuse(w, err)
 		return
--- a/process/entry/completion.go
+++ b/process/entry/completion.go
@@ -10,6 +10,7 @@
 
 	"github.com/julienschmidt/httprouter"
 
+	"github.com/eelgrassdock/eelgrassdock/connection/intake"
 	"github.com/eelgrassdock/eelgrassdock/request/refusal"
 	"github.com/eelgrassdock/eelgrassdock/request/resume"
 	"github.com/eelgrassdock/eelgrassdock/request/stream"
@@ -60,7 +61,9 @@
 		e.refuse(w, err)
 		return
 	}
-	req, service, err := e.readCompletion(w, r, &c)
+	charges := e.newCharges(r, c)
+	defer charges.Release()
+	req, service, err := e.readCompletion(w, r, &c, charges)
 	if err != nil {
 		e.refuse(w, err)
 		return
@@ -125,10 +128,9 @@
 
 // readCompletion decodes and validates the request body, and finds the
 // service. It sets the caller from the body if no header named one.
-func (e *Entry) readCompletion(w http.ResponseWriter, r *http.Request, c *call) (CompletionRequest, *config.Service, error) {
+func (e *Entry) readCompletion(w http.ResponseWriter, r *http.Request, c *call, charges *intake.Account) (CompletionRequest, *config.Service, error) {
 	var req CompletionRequest
-	body, release, err := e.readBody(w, r, *c)
-	defer release()
+	body, err := e.readBody(w, r, charges)
 	if err != nil {
 		return req, nil, err
 	}
