intake: a request on a closed connection closes no others

A connection that is closed to make room has released its account. If a head arrived on it at that moment, its charge was refused as if memory were short, and the gate closed all new and idle connections of the listener, one after the other, in search of room; without a bound of memory too. Such a charge is now refused at once. TestRequestOnAClosedConnectionClosesNoOthers: before, 0 of 2 other connections were left, now 2.

--- a/connection/intake/budget.go
+++ b/connection/intake/budget.go
@@ -159,6 +159,13 @@
 	a.released = true
 }
 
+// isReleased reports whether the account cannot be charged any more.
+func (a *Account) isReleased() bool {
+	a.Budget.mu.Lock()
+	defer a.Budget.mu.Unlock()
+	return a.released
+}
+
 // Credit takes back n of the charged bytes.
 func (a *Account) Credit(n int64) {
 	b := a.Budget
--- a/connection/intake/gate.go
+++ b/connection/intake/gate.go
@@ -157,7 +157,7 @@
 			a.Budget.relieve()
 			return false
 		}
-		if !g.closeOne() {
+		if a.isReleased() || !g.closeOne() {
 			return false
 		}
 	}
--- a/connection/intake/intake_test.go
+++ b/connection/intake/intake_test.go
@@ -227,6 +227,27 @@
 	require.NoError(t, ask(1))
 }
 
+// Guards against idle connections that are all closed because a request arrives on one that
+// has just been closed to make room.
+func TestRequestOnAClosedConnectionClosesNoOthers(t *testing.T) {
+	for _, size := range []int64{0, 1 << 20} {
+		g, _ := testServer(t, Limits{HeadBytes: 16 << 10}, NewBudget(size), 3)
+		var conns []*Conn
+		for range 3 {
+			here, there := net.Pipe()
+			t.Cleanup(func() { _ = there.Close() })
+			conns = append(conns, g.admit(here))
+			g.move(conns[len(conns)-1], idle)
+		}
+		require.True(t, g.closeOne())
+		conns[0].begin()
+		require.Equal(t, 2, g.connections())
+		require.False(t, g.charge(conns[0].account, 1))
+		require.Equal(t, 2, g.connections())
+		require.True(t, g.charge(conns[1].account, 1))
+	}
+}
+
 // Guards against a head that is held open beyond its time, and against the timeout of a head that
 // still runs while a request is answered.
 func TestHeadTime(t *testing.T) {
