intake: lines of a body are not counted as header lines

The line ends of all that arrived with a head counted as its lines, also those of the begin of the body, up to 4 KB in the same read. A body of short lines was so refused with 431 once they exceeded a quarter of max_header_bytes, and otherwise charged 256 bytes for each. Lines are now counted up to the empty line that ends the head. TestLinesOfABodyAreNotThoseOfAHead: before, 431 for a body of 400 line ends with a limit of 1 KB; now 200 for up to 4,000.

--- a/connection/intake/conn.go
+++ b/connection/intake/conn.go
@@ -45,7 +45,10 @@
 	deadline time.Time // of the head
 	bytes    int       // of the head
 	lines    int
-	carried  int // line ends in the latest read of a request, which may belong to the next head
+	filled   bool // the current line of the head is not empty
+	begun    bool // a line of the head was not empty
+	whole    bool // the empty line that ends the head was received
+	carried  int  // line ends in the latest read of a request, which may belong to the next head
 	paid     int64
 	body     int  // bytes read after the head
 	wide     bool // has the receive buffer of a longer body
@@ -94,7 +97,7 @@
 		_ = c.Conn.SetReadDeadline(c.deadline) // fails on a closed connection only
 	}
 	c.bytes += len(part)
-	c.lines += bytes.Count(part, []byte("\n"))
+	c.countLines(part)
 	if limit := limits.HeadBytes; limit > 0 {
 		if c.bytes > limit+headSlack {
 			return http.StatusRequestHeaderFieldsTooLarge, "heads_long"
@@ -113,6 +116,22 @@
 	return 0, ""
 }
 
+// countLines counts the lines of a head, up to the empty one that ends it. What follows in
+// the same part belongs to the body or to the next request.
+func (c *Conn) countLines(part []byte) {
+	for !c.whole {
+		line, rest, found := bytes.Cut(part, []byte("\n"))
+		c.filled = c.filled || len(line) > 0 && string(line) != "\r"
+		c.begun = c.begun || c.filled
+		if !found {
+			return
+		}
+		c.lines++
+		c.whole = c.begun && !c.filled
+		c.filled, part = false, rest
+	}
+}
+
 // refuse answers a head that is not passed on. No answer to an earlier request is in
 // progress then. The buffer is used for what the client still sends.
 func (c *Conn) refuse(status int, buffer []byte) {
@@ -159,6 +178,7 @@
 func (c *Conn) end() {
 	c.account.Credit(c.paid)
 	c.bytes, c.lines, c.paid, c.body = 0, 0, 0, 0
+	c.filled, c.begun, c.whole = false, false, false
 	if c.wide {
 		c.setBuffer(waitingBuffer)
 		c.wide = false
--- a/connection/intake/intake_test.go
+++ b/connection/intake/intake_test.go
@@ -248,6 +248,21 @@
 	}
 }
 
+// Guards against requests that are refused because line ends in their bodies, which arrive
+// with the head, count as header lines.
+func TestLinesOfABodyAreNotThoseOfAHead(t *testing.T) {
+	const limit = 1 << 10
+	_, addr := testServer(t, Limits{HeadBytes: limit, HeadTime: time.Minute, IdleTime: time.Minute}, Bound(112), 0)
+	for _, lines := range []int{0, 1, 300, 400, 3000, 4000} {
+		conn, err := net.Dial("tcp", addr)
+		require.NoError(t, err)
+		status, _, err := exchange(conn, fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", lines, strings.Repeat("\n", lines)))
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, status, "%d lines", lines)
+		require.NoError(t, conn.Close())
+	}
+}
+
 // Guards against a head that is held open beyond its time, and against the timeout of a head that
 // still runs while a request is answered.
 func TestHeadTime(t *testing.T) {
