intake: the end of a refused connection is shown before its reset

net/http ends its side of a connection whose client still sends a body, and closes it half a second later, so that the client reads the answer and the end. It looks for CloseWrite, which the wrapped connection did not have: clients got a reset in place of the end. TestRefusedClientSeesTheEnd: before, connection reset by peer; now the whole answer and the end.

--- a/connection/intake/conn.go
+++ b/connection/intake/conn.go
@@ -143,9 +143,7 @@
 	if _, err := io.WriteString(c.Conn, text+"\r\n"); err != nil {
 		return
 	}
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
-		_ = tcp.CloseWrite()
-	}
+	_ = c.CloseWrite() // the client is told by the answer, too
 	_ = c.Conn.SetReadDeadline(time.Now().Add(drainTime))
 	for read := 0; read < bodyBuffer; {
 		n, err := c.Conn.Read(buffer)
@@ -156,6 +154,15 @@
 	}
 }
 
+// CloseWrite ends the answers. net/http calls it before it closes a connection whose client
+// still sends a body, so that the client reads the answer to its end before it gets a reset.
+func (c *Conn) CloseWrite() error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.CloseWrite() //nolint:wrapcheck // net/http ignores it
+	}
+	return nil
+}
+
 // Abort closes the connection at once, so that the client does not take a part of an answer
 // for the whole.
 func (c *Conn) Abort() { abort(c.Conn) }
--- a/connection/intake/intake_test.go
+++ b/connection/intake/intake_test.go
@@ -263,6 +263,21 @@
 	}
 }
 
+// Guards against an end of a refused connection that is no longer shown to its client, which
+// still sends a body: without it, the client gets a reset where it awaits the end.
+func TestRefusedClientSeesTheEnd(t *testing.T) {
+	_, addr := testServer(t, Limits{HeadBytes: 16 << 10, HeadTime: time.Minute, IdleTime: time.Minute}, nil, 0)
+	conn, err := net.Dial("tcp", addr)
+	require.NoError(t, err)
+	defer conn.Close()
+	require.NoError(t, conn.SetDeadline(time.Now().Add(time.Minute)))
+	_, err = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\n\r\n"+strings.Repeat("x", 60000))
+	require.NoError(t, err)
+	answer, err := io.ReadAll(conn)
+	require.NoError(t, err)
+	require.Contains(t, string(answer), "200 OK")
+}
+
 // Guards against a head that is held open beyond its time, and against the timeout of a head that
 // still runs while a request is answered.
 func TestHeadTime(t *testing.T) {
