gateway: a poll that ends because of a freeze is no outage

After a freeze nothing is sent until a later poll of the evacuated places is answered, or the store is known to be away. But a poll that was under way in the freeze ends by its time limit when the process goes on, and that failure counted as an outage: requests were sent at once, to places that may have been evacuated meanwhile. Only the failure of a call that began after the freeze counts now; mirror reports only the first failure in a row, so that the feed records each of them. TestPollThatEndsByAFreezeIsNoOutage: before, the request was sent at once; now after the second failure.

--- a/process/gateway/evacuation.go
+++ b/process/gateway/evacuation.go
@@ -248,10 +248,14 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.lost || f.asked.IsZero() {
+	if f.asked.IsZero() {
 		return nil, false
 	}
-	return f.changed, time.Since(f.asked)-g.Stalls.RanSince(f.asked) >= freezeTime
+	since := f.asked
+	if f.lost { // a call that was under way during a freeze fails because of it
+		since = later(since, f.failed)
+	}
+	return f.heard, time.Since(since)-g.Stalls.RanSince(since) >= freezeTime
 }
 
 // awaitPlaces waits, after this process stood still, until it knows the evacuated places
--- a/process/gateway/evacuation_test.go
+++ b/process/gateway/evacuation_test.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
 
+	"github.com/eelgrassdock/eelgrassdock/process/member"
 	"github.com/eelgrassdock/eelgrassdock/process/mirror"
 	"github.com/eelgrassdock/eelgrassdock/process/roster"
 	"github.com/eelgrassdock/eelgrassdock/process/stall"
@@ -233,6 +234,51 @@
 	})
 }
 
+// Guards against a poll that ends because of a freeze and counts as an outage of the store, so
+// that requests go to a place that was evacuated meanwhile; and against requests that wait
+// for longer than it takes to see that the store is away.
+func TestPollThatEndsByAFreezeIsNoOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newEvacuated(t)
+		x.Settings.Evacuation = 5000
+		table := &mirror.Table{Name: "op", Follow: func(ctx context.Context, _ int64, _ time.Duration) (mirror.Page, error) {
+			<-ctx.Done()
+			return mirror.Page{}, ctx.Err()
+		}}
+		x.listMembers = func() []member.Member { return nil }
+		x.shareTable(table)
+		x.configuration = "op"
+		x.feeds["op"].storeAnswered(time.Now())
+		var frozen atomic.Bool
+		x.Stalls = &stall.Meter{Hold: func() {
+			if frozen.Swap(false) {
+				time.Sleep(5 * time.Second)
+			}
+		}}
+		go x.Stalls.Run(x.base)
+		time.Sleep(time.Second)
+		frozen.Store(true)
+		follow := func(d time.Duration) error {
+			ctx, cancel := context.WithTimeout(x.base, d)
+			defer cancel()
+			_, err := table.Follow(ctx, 0, time.Second)
+			return err
+		}
+		table.Lost(follow(5 * time.Second)) // later failures in a row are not reported
+		done := make(chan error, 1)
+		go func() { _, err := x.ask("/read/1", 5*time.Second); done <- err }()
+		time.Sleep(500 * time.Millisecond)
+		for i := range 4 {
+			require.Zero(t, x.sentTo(fmt.Sprint("d", i)))
+		}
+		require.Error(t, follow(time.Second))
+		synctest.Wait()
+		require.Len(t, done, 1)
+		require.NoError(t, <-done)
+		x.cancel()
+	})
+}
+
 // Guards against a place that stays closed, or an endpoint that is open because it was
 // listed after the order; against waits for endpoints that do not come; and against
 // endpoints that are open again before they count as cold.
--- a/process/gateway/feed.go
+++ b/process/gateway/feed.go
@@ -71,6 +71,8 @@
 		lost      bool
 		joining   bool          // the table is requested from other instances
 		changed   chan struct{} // closed at each confirmation and at a failure
+		failed    time.Time     // when the latest call that failed began
+		heard     chan struct{} // closed when a call is answered or fails
 		avoid     map[string]time.Time
 		origin    origin
 		lag       lag
@@ -140,7 +142,7 @@
 // instance if one follows the store for this region, else from the store.
 func (g *Gateway) shareTable(t *mirror.Table) {
 	f := &feed{
-		table: t, follow: t.Follow, from: -1, changed: make(chan struct{}), avoid: map[string]time.Time{},
+		table: t, follow: t.Follow, from: -1, changed: make(chan struct{}), heard: make(chan struct{}), avoid: map[string]time.Time{},
 		peers: peer.Pool{Dial: g.peers.Dial}, documents: &g.documents, stalls: g.Stalls,
 	}
 	if g.feeds == nil {
@@ -181,14 +183,36 @@
 		page, err := list(ctx)
 		if err == nil {
 			f.storeAnswered(begun)
+		} else {
+			f.callFailed(begun)
 		}
 		return page, err
 	}
 	t.Follow = func(ctx context.Context, after int64, wait time.Duration) (mirror.Page, error) {
-		return g.followTable(ctx, f, after, wait)
+		begun := time.Now()
+		page, err := g.followTable(ctx, f, after, wait)
+		if err != nil {
+			f.callFailed(begun)
+		}
+		return page, err
 	}
 }
 
+// callFailed records that a call for the table which began at a time has failed. The first
+// of several in a row is also reported to fail.
+func (f *feed) callFailed(begun time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.failed = begun
+	f.notifyHeard()
+}
+
+// notifyHeard wakes those that wait for the end of a call. f.mu must be held.
+func (f *feed) notifyHeard() {
+	close(f.heard)
+	f.heard = make(chan struct{})
+}
+
 // followOnce makes one poll for the changes of a table after a version, and returns the
 // instance that was polled last, without an ID if that is the store.
 func (g *Gateway) followOnce(ctx context.Context, f *feed, after int64, wait time.Duration) (_ mirror.Page, source member.Member, _ error) {
@@ -320,6 +344,7 @@
 	}
 	close(f.changed)
 	f.changed = make(chan struct{})
+	f.notifyHeard()
 }
 
 func (f *feed) fail(error) {
@@ -328,6 +353,7 @@
 	f.lost = true
 	close(f.changed)
 	f.changed = make(chan struct{})
+	f.notifyHeard()
 }
 
 func (f *feed) avoidPeer(id string) {
--- a/process/gateway/join_test.go
+++ b/process/gateway/join_test.go
@@ -57,7 +57,7 @@
 func TestWholeTable(t *testing.T) {
 	log := newTestGateway(t).Log
 	row := func(key string, version int64) mirror.Row { return mirror.Row{Key: key, Version: version} }
-	f := &feed{from: -1, changed: make(chan struct{}), table: &mirror.Table{Log: log}}
+	f := &feed{from: -1, changed: make(chan struct{}), heard: make(chan struct{}), table: &mirror.Table{Log: log}}
 	require.False(t, follows(f), "nothing was read yet")
 	f.add([]mirror.Row{row("a", 1), row("b", 2)})
 	f.setVersion(2)
