peer: calls are served on after descriptors ran out

The server of calls between instances ended at any error of Accept, with all its connections. Out of descriptors, as untrusted clients can make a process, it was so unreachable for the other instances until its end. Errors of Accept that pass are now waited out, as net/http does. TestCallsAreServedAfterDescriptorsRanOut: before, no answer within 20 s; now answered.

--- a/connection/peer/peer.go
+++ b/connection/peer/peer.go
@@ -17,6 +17,7 @@
 	"net/rpc"
 	"reflect"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -34,8 +35,9 @@
 	// PaceBytes is the burst that the limiter of ServePaced must allow.
 	PaceBytes = 16 << 10
 
-	dialTimeout = 2 * time.Second // a peer that does not accept within this time is unreachable
-	longAnswer  = 4 << 10         // bytes written at once; answers of this size are sent at a limited rate
+	dialTimeout = 2 * time.Second       // a peer that does not accept within this time is unreachable
+	acceptPause = 50 * time.Millisecond // after a failure to accept that does not last, until descriptors may be free
+	longAnswer  = 4 << 10               // bytes written at once; answers of this size are sent at a limited rate
 )
 
 var (
@@ -287,7 +289,8 @@
 	}
 }
 
-// Serve answers calls on the listener until it is closed. Then it closes all
+// Serve answers calls on the listener until it is closed, also if descriptors have run out
+// meanwhile. Then it closes all
 // connections, waits until their calls have ended and returns nil.
 func Serve(l net.Listener, server *rpc.Server) error { return ServePaced(l, server, nil, nil) }
 
@@ -302,6 +305,10 @@
 	)
 	for {
 		conn, err := l.Accept()
+		if errors.IsAny(err, syscall.EMFILE, syscall.ENFILE, syscall.ECONNABORTED) {
+			time.Sleep(acceptPause)
+			continue
+		}
 		if err != nil {
 			break
 		}
--- a/connection/peer/peer_test.go
+++ b/connection/peer/peer_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"net"
 	"net/rpc"
+	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -59,3 +61,38 @@
 	pool.Close()
 	require.True(t, errors.Is(call("Test.Echo", time.Minute), peer.ErrUnreachable))
 }
+
+// exhaustedListener fails once as if the process had no descriptors left.
+type exhaustedListener struct {
+	net.Listener
+	failed bool
+}
+
+func (l *exhaustedListener) Accept() (net.Conn, error) {
+	if !l.failed {
+		l.failed = true
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+	}
+	return l.Listener.Accept()
+}
+
+// Guards against a process that answers no calls any more once descriptors have run out.
+func TestCallsAreServedAfterDescriptorsRanOut(t *testing.T) {
+	server := rpc.NewServer()
+	require.NoError(t, server.RegisterName("Test", echo{}))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	done := make(chan struct{})
+	go func() {
+		_ = peer.Serve(&exhaustedListener{Listener: l}, server)
+		close(done)
+	}()
+	var pool peer.Pool
+	defer pool.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	var reply string
+	require.NoError(t, pool.Call(ctx, l.Addr().String(), "Test.Echo", "x", &reply))
+	require.NoError(t, l.Close())
+	<-done
+}
