gateway: requests that waited after a freeze take a new grant

A request takes its grant of a cold or limited endpoint before it is sent, and after a freeze it then waits until the evacuated places are known, for seconds. Grants of each window were used up by requests that were then sent together. Requests that have waited now take a new grant, and without one they are placed again, at no charge; a continuation waits for a grant of the engine with its copy. TestRequestsThatWaitAfterAFreezeKeepTheBoundOfAColdEndpoint: before, 28 requests in a second where 14 are tolerated; now at most 14.

--- a/process/gateway/evacuation.go
+++ b/process/gateway/evacuation.go
@@ -259,24 +259,24 @@
 }
 
 // awaitPlaces waits, after this process stood still, until it knows the evacuated places
-// again or that the store is away.
-func (g *Gateway) awaitPlaces(ctx context.Context) error {
-	for {
+// again or that the store is away. It reports whether it had to wait.
+func (g *Gateway) awaitPlaces(ctx context.Context) (waited bool, err error) {
+	for ; ; waited = true {
 		changed, doubtful := g.isDoubtful()
 		if !doubtful {
-			return nil
+			return waited, nil
 		}
 		counters.Add("waits_after_freeze", 1)
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return refusal.FromContext(ctx.Err())
+			return true, refusal.FromContext(ctx.Err())
 		}
 	}
 }
 
 // refuseClosed returns the error of a request that was not sent because its endpoint was
-// closed.
+// closed, or because its grant was for an earlier time.
 func refuseClosed() error {
 	return errors.Mark(refusal.New(refusal.NoEndpoint, refusal.NotRun, ErrClosed.Error()), ErrClosed)
 }
--- a/process/gateway/evacuation_test.go
+++ b/process/gateway/evacuation_test.go
@@ -279,6 +279,62 @@
 	})
 }
 
+// Guards against grants of a cold endpoint that pile up while requests wait for the evacuated
+// places after a freeze, so that they reach it together.
+func TestRequestsThatWaitAfterAFreezeKeepTheBoundOfAColdEndpoint(t *testing.T) {
+	for _, path := range []string{"/read/1", "/short/1"} {
+		synctest.Test(t, func(t *testing.T) {
+			x := newEvacuated(t)
+			x.Settings.Evacuation = 5000
+			x.makeCold()
+			x.shareTable(&mirror.Table{Name: "op"})
+			x.configuration = "op"
+			f := x.feeds["op"]
+			f.storeAnswered(time.Now())
+			var (
+				frozen   atomic.Bool
+				wg       sync.WaitGroup
+				arrivals = map[string][]time.Time{}
+			)
+			x.Stalls = &stall.Meter{Hold: func() {
+				if frozen.Swap(false) {
+					time.Sleep(2 * time.Second)
+				}
+			}}
+			send := x.Backend.Send
+			x.Backend.Send = func(ctx context.Context, c Call) (*Answer, error) {
+				x.mu.Lock()
+				arrivals[c.Endpoint.ID] = append(arrivals[c.Endpoint.ID], time.Now())
+				x.mu.Unlock()
+				return send(ctx, c)
+			}
+			for _, e := range x.Roster.All() {
+				x.NoteRow(e, time.Minute, false)
+			}
+			go x.Stalls.Run(x.base)
+			time.Sleep(time.Second)
+			frozen.Store(true)
+			time.Sleep(2 * time.Second)
+			for i := range 400 {
+				time.Sleep(10 * time.Millisecond)
+				wg.Go(func() { _, _ = x.ask(path, 10*time.Second) })
+				if i >= 350 {
+					f.storeAnswered(time.Now())
+					f.setVersion(1)
+				}
+			}
+			wg.Wait()
+			x.mu.Lock()
+			defer x.mu.Unlock()
+			require.NotEmpty(t, arrivals)
+			for id, list := range arrivals {
+				require.LessOrEqual(t, float64(busiest(list)), testColdMost, id)
+			}
+			x.cancel()
+		})
+	}
+}
+
 // Guards against a place that stays closed, or an endpoint that is open because it was
 // listed after the order; against waits for endpoints that do not come; and against
 // endpoints that are open again before they count as cold.
--- a/process/gateway/generate.go
+++ b/process/gateway/generate.go
@@ -335,10 +335,13 @@
 }
 
 // sendElsewhere returns an attempt in place of one that was not sent, because its engine
-// was closed since it had been chosen. That costs nothing of the retry budget, unless the
+// was closed since it had been chosen, or gets no request now. That costs nothing of the retry budget, unless the
 // run left another engine for this one.
 func (r *run) sendElsewhere(ctx context.Context, a *attempt, f *refusal.Error) (*attempt, error) {
 	r.logFailure(a, f)
+	if a.memory != "" && !r.g.isClosed(a.endpoint) {
+		return a, nil // it waits for another grant
+	}
 	if a.memory != "" {
 		return r.rerun(ctx, a, f)
 	}
--- a/process/gateway/limit.go
+++ b/process/gateway/limit.go
@@ -99,10 +99,12 @@
 // call must have been granted by g.limits.
 func (g *Gateway) send(ctx context.Context, c Call) (*Answer, error) {
 	c.Closed = func() bool { return g.isClosed(c.Endpoint) }
-	if err := g.awaitPlaces(ctx); err != nil {
+	waited, err := g.awaitPlaces(ctx)
+	if err != nil {
 		return nil, err
 	}
-	if c.Closed() {
+	// Requests that have waited are sent together, so that their grants count no more.
+	if c.Closed() || waited && !g.limits.Take(c.Endpoint.ID, time.Now()) {
 		return nil, refuseClosed()
 	}
 	sent := time.Now()
