gateway: a probe that was not sent says nothing of an engine

After a freeze reports are not sent until the evacuated places are known. The probing of an unreachable engine took three such errors as unclear answers, ended, and let the engine count as reachable: it got requests and copies. The same error counted as an answer when it was decided whether a silent engine may be left for another one. Both now treat it as a probe that a limit has delayed.

--- a/process/gateway/evacuation_test.go
+++ b/process/gateway/evacuation_test.go
@@ -279,6 +279,40 @@
 	})
 }
 
+// Guards against an unreachable engine that counts as reachable because it is not probed while
+// the evacuated places are not known.
+func TestEngineStaysUnreachableWhileProbesWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newEvacuated(t)
+		x.Settings.Evacuation = 5000
+		x.shareTable(&mirror.Table{Name: "op"})
+		x.configuration = "op"
+		f := x.feeds["op"]
+		f.storeAnswered(time.Now())
+		var frozen atomic.Bool
+		x.Stalls = &stall.Meter{Hold: func() {
+			if frozen.Swap(false) {
+				time.Sleep(2 * time.Second)
+			}
+		}}
+		go x.Stalls.Run(x.base)
+		x.makeUnreachable("e1")
+		synctest.Wait()
+		require.True(t, x.testEnginePool().isDown("e1"))
+		frozen.Store(true)
+		time.Sleep(8 * time.Second)
+		require.True(t, x.testEnginePool().isDown("e1"))
+		f.storeAnswered(time.Now())
+		f.setVersion(1)
+		x.testGateway.mu.Lock()
+		x.unreachable["e1"] = false
+		x.testGateway.mu.Unlock()
+		time.Sleep(3 * time.Second)
+		require.False(t, x.testEnginePool().isDown("e1"))
+		x.cancel()
+	})
+}
+
 // Guards against grants of a cold endpoint that pile up while requests wait for the evacuated
 // places after a freeze, so that they reach it together.
 func TestRequestsThatWaitAfterAFreezeKeepTheBoundOfAColdEndpoint(t *testing.T) {
--- a/process/gateway/health.go
+++ b/process/gateway/health.go
@@ -94,7 +94,7 @@
 			if errors.Is(err, ErrRefused) || p.g.Stalls.RanSince(begun) >= p.g.lossTime() {
 				p.markGone(e, err)
 			}
-		case !p.g.isDelayed(e, err):
+		case !p.g.isDelayed(e, err) && !errors.Is(err, errEvacuated): // the others were not sent
 			unclear++
 		}
 		switch answered, ok := p.awaitProbe(p.g.base, e, pause); {
@@ -191,7 +191,7 @@
 		switch {
 		case isSilence(err):
 			p.avoid(e.ID)
-		case !errors.Is(err, errLimited):
+		case !errors.IsAny(err, errLimited, errEvacuated):
 			return true
 		}
 		if probes++; probes == maxOthers {
--- a/process/gateway/silence.go
+++ b/process/gateway/silence.go
@@ -167,7 +167,7 @@
 		if w.r.g.isDelayed(b.endpoint, err) {
 			return !w.r.enginePool.isDown(b.endpoint.ID)
 		}
-		return !isSilence(err) && !errors.Is(err, errLimited)
+		return !isSilence(err) && !errors.IsAny(err, errLimited, errEvacuated)
 	}
 	budget := &w.r.pool.policy.Budget
 	return w.repeatable && !w.r.g.tooLate(w.r.j) && budget.Tokens() >= 1 && w.r.enginePool.hasOther(ctx, w.r.j, w.endpoint.ID) && w.r.charge()
