gateway: a started instance takes the evacuated places of all that answer

An instance that starts while the store is away asked several others for the newest routing table, but took the evacuated places of the first one only, which may be behind; and each later answer of a peer replaced those of the earlier ones, until the store was read. It now keeps what any of them has named. TestStartedInstanceTakesTheEvacuatedPlacesOfAllThatAnswer: before, the place was open.

--- a/process/gateway/evacuation.go
+++ b/process/gateway/evacuation.go
@@ -79,8 +79,8 @@
 	g.setEvacuated(places, f.latestOrigin().source, f.age(), true)
 }
 
-// borrowEvacuated takes the evacuated places of another instance, until this one has read
-// the store.
+// borrowEvacuated adds the evacuated places of another instance, until this one has read
+// the store. Any other instance may be behind.
 func (g *Gateway) borrowEvacuated(names []string, source string) {
 	places := make(map[string]bool, len(names))
 	for _, name := range names {
@@ -101,6 +101,11 @@
 	}
 	x.known = x.known || stored
 	old, now := x.all(), time.Now()
+	if !stored {
+		for place := range old {
+			places[place] = true
+		}
+	}
 	next := make(map[string]time.Time, len(places))
 	for place := range places {
 		at, ok := old[place]
--- a/process/gateway/evacuation_test.go
+++ b/process/gateway/evacuation_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
+	"net/rpc"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -13,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
 
+	"github.com/eelgrassdock/eelgrassdock/connection/peer"
 	"github.com/eelgrassdock/eelgrassdock/process/member"
 	"github.com/eelgrassdock/eelgrassdock/process/mirror"
 	"github.com/eelgrassdock/eelgrassdock/process/roster"
@@ -279,6 +282,35 @@
 	})
 }
 
+// knowingPeer is an instance that knows of evacuated places.
+type knowingPeer struct{ places []string }
+
+// Current answers like Peers.Current.
+func (p *knowingPeer) Current(_ Wanted, reply *Stored) error {
+	reply.Evacuated = p.places
+	return nil
+}
+
+// Guards against an instance that starts while the store is away and opens a place because
+// the instance that it asked first, or last, is behind.
+func TestStartedInstanceTakesTheEvacuatedPlacesOfAllThatAnswer(t *testing.T) {
+	x := newTestGateway(t)
+	server := rpc.NewServer()
+	require.NoError(t, server.RegisterName("Peers", &knowingPeer{places: []string{"p0"}}))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go func() { _ = peer.Serve(l, server) }() // ends with the listener
+	defer l.Close()
+	defer x.peers.Close()
+	x.borrowEvacuated(nil, "seed")
+	x.takeNewest("seed", &Stored{Members: []member.Member{{ID: "b", RPC: l.Addr().String()}}}, &origin{})
+	require.Equal(t, []string{"p0"}, x.evacuated())
+	x.borrowEvacuated([]string{"p1"}, "another one")
+	require.Equal(t, []string{"p0", "p1"}, x.evacuated())
+	x.SetEvacuated(map[string]bool{"p1": true})
+	require.Equal(t, []string{"p1"}, x.evacuated(), "the store counts")
+}
+
 // Guards against an unreachable engine that counts as reachable because it is not probed while
 // the evacuated places are not known.
 func TestEngineStaysUnreachableWhileProbesWait(t *testing.T) {
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -286,7 +286,8 @@
 
 // takeNewest replaces the first routing table of this instance, from a seed, by that of
 // another member if this is newer. A seed that is behind would bring back what was in
-// force before, such as a key that has been withdrawn.
+// force before, such as a key that has been withdrawn. The evacuated places of all that
+// answer count.
 func (g *Gateway) takeNewest(seed string, s *Stored, from *origin) {
 	list := slices.DeleteFunc(slices.Clone(s.Members), func(m member.Member) bool { return m.ID == g.id || m.RPC == seed || m.Leaving })
 	rand.Shuffle(len(list), func(i, k int) { list[i], list[k] = list[k], list[i] })
@@ -311,6 +312,7 @@
 	for range list {
 		select {
 		case a := <-answers:
+			g.borrowEvacuated(a.Evacuated, a.source)
 			if len(a.Data) > 0 && a.Version > s.Version {
 				s.Version, s.Data, *from = a.Version, a.Data, a.origin
 			}
