gateway: a generation whose endpoints are all evacuated is refused before the queue

Such a generation is refused at once, but the queue tells it so only when it is offered. Behind one that may run in other regions, whose engines are full or silent, it waited until its time was over. It is now refused before it is queued; one that is queued when its last place is evacuated still waits.

--- a/process/gateway/enginepool.go
+++ b/process/gateway/enginepool.go
@@ -157,6 +157,10 @@
 		if err := p.checkLimits(j, tried, until); err != nil {
 			return roster.Endpoint{}, 0, err
 		}
+		if list := p.g.endpointsFor(j); len(list) > 0 && areEvacuated(list) {
+			counters.Add("refused_all_evacuated", 1)
+			return roster.Endpoint{}, 0, p.notPlaced(j, tried, now) // in the queue it could wait behind others
+		}
 		item := &queue.Item{
 			Account: j.account, Rank: queue.MaxRank - j.rank, Arrived: now, Deadline: until, Cost: float64(j.Prompt), Regions: j.regions,
 		}
--- a/process/gateway/evacuation_test.go
+++ b/process/gateway/evacuation_test.go
@@ -21,6 +21,7 @@
 	"github.com/eelgrassdock/eelgrassdock/process/roster"
 	"github.com/eelgrassdock/eelgrassdock/process/stall"
 	"github.com/eelgrassdock/eelgrassdock/request/refusal"
+	"github.com/eelgrassdock/eelgrassdock/version/routing"
 )
 
 // evacuated is a gateway whose endpoints 0 and 1 of each service are in place p0 and the
@@ -282,6 +283,34 @@
 	})
 }
 
+// Guards against a request whose regions are evacuated that waits in the queue behind one that
+// may run elsewhere.
+func TestRequestOfAnEvacuatedRegionDoesNotWaitBehindOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newEvacuated(t)
+		x.Settings.Places["p2"] = "r1"
+		x.Tables.Current().Route("h", "/short/1").Regions = routing.Regions{"r0"}
+		x.close("p0")
+		for _, id := range []string{"e2", "e3"} {
+			x.testGateway.mu.Lock()
+			x.unreachable[id] = true
+			x.testGateway.mu.Unlock()
+			x.testEnginePool().avoid(id)
+		}
+		synctest.Wait()
+		var wg sync.WaitGroup
+		wg.Go(func() { _, _ = x.ask("/guide/1", 5*time.Second) }) // waits for the silent engines
+		synctest.Wait()
+		require.Equal(t, 1, x.testEnginePool().dispatcher.Queue.Len())
+		begun := time.Now()
+		_, err := x.ask("/short/1", 5*time.Second)
+		require.Equal(t, refusal.NoEndpoint, x.refusalOf(err).Reason)
+		require.Equal(t, begun, time.Now(), "it is refused at once")
+		wg.Wait()
+		x.cancel()
+	})
+}
+
 // knowingPeer is an instance that knows of evacuated places.
 type knowingPeer struct{ places []string }
 
