gateway: a run does not continue where its regions no longer allow it

The region of a copy's engine was checked when the copy was made, but not when it was renewed or used: if the row of the engine had come to name a place in a forbidden region, the run was copied and continued there. Requests and new copies were checked against the row already. A copy there no longer counts, and is replaced at its next renewal. TestRunLeavesACopyThatIsNoLongerInItsRegions: before, the copy was used; now it is not, and is still used where no regions are named.

--- a/process/gateway/generate.go
+++ b/process/gateway/generate.go
@@ -149,7 +149,7 @@
 		r.logFailure(a, f)
 		return r.rerun(ctx, a, f)
 	}
-	if a.memory != "" && r.leaves(a.endpoint) {
+	if a.memory != "" && (r.leaves(a.endpoint) || !r.isAllowed(a.endpoint)) {
 		f := refusal.New(refusal.NoEndpoint, refusal.NotRun, "the engine with the copy has left")
 		r.logFailure(a, f)
 		return r.rerun(ctx, a, f)
--- a/process/gateway/move.go
+++ b/process/gateway/move.go
@@ -362,6 +362,11 @@
 		if dropped {
 			return
 		}
+		if !r.isAllowed(b.endpoint) {
+			r.dropBackup(b)
+			r.startCopy()
+			return
+		}
 		g.refreshCopy(r, b)
 	}
 }
@@ -481,7 +486,7 @@
 	if b == nil {
 		return nil
 	}
-	if !b.isHeld(r.g) {
+	if !b.isHeld(r.g) || !r.isAllowed(b.endpoint) {
 		r.enginePool.release(b.ticket, 0, false)
 		return nil
 	}
@@ -497,7 +502,7 @@
 	r.mu.Lock()
 	b := r.backup
 	r.mu.Unlock()
-	if b == nil || !b.isHeld(r.g) || r.enginePool.isDown(b.endpoint.ID) {
+	if b == nil || !b.isHeld(r.g) || !r.isAllowed(b.endpoint) || r.enginePool.isDown(b.endpoint.ID) {
 		return nil
 	}
 	return b
--- a/process/gateway/regions.go
+++ b/process/gateway/regions.go
@@ -58,6 +58,13 @@
 	return j.regions.Allows(g.Settings.RegionOf(e.Place))
 }
 
+// isAllowed reports whether the run may continue at an endpoint: whether its row does not name
+// a place in another region by now.
+func (r *run) isAllowed(e roster.Endpoint) bool {
+	now, ok := r.g.Roster.Get(e.ID)
+	return !ok || r.g.allows(r.j, now)
+}
+
 // allowed returns the endpoints of a list to which a request may be sent. It does not
 // change the list.
 func (g *Gateway) allowed(j *job, list []roster.Endpoint) []roster.Endpoint {
--- a/process/gateway/regions_test.go
+++ b/process/gateway/regions_test.go
@@ -414,3 +414,31 @@
 		})
 	})
 }
+
+// Guards against a run that continues at an engine whose row names a forbidden region by now.
+func TestRunLeavesACopyThatIsNoLongerInItsRegions(t *testing.T) {
+	for _, regions := range []routing.Regions{nil, {"r0"}} {
+		synctest.Test(t, func(t *testing.T) {
+			x := newEvacuated(t)
+			x.Tables.Current().Route("h", "/guide/1").Regions = regions
+			writer, done := x.startBreakingStream(false)
+			_, _ = io.WriteString(writer, "id: 1\ndata: x\n\n")
+			time.Sleep(time.Second)
+			r := x.runsOf("q")[0]
+			b := r.usableCopy()
+			require.NotNil(t, b)
+			e := x.listed(b.endpoint.ID)
+			e.Place = "p1"
+			x.Roster.Set(e)
+			if regions == nil {
+				require.Equal(t, b, r.usableCopy())
+			} else {
+				require.Nil(t, r.usableCopy())
+				require.Nil(t, r.takeBackup())
+			}
+			_ = writer.Close()
+			<-done
+			x.cancel()
+		})
+	}
+}
