--- a/connection/intake/conn.go
+++ b/connection/intake/conn.go
@@ -45,7 +45,10 @@
 	deadline time.Time // of the head
 	bytes    int       // of the head
 	lines    int
-	carried  int // line ends in the latest read of a request, which may belong to the next head
+	filled   bool // the current line of the head is not empty
+	begun    bool // a line of the head was not empty
+	whole    bool // the empty line that ends the head was received
+	carried  int  // line ends in the latest read of a request, which may belong to the next head
 	paid     int64
 	body     int  // bytes read after the head
 	wide     bool // has the receive buffer of a longer body
@@ -94,7 +97,7 @@
 		_ = c.Conn.SetReadDeadline(c.deadline) // fails on a closed connection only
 	}
 	c.bytes += len(part)
-	c.lines += bytes.Count(part, []byte("\n"))
+	c.countLines(part)
 	if limit := limits.HeadBytes; limit > 0 {
 		if c.bytes > limit+headSlack {
 			return http.StatusRequestHeaderFieldsTooLarge, "heads_long"
@@ -113,6 +116,22 @@
 	return 0, ""
 }
 
+// countLines counts the lines of a head, up to the empty one that ends it. What follows in
+// the same part belongs to the body or to the next request.
+func (c *Conn) countLines(part []byte) {
+	for !c.whole {
+		line, rest, found := bytes.Cut(part, []byte("\n"))
+		c.filled = c.filled || len(line) > 0 && string(line) != "\r"
+		c.begun = c.begun || c.filled
+		if !found {
+			return
+		}
+		c.lines++
+		c.whole = c.begun && !c.filled
+		c.filled, part = false, rest
+	}
+}
+
 // refuse answers a head that is not passed on. No answer to an earlier request is in
 // progress then. The buffer is used for what the client still sends.
 func (c *Conn) refuse(status int, buffer []byte) {
@@ -124,9 +143,7 @@
 	if _, err := io.WriteString(c.Conn, text+"\r\n"); err != nil {
 		return
 	}
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
-		_ = tcp.CloseWrite()
-	}
+	_ = c.CloseWrite() // the client is told by the answer, too
 	_ = c.Conn.SetReadDeadline(time.Now().Add(drainTime))
 	for read := 0; read < bodyBuffer; {
 		n, err := c.Conn.Read(buffer)
@@ -137,6 +154,15 @@
 	}
 }
 
+// CloseWrite ends the answers. net/http calls it before it closes a connection whose client
+// still sends a body, so that the client reads the answer to its end before it gets a reset.
+func (c *Conn) CloseWrite() error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.CloseWrite() //nolint:wrapcheck // net/http ignores it
+	}
+	return nil
+}
+
 // Abort closes the connection at once, so that the client does not take a part of an answer
 // for the whole.
 func (c *Conn) Abort() { abort(c.Conn) }
@@ -159,6 +185,7 @@
 func (c *Conn) end() {
 	c.account.Credit(c.paid)
 	c.bytes, c.lines, c.paid, c.body = 0, 0, 0, 0
+	c.filled, c.begun, c.whole = false, false, false
 	if c.wide {
 		c.setBuffer(waitingBuffer)
 		c.wide = false
--- a/connection/intake/intake_test.go
+++ b/connection/intake/intake_test.go
@@ -276,6 +276,57 @@
 	b.ReportMetric(float64(used)/float64(min(count, 2000)), "B/conn")
 }
 
+// Guards against idle connections that are all closed because a request arrives on one that
+// has just been closed to make room.
+func TestRequestOnAClosedConnectionClosesNoOthers(t *testing.T) {
+	for _, size := range []int64{0, 1 << 20} {
+		g, _ := testServer(t, Limits{HeadBytes: 16 << 10}, NewBudget(size), 3)
+		var conns []*Conn
+		for range 3 {
+			here, there := net.Pipe()
+			t.Cleanup(func() { _ = there.Close() })
+			conns = append(conns, g.admit(here))
+			g.move(conns[len(conns)-1], idle)
+		}
+		require.True(t, g.closeOne())
+		conns[0].begin()
+		require.Equal(t, 2, g.connections())
+		require.False(t, g.charge(conns[0].account, 1))
+		require.Equal(t, 2, g.connections())
+		require.True(t, g.charge(conns[1].account, 1))
+	}
+}
+
+// Guards against requests that are refused because line ends in their bodies, which arrive
+// with the head, count as header lines.
+func TestLinesOfABodyAreNotThoseOfAHead(t *testing.T) {
+	const limit = 1 << 10
+	_, addr := testServer(t, Limits{HeadBytes: limit, HeadTime: time.Minute, IdleTime: time.Minute}, Bound(112), 0)
+	for _, lines := range []int{0, 1, 300, 400, 3000, 4000} {
+		conn, err := net.Dial("tcp", addr)
+		require.NoError(t, err)
+		status, _, err := exchange(conn, fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", lines, strings.Repeat("\n", lines)))
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, status, "%d lines", lines)
+		require.NoError(t, conn.Close())
+	}
+}
+
+// Guards against an end of a refused connection that is no longer shown to its client, which
+// still sends a body: without it, the client gets a reset where it awaits the end.
+func TestRefusedClientSeesTheEnd(t *testing.T) {
+	_, addr := testServer(t, Limits{HeadBytes: 16 << 10, HeadTime: time.Minute, IdleTime: time.Minute}, nil, 0)
+	conn, err := net.Dial("tcp", addr)
+	require.NoError(t, err)
+	defer conn.Close()
+	require.NoError(t, conn.SetDeadline(time.Now().Add(time.Minute)))
+	_, err = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\n\r\n"+strings.Repeat("x", 60000))
+	require.NoError(t, err)
+	answer, err := io.ReadAll(conn)
+	require.NoError(t, err)
+	require.Contains(t, string(answer), "200 OK")
+}
+
 // Guards against a head that is held open beyond its time, and against the timeout of a head that
 // still runs while a request is answered.
 func TestHeadTime(t *testing.T) {
--- a/process/gateway/evacuation.go
+++ b/process/gateway/evacuation.go
@@ -79,8 +79,8 @@
 	g.setEvacuated(places, f.latestOrigin().source, f.age(), true)
 }
 
-// borrowEvacuated takes the evacuated places of another instance, until this one has read
-// the store.
+// borrowEvacuated adds the evacuated places of another instance, until this one has read
+// the store. Any other instance may be behind.
 func (g *Gateway) borrowEvacuated(names []string, source string) {
 	places := make(map[string]bool, len(names))
 	for _, name := range names {
@@ -101,6 +101,11 @@
 	}
 	x.known = x.known || stored
 	old, now := x.all(), time.Now()
+	if !stored {
+		for place := range old {
+			places[place] = true
+		}
+	}
 	next := make(map[string]time.Time, len(places))
 	for place := range places {
 		at, ok := old[place]
@@ -248,31 +253,35 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.lost || f.asked.IsZero() {
+	if f.asked.IsZero() {
 		return nil, false
 	}
-	return f.changed, time.Since(f.asked)-g.Stalls.RanSince(f.asked) >= freezeTime
+	since := f.asked
+	if f.lost { // a call that was under way during a freeze fails because of it
+		since = later(since, f.failed)
+	}
+	return f.heard, time.Since(since)-g.Stalls.RanSince(since) >= freezeTime
 }
 
 // awaitPlaces waits, after this process stood still, until it knows the evacuated places
-// again or that the store is away.
-func (g *Gateway) awaitPlaces(ctx context.Context) error {
-	for {
+// again or that the store is away. It reports whether it had to wait.
+func (g *Gateway) awaitPlaces(ctx context.Context) (waited bool, err error) {
+	for ; ; waited = true {
 		changed, doubtful := g.isDoubtful()
 		if !doubtful {
-			return nil
+			return waited, nil
 		}
 		counters.Add("waits_after_freeze", 1)
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return refusal.FromContext(ctx.Err())
+			return true, refusal.FromContext(ctx.Err())
 		}
 	}
 }
 
 // refuseClosed returns the error of a request that was not sent because its endpoint was
-// closed.
+// closed, or because its grant was for an earlier time.
 func refuseClosed() error {
 	return errors.Mark(refusal.New(refusal.NoEndpoint, refusal.NotRun, ErrClosed.Error()), ErrClosed)
 }
--- a/process/gateway/evacuation_test.go
+++ b/process/gateway/evacuation_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
+	"net/rpc"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -13,10 +15,13 @@
 	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
 
+	"github.com/eelgrassdock/eelgrassdock/connection/peer"
+	"github.com/eelgrassdock/eelgrassdock/process/member"
 	"github.com/eelgrassdock/eelgrassdock/process/mirror"
 	"github.com/eelgrassdock/eelgrassdock/process/roster"
 	"github.com/eelgrassdock/eelgrassdock/process/stall"
 	"github.com/eelgrassdock/eelgrassdock/request/refusal"
+	"github.com/eelgrassdock/eelgrassdock/version/routing"
 )
 
 // evacuated is a gateway whose endpoints 0 and 1 of each service are in place p0 and the
@@ -233,6 +238,198 @@
 	})
 }
 
+// Guards against a poll that ends because of a freeze and counts as an outage of the store, so
+// that requests go to a place that was evacuated meanwhile; and against requests that wait
+// for longer than it takes to see that the store is away.
+func TestPollThatEndsByAFreezeIsNoOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newEvacuated(t)
+		x.Settings.Evacuation = 5000
+		table := &mirror.Table{Name: "op", Follow: func(ctx context.Context, _ int64, _ time.Duration) (mirror.Page, error) {
+			<-ctx.Done()
+			return mirror.Page{}, ctx.Err()
+		}}
+		x.listMembers = func() []member.Member { return nil }
+		x.shareTable(table)
+		x.configuration = "op"
+		x.feeds["op"].storeAnswered(time.Now())
+		var frozen atomic.Bool
+		x.Stalls = &stall.Meter{Hold: func() {
+			if frozen.Swap(false) {
+				time.Sleep(5 * time.Second)
+			}
+		}}
+		go x.Stalls.Run(x.base)
+		time.Sleep(time.Second)
+		frozen.Store(true)
+		follow := func(d time.Duration) error {
+			ctx, cancel := context.WithTimeout(x.base, d)
+			defer cancel()
+			_, err := table.Follow(ctx, 0, time.Second)
+			return err
+		}
+		table.Lost(follow(5 * time.Second)) // later failures in a row are not reported
+		done := make(chan error, 1)
+		go func() { _, err := x.ask("/read/1", 5*time.Second); done <- err }()
+		time.Sleep(500 * time.Millisecond)
+		for i := range 4 {
+			require.Zero(t, x.sentTo(fmt.Sprint("d", i)))
+		}
+		require.Error(t, follow(time.Second))
+		synctest.Wait()
+		require.Len(t, done, 1)
+		require.NoError(t, <-done)
+		x.cancel()
+	})
+}
+
+// Guards against a request whose regions are evacuated that waits in the queue behind one that
+// may run elsewhere.
+func TestRequestOfAnEvacuatedRegionDoesNotWaitBehindOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newEvacuated(t)
+		x.Settings.Places["p2"] = "r1"
+		x.Tables.Current().Route("h", "/short/1").Regions = routing.Regions{"r0"}
+		x.close("p0")
+		for _, id := range []string{"e2", "e3"} {
+			x.testGateway.mu.Lock()
+			x.unreachable[id] = true
+			x.testGateway.mu.Unlock()
+			x.testEnginePool().avoid(id)
+		}
+		synctest.Wait()
+		var wg sync.WaitGroup
+		wg.Go(func() { _, _ = x.ask("/guide/1", 5*time.Second) }) // waits for the silent engines
+		synctest.Wait()
+		require.Equal(t, 1, x.testEnginePool().dispatcher.Queue.Len())
+		begun := time.Now()
+		_, err := x.ask("/short/1", 5*time.Second)
+		require.Equal(t, refusal.NoEndpoint, x.refusalOf(err).Reason)
+		require.Equal(t, begun, time.Now(), "it is refused at once")
+		wg.Wait()
+		x.cancel()
+	})
+}
+
+// knowingPeer is an instance that knows of evacuated places.
+type knowingPeer struct{ places []string }
+
+// Current answers like Peers.Current.
+func (p *knowingPeer) Current(_ Wanted, reply *Stored) error {
+	reply.Evacuated = p.places
+	return nil
+}
+
+// Guards against an instance that starts while the store is away and opens a place because
+// the instance that it asked first, or last, is behind.
+func TestStartedInstanceTakesTheEvacuatedPlacesOfAllThatAnswer(t *testing.T) {
+	x := newTestGateway(t)
+	server := rpc.NewServer()
+	require.NoError(t, server.RegisterName("Peers", &knowingPeer{places: []string{"p0"}}))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go func() { _ = peer.Serve(l, server) }() // ends with the listener
+	defer l.Close()
+	defer x.peers.Close()
+	x.borrowEvacuated(nil, "seed")
+	x.takeNewest("seed", &Stored{Members: []member.Member{{ID: "b", RPC: l.Addr().String()}}}, &origin{})
+	require.Equal(t, []string{"p0"}, x.evacuated())
+	x.borrowEvacuated([]string{"p1"}, "another one")
+	require.Equal(t, []string{"p0", "p1"}, x.evacuated())
+	x.SetEvacuated(map[string]bool{"p1": true})
+	require.Equal(t, []string{"p1"}, x.evacuated(), "the store counts")
+}
+
+// Guards against an unreachable engine that counts as reachable because it is not probed while
+// the evacuated places are not known.
+func TestEngineStaysUnreachableWhileProbesWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newEvacuated(t)
+		x.Settings.Evacuation = 5000
+		x.shareTable(&mirror.Table{Name: "op"})
+		x.configuration = "op"
+		f := x.feeds["op"]
+		f.storeAnswered(time.Now())
+		var frozen atomic.Bool
+		x.Stalls = &stall.Meter{Hold: func() {
+			if frozen.Swap(false) {
+				time.Sleep(2 * time.Second)
+			}
+		}}
+		go x.Stalls.Run(x.base)
+		x.makeUnreachable("e1")
+		synctest.Wait()
+		require.True(t, x.testEnginePool().isDown("e1"))
+		frozen.Store(true)
+		time.Sleep(8 * time.Second)
+		require.True(t, x.testEnginePool().isDown("e1"))
+		f.storeAnswered(time.Now())
+		f.setVersion(1)
+		x.testGateway.mu.Lock()
+		x.unreachable["e1"] = false
+		x.testGateway.mu.Unlock()
+		time.Sleep(3 * time.Second)
+		require.False(t, x.testEnginePool().isDown("e1"))
+		x.cancel()
+	})
+}
+
+// Guards against grants of a cold endpoint that pile up while requests wait for the evacuated
+// places after a freeze, so that they reach it together.
+func TestRequestsThatWaitAfterAFreezeKeepTheBoundOfAColdEndpoint(t *testing.T) {
+	for _, path := range []string{"/read/1", "/short/1"} {
+		synctest.Test(t, func(t *testing.T) {
+			x := newEvacuated(t)
+			x.Settings.Evacuation = 5000
+			x.makeCold()
+			x.shareTable(&mirror.Table{Name: "op"})
+			x.configuration = "op"
+			f := x.feeds["op"]
+			f.storeAnswered(time.Now())
+			var (
+				frozen   atomic.Bool
+				wg       sync.WaitGroup
+				arrivals = map[string][]time.Time{}
+			)
+			x.Stalls = &stall.Meter{Hold: func() {
+				if frozen.Swap(false) {
+					time.Sleep(2 * time.Second)
+				}
+			}}
+			send := x.Backend.Send
+			x.Backend.Send = func(ctx context.Context, c Call) (*Answer, error) {
+				x.mu.Lock()
+				arrivals[c.Endpoint.ID] = append(arrivals[c.Endpoint.ID], time.Now())
+				x.mu.Unlock()
+				return send(ctx, c)
+			}
+			for _, e := range x.Roster.All() {
+				x.NoteRow(e, time.Minute, false)
+			}
+			go x.Stalls.Run(x.base)
+			time.Sleep(time.Second)
+			frozen.Store(true)
+			time.Sleep(2 * time.Second)
+			for i := range 400 {
+				time.Sleep(10 * time.Millisecond)
+				wg.Go(func() { _, _ = x.ask(path, 10*time.Second) })
+				if i >= 350 {
+					f.storeAnswered(time.Now())
+					f.setVersion(1)
+				}
+			}
+			wg.Wait()
+			x.mu.Lock()
+			defer x.mu.Unlock()
+			require.NotEmpty(t, arrivals)
+			for id, list := range arrivals {
+				require.LessOrEqual(t, float64(busiest(list)), testColdMost, id)
+			}
+			x.cancel()
+		})
+	}
+}
+
 // Guards against a place that stays closed, or an endpoint that is open because it was
 // listed after the order; against waits for endpoints that do not come; and against
 // endpoints that are open again before they count as cold.
