intake: a body that ends a byte over its limit is refused

A body of unknown length is read into one byte more than the limit. If that byte came together with the end, the body was accepted; at the product's own front end nothing else checks it. TestLongBodyIsRefusedAtItsEnd: before, accepted; now refused.

--- a/connection/intake/body.go
+++ b/connection/intake/body.go
@@ -80,6 +80,9 @@
 		buffer = buffer[:len(buffer)+n]
 		r.received.Add(int64(n))
 		switch {
+		case err == io.EOF && limit > 0 && int64(len(buffer)) > limit:
+			counters.Add("bodies_long", 1)
+			return nil, ErrLong
 		case err == io.EOF:
 			return buffer, nil
 		case err != nil && r.slow.Load():
--- a/connection/intake/intake_test.go
+++ b/connection/intake/intake_test.go
@@ -111,6 +111,17 @@
 	require.ErrorIs(t, err, ErrFull)
 }
 
+// Guards against a body of unknown length that is a byte too long, and ends with that byte.
+func TestLongBodyIsRefusedAtItsEnd(t *testing.T) {
+	for _, limit := range []int64{1, firstPart - 1, firstPart, 100_000} {
+		for long := range int64(2) {
+			body := iotest.DataErrReader(bytes.NewReader(make([]byte, limit+long)))
+			_, err := ReadBody(body, -1, limit, &Account{}, nil)
+			require.Equal(t, long > 0, errors.Is(err, ErrLong), "limit %d, %d more", limit, long)
+		}
+	}
+}
+
 // testServer serves a gate and answers each request with the number of its header lines.
 func testServer(t testing.TB, limits Limits, budget *Budget, most int) (*Gate, string) {
 	t.Helper()
