--- a/connection/intake/intake_test.go
+++ b/connection/intake/intake_test.go
@@ -334,7 +334,7 @@
 			} else {
 				go func() { _ = server.Serve(g) }() // ends with the benchmark
 			}
-			defer server.Close()
+			defer func() { _ = server.Close() }()
 			conn, err := net.Dial("tcp", l.Addr().String())
 			require.NoError(b, err)
 			defer conn.Close()
--- a/process/gateway/regions_test.go
+++ b/process/gateway/regions_test.go
@@ -437,7 +437,7 @@
 				require.Nil(t, r.takeBackup())
 			}
 			_ = writer.Close()
-			<-done
+			t.Log(<-done) // how it ended does not matter here
 			x.cancel()
 		})
 	}
