--- a/process/gateway/health_test.go
+++ b/process/gateway/health_test.go
@@ -44,7 +44,7 @@
 		time.Sleep(5 * time.Second) // longer than an engine is avoided after one failure
 		w.Roster.MarkLeaving(from.ID, from.Born, roster.FromReport)
 		w.refreshEnginePools()
-		w.evacuate(from, roster.FromReport)
+		w.protectRunsAt(from, roster.FromReport)
 		time.Sleep(protectPause)
 		_ = writer.CloseWithError(errors.New("connection reset"))
 		require.Equal(t, strings.Fields("1 2 3"), eventIDs(<-done))
@@ -94,7 +94,7 @@
 		synctest.Wait()
 		w.Roster.MarkLeaving(from.ID, from.Born, roster.FromList)
 		w.refreshEnginePools()
-		w.evacuate(from, roster.FromReport)
+		w.protectRunsAt(from, roster.FromReport)
 		time.Sleep(protectPause)
 		require.NotNil(t, r.usableCopy())
 		require.NotEqual(t, backup.ID, r.usableCopy().endpoint.ID)
--- a/process/gateway/move.go
+++ b/process/gateway/move.go
@@ -2,12 +2,9 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
-	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
 	"github.com/eelgrassdock/eelgrassdock/internal/sleep"
@@ -21,83 +18,15 @@
 	protectPause = 150 * time.Millisecond // pause between attempts to copy a run
 	freeLimit    = 300 * time.Millisecond // for releasing a copy
 	minRenewal   = time.Second            // shortest interval between renewals of a copy
-	runShards    = 8
 	noRoom       = "no room at the other engine"
 )
 
-type (
-	// runRegistry holds the active runs, sharded by request ID.
-	runRegistry struct {
-		shards [runShards]struct {
-			mu   sync.Mutex
-			runs map[*run]struct{}
-		}
-	}
-)
-
-func (x *runRegistry) add(r *run) {
-	s := &x.shards[xxhash.Sum64String(r.j.ID)%runShards]
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.runs == nil {
-		s.runs = map[*run]struct{}{}
-	}
-	s.runs[r] = struct{}{}
-}
-
-func (x *runRegistry) remove(r *run) {
-	s := &x.shards[xxhash.Sum64String(r.j.ID)%runShards]
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.runs, r)
-}
-
-// each calls visit for each active run, with the run's lock held.
-func (x *runRegistry) each(visit func(r *run)) {
-	for i := range x.shards {
-		s := &x.shards[i]
-		s.mu.Lock()
-		for r := range s.runs {
-			r.mu.Lock()
-			if !r.ended {
-				visit(r)
-			}
-			r.mu.Unlock()
-		}
-		s.mu.Unlock()
-	}
-}
-
-// runsAt returns the runs at an engine, and the runs that have a copy there.
-func (x *runRegistry) runsAt(endpoint string) (runs, copies []*run) {
-	x.each(func(r *run) {
-		switch {
-		case r.endpoint.ID == endpoint:
-			runs = append(runs, r)
-		case r.backup != nil && r.backup.endpoint.ID == endpoint:
-			copies = append(copies, r)
-		}
-	})
-	return runs, copies
-}
-
-// engines returns the engines that execute runs.
-func (x *runRegistry) engines() []roster.Endpoint {
-	found := map[string]roster.Endpoint{}
-	x.each(func(r *run) {
-		if r.endpoint.ID != "" {
-			found[r.endpoint.ID] = r.endpoint
-		}
-	})
-	return slices.Collect(maps.Values(found))
-}
-
-// evacuate copies the runs of an engine that will leave, unless they have a
+// protectRunsAt copies the runs of an engine that will leave, unless they have a
 // usable copy at another engine. It also drops the copies held at the engine,
 // and replaces those of runs whose own engine is leaving or gone. An engine
 // transfers one copy at a time, so copies of the runs with the most remaining
 // tokens are requested first.
-func (g *Gateway) evacuate(e roster.Endpoint, source string) {
+func (g *Gateway) protectRunsAt(e roster.Endpoint, source string) {
 	list, copies := g.runs.runsAt(e.ID)
 	g.Log.WithFields(logrus.Fields{"event": "endpoint_leaves", "endpoint": e.ID, "source": source, "runs": len(list), "copies": len(copies)}).
 		Info("endpoint leaves")
--- a/process/gateway/run.go
+++ b/process/gateway/run.go
@@ -203,7 +203,7 @@
 	if source == roster.FromEndpoint || source == roster.FromReport {
 		g.sendNotice(loads.Notice{Endpoint: e.ID, Born: e.Born, Leaving: true})
 	}
-	g.spawn(func() { g.evacuate(e, source) })
+	g.spawn(func() { g.protectRunsAt(e, source) })
 }
 
 func (g *Gateway) refreshEnginePools() {
--- a/process/gateway/stoprun_test.go
+++ b/process/gateway/stoprun_test.go
@@ -342,7 +342,7 @@
 			ended <- err
 		}()
 		time.Sleep(1050 * time.Millisecond)
-		x.evacuate(x.called(0).Endpoint, roster.FromList)
+		x.protectRunsAt(x.called(0).Endpoint, roster.FromList)
 		require.NoError(t, <-ended)
 		x.requireNoOverlap()
 	})
--- a/process/gateway/testgateway_test.go
+++ b/process/gateway/testgateway_test.go
@@ -182,7 +182,7 @@
 	from := w.runsOf("q")[0].endpoint
 	w.Roster.MarkLeaving(from.ID, from.Born, source)
 	w.refreshEnginePools()
-	w.evacuate(from, source)
+	w.protectRunsAt(from, source)
 	return from
 }
 
