--- a/process/gateway/behind.go
+++ b/process/gateway/behind.go
@@ -183,17 +183,17 @@
 		}
 		from := f.extend()
 		counters.Add("feeds_behind", 1)
-		g.Log.WithFields(logrus.Fields{"event": "table_behind", "table": f.table.Name, "peer": source.RPC, "informant": from}).
+		g.Log.WithFields(logrus.Fields{"event": "table_behind", "table": f.table.Name, "peer": source.RPC, "latest": from}).
 			Warn("other instances have later changes of a table; reading them elsewhere")
 		if source.ID == "" || f.storeLost() {
-			return g.askInformant(ctx, f, from, after)
+			return g.fetchFrom(ctx, f, from, after)
 		}
 		f.avoidPeer(source.ID)
 	}
 }
 
-// askInformant gets changes from an instance that is known to have them.
-func (g *Gateway) askInformant(ctx context.Context, f *feed, id string, after int64) (mirror.Page, error) {
+// fetchFrom gets changes from an instance that is known to have them.
+func (g *Gateway) fetchFrom(ctx context.Context, f *feed, id string, after int64) (mirror.Page, error) {
 	list := g.listMembers()
 	n := slices.IndexFunc(list, func(m member.Member) bool { return m.ID == id })
 	if n < 0 {
--- a/process/ratelimit/cold.go
+++ b/process/ratelimit/cold.go
@@ -17,10 +17,10 @@
 	// coldUse is the share of the rate that is used at least where work waits, if the bound
 	// allows it.
 	coldUse = 2.0 / 3
-	// coldPatience is the longest rest of a cold time whose end counts as the next grant at
+	// maxColdWait is the longest rest of a cold time whose end counts as the next grant at
 	// an instance without a part in the quota. It is the longest time for which requests
 	// wait: 0.6 of 4 s. For a longer one, another instance may have a grant earlier.
-	coldPatience = 2400 * time.Millisecond
+	maxColdWait = 2400 * time.Millisecond
 	// coldCopyTime is the longest rest of a cold time for which copies are placed at an
 	// endpoint if this instance has no part in the quota: an engine ends 1.5 s after its
 	// notice at the earliest, and its runs continue at their copies then.
@@ -149,7 +149,7 @@
 	c := x.cold
 	l.allot(x, now)
 	if c.part == 0 {
-		return c.Until, ReleaseInterval, !c.Until.After(now.Add(coldPatience))
+		return c.Until, ReleaseInterval, !c.Until.After(now.Add(maxColdWait))
 	}
 	if at = c.next(); at.After(c.Until) {
 		at = c.Until
