--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -92,6 +92,17 @@
 			}
 		})
 	}
+	// Guards against requests that reach an evacuated place or overload a cold endpoint while
+	// instances are killed, suspended or cut off from the store.
+	t.Run("places", func(t *testing.T) {
+		t.Parallel()
+		const seed, total = 5, 40 * time.Second
+		s := Soak{Binary: binary, Dir: t.TempDir(), Seed: seed, Duration: total, Instances: 5, Faults: PlacePlan(seed, total), Cold: true}
+		sum, err := s.Run(context.Background())
+		requireKept(t, &s, sum, err)
+		require.Positive(t, sum.Faults[Evacuate])
+		require.Positive(t, sum.Checks[Cold])
+	})
 }
 
 // Guards against a second run of a request whose answer was lost, at an engine
