--- /dev/null
+++ b/review/rig2/tenants.go
@@ -0,0 +1,3 @@
+package main
+
+func tenants(r *record) (bool, error) { return false, nil }
