--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -19,13 +19,14 @@
 const limit = 110 * time.Second // of one run
 
 var cases = map[string]func(*record) (bool, error){
-	"parts":   parts,
-	"tenants": tenants,
+	"parts":    parts,
+	"tenants":  tenants,
+	"channels": channels,
 }
 
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: review-2 parts|tenants RECORD")
+		fmt.Fprintln(os.Stderr, "usage: review-2 CASE RECORD")
 		os.Exit(cannot)
 	}
 	os.Exit(run(os.Args[1], os.Args[2]))
--- a/review/rig2/parts.go
+++ b/review/rig2/parts.go
@@ -22,24 +22,29 @@
 	engines     = 18
 	slots       = 24
 	queue       = 72
-	events      = 40
+	shortEvents = 40
 	eventPause  = 150 * time.Millisecond
 	restartTime = time.Second // until a process that was killed is started again
 	manyEnds    = 3           // on each of two machines
 )
 
-const engineConfig = `{"version":7,"routes":[{"name":"r-1","host":"` + host + `","prefix":"/lohu930/","kind":"streaming","timeout_ms":39000,
-"target_latency_ms":1800,"priority":1,"service":"dele69a","max_attempts":1,"anonymous":false,"session_affinity":true,"stream_resume":false,"gap_target_ms":180}],
-"services":[{"name":"dele69a","health_path":"/health","max_connections":232,"protocol":"h1","tls":false,"engine":{"slots":24,"kv_capacity_tokens":34307,
-"kv_token_bytes":35136,"link_mbps":5100.0,"moves":false,"backups":false,"stride":4,"most":12,"pin_ms":4000.0,"hold_ms":2000.0,"handle_s":5.0,"models":[{"name":"m"}]}}],
-"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},
-"tenants":[{"name":"huka270","api_keys":["xd9dnn2ctnfzs989anu6"],"priority":1}]}`
+const (
+	engineRoute = `{"name":"r-1","host":"` + host + `","prefix":"/lohu930/","kind":"streaming","timeout_ms":39000,"target_latency_ms":1800,` +
+		`"priority":1,"service":"dele69a","max_attempts":1,"anonymous":false,"session_affinity":true,"stream_resume":false,"gap_target_ms":180}`
+	engineService = `{"name":"dele69a","health_path":"/health","max_connections":232,"protocol":"h1","tls":false,"engine":{"slots":24,` +
+		`"kv_capacity_tokens":34307,"kv_token_bytes":35136,"link_mbps":5100.0,"moves":false,"backups":false,"stride":4,"most":12,` +
+		`"pin_ms":4000.0,"hold_ms":2000.0,"handle_s":5.0,"models":[{"name":"m"}]}}`
+	limits = `"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}`
+)
+
+var engineConfig = fmt.Sprintf(`{"version":7,"routes":[%s],"services":[%s],%s,"tenants":%s}`, engineRoute, engineService, limits, oneTenant)
 
 // engine is a model replica: 24 requests at once, and a queue.
 type engine struct {
-	id    string
-	slots chan struct{}
-	queue chan struct{}
+	id     string
+	events int
+	slots  chan struct{}
+	queue  chan struct{}
 }
 
 // ServeHTTP answers reports and generations.
@@ -68,7 +73,7 @@
 	defer func() { <-e.slots }()
 	w.Header().Set("Response-Seal", e.id+"."+id)
 	w.Header().Set("Content-Type", "text/event-stream")
-	for n := range events {
+	for n := range e.events {
 		select {
 		case <-r.Context().Done():
 			return
@@ -79,9 +84,9 @@
 	}
 }
 
-func startEngines(store *fake.Store) error {
+func startEngines(store *fake.Store, place string, events int) error {
 	for n := range engines {
-		e := &engine{id: fmt.Sprintf("i-%08d", n), slots: make(chan struct{}, slots), queue: make(chan struct{}, slots+queue)}
+		e := &engine{id: fmt.Sprintf("i-%08d", n), events: events, slots: make(chan struct{}, slots), queue: make(chan struct{}, slots+queue)}
 		addr, err := listen(e)
 		if err != nil {
 			return err
@@ -153,7 +158,7 @@
 		return false, err
 	}
 	store.Put("op", "config", []byte(engineConfig))
-	if err := startEngines(store); err != nil {
+	if err := startEngines(store, tandemDock.place, shortEvents); err != nil {
 		return false, err
 	}
 	prefix := "5c1e07a2:4,91bd3f06:3,e4402b7d:3" // three parts, as on the page
@@ -165,7 +170,7 @@
 	r.write("each client sends heads of %d bytes, with %d parts in Prompt-Prefix", len(text), strings.Count(prefix, ",")+1)
 	var list []*instance
 	for n := range 2 {
-		i, err := r.newInstance(n+1, addr)
+		i, err := r.newInstance(n+1, addr, tandemDock)
 		if err != nil {
 			return false, err
 		}
@@ -208,12 +213,12 @@
 		time.Sleep(20 * time.Millisecond)
 		kb := i.memory()
 		most = max(most, kb)
-		if kb <= memoryMB*1024 {
+		if kb <= tandemDock.memory*1024 {
 			continue
 		}
 		i.kill()
 		ends.Add(1)
-		r.write("%s has %d kB, over memory_mb = %d: killed", i.name, kb, memoryMB)
+		r.write("%s has %d kB, over memory_mb = %d: killed", i.name, kb, tandemDock.memory)
 		time.Sleep(restartTime)
 		if err := i.start(); err != nil {
 			r.write("%v", err)
--- a/review/rig2/tenants.go
+++ b/review/rig2/tenants.go
@@ -17,13 +17,17 @@
 	otherKey  = "wsjnbanfqasnmgkcuyj8" // its second one
 	unheldKey = "nobodyeverhadthiskey"
 
-	plainConfig = `{"version":%d,"routes":[{"name":"r-2","host":"` + host + `","prefix":"/pule252/","kind":"unsafe","timeout_ms":1500,` +
-		`"target_latency_ms":300,"priority":2,"service":"xano55b","max_attempts":1,"anonymous":false}],` +
-		`"services":[{"name":"xano55b","health_path":"/health","max_connections":96,"protocol":"h1","tls":false}],` +
-		`"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},"tenants":%s}`
-	oneTenant = `[{"name":"huka270","api_keys":["` + heldKey + `","` + otherKey + `"],"priority":1}]`
+	plainRoute = `{"name":"r-2","host":"` + host + `","prefix":"/pule252/","kind":"unsafe","timeout_ms":1500,"target_latency_ms":300,` +
+		`"priority":2,"service":"xano55b","max_attempts":1,"anonymous":false}`
+	plainService = `{"name":"xano55b","health_path":"/health","max_connections":96,"protocol":"h1","tls":false}`
+	oneTenant    = `[{"name":"huka270","api_keys":["` + heldKey + `","` + otherKey + `"],"priority":1}]`
 )
 
+// plainConfig returns a configuration with the plain service.
+func plainConfig(version int, tenants string) []byte {
+	return fmt.Appendf(nil, `{"version":%d,"routes":[%s],"services":[%s],%s,"tenants":%s}`, version, plainRoute, plainService, limits, tenants)
+}
+
 // replica is a replica of a plain service that notes for whom it has run requests.
 type replica struct {
 	id string
@@ -61,16 +65,14 @@
 	return tenant, ran
 }
 
-func startReplicas(store *fake.Store, n int) (*replica, error) {
+func startReplicas(store *fake.Store, place string) (*replica, error) {
 	p := &replica{id: "i-5eb5e43d71", runs: map[string]string{}}
-	for range n {
-		addr, err := listen(p)
-		if err != nil {
-			return nil, err
-		}
-		store.Put("servers", p.id, fmt.Appendf(nil, `{"service":"xano55b","address":%q,"zone":%q,"version":"v1","slots":6,"state":"ready",`+
-			`"cold_remaining_ms":0,"sequence":0,"born":%d}`, addr, place, time.Now().UnixMilli()))
+	addr, err := listen(p)
+	if err != nil {
+		return nil, err
 	}
+	store.Put("servers", p.id, fmt.Appendf(nil, `{"service":"xano55b","address":%q,"zone":%q,"version":"v1","slots":6,"state":"ready",`+
+		`"cold_remaining_ms":0,"sequence":0,"born":%d}`, addr, place, time.Now().UnixMilli()))
 	return p, nil
 }
 
@@ -87,6 +89,7 @@
 	if key != "" {
 		r.Header.Set("Authorization", "Bearer "+key)
 	}
+	r.Close = true // each on a new channel
 	res, err := http.DefaultClient.Do(r)
 	if err != nil {
 		return id, err.Error()
@@ -105,12 +108,12 @@
 	if err != nil {
 		return false, err
 	}
-	store.Put("op", "config", fmt.Appendf(nil, plainConfig, 7, oneTenant))
-	p, err := startReplicas(store, 1)
+	store.Put("op", "config", plainConfig(7, oneTenant))
+	p, err := startReplicas(store, tandemDock.place)
 	if err != nil {
 		return false, err
 	}
-	i, err := r.newInstance(1, addr)
+	i, err := r.newInstance(1, addr, tandemDock)
 	if err != nil {
 		return false, err
 	}
@@ -128,7 +131,7 @@
 		return false, fmt.Errorf("a request without a valid key has run before the change")
 	}
 	if r.trouble {
-		store.Put("op", "config", fmt.Appendf(nil, plainConfig, 12, "[]"))
+		store.Put("op", "config", plainConfig(12, "[]"))
 		r.write("the store has acknowledged version 12, without the tenant")
 	}
 	time.Sleep(configMs*time.Millisecond + time.Second)
--- a/review/rig2/world.go
+++ b/review/rig2/world.go
@@ -18,21 +18,31 @@
 	"github.com/eelgrassdock/eelgrassdock/platform/fake"
 )
 
-// Figures of the small deployment tandem-dock.
+// Figures that the small deployments tandem-dock and kukuk-eel share.
 const (
-	memoryMB  = 134
 	files     = 4100
 	beatMs    = 1200
 	graceS    = 8
 	configMs  = 3000 // config_apply_ms
-	place     = "kurzeme-a"
-	region    = "kurzeme"
+	contactMs = 4000
 	host      = "ficu95.example"
 	program   = "target/eelgrassdock"
 	startTime = 10 * time.Second // for an instance to be ready
 )
 
+// The small deployments.
+var (
+	tandemDock = site{memory: 134, place: "kurzeme-a", region: "kurzeme"}
+	kukukEel   = site{memory: 284, place: "ba-a", region: "bratislava"}
+)
+
 type (
+	// site is a deployment: the memory of its machines in MB, and one of its zones.
+	site struct {
+		memory        int
+		place, region string
+	}
+
 	// record is the protocol of a run.
 	record struct {
 		out     io.Writer
@@ -105,7 +115,7 @@
 
 // newInstance writes the settings of an instance, as deploy/settings.json has them, and
 // starts its process.
-func (r *record) newInstance(n int, store string) (*instance, error) {
+func (r *record) newInstance(n int, store string, s site) (*instance, error) {
 	r.mu.Lock()
 	if r.dir == "" {
 		dir, err := os.MkdirTemp("", "review-2-")
@@ -117,7 +127,7 @@
 	}
 	dir := r.dir
 	r.mu.Unlock()
-	i := &instance{name: "front-" + place + "-" + strconv.Itoa(n)}
+	i := &instance{name: "front-" + s.place + "-" + strconv.Itoa(n)}
 	addrs := map[string]string{}
 	for _, name := range []string{"callers", "ready", "locate", "peer", "probe", "loads", "metrics"} {
 		var err error
@@ -127,9 +137,9 @@
 	}
 	i.callers, i.ready = addrs["callers"], addrs["ready"]
 	settings := map[string]any{
-		"name": i.name, "place": place, "region": region, "places": map[string]string{place: region}, "seeds": []string{addrs["peer"]},
+		"name": i.name, "place": s.place, "region": s.region, "places": map[string]string{s.place: s.region}, "seeds": []string{addrs["peer"]},
 		"store": store, "link": 1000.0, "beat": beatMs, "grace": graceS, "keep": 1, "evacuation": 0,
-		"cold": map[string]any{"factor": 0, "slack": 0}, "admission": true, "memory": memoryMB, "files": files,
+		"cold": map[string]any{"factor": 0, "slack": 0}, "admission": true, "memory": s.memory, "files": files,
 		"retry": map[string]any{"ratio": 0.2, "window": 10, "slack": 52},
 	}
 	for name, addr := range addrs {
