review 6 and 8: memory without the pages of files, callers with addresses of their own

Case 6 counts the memory of a process without the pages of files, which the pages of the users leave open.

--- a/review/rig2/channels.go
+++ b/review/rig2/channels.go
@@ -12,6 +12,7 @@
 const (
 	manyCallers   = 1650 // of long generations; the product accepts 1,537 connections
 	fewCallers    = 200
+	crowdAddrs    = 16  // addresses from which they come; each ordinary caller has one of its own
 	longEvents    = 120 // of the 232 events that a route-guide has on average
 	callers       = 10  // ordinary ones; the rule asks for seven
 	contactTime   = contactMs * time.Millisecond
@@ -51,10 +52,10 @@
 	r.write("%d clients send a long generation each to %s", n, list[0].name)
 	end := time.Now().Add(channelsTime)
 	var crowd counts
-	for range n {
+	for k := range n {
 		go func() {
 			for time.Now().Before(end) {
-				crowd.add(generate(list[0].callers, "5c1e07a2:4,91bd3f06:3,e4402b7d:3"))
+				crowd.add(generate(list[0].callers, "5c1e07a2:4,91bd3f06:3,e4402b7d:3", fmt.Sprintf("127.0.1.%d", 1+k%crowdAddrs)))
 				time.Sleep(500*time.Millisecond + rand.N(500*time.Millisecond))
 			}
 		}()
@@ -74,12 +75,13 @@
 	var ordinary, other counts
 	var wait sync.WaitGroup
 	for c := range callers {
+		from := fmt.Sprintf("127.0.2.%d", 1+c)
 		wait.Go(func() {
 			for time.Now().Before(end) {
-				_, status := book(list[0].callers, heldKey)
+				_, status := book(list[0].callers, heldKey, from)
 				ordinary.add(shorten(status))
 				w.note(c, isAnswer(status), time.Now())
-				_, status = book(list[1].callers, heldKey)
+				_, status = book(list[1].callers, heldKey, from)
 				other.add(shorten(status))
 				time.Sleep(200 * time.Millisecond)
 			}
--- a/review/rig2/tenants.go
+++ b/review/rig2/tenants.go
@@ -76,8 +76,9 @@
 	return p, nil
 }
 
-// book sends one booking and returns its request and its status.
-func book(addr, key string) (id, status string) {
+// book sends one booking on a new channel from an address, any if that is empty, and returns
+// its request and its status.
+func book(addr, key, from string) (id, status string) {
 	id = fmt.Sprintf("%016x", rand.Uint64())
 	r, err := http.NewRequest(http.MethodPost, "http://"+addr+"/pule252/2f", strings.NewReader("a tandem for two"))
 	if err != nil {
@@ -89,8 +90,8 @@
 	if key != "" {
 		r.Header.Set("Authorization", "Bearer "+key)
 	}
-	r.Close = true // each on a new channel
-	res, err := http.DefaultClient.Do(r)
+	client := &http.Client{Transport: &http.Transport{DialContext: dialer(from).DialContext, DisableKeepAlives: true}}
+	res, err := client.Do(r)
 	if err != nil {
 		return id, err.Error()
 	}
@@ -119,7 +120,7 @@
 	}
 	names := map[string]string{heldKey: "the tenant's key", unheldKey: "a key that no configuration has held", "": "no key"}
 	send := func(key string) bool {
-		id, status := book(i.callers, key)
+		id, status := book(i.callers, key, "")
 		tenant, ran := p.ran(id)
 		r.write("request %s with %s: %s, has run %v, Tenant-Id %q", id, names[key], status, ran, tenant)
 		return ran
--- a/review/rig2/world.go
+++ b/review/rig2/world.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -103,14 +104,25 @@
 	return store, addr, err
 }
 
-// freeAddr returns a free address.
+// freeAddr returns a free address. Its port is below those that Linux gives to outgoing
+// connections, so that none of these takes it before the instance listens there.
 func freeAddr() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", fmt.Errorf("find a free port: %w", err)
+	var err error
+	for range 100 {
+		addr := fmt.Sprintf("127.0.0.1:%d", 20000+rand.IntN(12000))
+		var l net.Listener
+		if l, err = net.Listen("tcp", addr); err != nil {
+			continue
+		}
+		l.Close()
+		var p net.PacketConn
+		if p, err = net.ListenPacket("udp", addr); err != nil {
+			continue
+		}
+		_ = p.Close() // nothing was sent
+		return addr, nil
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", fmt.Errorf("find a free port: %w", err)
 }
 
 // newInstance writes the settings of an instance, as deploy/settings.json has them, and
@@ -203,7 +215,7 @@
 	return fmt.Errorf("%s is not ready", i.name)
 }
 
-// memory returns the memory of the process in kB as the kernel counts it, 0 if it has ended.
+// memory returns the memory of the process in kB without the pages of files, 0 if it has ended.
 func (i *instance) memory() int {
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -215,7 +227,7 @@
 		return 0
 	}
 	for line := range strings.Lines(string(data)) {
-		if text, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+		if text, ok := strings.CutPrefix(line, "RssAnon:"); ok {
 			n, _ := strconv.Atoi(strings.Fields(text)[0]) // 0 if it cannot be read
 			return n
 		}
