--- a/review/rig2/channels.go
+++ b/review/rig2/channels.go
@@ -30,7 +30,9 @@
 	if err != nil {
 		return false, err
 	}
-	store.Put("op", "config", []byte(bothConfig))
+	table, plain := engineTable(), plainTable(7, oneTenant)
+	table.Routes, table.Services = append(table.Routes, plain.Routes...), append(table.Services, plain.Services...)
+	configure(store, table)
 	if err := startEngines(store, kukukEel.place, longEvents); err != nil {
 		return false, err
 	}
@@ -139,5 +141,3 @@
 	res.Body.Close()
 	return res.StatusCode == http.StatusOK
 }
-
-var bothConfig = fmt.Sprintf(`{"version":7,"routes":[%s,%s],"services":[%s,%s],%s,"tenants":%s}`, engineRoute, plainRoute, engineService, plainService, limits, oneTenant)
--- a/review/rig2/tenants.go
+++ b/review/rig2/tenants.go
@@ -10,22 +10,26 @@
 	"time"
 
 	"github.com/eelgrassdock/eelgrassdock/platform/fake"
+	"github.com/eelgrassdock/eelgrassdock/platform/wire"
 )
 
 const (
 	heldKey   = "xd9dnn2ctnfzs989anu6" // of the only tenant, until it is taken away
 	otherKey  = "wsjnbanfqasnmgkcuyj8" // its second one
 	unheldKey = "nobodyeverhadthiskey"
-
-	plainRoute = `{"name":"r-2","host":"` + host + `","prefix":"/pule252/","kind":"unsafe","timeout_ms":1500,"target_latency_ms":300,` +
-		`"priority":2,"service":"xano55b","max_attempts":1,"anonymous":false}`
-	plainService = `{"name":"xano55b","health_path":"/health","max_connections":96,"protocol":"h1","tls":false}`
-	oneTenant    = `[{"name":"huka270","api_keys":["` + heldKey + `","` + otherKey + `"],"priority":1}]`
 )
 
-// plainConfig returns a configuration with the plain service.
-func plainConfig(version int, tenants string) []byte {
-	return fmt.Appendf(nil, `{"version":%d,"routes":[%s],"services":[%s],%s,"tenants":%s}`, version, plainRoute, plainService, limits, tenants)
+var oneTenant = wire.Account{Name: "huka270", Keys: []string{heldKey, otherKey}}
+
+// plainTable returns a configuration with the plain service.
+func plainTable(version int64, tenants ...wire.Account) wire.Table {
+	return wire.Table{
+		Version: version, Limits: limits, Tenants: append([]wire.Account{}, tenants...),
+		Routes: []wire.Route{{
+			Name: "r-2", Host: host, Prefix: "/pule252/", Kind: "unsafe", Timeout: 1500, Aim: 300, Priority: 2, Service: "xano55b", Attempts: 1,
+		}},
+		Services: []wire.Service{{Name: "xano55b", Channels: 96}},
+	}
 }
 
 // replica is a replica of a plain service that notes for whom it has run requests.
@@ -38,23 +42,23 @@
 
 // ServeHTTP runs a request.
 func (p *replica) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	id := r.Header.Get("Request-Id")
-	w.Header().Set("Request-Id", id)
-	if want := r.Header.Get("Expect-Instance"); want != "" && want != p.id {
-		w.Header().Set("Replica-Id", p.id)
+	id := r.Header.Get(wire.HeaderRequest)
+	w.Header().Set(wire.HeaderRequest, id)
+	if want := r.Header.Get(wire.HeaderExpect); want != "" && want != p.id {
+		w.Header().Set(wire.HeaderEndpoint, p.id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	if _, err := io.Copy(io.Discard, r.Body); err != nil || id == "" {
-		w.Header().Set("Not-Executed", "1")
+		w.Header().Set(wire.HeaderNotRun, "1")
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
 	p.mu.Lock()
-	p.runs[id] = r.Header.Get("Tenant-Id")
+	p.runs[id] = r.Header.Get(wire.HeaderAccount)
 	p.mu.Unlock()
 	time.Sleep(30 * time.Millisecond)
-	w.Header().Set("Response-Seal", p.id+"."+id)
+	w.Header().Set(wire.HeaderSeal, p.id+"."+id)
 	fmt.Fprint(w, strings.Repeat("booked ", 100))
 }
 
@@ -85,8 +89,8 @@
 		return id, err.Error()
 	}
 	r.Host = host
-	r.Header.Set("Request-Id", id)
-	r.Header.Set("Deadline-Ms", "3000")
+	r.Header.Set(wire.HeaderRequest, id)
+	r.Header.Set(wire.HeaderDeadline, "3000")
 	if key != "" {
 		r.Header.Set("Authorization", "Bearer "+key)
 	}
@@ -109,7 +113,7 @@
 	if err != nil {
 		return false, err
 	}
-	store.Put("op", "config", plainConfig(7, oneTenant))
+	configure(store, plainTable(7, oneTenant))
 	p, err := startReplicas(store, tandemDock.place)
 	if err != nil {
 		return false, err
@@ -122,7 +126,7 @@
 	send := func(key string) bool {
 		id, status := book(i.callers, key, "")
 		tenant, ran := p.ran(id)
-		r.write("request %s with %s: %s, has run %v, Tenant-Id %q", id, names[key], status, ran, tenant)
+		r.write("request %s with %s: %s, has run %v, for tenant %q", id, names[key], status, ran, tenant)
 		return ran
 	}
 	if !send(heldKey) {
@@ -132,7 +136,7 @@
 		return false, fmt.Errorf("a request without a valid key has run before the change")
 	}
 	if r.trouble {
-		store.Put("op", "config", plainConfig(12, "[]"))
+		configure(store, plainTable(12)) // its list of tenants is empty, not missing
 		r.write("the store has acknowledged version 12, without the tenant")
 	}
 	time.Sleep(configMs*time.Millisecond + time.Second)
--- a/review/rig2/world.go
+++ b/review/rig2/world.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/eelgrassdock/eelgrassdock/platform/fake"
+	"github.com/eelgrassdock/eelgrassdock/platform/wire"
 )
 
 // Figures that the small deployments tandem-dock and kukuk-eel share.
@@ -104,6 +105,15 @@
 	return store, addr, err
 }
 
+// configure writes the configuration, as the operator does.
+func configure(store *fake.Store, t wire.Table) {
+	data, err := json.Marshal(t)
+	if err != nil {
+		panic(err) // the type always encodes
+	}
+	store.Put(wire.TableOperator, wire.KeyTable, data)
+}
+
 // freeAddr returns a free address. Its port is below those that Linux gives to outgoing
 // connections, so that none of these takes it before the instance listens there.
 func freeAddr() (string, error) {
@@ -182,7 +192,7 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	cmd := exec.Command(program, "serve")
-	cmd.Env = append(os.Environ(), "EELGRASSDOCK_SETTINGS="+i.settings)
+	cmd.Env = append(os.Environ(), wire.SettingsVariable+"="+i.settings)
 	cmd.Stdout, cmd.Stderr = i.log, i.log
 	if err := cmd.Start(); err != nil {
 		return fmt.Errorf("start %s: %w", i.name, err)
