routing, platform: a table whose last account is withdrawn asks for a key

Cause: admission asked for a key only if the table had an account. The decoder kept the accounts alone, so that a configuration without the field, which asks for no keys, and one with an empty list were the same in memory.

Ruled out: the version not being in force (table_installed, accounts 0), and the kept connection (each request is looked up in the table in force). Tables are stored and passed on as the bytes of the store, so nothing else decodes them.

Change: routing.Document.Open says that callers need no key; its zero value asks for one. The line table_installed has "open".

--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -396,7 +396,7 @@
 		if a.Rank != nil {
 			j.rank = *a.Rank
 		}
-	} else if !j.route.Open && len(t.Accounts) > 0 {
+	} else if t.NeedsKey(j.route) {
 		return nil, refusal.New(refusal.BadKey, refusal.NotRun, "key of the client account is not known")
 	}
 	if limit := t.Limits.BodyBytes; limit > 0 && int64(len(r.Body)) > limit {
--- a/process/gateway/peers.go
+++ b/process/gateway/peers.go
@@ -131,7 +131,7 @@
 	g.coolPending()
 	g.Log.WithFields(logrus.Fields{
 		"event": "table_installed", "version": t.Version, "row": version, "source": from.source,
-		"routes": len(t.Routes), "accounts": len(t.Accounts), "bytes": len(data),
+		"routes": len(t.Routes), "accounts": len(t.Accounts), "open": t.Open, "bytes": len(data),
 		"received": from.bytes, "took": from.took.Milliseconds(), "decoded": now.Sub(begun).Milliseconds(),
 	}).Info("routing table installed")
 	g.refreshEnginePools()
--- a/version/routing/routing.go
+++ b/version/routing/routing.go
@@ -102,7 +102,10 @@
 		Routes   []Route
 		Services []Service
 		Accounts []Account
-		Limits   Limits
+		// Open means that callers need no key on any route. It says so by itself, because a
+		// list of accounts that has become empty withdraws all keys.
+		Open   bool
+		Limits Limits
 	}
 
 	// Table is a Document with lookup indexes.
@@ -179,6 +182,10 @@
 // Account returns the account that holds key, or nil.
 func (t *Table) Account(key string) *Account { return t.accounts[key] }
 
+// NeedsKey reports whether a request on a route of the table is refused unless an account
+// holds its key.
+func (t *Table) NeedsKey(r *Route) bool { return !t.Open && !r.Open }
+
 // Pick chooses one of the route's services by weight and returns its ID, or ""
 // if the route has none. fraction is a random number in [0, 1).
 func (r *Route) Pick(fraction float64) string {
--- a/version/routing/routing_test.go
+++ b/version/routing/routing_test.go
@@ -63,3 +63,14 @@
 	require.Nil(t, x.Account("k3"))
 	require.Nil(t, x.Account(""))
 }
+
+// Guards against a table without accounts that serves callers without a key.
+func TestNeedsKey(t *testing.T) {
+	keyed, open := &Route{}, &Route{Open: true}
+	for _, accounts := range [][]Account{nil, {}, {{Name: "club"}}} {
+		x := New(Document{Accounts: accounts})
+		require.True(t, x.NeedsKey(keyed))
+		require.False(t, x.NeedsKey(open))
+	}
+	require.False(t, New(Document{Open: true}).NeedsKey(keyed))
+}
