routing: no account holds an empty key

What callers saw: with an account whose list of keys has an empty text, a request without a key ran as that account. A program that writes the list from a value that is not set sends such a configuration.

Cause: the key of a caller without one is the empty text, which the table looked up like a key.

Evidence: TestWithdrawnAccountsOpenNothing/empty_key on the code before: expected 401, actual 200 for key ""; TestAccountOfAKey: Account("") returned the account.

--- a/version/routing/routing.go
+++ b/version/routing/routing.go
@@ -148,7 +148,9 @@
 	}
 	for i := range doc.Accounts {
 		for _, key := range doc.Accounts[i].Keys {
-			t.accounts[key] = &doc.Accounts[i]
+			if key != "" { // else each caller without a key would be the account
+				t.accounts[key] = &doc.Accounts[i]
+			}
 		}
 	}
 	return t
@@ -179,7 +181,7 @@
 // Service returns the service with the given ID, or nil.
 func (t *Table) Service(id string) *Service { return t.services[id] }
 
-// Account returns the account that holds key, or nil.
+// Account returns the account that holds key, or nil. No account holds an empty key.
 func (t *Table) Account(key string) *Account { return t.accounts[key] }
 
 // NeedsKey reports whether a request on a route of the table is refused unless an account
--- a/version/routing/routing_test.go
+++ b/version/routing/routing_test.go
@@ -62,6 +62,9 @@
 	require.Equal(t, "club", x.Account("k2").Name)
 	require.Nil(t, x.Account("k3"))
 	require.Nil(t, x.Account(""))
+	x = New(Document{Accounts: []Account{{Name: "club", Keys: []string{"", "k1"}}}})
+	require.Nil(t, x.Account(""), "an empty key is held by every caller without one")
+	require.Equal(t, "club", x.Account("k1").Name)
 }
 
 // Guards against a table without accounts that serves callers without a key.
