config: an account's list of services names at least one

What callers saw: an account with an empty list of services may call every service. A service can only be removed after it was taken out of the accounts that name it; an account that named no other one was thereby allowed all that are left.

Cause: an empty list and a missing one were the same: Canonical made both nil, omitempty dropped both, and Allows looked at the length.

Change: Check refuses an empty list, for files and for changes, and Allows grants all only without a list. It is refused and not carried on, because gob delivers an empty list to other entries as a missing one. Without the field an account may call all, as before.

--- a/version/config/config_test.go
+++ b/version/config/config_test.go
@@ -137,6 +137,33 @@
 	require.Equal(t, document(3), doc)
 }
 
+// Guards against an account that may call every service once the last one that it might call
+// is withdrawn.
+func TestLastServiceOfAnAccountIsWithdrawn(t *testing.T) {
+	var m platform.Memory
+	s := &config.Store{Platform: m.Platform()}
+	_, err := s.Change(t.Context(), 0, replace(document(1)), "ann")
+	require.NoError(t, err)
+	_, err = s.Change(t.Context(), 1, func(d *config.Document) error {
+		d.Accounts[0].Services = slices.DeleteFunc(d.Accounts[0].Services, func(id string) bool { return id == "chat" })
+		return nil
+	}, "ann")
+	var faulty *config.FaultError
+	require.ErrorAs(t, err, &faulty)
+	require.Equal(t, "accounts[0].services", faulty.Faults[0].Path)
+	doc := document(1)
+	doc.Accounts[0].Services = []string{}
+	data, err := json.Marshal(doc)
+	require.NoError(t, err)
+	_, faults := config.Decode(data)
+	require.Len(t, faults, 1)
+	require.Equal(t, "accounts[0].services", faults[0].Path)
+	require.False(t, doc.Accounts[0].Allows("files"))
+	doc.Accounts[0].Services = nil
+	require.Empty(t, config.Check(doc))
+	require.True(t, doc.Accounts[0].Allows("files"))
+}
+
 // Guards against a panic on a damaged file, and against a document that is
 // accepted but rejected after it was encoded and decoded again.
 func FuzzDecode(f *testing.F) {
--- a/version/config/delta.go
+++ b/version/config/delta.go
@@ -55,7 +55,8 @@
 }
 
 // Canonical returns the form in which documents are stored and compared: lists
-// sorted by ID, empty lists nil. It copies the top-level lists only.
+// sorted by ID, empty lists nil except for Account.Services. It copies the
+// top-level lists only.
 func Canonical(doc Document) Document {
 	doc.Accounts, doc.Services = sorted(doc.Accounts), sorted(doc.Services)
 	doc.Endpoints, doc.Entries = sorted(doc.Endpoints), sorted(doc.Entries)
@@ -64,7 +65,7 @@
 	}
 	for i := range doc.Accounts {
 		a := &doc.Accounts[i]
-		a.Keys, a.Services = nilIfEmpty(a.Keys), nilIfEmpty(a.Services)
+		a.Keys = nilIfEmpty(a.Keys)
 	}
 	for i := range doc.Services {
 		doc.Services[i].Routes = nilIfEmpty(doc.Services[i].Routes)
--- a/version/config/document.go
+++ b/version/config/document.go
@@ -38,8 +38,9 @@
 		ID string `json:"id" validate:"required,max=64,printascii"`
 		// Keys are SHA-256 hashes, in hex, of the keys that authenticate callers.
 		Keys []string `json:"keys" validate:"min=1,dive,hexadecimal,len=64"`
-		// Services that the account may call; empty means all.
-		Services []string `json:"services,omitempty"`
+		// Services that the account may call; all if the field is missing or null. An empty
+		// list is refused, so that withdrawing the last service does not allow all.
+		Services []string `json:"services,omitzero" validate:"omitnil,min=1"`
 		// Rank is the account's priority: higher goes first, but a low rank still
 		// makes progress.
 		Rank int `json:"rank,omitempty" validate:"gte=0,lte=9"`
--- a/version/config/index.go
+++ b/version/config/index.go
@@ -62,5 +62,5 @@
 
 // Allows reports whether the account may call the service.
 func (a *Account) Allows(service string) bool {
-	return len(a.Services) == 0 || slices.Contains(a.Services, service)
+	return a.Services == nil || slices.Contains(a.Services, service)
 }
