channel: a status that no answer can have fails the attempt

What callers saw: a replica answers with the status 000 and something else follows on the connection, such as another answer: the caller gets that as the answer to its request, also for a call that runs once. An answer with 600 to 999 was passed on as it was.

Cause: Receive skipped every status below 200 as an interim answer, and accepted all above. net/http takes any three digits for a status.

Change: interim are 100 and 102 to 199, final 200 to 599 (internal/statuscode). Any other status is an error of Receive, so that requests, moves, reports, releases of copies and calls of the store fail, their connection is closed and the outcome is unknown, whatever the header says. 101 is none of both: after it the connection carries another protocol.

--- a/connection/channel/channel.go
+++ b/connection/channel/channel.go
@@ -21,6 +21,8 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
+
+	"github.com/eelgrassdock/eelgrassdock/internal/statuscode"
 )
 
 const (
@@ -238,9 +240,11 @@
 }
 
 // Receive reads the header of the next answer, which is parsed as an answer to r,
-// and skips interim (1xx) ones. The body must be read from the result; Limit
-// limits its length. The error wraps ErrSize if the header, or the interim answers
-// before it, do not end within maxHeadBytes.
+// and skips interim ones: 1xx except 101. The body must be read from the result;
+// Limit limits its length. The error wraps ErrSize if the header, or the interim
+// answers before it, do not end within maxHeadBytes, and statuscode.ErrInvalid for a
+// status that no answer can have. After an error the connection must be closed: what
+// follows on it may not be an answer.
 func (c *Channel) Receive(r *http.Request, deadline time.Time) (*http.Response, error) {
 	if err := c.conn.SetReadDeadline(deadline); err != nil {
 		return nil, fmt.Errorf("set read deadline: %w", err)
@@ -251,10 +255,14 @@
 		if err != nil {
 			return nil, fmt.Errorf("read answer of %s: %w", c.Addr, err)
 		}
-		if res.StatusCode >= http.StatusOK {
-			c.limited.left = math.MaxInt64
-			return res, nil
+		if statuscode.IsInterim(res.StatusCode) {
+			continue
+		}
+		if err := statuscode.CheckFinal(res.StatusCode); err != nil {
+			return nil, fmt.Errorf("read answer of %s: %w", c.Addr, err)
 		}
+		c.limited.left = math.MaxInt64
+		return res, nil
 	}
 }
 
--- a/connection/channel/channel_test.go
+++ b/connection/channel/channel_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/eelgrassdock/eelgrassdock/internal/statuscode"
 )
 
 // serve starts a server that calls answer for the n-th request of each connection,
@@ -165,6 +167,29 @@
 	}
 }
 
+// Guards against what follows an invalid status on the connection, such as the answer to another
+// request, being taken for the answer, and against the invalid status being taken for one.
+func TestInvalidStatus(t *testing.T) {
+	addr := serve(t, func(conn net.Conn, _ int, r *http.Request) bool {
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s Status\r\nContent-Length: 0\r\n\r\n", r.URL.Path[1:])
+		return writeOK(conn, "whole")
+	})
+	for status, valid := range map[string]bool{
+		"000": false, "001": false, "042": false, "099": false, "100": true, "101": false, "102": true, "199": true,
+		"200": true, "599": true, "600": false, "999": false,
+	} {
+		c, err := (&Pool{}).Get(t.Context(), addr, time.Now())
+		require.NoError(t, err)
+		_, err = do(t, c, "/"+status)
+		if valid {
+			require.NoError(t, err, status)
+		} else {
+			require.ErrorIs(t, err, statuscode.ErrInvalid, status)
+		}
+		c.Close()
+	}
+}
+
 // A long header, and some interim answers before it, must be accepted within the
 // limit, and the limit must not count the body or earlier answers.
 func TestLongHeader(t *testing.T) {
