service, engine, client: a status that no answer can have fails the attempt

What callers saw at an entry: a replica of a plain service answers 000 or 099: 500, "internal fault", also for a call that may be repeated, as WriteHeader panicked. With 101 and 999 the caller got that status. An engine's 000 with X-Not-Run proved that a generation had not run, and a cancellation that was answered with 000 counted as done. The Go client returned such answers and believed "not run" in them.

Change: calls, generations, control calls and the client check the status with statuscode.CheckFinal. The reason is garbage at calls and generations, so that it is no crash of the endpoint; the outcome is unknown. The stand-in of a plain service can answer with any status.

--- a/client/client.go
+++ b/client/client.go
@@ -29,6 +29,7 @@
 
 	"github.com/eelgrassdock/eelgrassdock/internal/direct"
 	"github.com/eelgrassdock/eelgrassdock/internal/sleep"
+	"github.com/eelgrassdock/eelgrassdock/internal/statuscode"
 	"github.com/eelgrassdock/eelgrassdock/request/refusal"
 	"github.com/eelgrassdock/eelgrassdock/request/uri"
 )
@@ -218,7 +219,14 @@
 	req.Header.Set("Authorization", "Bearer "+c.Key)
 	req.Header.Set("X-Caller", c.Caller)
 	res, err = c.client().Do(req)
-	return res, sent, err
+	if err != nil {
+		return nil, sent, err
+	}
+	if err := statuscode.CheckFinal(res.StatusCode); err != nil {
+		res.Body.Close()
+		return nil, sent, fmt.Errorf("read answer of %s: %w", e.Addr, err)
+	}
+	return res, sent, nil
 }
 
 // pause waits after attempt n, counted from 0, with exponential backoff and jitter,
--- a/client/truncated_test.go
+++ b/client/truncated_test.go
@@ -1,6 +1,7 @@
 package client
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -59,3 +60,27 @@
 		require.Equal(t, refusal.Run, refusal.From(err).Outcome)
 	}
 }
+
+// TestInvalidStatus guards against an answer with a status such as 000 that is returned, or
+// that counts as not run.
+func TestInvalidStatus(t *testing.T) {
+	for _, status := range []string{"000", "099", "101", "600"} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				panic(err)
+			}
+			defer conn.Close()
+			refused := refusal.New(refusal.Overload, refusal.NotRun, "").Problem()
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s Status\r\n%s: overload\r\nContent-Length: %d\r\n\r\n%s", status, refusal.Header, len(refused), refused)
+		}))
+		entry := Entry{Addr: server.Listener.Addr().String()}
+		a := &callState{c: &Client{}, call: Call{Service: "s", Method: http.MethodPost, Path: "/x", Deadline: time.Now().Add(time.Minute)}}
+		_, err := a.send(t.Context(), entry)
+		require.Equal(t, refusal.Unknown, refusal.From(err).Outcome, status)
+		r := &completionState{c: &Client{}, prompt: Prompt{Service: "s", Deadline: time.Now().Add(time.Minute)}}
+		err = r.connect(t.Context(), entry)
+		require.Equal(t, refusal.Unknown, refusal.From(err).Outcome, status)
+		server.Close()
+	}
+}
--- a/connection/engine/engine.go
+++ b/connection/engine/engine.go
@@ -24,6 +24,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/eelgrassdock/eelgrassdock/internal/statuscode"
 	"github.com/eelgrassdock/eelgrassdock/request/refusal"
 	"github.com/eelgrassdock/eelgrassdock/request/stream"
 )
@@ -257,7 +258,15 @@
 	req.GetBody = nil
 	req.Close = last
 	req.Header["User-Agent"] = noUserAgent
-	return c.HTTP.Do(req)
+	res, err := c.HTTP.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	if err := statuscode.CheckFinal(res.StatusCode); err != nil {
+		res.Body.Close()
+		return nil, fmt.Errorf("read answer of %s: %w", c.Addr, err)
+	}
+	return res, nil
 }
 
 // open sends a request whose answer is a stream of frames.
@@ -276,6 +285,9 @@
 			err = errAnswerTimeout
 		}
 		cancel(nil)
+		if errors.Is(err, statuscode.ErrInvalid) {
+			return nil, refusal.New(refusal.Garbage, refusal.Unknown, err.Error())
+		}
 		return nil, refusal.FromCallError(err, conn.Conn != nil)
 	}
 	answer := cancelBody{ReadCloser: res.Body, cancel: func() { cancel(nil) }}
--- a/connection/service/service.go
+++ b/connection/service/service.go
@@ -4,7 +4,8 @@
 // repeats it, and redirects are not followed. An answer that was read in full has
 // outcome Run, even if its status is an error or a redirect. A failure before a
 // connection was obtained, or an answer with the header X-Not-Run: true for which
-// engine.ProvesNotRun holds, has outcome NotRun. Everything else has outcome Unknown.
+// engine.ProvesNotRun holds, has outcome NotRun. Everything else has outcome Unknown,
+// also an answer with a status outside 200 to 599.
 package service
 
 import (
@@ -19,6 +20,7 @@
 
 	"github.com/eelgrassdock/eelgrassdock/connection/engine"
 	"github.com/eelgrassdock/eelgrassdock/internal/direct"
+	"github.com/eelgrassdock/eelgrassdock/internal/statuscode"
 	"github.com/eelgrassdock/eelgrassdock/request/refusal"
 	"github.com/eelgrassdock/eelgrassdock/request/uri"
 )
@@ -106,6 +108,9 @@
 		return Answer{}, refusal.FromCallError(err, conn.Conn != nil)
 	}
 	defer res.Body.Close()
+	if err := statuscode.CheckFinal(res.StatusCode); err != nil {
+		return Answer{}, refusal.New(refusal.Garbage, refusal.Unknown, err.Error())
+	}
 	body, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes+1))
 	if res.Header.Get(engine.NotRunHeader) == "true" {
 		detail := fmt.Sprintf("status %d: %.200s", res.StatusCode, body)
--- a/process/entry/call_test.go
+++ b/process/entry/call_test.go
@@ -145,6 +145,7 @@
 func TestServiceFaults(t *testing.T) {
 	for name, fault := range map[string]standin.ServiceFaults{
 		"rejects": {Reject: true}, "leaves": {Leaving: true}, "redirects": {Redirect: true}, "hangs up": {Hang: true}, "is killed": {},
+		"answers 000": {Status: "000"}, "answers 099": {Status: "099"}, "answers 101": {Status: "101"}, "answers 999": {Status: "999"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -161,10 +162,13 @@
 				call := orderCall([]string{"", "own-" + body}[i%2], body)
 				call.Deadline = time.Now().Add(time.Second)
 				answer, err := c.Call(context.Background(), call)
-				if !fault.Hang {
+				if !fault.Hang && fault.Status == "" {
 					require.NoError(t, err)
 					require.Equal(t, fault.Redirect, answer.Status == http.StatusSeeOther)
 				}
+				if err == nil && !fault.Redirect {
+					require.Equal(t, http.StatusOK, answer.Status)
+				}
 				requireConsistent(t, s, body, err)
 			}
 			if !fault.Redirect {
--- a/standin/service.go
+++ b/standin/service.go
@@ -39,6 +39,10 @@
 		Hang     bool `json:"hang"`     // executes calls and closes the connection without an answer
 		Redirect bool `json:"redirect"` // executes calls and answers with a redirect
 		Lie      bool `json:"lie"`      // executes calls and answers that they were not executed
+
+		// Status, if set, is the status of the answers to calls that are executed, as it is
+		// written on the wire: 000 for one that no answer can have.
+		Status string `json:"status"`
 	}
 
 	// Receipt is the answer to a call that was executed.
@@ -129,6 +133,10 @@
 		http.Error(w, "rejected before execution", http.StatusServiceUnavailable)
 		return
 	}
+	if fault.Status != "" {
+		writeStatus(w, fault.Status)
+		return
+	}
 	if fault.Redirect {
 		http.Redirect(w, r, "/stock", http.StatusSeeOther)
 		return
@@ -136,3 +144,13 @@
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(receipt)
 }
+
+// writeStatus writes an answer with a status that http.ResponseWriter may not accept.
+func writeStatus(w http.ResponseWriter, status string) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer conn.Close()
+	_, _ = io.WriteString(conn, "HTTP/1.1 "+status+" Status\r\nContent-Length: 2\r\n\r\nok") // the caller may have left
+}
