gateway: a test of regions waits for orders of copies to end

The goroutine that remained sleeps in the stand-in for an order to copy, which takes up to 0.2 s and does not heed the end of the gateway. synctest.Wait returns while goroutines sleep, and a bubble whose main goroutine has ended does not let time pass. It is a fault of the test, and happened where the last of its random checks ended within an order.

The test lets a second pass in the bubble, and then ends as before: a goroutine that does not end still fails it. All assertions are as they were.

--- a/process/gateway/regions_test.go
+++ b/process/gateway/regions_test.go
@@ -410,6 +410,7 @@
 			}
 			wg.Wait()
 			w.cancel()
+			time.Sleep(time.Second) // orders of copies end: a bubble must not end before its goroutines
 			synctest.Wait()
 		})
 	})
