logging: the queue is bounded in bytes

Clients sent requests with IDs of 12 KB and read no answers.

Cause: the queue of log lines was bounded by their number, 4,096. Of 56 MB of heap in a profile, 27 were queued lines: each names the request ID, and such lines came faster than the output took them. The budget of what is held for clients does not count them. Ruled out: buffered answers and heads, of which 13 MB at most were charged.

Change: the queue holds 2 MB at most; ordinary lines fill it to 1.5 MB. What does not fit is dropped and reported as before (log_dropped).

TestQueueIsBoundedInBytes fails with the bound taken out: all 4,096 lines of 12 KB are queued.

--- a/process/logging/logging.go
+++ b/process/logging/logging.go
@@ -23,7 +23,8 @@
 )
 
 const (
-	queueLines    = 4096                  // capacity of the queue, about 1.5 MB of lines
+	queueLines    = 4096                  // capacity of the queue, about 1.5 MB of ordinary lines
+	queueBytes    = 2 << 20               // capacity of the queue; a line that names a long request ID has over 12 KB
 	batchDelay    = 20 * time.Millisecond // lines logged within this time go out in one write
 	maxWriteBytes = 64 << 10              // per write; the default capacity of a pipe
 
@@ -49,8 +50,9 @@
 		// Now is the clock; time.Now if nil.
 		Now func() time.Time
 
-		once  sync.Once
-		lines chan []byte
+		once   sync.Once
+		lines  chan []byte
+		queued atomic.Int64 // bytes of lines
 
 		mu          sync.Mutex
 		dropped     int64     // lines dropped since the last successful write
@@ -83,22 +85,34 @@
 // fails.
 func (w *Writer) Write(p []byte) (int, error) {
 	w.init()
+	size := int64(len(p))
+	if w.queued.Add(size) > queueBytes {
+		w.queued.Add(-size)
+		w.drop()
+		return len(p), nil
+	}
 	select {
 	case w.lines <- append([]byte(nil), p...):
 	default:
-		counts.Add("dropped", 1)
-		now := w.now()
-		w.mu.Lock()
-		if w.dropped == 0 {
-			w.first = now
-		}
-		w.dropped++
-		w.last = now
-		w.mu.Unlock()
+		w.queued.Add(-size)
+		w.drop()
 	}
 	return len(p), nil
 }
 
+// drop counts a line that is not queued.
+func (w *Writer) drop() {
+	counts.Add("dropped", 1)
+	now := w.now()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.dropped == 0 {
+		w.first = now
+	}
+	w.dropped++
+	w.last = now
+}
+
 // Run writes queued lines to Out until done is closed. It then writes the lines
 // that are still queued and returns. It waits for the output, which may block.
 func (w *Writer) Run(done <-chan struct{}) {
@@ -106,6 +120,7 @@
 	for {
 		select {
 		case line := <-w.lines:
+			w.queued.Add(-int64(len(line)))
 			select {
 			case <-done:
 			case <-time.After(batchDelay):
@@ -125,6 +140,7 @@
 	for len(lines) < maxWriteBytes {
 		select {
 		case line := <-w.lines:
+			w.queued.Add(-int64(len(line)))
 			lines = append(lines, line...)
 		default:
 			return lines
--- a/process/logging/logging_test.go
+++ b/process/logging/logging_test.go
@@ -66,6 +66,32 @@
 	require.Equal(t, 1+queueLines+1, strings.Count(text, "\n"))
 }
 
+// Guards against long lines, as with a request ID of 12 KB, that take the memory of the process
+// while the output does not keep up.
+func TestQueueIsBoundedInBytes(t *testing.T) {
+	out := &gate{open: make(chan struct{}), stuck: make(chan struct{}, 1)}
+	w := &Writer{Out: out}
+	done, ended := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(ended)
+		w.Run(done)
+	}()
+	line := append(bytes.Repeat([]byte("x"), 12<<10), '\n')
+	_, err := w.Write(line)
+	require.NoError(t, err)
+	<-out.stuck
+	for range queueLines {
+		_, err := w.Write(line)
+		require.NoError(t, err)
+	}
+	require.Equal(t, queueBytes/len(line), len(w.lines))
+	close(out.open)
+	close(done)
+	<-ended
+	require.Contains(t, out.text(), fmt.Sprintf(`"lines":%d,`, queueLines-queueBytes/len(line)))
+	require.Zero(t, w.queued.Load())
+}
+
 // slow is an output that pauses in each write.
 type slow struct {
 	pause time.Duration
