intake: names of trailers in a head are charged

Cause: net/http makes a map entry of each name in the header Trailer, some 4,000 in a legal head. The budget charges bytes and lines of a head, and that header is one line.

Change: the connection counts the names as they arrive, before net/http parses the head, and charges them like lines: 256 bytes each beyond 64. The first letter of a line decides whether it is counted, as a line may arrive a byte at a time.

--- a/connection/intake/conn.go
+++ b/connection/intake/conn.go
@@ -45,7 +45,9 @@
 	deadline time.Time // of the head
 	bytes    int       // of the head
 	lines    int
+	names    int  // of trailers, at most
 	filled   bool // the current line of the head is not empty
+	naming   bool // the current line may name trailers
 	begun    bool // a line of the head was not empty
 	whole    bool // the empty line that ends the head was received
 	carried  int  // line ends in the latest read of a request, which may belong to the next head
@@ -106,7 +108,7 @@
 			return http.StatusRequestHeaderFieldsTooLarge, "heads_lines"
 		}
 	}
-	cost := int64(activeCost + max(c.bytes-headFree, 0) + max(c.lines+c.carried-linesFree, 0)*lineCost)
+	cost := int64(activeCost + max(c.bytes-headFree, 0) + max(c.lines+c.carried-linesFree, 0)*lineCost + max(c.names-namesFree, 0)*nameCost)
 	if cost > c.paid {
 		if !c.gate.charge(c.account, cost-c.paid) {
 			return http.StatusServiceUnavailable, "heads_refused"
@@ -121,6 +123,7 @@
 func (c *Conn) countLines(part []byte) {
 	for !c.whole {
 		line, rest, found := bytes.Cut(part, []byte("\n"))
+		c.countNames(line)
 		c.filled = c.filled || len(line) > 0 && string(line) != "\r"
 		c.begun = c.begun || c.filled
 		if !found {
@@ -132,6 +135,21 @@
 	}
 }
 
+// countNames counts the names of trailers in a part of a line of the head. The begin of a line
+// may be received a byte at a time, so that its first letter decides: no other header with that
+// letter has long lists. A line that begins with a blank continues the one before.
+func (c *Conn) countNames(part []byte) {
+	if len(part) == 0 {
+		return
+	}
+	if first := part[0]; !c.filled && first != ' ' && first != '\t' {
+		c.naming = first == 't' || first == 'T'
+	}
+	if c.naming {
+		c.names += bytes.Count(part, []byte(","))
+	}
+}
+
 // refuse answers a head that is not passed on. No answer to an earlier request is in
 // progress then. The buffer is used for what the client still sends.
 func (c *Conn) refuse(status int, buffer []byte) {
@@ -184,8 +202,8 @@
 // end records that a request was answered, and credits what it held.
 func (c *Conn) end() {
 	c.account.Credit(c.paid)
-	c.bytes, c.lines, c.paid, c.body = 0, 0, 0, 0
-	c.filled, c.begun, c.whole = false, false, false
+	c.bytes, c.lines, c.names, c.paid, c.body = 0, 0, 0, 0, 0
+	c.filled, c.naming, c.begun, c.whole = false, false, false, false
 	if c.wide {
 		c.setBuffer(waitingBuffer)
 		c.wide = false
--- a/connection/intake/gate.go
+++ b/connection/intake/gate.go
@@ -26,6 +26,8 @@
 	headFree   = 4 << 10  // bytes of a head that activeCost covers
 	linesFree  = 64       // lines of a head that activeCost covers
 	lineCost   = 256      // of a header line: net/http, the copy for the endpoint and the map entries of both
+	namesFree  = 64       // names of trailers in a head that activeCost covers
+	nameCost   = 256      // of a name of a trailer: net/http makes a map entry of it when it has read the head
 	lineBytes  = 4        // of the shortest legal line, a name of one letter without a value
 	headSlack  = 4 << 10  // net/http reads this much at once, so that the begin of a head may be counted with the one before
 
--- a/connection/intake/intake_test.go
+++ b/connection/intake/intake_test.go
@@ -323,6 +323,43 @@
 	}
 }
 
+// Guards against names of trailers, of which net/http makes a map entry each, that are not charged,
+// however the head arrives, and against lists in other headers that are charged like them.
+func TestNamesOfTrailersAreCharged(t *testing.T) {
+	const names, few = 1000, 10
+	list := strings.TrimSuffix(strings.Repeat("ab,", names), ",")
+	folded := strings.ReplaceAll(list, "ab,ab,", "ab,\r\n ab,")
+	for text, commas := range map[string]int{
+		"Trailer: " + list + "\r\n":                            names - 1,
+		"tRAILER:" + list + "\n":                               names - 1,
+		"Trailer: " + folded + "\r\n":                          names - 1,
+		"A: b\r\nTrailer: " + list + "\r\nC: d\r\n":            names - 1,
+		"Trailer: " + list[:3*few] + "\r\nX: " + list + "\r\n": few,
+		"X: " + list + "\r\n":                                  0,
+	} {
+		for _, part := range []int{1, 7, 1 << 20} {
+			c := &Conn{}
+			head := "POST / HTTP/1.1\r\n" + text + "\r\n"
+			for len(head) > 0 {
+				n := min(part, len(head))
+				c.countLines([]byte(head[:n]))
+				head = head[n:]
+			}
+			require.Equal(t, commas, c.names, text[:10])
+		}
+	}
+	budget := NewBudget(activeCost + connCost + names*nameCost/2)
+	_, addr := testServer(t, Limits{HeadBytes: 16 << 10, HeadTime: time.Minute, IdleTime: time.Minute}, budget, 0)
+	for head, want := range map[string]int{"Trailer: " + list: http.StatusServiceUnavailable, "X: " + list: http.StatusOK} {
+		conn, err := net.Dial("tcp", addr)
+		require.NoError(t, err)
+		status, _, err := exchange(conn, "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"+head+"\r\n\r\n0\r\n\r\n")
+		require.NoError(t, err)
+		require.Equal(t, want, status, head[:10])
+		require.NoError(t, conn.Close())
+	}
+}
+
 // Guards against an end of a refused connection that is no longer shown to its client, which
 // still sends a body: without it, the client gets a reset where it awaits the end.
 func TestRefusedClientSeesTheEnd(t *testing.T) {
--- a/internal/hostile/crowd.go
+++ b/internal/hostile/crowd.go
@@ -137,7 +137,13 @@
 }
 
 // shortLines returns header lines of about four bytes each, with different names.
-func shortLines(size int) string {
+func shortLines(size int) string { return names(size, ":\r\n") }
+
+// elements returns a list of different short names, each with an end, for one header line.
+func elements(size int, end string) string { return strings.TrimSuffix(names(size, end+","), ",") }
+
+// names returns different short names, each with an end.
+func names(size int, end string) string {
 	const letters = "abcdefghijklmnopqrstuvwxyz"
 	var b strings.Builder
 	for i := 0; b.Len() < size; i++ {
@@ -148,7 +154,7 @@
 			_ = b.WriteByte(letters[i/len(letters)/len(letters)%len(letters)])
 		}
 		_ = b.WriteByte(letters[i%len(letters)])
-		_, _ = b.WriteString(":\r\n")
+		_, _ = b.WriteString(end)
 	}
 	return b.String()
 }
--- a/internal/hostile/hostile_test.go
+++ b/internal/hostile/hostile_test.go
@@ -47,6 +47,9 @@
 	os.Exit(code)
 }
 
+// trailers ends the head of a request whose body does not arrive, with names of trailers.
+var trailers = "Transfer-Encoding: chunked\r\nTrailer: " + elements(legalHead, "") + "\r\n\r\n"
+
 type attack struct {
 	name   string
 	count  int
@@ -98,6 +101,8 @@
 		{"answers are not read", some, deaf(head("GET", path, large) + "\r\n")},
 		{"answers are read slowly", some, slow(strings.Repeat(head("GET", path, large)+"\r\n", 4))},
 		{"streams are not read", some, deaf(head("POST", fake.ShortPrefix+"x", "s") + wire.HeaderTokens + ": 1000,1000\r\nContent-Length: 11\r\n\r\nevents=1000")},
+		{"names of trailers in one line", some, write(head("POST", path, "t") + trailers)},
+		{"names of headers of the connection in one line", some, repeat(head("GET", path, "c")+"Connection: "+elements(legalHead, "")+"\r\n\r\n", 0)},
 		{"many requests on one connection", few, repeat(strings.Repeat(head("GET", path, "p")+"\r\n", 20), 0)},
 	}...) {
 		t.Run(a.name, func(t *testing.T) { resist(t, Serve, "callers", a) })
@@ -113,6 +118,7 @@
 		for _, a := range append(heads(path), []attack{
 			{"body stops in the middle", some, write(body(path, bodyBytes) + strings.Repeat("b", heldBody))},
 			{"answers are not read", some, deaf(get + "\r\n")},
+			{"parameters in one line", some, repeat(head("GET", path+"?"+strings.ReplaceAll(elements(legalHead, ""), ",", "&"), "q")+"\r\n", 0)},
 		}...) {
 			t.Run(listener+", "+a.name, func(t *testing.T) { resist(t, Serve, listener, a) })
 		}
@@ -143,6 +149,7 @@
 		{"body stops in the middle", some, write(body(path, heldBody) + strings.Repeat("b", heldBody/2))},
 		{"body trickles", some, begin(body(path, heldBody), strings.Repeat("b", endlessPart), trickleTime)},
 		{"answers are not read", some, deaf(head("GET", "/v1/entries", "x") + "\r\n")},
+		{"names of trailers in one line", some, write(head("POST", path, "t") + trailers)},
 	}...) {
 		t.Run("callers, "+a.name, func(t *testing.T) { resist(t, Entry, "callers", a) })
 	}
