platform, gateway: a request keeps the parts of its prompt that are used

Cause: parseParts made two lists with an entry for each part, which a request held until its end, and which the budget did not count. Used are the last 256 parts, for quarantine, and the lengths of the first 16, for placement.

--- a/internal/hostile/hostile_test.go
+++ b/internal/hostile/hostile_test.go
@@ -109,6 +109,20 @@
 	}
 }
 
+// Guards against prompts of many parts that take the process over its memory, with as many
+// clients as its budget has room for.
+func TestManyParts(t *testing.T) {
+	const crowd = 400
+	roomy := Limits{Memory: limits.Memory, Files: 4 * crowd}
+	parts := wire.HeaderParts + ": " + strings.TrimSuffix(strings.Repeat("1:0,", legalHead/len("1:0,")), ",") + "\r\n"
+	for _, a := range []attack{
+		{"body stops", crowd, write(head("POST", fake.SafePrefix+"x", "b") + parts + "Content-Length: 9\r\n\r\n")},
+		{"streams", crowd, repeat(head("POST", fake.ShortPrefix+"x", "s")+wire.HeaderTokens+": 10,1000\r\n"+parts+"Content-Length: 11\r\n\r\nevents=1000", trickleTime)},
+	} {
+		t.Run(a.name, func(t *testing.T) { resistWithin(t, roomy, Serve, "callers", a) })
+	}
+}
+
 // Guards against the same at the listeners that are not for requests.
 func TestOtherListeners(t *testing.T) {
 	for listener, path := range map[string]string{
@@ -161,6 +175,12 @@
 // resist runs an attack against one listener of a process, and requires that the process
 // stays within its limits and answers an ordinary request afterwards.
 func resist(t *testing.T, start func(context.Context, string, string, Limits) (*Process, error), listener string, a attack) {
+	t.Helper()
+	resistWithin(t, limits, start, listener, a)
+}
+
+// resistWithin is resist with other limits.
+func resistWithin(t *testing.T, limits Limits, start func(context.Context, string, string, Limits) (*Process, error), listener string, a attack) {
 	t.Helper()
 	p, err := start(t.Context(), binaryPath, t.TempDir(), limits)
 	require.NoError(t, err)
--- a/process/gateway/enginepool.go
+++ b/process/gateway/enginepool.go
@@ -205,12 +205,12 @@
 
 // parts returns the parts of the prompt of a request, nil if they are not used to place it.
 func (p *enginePool) parts(j *job) []placement.Part {
-	if !p.sched.Parts || !j.route.Affinity || len(j.Sizes) != len(j.Parts) {
+	if !p.sched.Parts || !j.route.Affinity {
 		return nil
 	}
-	parts := make([]placement.Part, min(len(j.Parts), placement.MaxParts))
-	for i := range parts {
-		parts[i] = placement.Part{ID: quarantine.ID(j.service, j.Parts[i]), Tokens: j.Sizes[i]}
+	parts := make([]placement.Part, len(j.First))
+	for i, part := range j.First {
+		parts[i] = placement.Part{ID: quarantine.ID(j.service, part.ID), Tokens: part.Tokens}
 	}
 	return parts
 }
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -59,8 +59,14 @@
 		Prompt   int       // length in tokens, 0 if not stated
 		Max      int       // maximum number of tokens to produce, 0 if not stated
 		After    string    // ID of the last event that the caller has received
-		Parts    []string  // IDs of the parts of the prompt, in order; the last belongs to the request or its session
-		Sizes    []int     // tokens of these parts
+		Parts    []string  // IDs of the last quarantine.MaxLookup parts of the prompt; the last belongs to the request or its session
+		First    []Part    // the first placement.MaxParts parts of the prompt
+	}
+
+	// Part is a part of a prompt.
+	Part struct {
+		ID     string
+		Tokens int
 	}
 
 	// Call is one attempt to send a request to one endpoint.
--- a/process/quarantine/quarantine.go
+++ b/process/quarantine/quarantine.go
@@ -62,6 +62,8 @@
 	// MaxRequestTrials is the number of trials of a request, which stay within three retries
 	// after the third crash.
 	MaxRequestTrials = 3
+	// MaxLookup is the number of parts of one prompt that are looked up: the last ones.
+	MaxLookup = 256
 	// Memory is the time for which suspects and answers are kept.
 	Memory = 2 * time.Minute
 	// TrialStep is the time by which instances, in order of their rank, may take
@@ -81,7 +83,6 @@
 	crashSpread   = 250 * time.Millisecond  // time within which engines that end for one cause end
 	sameCrash     = time.Second             // within which connections end that one crash has ended
 	maxParts      = 16                      // parts of one prompt that are charged with a crash: the last ones
-	maxLookup     = 256                     // parts of one prompt that are looked up: the last ones
 	maxSuspects   = 512
 	maxOwn        = 128 // suspects of this instance
 	maxAnswers    = 256
@@ -175,8 +176,8 @@
 
 // Hash identifies the parts of a prompt for the engines of one service.
 func Hash(service string, parts []string) []uint64 {
-	if len(parts) > maxLookup {
-		parts = parts[len(parts)-maxLookup:]
+	if len(parts) > MaxLookup {
+		parts = parts[len(parts)-MaxLookup:]
 	}
 	list := make([]uint64, 0, len(parts))
 	for _, p := range parts {
--- a/process/quarantine/quarantine_test.go
+++ b/process/quarantine/quarantine_test.go
@@ -259,7 +259,7 @@
 	suspects, answers, verdicts := r.Size()
 	require.Zero(t, suspects+answers+verdicts)
 	require.Nil(t, r.view.Load())
-	require.Len(t, Hash("s", make([]string, 1000)), maxLookup)
+	require.Len(t, Hash("s", make([]string, 1000)), MaxLookup)
 	crash(r, 9000, after(time.Hour), Hash("s", make([]string, 1000))...)
 	for _, s := range r.suspects {
 		require.Len(t, s.Parts, maxParts)
