intake: connections in surplus are answered with 503

Cause: Gate.admit closes an unused connection for a new one, and resets the new one if there is none. Nothing was kept to answer a caller for whom there is no room, neither when the connections nor when the budget run out.

Change: 1/32 of the connections, and one, are accepted beyond the limit. Beyond those, the oldest whose request has not arrived is closed, else the new one. Their memory is charged from the begin. Trials against a test that allowed no reset at all failed: beyond the surplus some are reset, so the test asks for an answer within a second.

--- a/connection/intake/budget.go
+++ b/connection/intake/budget.go
@@ -44,7 +44,7 @@
 func newCounters() *expvar.Map {
 	m := expvar.NewMap("intake")
 	for _, name := range []string{
-		"budget", "used", "peak", "charges_refused", "conns", "conns_peak", "conns_refused", "closed_new", "closed_idle", "closed_head",
+		"budget", "used", "peak", "charges_refused", "conns", "conns_peak", "conns_refused", "conns_answered", "closed_new", "closed_idle", "closed_head",
 		"closed_unread", "heads_refused", "heads_long", "heads_lines", "bodies_refused", "bodies_slow", "bodies_long", "answers_unbuffered",
 		"messages_refused",
 	} {
--- a/connection/intake/conn.go
+++ b/connection/intake/conn.go
@@ -33,6 +33,7 @@
 	net.Conn
 	gate    *Gate
 	account *Account
+	surplus bool         // there was no room for it; set before the first Read
 	writing atomic.Int64 // begin of the write in progress in Unix nanoseconds, 0 if there is none
 	phase   atomic.Int32
 
@@ -88,6 +89,10 @@
 // count counts a part of a head. It returns the status with which the head is refused,
 // or 0.
 func (c *Conn) count(part []byte) (status int, counter string) {
+	if c.surplus {
+		c.gate.move(c, rejected)
+		return http.StatusServiceUnavailable, "conns_answered"
+	}
 	limits := c.gate.Limits()
 	if c.phase.Load() == waits {
 		c.phase.Store(inHead)
--- a/connection/intake/gate.go
+++ b/connection/intake/gate.go
@@ -12,11 +12,13 @@
 
 // The states of a connection. The first ones are closed first when room is needed.
 const (
-	fresh   state = iota // nothing was received
-	idle                 // waits for the next request
-	head                 // a head is being received
-	active               // a request is being received or answered
-	closing              // closed, or about to be
+	fresh    state = iota // nothing was received
+	idle                  // waits for the next request
+	head                  // a head is being received
+	active                // a request is being received or answered
+	surplus               // there was no room for it: its first request will be refused
+	rejected              // a connection in surplus whose request is being refused
+	closing               // closed, or about to be
 	states
 )
 
@@ -31,6 +33,10 @@
 	lineBytes  = 4        // of the shortest legal line, a name of one letter without a value
 	headSlack  = 4 << 10  // net/http reads this much at once, so that the begin of a head may be counted with the one before
 
+	// surplusShare divides Gate.Most into the number of connections that may be in surplus. Each
+	// is open for some milliseconds, so that few answer hundreds of clients a second.
+	surplusShare = 32
+
 	slowHead  = 500 * time.Millisecond // age from which a head is closed when room is needed
 	slowWrite = time.Second            // age from which a write is closed when room is needed
 	logPause  = time.Second            // between two log lines of a gate
@@ -71,7 +77,7 @@
 		count   int
 		logged  time.Time // latest line about refused connections
 		refused int       // connections since then
-		known   sync.Once // Budget has this gate
+		known   sync.Once // Budget has this gate, and memory for its surplus
 	}
 )
 
@@ -82,7 +88,9 @@
 	return time.Now()
 }
 
-// Accept returns the next connection for which there is room.
+// Accept returns the next connection. If there is no room for it and it carries HTTP, it is in
+// surplus: its first request is not read, and answered with 503. A client whose connection is
+// reset cannot tell a process without room from one that is gone.
 func (g *Gate) Accept() (net.Conn, error) {
 	for {
 		conn, err := g.Listener.Accept()
@@ -97,14 +105,21 @@
 
 // admit returns the wrapped connection, or nil if it was closed because there is no room.
 func (g *Gate) admit(conn net.Conn) *Conn {
-	g.known.Do(func() { g.Budget.add(g) })
+	g.known.Do(func() {
+		g.Budget.add(g)
+		(&Account{Budget: g.Budget}).Charge(int64(g.mostSurplus()) * connCost) // for good
+	})
 	c := &Conn{Conn: conn, gate: g, account: &Account{Budget: g.Budget}}
 	if host, _, err := net.SplitHostPort(conn.RemoteAddr().String()); err == nil {
 		c.account.Holders = []string{host}
 	}
 	if g.Most > 0 && g.connections() >= g.Most && !g.closeOne() || !g.charge(c.account, g.cost()) {
-		g.refuse(conn)
-		return nil
+		g.countRefused()
+		if !g.addSurplus(c) {
+			abort(conn)
+			return nil
+		}
+		return c
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -132,10 +147,40 @@
 	return g.count
 }
 
-// refuse closes a connection for which there is no room.
-func (g *Gate) refuse(conn net.Conn) {
+// mostSurplus returns the largest number of connections in surplus.
+func (g *Gate) mostSurplus() int {
+	if g.Raw || g.Most == 0 {
+		return 0
+	}
+	return g.Most/surplusShare + 1
+}
+
+// addSurplus puts a connection into surplus, in place of the oldest one whose request has not
+// arrived if there are too many. It reports whether there was room.
+func (g *Gate) addSurplus(c *Conn) bool {
+	var oldest *Conn
+	g.mu.Lock()
+	waiting := &g.queues[surplus]
+	if waiting.Len()+g.queues[rejected].Len() >= g.mostSurplus() {
+		if waiting.Len() == 0 {
+			g.mu.Unlock()
+			return false
+		}
+		oldest = waiting.Front().Value.(*Conn)
+		g.moveLocked(oldest, closing)
+	}
+	c.surplus, c.state, c.since = true, surplus, g.now()
+	c.element = waiting.PushBack(c)
+	g.mu.Unlock()
+	if oldest != nil {
+		abort(oldest.Conn)
+	}
+	return true
+}
+
+// countRefused counts and logs a connection for which there is no room.
+func (g *Gate) countRefused() {
 	counters.Add("conns_refused", 1)
-	abort(conn)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.refused++
@@ -227,11 +272,16 @@
 	if c.element == nil {
 		return
 	}
+	if c.surplus && to != rejected && to != closing {
+		return // it carries no request
+	}
 	g.queues[c.state].Remove(c.element)
 	c.state, c.since, c.element = to, g.now(), nil
 	if to == closing {
-		g.count--
-		counters.Add("conns", -1)
+		if !c.surplus {
+			g.count--
+			counters.Add("conns", -1)
+		}
 		return
 	}
 	c.element = g.queues[to].PushBack(c)
--- a/connection/intake/intake_test.go
+++ b/connection/intake/intake_test.go
@@ -323,6 +323,66 @@
 	}
 }
 
+// Guards against clients that get no answer while all connections, or the whole budget, are in use,
+// and against a request of theirs that is served, or keeps a connection that is served from it.
+func TestConnectionsInSurplusAreAnswered(t *testing.T) {
+	const count, request = 2 * surplusShare, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+	for name, x := range map[string]struct {
+		most   int
+		budget int64
+	}{
+		"connections": {count, 0},
+		"budget":      {2 * count, count*(connCost+activeCost) + (2*count/surplusShare+1)*connCost},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, err := Listen("127.0.0.1:0", nil)
+			require.NoError(t, err)
+			g := &Gate{Listener: l, Budget: NewBudget(x.budget), Most: x.most, Limits: func() Limits { return Defaults }}
+			served, release := make(chan struct{}, 2*count), make(chan struct{})
+			server := g.Server(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+				served <- struct{}{}
+				<-release
+			}))
+			go func() { _ = server.Serve(g) }() // ends with the test
+			t.Cleanup(func() { _ = server.Close() })
+			open := func() net.Conn {
+				conn, err := net.Dial("tcp", l.Addr().String())
+				require.NoError(t, err)
+				t.Cleanup(func() { _ = conn.Close() })
+				return conn
+			}
+			// One beyond the surplus may be reset, and its client tries again.
+			awaitStatus := func(want int) {
+				require.Eventually(t, func() bool {
+					conn := open()
+					defer conn.Close()
+					status, _, err := exchange(conn, request)
+					return err == nil && status == want
+				}, time.Minute, time.Millisecond)
+			}
+			for range count {
+				_, err := io.WriteString(open(), request)
+				require.NoError(t, err)
+				<-served
+			}
+			for range 10 {
+				awaitStatus(http.StatusServiceUnavailable)
+			}
+			for range 10 * g.mostSurplus() {
+				open() // sends nothing
+			}
+			awaitStatus(http.StatusServiceUnavailable)
+			g.mu.Lock()
+			require.LessOrEqual(t, g.queues[surplus].Len()+g.queues[rejected].Len(), g.mostSurplus())
+			require.Equal(t, count, g.count)
+			g.mu.Unlock()
+			require.Empty(t, served)
+			close(release)
+			awaitStatus(http.StatusOK)
+		})
+	}
+}
+
 // Guards against names of trailers, of which net/http makes a map entry each, that are not charged,
 // however the head arrives, and against lists in other headers that are charged like them.
 func TestNamesOfTrailersAreCharged(t *testing.T) {
--- a/internal/hostile/hostile_test.go
+++ b/internal/hostile/hostile_test.go
@@ -1,9 +1,12 @@
 package hostile
 
 import (
+	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -11,8 +14,11 @@
 	"testing"
 	"time"
 
+	"github.com/sourcegraph/conc"
 	"github.com/stretchr/testify/require"
 
+	"github.com/eelgrassdock/eelgrassdock/connection/intake"
+	"github.com/eelgrassdock/eelgrassdock/internal/sleep"
 	"github.com/eelgrassdock/eelgrassdock/internal/system"
 	"github.com/eelgrassdock/eelgrassdock/platform/fake"
 	"github.com/eelgrassdock/eelgrassdock/platform/wire"
@@ -123,6 +129,63 @@
 	}
 }
 
+// Guards against ordinary callers who get no answer while requests of others hold all connections. A
+// few of them may be reset, but not for as long as a second.
+func TestFullProcessAnswers(t *testing.T) {
+	p, err := Serve(t.Context(), binaryPath, t.TempDir(), limits)
+	require.NoError(t, err)
+	defer p.Close()
+	require.NoError(t, p.AskUntilAnswered(t.Context()))
+	ctx, cancel := context.WithTimeout(t.Context(), 3*crowdTime)
+	defer cancel()
+	var crowd conc.WaitGroup
+	crowd.Go(func() {
+		Crowd(ctx, p.Addrs["callers"], intake.CallerConns(limits.Files)+few,
+			write(head("POST", fake.SafePrefix+"x", "b")+"Content-Length: 9\r\n\r\n"))
+	})
+	sleep.For(ctx, crowdTime) // until all connections are in use
+	refused, answered, longest := 0, time.Now(), time.Duration(0)
+	for n := 0; ctx.Err() == nil; n++ {
+		status, err := askOnce(p.Addrs["callers"], head("GET", fake.SafePrefix+"x", fmt.Sprint("ordinary", n))+"\r\n")
+		if err == nil {
+			longest, answered = max(longest, time.Since(answered)), time.Now()
+		}
+		if status == http.StatusServiceUnavailable {
+			refused++
+		}
+		sleep.For(ctx, reconnectTime)
+	}
+	longest = max(longest, time.Since(answered))
+	crowd.Wait()
+	peaks, err := p.Peaks()
+	require.NoError(t, err)
+	fmt.Printf("measured: %s: %d refused, %s without an answer at most, %d MB, %d descriptors\n", t.Name(), refused, longest, peaks.Memory>>10, peaks.Files)
+	require.Positive(t, refused, "the process was not full")
+	require.Less(t, longest, time.Second)
+	require.LessOrEqual(t, peaks.Memory, limits.Memory<<10, "KB of memory")
+	require.LessOrEqual(t, peaks.Files, limits.Files, "descriptors")
+}
+
+// askOnce sends a request on a new connection and returns the status of its answer.
+func askOnce(addr, text string) (status int, err error) {
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		return 0, err
+	}
+	defer conn.Close()
+	if err := conn.SetDeadline(time.Now().Add(answerTime)); err != nil {
+		return 0, err
+	}
+	if _, err := io.WriteString(conn, text); err != nil {
+		return 0, err
+	}
+	res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return 0, err
+	}
+	return res.StatusCode, res.Body.Close()
+}
+
 // Guards against the same at the listeners that are not for requests.
 func TestOtherListeners(t *testing.T) {
 	for listener, path := range map[string]string{
