--- a/version/routing/routing.go
+++ b/version/routing/routing.go
@@ -102,8 +102,8 @@
 		Routes   []Route
 		Services []Service
 		Accounts []Account
-		// Open means that callers need no key on any route. It says so by itself, because a
-		// list of accounts that has become empty withdraws all keys.
+		// Open means that callers need no key on any route. It does not follow from Accounts:
+		// an empty list withdraws all keys.
 		Open   bool
 		Limits Limits
 	}
