entry: the replica of a test answers once its entry is killed

TestRetryAfterKill was in KNOWN-RED.txt: once a call with an own key was answered, at load 15 to 36. The test kills the entry from a goroutine that begins when the replica runs the call, and the replica answered after 300 ms, whether the entry had been killed or not. That the goroutine began so late in the run that failed is not shown, as it left no trace of its times.

It is a fault of the test: nothing ordered the two. The replica now answers once the kill is done, so that the same assertions hold whatever the load. If no entry serves the call, the test fails as before.

--- a/process/entry/call_test.go
+++ b/process/entry/call_test.go
@@ -72,12 +72,14 @@
 		t.Run("key "+kind, func(t *testing.T) {
 			t.Parallel()
 			s := start(t, &system.System{Entries: 2, PlainReplicas: 1})
-			began := make(chan struct{}, 8)
+			began, killed := make(chan struct{}, 8), make(chan struct{})
 			plainReplicas(s)[0].Delay = func() time.Duration {
 				began <- struct{}{}
-				return 300 * time.Millisecond
+				<-killed // an answer before would end the call
+				return 0
 			}
 			go func() {
+				defer close(killed)
 				<-began
 				for _, n := range s.Nodes() {
 					if n.Entry.Active() > 0 {
