--- a/review/rig3/joined.go
+++ b/review/rig3/joined.go
@@ -21,7 +21,8 @@
 	garbleTimes  = 9
 	garbleServer = 2 // replicas of three, for a share of 0.6
 
-	callers   = 48                    // each on a kept channel
+	callers   = 48                    // that look up, each on a kept channel
+	bookers   = 96                    // the same, that book
 	callerGap = 50 * time.Millisecond // between an answer and the next request
 	workTime  = 10 * time.Millisecond // of a booking
 )
@@ -139,7 +140,7 @@
 	time.Sleep(5 * time.Second) // contact_ms
 	stop := make(chan struct{})
 	var clients sync.WaitGroup
-	for i := range callers {
+	for i := range bookers {
 		clients.Add(1)
 		go func() {
 			defer clients.Done()
