--- a/review/rig3/engine.go
+++ b/review/rig3/engine.go
@@ -121,7 +121,7 @@
 func (e *engine) generate(c net.Conn, in *bufio.Reader, q *http.Request) bool {
 	id, from := q.Header.Get(wire.HeaderRequest), q.Header.Get(wire.HeaderFrom)
 	refuse := func(status int) bool {
-		_, err := fmt.Fprintf(c, "HTTP/1.1 %d %s\r\nRequest-Id: %s\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", status, http.StatusText(status), id)
+		_, err := fmt.Fprintf(c, "HTTP/1.1 %d %s\r\n%s: %s\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", status, http.StatusText(status), wire.HeaderRequest, id, wire.HeaderNotRun)
 		return err == nil
 	}
 	if q.Header.Get(wire.HeaderExpect) != e.id {
@@ -139,7 +139,7 @@
 	e.set.spans = append(e.set.spans, run)
 	e.set.mu.Unlock()
 	e.r.record.note("%s runs %s after event %d, from memory %q", e.id, id, after, from)
-	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: %s\r\nContent-Type: text/event-stream\r\nWeight-Versions: 1\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n", id, sealOf(id, e.id))
+	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nContent-Type: text/event-stream\r\nWeight-Versions: 1\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n", wire.HeaderRequest, id, wire.HeaderSeal, sealOf(id, e.id))
 	closed := make(chan struct{})
 	go func() {
 		_, _ = in.Peek(1) // the client of a channel sends nothing before the answer
--- a/review/rig3/joined.go
+++ b/review/rig3/joined.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/eelgrassdock/eelgrassdock/platform/wire"
 )
 
 // Doses of garble (extra late) in the site file.
@@ -25,7 +27,7 @@
 )
 
 // shed is the answer with which a server sheds, as `fleetbench wire` shows it.
-const shed = "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n\r\n"
+const shed = "HTTP/1.1 503 Service Unavailable\r\n" + wire.HeaderNotRun + ": 1\r\n\r\n"
 
 func init() { cases["joined-head"] = joinedHead }
 
@@ -44,7 +46,7 @@
 func (b *bookings) serve(r *rig, id string, garbles bool) func(net.Conn, *bufio.Reader, *http.Request, []byte) bool {
 	var late sync.Map // bytes that are still to be sent, by channel
 	return func(c net.Conn, _ *bufio.Reader, q *http.Request, _ []byte) bool {
-		request := q.Header.Get("Request-Id")
+		request := q.Header.Get(wire.HeaderRequest)
 		b.mu.Lock()
 		b.ran[request]++
 		garble := garbles && b.garble && b.random.Float64() < garbleShare
@@ -56,8 +58,8 @@
 		}
 		time.Sleep(workTime)
 		body := "booked " + request
-		_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: %s\r\nContent-Length: %d\r\nKeep-Alive: timeout=5\r\n\r\n%s",
-			request, sealOf(request, id), len(body), body)
+		_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nContent-Length: %d\r\nKeep-Alive: timeout=5\r\n\r\n%s",
+			wire.HeaderRequest, request, wire.HeaderSeal, sealOf(request, id), len(body), body)
 		if garble {
 			b.mu.Lock()
 			b.cuts++
@@ -91,8 +93,8 @@
 		}
 		id, body := fmt.Sprintf("%s-%05d", name, i), "two tandems"
 		_ = c.SetDeadline(time.Now().Add(4 * time.Second))
-		_, _ = fmt.Fprintf(c, "POST /book/x HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: 3000\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s",
-			host, id, apiKey, len(body), body)
+		_, _ = fmt.Fprintf(c, "POST /book/x HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: 3000\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s",
+			host, wire.HeaderRequest, id, wire.HeaderDeadline, apiKey, len(body), body)
 		res, err := http.ReadResponse(in, nil)
 		if err != nil {
 			r.record.note("client %s: %v", id, err)
--- a/review/rig3/success.go
+++ b/review/rig3/success.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/eelgrassdock/eelgrassdock/platform/wire"
 )
 
 const failShare = 0.14 // of the requests that a replica answers with 500, as in the site file
@@ -29,7 +31,7 @@
 func (b *lookups) serve(r *rig, id string, garbles bool) func(net.Conn, *bufio.Reader, *http.Request, []byte) bool {
 	var late sync.Map
 	return func(c net.Conn, _ *bufio.Reader, q *http.Request, _ []byte) bool {
-		request := q.Header.Get("Request-Id")
+		request := q.Header.Get(wire.HeaderRequest)
 		b.mu.Lock()
 		status := http.StatusOK
 		if b.random.Float64() < failShare {
@@ -45,8 +47,8 @@
 		}
 		time.Sleep(workTime)
 		body := http.StatusText(status) + " " + request
-		answer := fmt.Sprintf("HTTP/1.1 %d %s\r\nDate: %s\r\nServer: desk\r\nRequest-Id: %s\r\nResponse-Seal: %s\r\nContent-Length: %d\r\n\r\n%s", status,
-			http.StatusText(status), time.Now().UTC().Format(http.TimeFormat), request, sealOf(request, id), len(body), body)
+		answer := fmt.Sprintf("HTTP/1.1 %d %s\r\nDate: %s\r\nServer: desk\r\n%s: %s\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", status,
+			http.StatusText(status), time.Now().UTC().Format(http.TimeFormat), wire.HeaderRequest, request, wire.HeaderSeal, sealOf(request, id), len(body), body)
 		_, err := io.WriteString(c, answer)
 		if garble {
 			b.mu.Lock()
@@ -94,11 +96,11 @@
 		}
 		id := fmt.Sprintf("%s-%05d", name, i)
 		_ = c.SetDeadline(time.Now().Add(4 * time.Second))
-		_, _ = fmt.Fprintf(c, "GET /rack/x HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: 3000\r\nAuthorization: Bearer %s\r\n\r\n", host, id, apiKey)
+		_, _ = fmt.Fprintf(c, "GET /rack/x HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: 3000\r\nAuthorization: Bearer %s\r\n\r\n", host, wire.HeaderRequest, id, wire.HeaderDeadline, apiKey)
 		res, err := http.ReadResponse(in, nil)
 		if err == nil {
 			_, err = io.ReadAll(res.Body)
-			b.check(r, id, res.StatusCode, res.Header.Get("Response-Seal"))
+			b.check(r, id, res.StatusCode, res.Header.Get(wire.HeaderSeal))
 		}
 		if err != nil || res.Close {
 			_ = c.Close()
--- a/review/rig3/twice.go
+++ b/review/rig3/twice.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/eelgrassdock/eelgrassdock/platform/wire"
 )
 
 func init() { cases["closed-listener"] = closedListener }
@@ -23,8 +25,9 @@
 	_ = c.SetDeadline(time.Now().Add(40 * time.Second))
 	body := "prompt"
 	r.record.note("client sends %s to %s", id, n.name)
-	_, err = fmt.Fprintf(c, "POST /guide/x HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: 39000\r\nAuthorization: Bearer %s\r\n"+
-		"Model-Name: m\r\nToken-Count: 1000,600\r\nPrompt-Prefix: 5c1e07a2:80,%s:920\r\nContent-Length: %d\r\n\r\n%s", host, id, apiKey, id, len(body), body)
+	_, err = fmt.Fprintf(c, "POST /guide/x HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: 39000\r\nAuthorization: Bearer %s\r\n"+
+		"Model-Name: m\r\n%s: 1000,600\r\n%s: 5c1e07a2:80,%s:920\r\nContent-Length: %d\r\n\r\n%s", host, wire.HeaderRequest, id,
+		wire.HeaderDeadline, apiKey, wire.HeaderTokens, wire.HeaderParts, id, len(body), body)
 	if err != nil {
 		r.record.note("client %s: %v", id, err)
 		return
