gateway: a refused connection ends no attempt whose own connection is open

Callers saw whole streams, or, where there was no copy and no resumption, streams that were cut. An engine that leaves, accepts no further connections and finishes its streams was left by its requests once a stream paused for a second: they went on at another engine from the copy, and the first engine worked on them for 8.5 to 8.9 s more.

Cause: silenceWatch.evidence took one refused connection as proof that the engine's process had ended. It shows only that no process accepts connections at the address. The attempt was then marked as lost, so that no order to stop was sent either. Ruled out: the word "leaving" in the row (the same with the row removed), the copy (the same with a stream that is sent anew), the length of the pause (the same with 2.5 and 5 s).

Change: a refused connection ends no attempt. As the host of the engine is up then, the kernel there resets the attempt's connection if the process has ended. So that this is known as early as before, the first keep-alive probe is sent after one second of silence instead of two; a connection without any acknowledgement still ends after 4 s. The error of the latest probe is kept with an unreachable engine, as a cold one is not probed each time.

--- a/connection/channel/channel.go
+++ b/connection/channel/channel.go
@@ -29,9 +29,9 @@
 	shardCount         = 8
 	maxIdlePerAddr     = 32               // idle connections that are kept to one address
 	defaultIdleTimeout = 4 * time.Second  // assumed for an endpoint that does not state its idle timeout
-	probeIdle          = 2 * time.Second  // silence after which the kernel sends keep-alive probes
+	probeIdle          = time.Second      // silence after which the kernel sends keep-alive probes; a host that has restarted resets the connection then
 	probeEvery         = time.Second      // interval of the probes
-	probeCount         = 2                // unanswered probes after which the connection is closed
+	probeCount         = 3                // unanswered probes after which the connection is closed
 	readBufferBytes    = 4 << 10          // read buffer of a connection
 	writeTimeout       = 10 * time.Second // for sending a request
 	maxHeadBytes       = 64 << 10         // header of an answer, together with the interim answers before it
--- a/connection/channel/channel_test.go
+++ b/connection/channel/channel_test.go
@@ -9,9 +9,11 @@
 	"net/http"
 	"net/url"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/eelgrassdock/eelgrassdock/internal/statuscode"
@@ -253,3 +255,28 @@
 	_, err = (&Pool{}).Get(ctx, addr, time.Now())
 	require.ErrorContains(t, err, "connect to "+addr)
 }
+
+// Guards against a request that stays on a connection whose other end is gone: a host that has
+// restarted resets it within a second of silence, and one that does not respond is given up
+// within 4 s.
+func TestKernelProbesSilentConnections(t *testing.T) {
+	var p Pool
+	c, err := p.Get(t.Context(), serve(t, func(net.Conn, int, *http.Request) bool { return true }), time.Now())
+	require.NoError(t, err)
+	defer c.Close()
+	raw, err := c.conn.(*net.TCPConn).SyscallConn()
+	require.NoError(t, err)
+	option := map[int]int{}
+	require.NoError(t, raw.Control(func(fd uintptr) {
+		for _, name := range []int{syscall.TCP_KEEPIDLE, syscall.TCP_KEEPINTVL, syscall.TCP_KEEPCNT} {
+			value, err := syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, name)
+			assert.NoError(t, err)
+			option[name] = value
+		}
+		value, err := syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_KEEPALIVE)
+		assert.NoError(t, err)
+		assert.NotZero(t, value, "keep-alive probes")
+	}))
+	require.LessOrEqual(t, option[syscall.TCP_KEEPIDLE], 1, "seconds")
+	require.LessOrEqual(t, option[syscall.TCP_KEEPIDLE]+option[syscall.TCP_KEEPCNT]*option[syscall.TCP_KEEPINTVL], 4, "seconds")
+}
--- a/process/gateway/cold.go
+++ b/process/gateway/cold.go
@@ -33,9 +33,6 @@
 // many as the roster remembers. Rows may name any number.
 const maxColdPending = 8192
 
-// errDown is the error of a probe that is not sent, as the engine did not answer the latest one.
-var errDown = errors.New("the engine does not answer and may send no further probe now")
-
 type (
 	// coldRegister holds what was learned of cold endpoints before the first routing table.
 	coldRegister struct {
@@ -253,12 +250,14 @@
 	}
 }
 
-// probeKnown probes an engine. If it is cold and may not be probed now, the latest probe
-// counts.
+// probeKnown probes an engine. If it is cold and may not be probed now, it returns the error of
+// the latest probe that was not answered.
 func (p *enginePool) probeKnown(ctx context.Context, e roster.Endpoint) error {
 	err := p.probe(ctx, e)
-	if errors.Is(err, errLimited) && p.isDown(e.ID) && p.g.limits.IsCold(e.ID, time.Now()) {
-		return errors.Mark(errDown, ErrUnreachable)
+	if errors.Is(err, errLimited) && p.g.limits.IsCold(e.ID, time.Now()) {
+		if latest := p.probeError(e.ID); latest != nil {
+			return latest
+		}
 	}
 	return err
 }
--- a/process/gateway/enginepool.go
+++ b/process/gateway/enginepool.go
@@ -46,8 +46,8 @@
 	failures map[string]int           // failures in a row, by engine
 	checking map[string]bool          // engines that are being probed
 	avoided  map[string]bool          // engines among them that did not answer a request
-	down     map[string]bool          // engines among them that do not answer
-	gone     map[string]bool          // engines among them whose process has ended or counts as lost
+	down     map[string]error         // engines among them that do not answer, with the error of the latest probe
+	gone     map[string]bool          // engines among them that refuse connections or count as lost
 	reported map[string]bool          // engines among them that another instance does not reach
 	back     map[string]chan struct{} // closed when another instance gets an answer, by engine
 }
@@ -58,7 +58,7 @@
 	}
 	d := &enginePool{
 		g: g, service: service, failures: map[string]int{},
-		checking: map[string]bool{}, avoided: map[string]bool{}, down: map[string]bool{}, gone: map[string]bool{},
+		checking: map[string]bool{}, avoided: map[string]bool{}, down: map[string]error{}, gone: map[string]bool{},
 		reported: map[string]bool{}, back: map[string]chan struct{}{},
 	}
 	d.sched = &placement.Scheduler{
--- a/process/gateway/gateway.go
+++ b/process/gateway/gateway.go
@@ -149,7 +149,10 @@
 	Backend struct {
 		// Send sends a call and reads the status and headers of its answer. The
 		// context must end no later than the deadline of the call. An error is a
-		// *refusal.Error.
+		// *refusal.Error. Send and the body of its answer must fail within seconds
+		// after the endpoint's process has ended, also if its host did not close the
+		// connection then, as with TCP keep-alive probes: nothing else ends a call to
+		// an endpoint that refuses connections.
 		Send func(ctx context.Context, c Call) (*Answer, error)
 		// The control calls Report, Move and Free return the signals of an answer
 		// also if that is an error.
--- a/process/gateway/health.go
+++ b/process/gateway/health.go
@@ -25,7 +25,8 @@
 var ErrUnreachable = errors.New("no connection to the endpoint")
 
 // ErrRefused marks the error of a Backend function if the host of the endpoint
-// refused a connection.
+// refused a connection. The endpoint's process may still run and use the connections that
+// it has: one that leaves may close its listener first.
 var ErrRefused = errors.New("no process listens at the endpoint's address")
 
 // startCheck starts probing an engine that failed or is silent, or that another
@@ -45,7 +46,7 @@
 		begun := time.Now()
 		reachable := p.awaitReachable(id, notify)
 		p.mu.Lock()
-		down, gone, avoided := p.down[id], p.gone[id], p.avoided[id]
+		down, gone, avoided := p.down[id] != nil, p.gone[id], p.avoided[id]
 		delete(p.avoided, id)
 		delete(p.down, id)
 		delete(p.gone, id)
@@ -112,8 +113,8 @@
 // have a copy there while their own engine is leaving or gone.
 func (p *enginePool) markUnreachable(e roster.Endpoint, err error, notify bool) {
 	p.mu.Lock()
-	known := p.down[e.ID]
-	p.down[e.ID] = true
+	known := p.down[e.ID] != nil
+	p.down[e.ID] = err
 	p.mu.Unlock()
 	if known {
 		return
@@ -127,8 +128,9 @@
 	}
 }
 
-// markGone records that the process of an engine has ended, as far as can be seen:
-// requests do not wait for the engine, and the copies held there are replaced.
+// markGone records that an engine refuses connections or counts as lost: requests do not
+// wait for the engine, and the copies held there, which a run can use over a new connection
+// only, are replaced. The runs there stay until their own connections end.
 func (p *enginePool) markGone(e roster.Endpoint, err error) {
 	p.mu.Lock()
 	known := p.gone[e.ID]
@@ -140,7 +142,7 @@
 	_, copies := p.g.runs.runsAt(e.ID)
 	p.g.Log.WithError(err).WithFields(logrus.Fields{
 		"event": "endpoint_gone", "endpoint": e.ID, "copies": len(copies), "refused": errors.Is(err, ErrRefused),
-	}).Warn("endpoint has ended or is silent for as long as one that has")
+	}).Warn("endpoint refuses connections, or is silent for as long as one that has ended")
 	p.g.refreshEnginePool(p.service)
 	p.g.protectAll(p.g.dropCopiesAt(copies, e.ID))
 }
@@ -209,7 +211,11 @@
 }
 
 // isDown reports whether an engine is known to be unreachable.
-func (p *enginePool) isDown(id string) bool {
+func (p *enginePool) isDown(id string) bool { return p.probeError(id) != nil }
+
+// probeError returns the error of the latest probe of an engine that is known to be
+// unreachable, nil for other engines.
+func (p *enginePool) probeError(id string) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.down[id]
--- a/process/gateway/silence.go
+++ b/process/gateway/silence.go
@@ -37,10 +37,13 @@
 // silenceWatch probes the engine of an attempt that has sent nothing for some time.
 //
 // Silence alone ends no attempt: an engine that is silent may be sound and go on.
-// The attempt ends if the engine's process has ended: its host refuses
-// connections, or the list has dropped it or shows a later start. An attempt that can
-// go on elsewhere also ends if the engine has been silent for lossTime. Only the time
-// counts in which this process ran: in a stall it reads nothing.
+// The attempt ends if the engine's process has ended: the list has dropped it or shows a
+// later start. An attempt that can go on elsewhere also ends if the engine has been silent
+// for lossTime. Only the time counts in which this process ran: in a stall it reads nothing.
+//
+// A refused connection shows only that no process accepts connections there: an engine that
+// leaves may close its listener and finish its streams. As its host answers, the attempt's
+// own connection tells whether the process has ended: the host's kernel then resets it.
 type silenceWatch struct {
 	r        *run
 	endpoint roster.Endpoint
@@ -129,6 +132,10 @@
 			w.logSilence(err, since)
 			w.r.enginePool.avoid(w.endpoint.ID)
 		}
+		pause := silencePause
+		if errors.Is(err, ErrRefused) {
+			since, pause = time.Now(), silenceTimeout // the host is not silent
+		}
 		if cause := w.evidence(ctx, err, since); cause != nil && w.lastEvent().Equal(last) {
 			w.r.g.logDecision(w.r.j, "engine_lost", logrus.Fields{
 				"endpoint": w.endpoint.ID, "silent": w.r.g.Stalls.RanSince(since).Milliseconds(), "detail": cause.Error(),
@@ -136,7 +143,7 @@
 			w.cancel(cause)
 			return
 		}
-		if !sleep.For(ctx, silencePause) {
+		if !sleep.For(ctx, pause) {
 			return
 		}
 	}
@@ -148,7 +155,7 @@
 	silent := w.r.g.Stalls.RanSince(since)
 	now, listed := w.r.g.Roster.Get(w.endpoint.ID)
 	switch {
-	case errors.Is(err, ErrRefused), listed && now.Born > w.endpoint.Born:
+	case listed && now.Born > w.endpoint.Born:
 		return errGone
 	case w.listed && !listed && silent >= minLossTime: // an engine that leaves is dropped while it still works
 		return errGone
