entry: a stalled stream stays on its connection while its engine refuses new ones

Callers of the entry lost a generation (generation_lost, "engine is gone"), or had it begun anew at another engine while the first one worked on it, when their engine had closed its listener and paused for longer than the stall time (10 s).

After the stall time pump closed its open connection before it knew whether the engine accepts another one, and reconnect took the refused connection for the end of the process.

Change: pump asks for a second connection first. If the engine refuses it, the open one is kept and the question comes again after the stall time. Connections to endpoints send keep-alive probes each 5 s instead of 15 s, so that the host of a process that has ended resets a silent connection before it counts as stalled.

--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -53,6 +53,7 @@
 	defaultStart = 30 * time.Second  // longest wait for the configuration at the start
 	idleConn     = 120 * time.Second // idle connections to endpoints are closed after this
 	dialTimeout  = 2 * time.Second   // time to connect to an endpoint, after which the attempt fails
+	keepAlive    = 5 * time.Second   // interval of TCP keep-alive probes; a host that has restarted resets a silent connection after it
 	maxHeader    = 64 << 10          // bytes of the header of an endpoint's answer, with interim answers
 )
 
@@ -152,7 +153,7 @@
 	e.Platform = (&platform.Budget{Base: e.untilKilled(e.Platform), Now: e.Now}).Platform()
 	dial := e.Dial
 	if dial == nil {
-		d := &net.Dialer{Timeout: dialTimeout}
+		d := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}
 		dial = d.DialContext
 	}
 	transport := &http.Transport{
--- a/process/entry/job.go
+++ b/process/entry/job.go
@@ -7,6 +7,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -25,7 +26,7 @@
 const (
 	tokenLife     = time.Hour              // resume tokens expire this long after the request's deadline
 	hangupGrace   = 5 * time.Second        // time to resume after a hang-up, before the generation is cancelled
-	defaultStall  = 10 * time.Second       // a stream without a token for this long is read over a new connection
+	defaultStall  = 10 * time.Second       // a stream without a token for this long is read over a new connection, if the engine accepts one
 	maxEmptyConns = 6                      // consecutive connections that an engine may close without a token
 	reconnectTime = 8 * time.Second        // how long reconnecting to an engine is attempted
 	refusedTime   = time.Second            // how long it is attempted if the engine's address refuses connections
@@ -283,7 +284,7 @@
 func (j *job) relay(ctx context.Context, conn *engine.Conn, reader *engine.Reader, s *slot) error {
 	for emptyConns := 0; ; emptyConns++ {
 		begun, before := j.e.now(), j.lastToken
-		err := j.pump(ctx, reader, s)
+		err := j.pump(ctx, conn, reader, s)
 		last := reader.Last()
 		_ = reader.Close()
 		if err == nil || ctx.Err() != nil || j.e.isExpired() || refusal.From(err).Reason != refusal.Broken {
@@ -303,10 +304,24 @@
 }
 
 // pump forwards tokens from one connection until the generation ends, the
-// connection fails, or no token is received for the stall time.
-func (j *job) pump(ctx context.Context, reader *engine.Reader, s *slot) error {
+// connection fails, or no token is received for the stall time. A stalled connection
+// to an engine that refuses new ones is kept: the engine may be leaving and finish its
+// streams, and a connection to a process that has ended is reset by its host.
+func (j *job) pump(ctx context.Context, conn *engine.Conn, reader *engine.Reader, s *slot) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	stall := j.e.stall()
-	watch := time.AfterFunc(stall+timerInterval, func() { _ = reader.Close() })
+	var passed atomic.Int64 // last token that the caller has
+	passed.Store(int64(j.lastToken))
+	var watch *time.Timer
+	watch = time.AfterFunc(time.Hour, func() {
+		if j.isRefused(ctx, conn, int(passed.Load())) {
+			watch.Reset(stall)
+			return
+		}
+		_ = reader.Close()
+	})
+	watch.Reset(stall + timerInterval) // the function uses watch, so it may run only after the assignment
 	defer watch.Stop()
 	armed := time.Now()
 	stop := context.AfterFunc(ctx, func() { _ = reader.Close() })
@@ -337,12 +352,26 @@
 			j.e.violation("token order", fmt.Sprintf("token %d delivered after token %d of %s", f.N, j.lastToken, j.generation))
 		}
 		j.lastToken = f.N
+		passed.Store(int64(f.N))
 		if s != nil {
 			s.progress(f.N)
 		}
 	}
 }
 
+// isRefused reports whether the engine refuses a further connection that reads the
+// generation after token n.
+func (j *job) isRefused(ctx context.Context, conn *engine.Conn, n int) bool {
+	ctx, cancel := j.e.Stalls.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	reader, err := conn.Resume(ctx, j.generation, j.resumeToken.Boot, n)
+	if err != nil {
+		return isConnRefused(err)
+	}
+	_ = reader.Close()
+	return false
+}
+
 // finish handles the last frame of a generation.
 func (j *job) finish(f stream.Frame) error {
 	if f.Error != "" {
