gateway: an engine that was left as silent is ordered to stop when it answers again

Callers saw whole streams. An engine that was silent for as long as one that has ended (4 s), and went on later, worked on requests that had gone on elsewhere, beside the second engine: stopRun sent no order for an attempt that was marked as lost.

Change: the order is sent behind the request. It goes out at once, as a process that is only stopped reads it from its connection when it goes on, and again while the list shows the engine, until it is answered, the list shows another start, or the deadline of the request has passed. The end of its time limit is now told apart from an answer without the run.

TestHungEngineIsStopped fails before the change in both cases (still listed; dropped and listed again) and passes 30 of 30 times after it, with the race detector. TestNoOrderWithoutARun asked that no order is sent to a silent engine. An engine that can't be reached gets none now by the scripted network, and the case is replaced by one in which the engine has started again. That the stream does not wait for the order is asked for in TestHungEngineIsStopped.

--- a/process/gateway/stoprun.go
+++ b/process/gateway/stoprun.go
@@ -49,15 +49,17 @@
 // hold the request up. One that is reached and does not confirm the order does, for
 // stopRunLimit at most. An engine that has closed the connection itself has mostly ended,
 // so the request goes on beside the order, which takes far less time than two engines may
-// work on a request.
+// work on a request. One that is silent gets the order when it answers again.
 func (r *run) stopRun(ctx context.Context, a, next *attempt) {
-	if !r.engine.Moves || r.current.lost {
+	if !r.engine.Moves {
 		return
 	}
-	if r.current.closed {
-		// A copy that is in use is not added to.
-		to := r.g.anyOther(r.j, a.endpoint, next.endpoint)
-		r.g.spawn(func() { r.stopBehind(a, to) })
+	switch used := next.endpoint; { // a copy that is in use is not added to
+	case r.current.lost:
+		r.g.spawn(func() { r.stopLost(a, used) })
+		return
+	case r.current.closed:
+		r.g.spawn(func() { _ = r.stopBehind(r.g.base, a, used) })
 		return
 	}
 	r.setMoving()
@@ -67,13 +69,50 @@
 	}
 }
 
-// stopBehind stops the run of an attempt that the request has left, and frees the copy of
-// its memory that comes with the order.
-func (r *run) stopBehind(a *attempt, to roster.Endpoint) {
-	moved, err := r.repeatStop(r.g.base, a, to, func() bool { return false })
+// stopBehind stops the run of an attempt that the request has left for an engine, and frees
+// the copy of its memory that comes with the order. The error, which is logged, is that of the
+// latest order.
+func (r *run) stopBehind(ctx context.Context, a *attempt, used roster.Endpoint) error {
+	moved, err := r.repeatStop(ctx, a, r.g.anyOther(r.j, a.endpoint, used), func() bool { return false })
 	if isStopped(moved, err) {
 		r.g.freeCopy(a.endpoint, moved.Handle)
 	}
+	return err
+}
+
+// stopLost is stopBehind for an attempt at a silent engine. The order is repeated until the
+// engine answers it, has started again, or must have ended the run because the deadline has
+// passed. While the list does not show the engine, no order is sent again: a process that goes
+// on writes its row first.
+func (r *run) stopLost(a *attempt, used roster.Endpoint) {
+	ctx, cancel := context.WithDeadline(r.g.base, r.j.deadline)
+	defer cancel()
+	for {
+		if now, listed := r.g.Roster.Get(a.endpoint.ID); listed && now.Born != a.endpoint.Born {
+			return
+		}
+		if err := r.stopBehind(ctx, a, used); !isSilence(err) && !errors.Is(err, errLimited) {
+			return
+		}
+		if !sleep.For(ctx, silencePause) || !r.g.awaitListed(ctx, a.endpoint) {
+			return
+		}
+	}
+}
+
+// awaitListed waits until the list shows an endpoint. It reports false if ctx ends first.
+func (g *Gateway) awaitListed(ctx context.Context, e roster.Endpoint) bool {
+	for {
+		changed := g.Roster.Watch(e.Service)
+		if _, listed := g.Roster.Get(e.ID); listed {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return false
+		}
+	}
 }
 
 // anyOther returns an endpoint that a request may use, that is open and is neither of two,
@@ -104,6 +143,9 @@
 			break
 		}
 	}
+	if err != nil && ctx.Err() != nil {
+		err = errors.CombineErrors(ctx.Err(), err) // the end of ctx closes the connection
+	}
 	switch {
 	case isStopped(moved, err):
 		counters.Add("runs_stopped", 1)
