channel, platform: a head with two status lines is no answer

Cause: a head that could be parsed and bore the ID of the request was taken to be genuine as a whole.

Change: channel.Receive fails if the bytes of a head hold a second status line. The parsed header does not show all of them: net/http drops a Connection or Content-Length field beside others. The attempt has failed then, its outcome is unknown and the connection is closed.

--- a/connection/channel/channel.go
+++ b/connection/channel/channel.go
@@ -10,6 +10,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"math"
@@ -22,6 +23,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
+	"github.com/eelgrassdock/eelgrassdock/internal/header"
 	"github.com/eelgrassdock/eelgrassdock/internal/statuscode"
 )
 
@@ -68,6 +70,7 @@
 		conn     net.Conn
 		limited  *limitedReader // of conn
 		reader   *bufio.Reader  // of limited
+		head     bytes.Buffer   // the latest head as received
 		expires  time.Time      // not reused from then on, because the endpoint may close it
 		lastUsed time.Time      // when the latest answer ended
 	}
@@ -242,8 +245,9 @@
 // Receive reads the header of the next answer, which is parsed as an answer to r,
 // and skips interim ones: 1xx except 101. The body must be read from the result;
 // Limit limits its length. The error wraps ErrSize if the header, or the interim
-// answers before it, do not end within maxHeadBytes, and statuscode.ErrInvalid for a
-// status that no answer can have. After an error the connection must be closed: what
+// answers before it, do not end within maxHeadBytes, statuscode.ErrInvalid for a
+// status that no answer can have, and header.ErrJoined for a header that begins with a part
+// of another one. After an error the connection must be closed: what
 // follows on it may not be an answer.
 func (c *Channel) Receive(r *http.Request, deadline time.Time) (*http.Response, error) {
 	if err := c.conn.SetReadDeadline(deadline); err != nil {
@@ -251,7 +255,7 @@
 	}
 	c.limited.left = maxHeadBytes
 	for {
-		res, err := http.ReadResponse(c.reader, r)
+		res, err := c.readHead(r)
 		if err != nil {
 			return nil, fmt.Errorf("read answer of %s: %w", c.Addr, err)
 		}
@@ -266,6 +270,28 @@
 	}
 }
 
+// readHead reads the header of an answer, of which it does not read the body. The parsed header
+// would not do for the check: net/http drops some of its fields.
+func (c *Channel) readHead(r *http.Request) (*http.Response, error) {
+	c.head.Reset()
+	received, _ := c.reader.Peek(c.reader.Buffered())
+	c.head.Write(received)
+	c.limited.copyTo = &c.head
+	res, err := http.ReadResponse(c.reader, r)
+	c.limited.copyTo = nil
+	if err != nil {
+		return nil, err
+	}
+	head := c.head.Bytes()
+	if err := header.CheckJoined(head[:len(head)-c.reader.Buffered()]); err != nil {
+		return nil, err
+	}
+	if c.head.Cap() > 2*readBufferBytes {
+		c.head = bytes.Buffer{} // the next head is mostly shorter
+	}
+	return res, nil
+}
+
 // Limit makes reading the current answer fail with ErrSize after n further bytes
 // of the connection, which include those that frame chunks. The limit ends with
 // the answer.
@@ -281,10 +307,12 @@
 		n    int
 	}
 
-	// limitedReader reads up to left bytes from conn and then fails with ErrSize.
+	// limitedReader reads up to left bytes from conn and then fails with ErrSize. It adds
+	// what it reads to copyTo, which may be nil.
 	limitedReader struct {
-		conn net.Conn
-		left int64
+		conn   net.Conn
+		left   int64
+		copyTo *bytes.Buffer
 	}
 )
 
@@ -300,5 +328,8 @@
 	}
 	n, err := r.conn.Read(p[:min(int64(len(p)), r.left)])
 	r.left -= int64(n)
+	if r.copyTo != nil {
+		r.copyTo.Write(p[:n])
+	}
 	return n, err
 }
--- a/connection/channel/channel_test.go
+++ b/connection/channel/channel_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/eelgrassdock/eelgrassdock/internal/header"
 	"github.com/eelgrassdock/eelgrassdock/internal/statuscode"
 )
 
@@ -256,6 +257,42 @@
 	require.ErrorContains(t, err, "connect to "+addr)
 }
 
+// Guards against a part of an answer that is read as one head with the answer after it, also in
+// a head that is longer than the read buffer, and against whole answers that are rejected
+// because they arrive together.
+func TestJoinedAnswers(t *testing.T) {
+	long := "X-Long: " + strings.Repeat("x", 3*readBufferBytes)
+	for name, x := range map[string]struct {
+		before string
+		joined bool
+	}{
+		"nothing":            {"", false},
+		"a whole answer":     {"HTTP/1.1 103 Early Hints\r\n" + long + "\r\n\r\n", false},
+		"part of a status":   {"HTTP/1.1 503 Serv", true},
+		"part of a header":   {"HTTP/1.1 503 Service Unavailable\r\nDate: Mon", true},
+		"part of a long one": {"HTTP/1.1 503 Service Unavailable\r\n" + long, true},
+		"dropped field":      {"HTTP/1.1 503 Service Unavailable\r\nConnection: ", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr := serve(t, func(conn net.Conn, _ int, _ *http.Request) bool {
+				_, err := io.WriteString(conn, x.before+"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 4\r\n\r\nbody")
+				return err == nil
+			})
+			var p Pool
+			c, err := p.Get(t.Context(), addr, time.Now())
+			require.NoError(t, err)
+			defer c.Close()
+			body, err := do(t, c, "/")
+			if x.joined {
+				require.ErrorIs(t, err, header.ErrJoined)
+				return
+			}
+			require.NoError(t, err)
+			require.Equal(t, "body", body)
+		})
+	}
+}
+
 // Guards against a request that stays on a connection whose other end is gone: a host that has
 // restarted resets it within a second of silence, and one that does not respond is given up
 // within 4 s.
