mirror: a poll of the store waits 1.5 s instead of 3 s

It needs one region that is left, or regions whose readers are all cut off.

Cause: the instance that polls the store for its region takes 3.7 s to notice a silent connection, and confirms its tables to the others until then. The datagrams that name later rows help only where another instance has these.

Change: a poll waits 1.5 s, which is the zero value of mirror.Table.Wait now. A pause after a change, the poll, its margin and the call of the next instance add up to less than 3 s. The price is one more poll in 1.5 s for each region and table, 4 calls a second in place of 2 with three regions and two tables, however many instances there are.

The scripted regions of the gateway's tests had a wait of their own, which was that of the product, and use the product's now.

--- a/process/gateway/behind_test.go
+++ b/process/gateway/behind_test.go
@@ -12,19 +12,25 @@
 	"github.com/eelgrassdock/eelgrassdock/process/member"
 )
 
-const noticeTime = 2500 * time.Millisecond // of the 3.0 s that the users allow for a leaving endpoint
+const (
+	noticeTime = 2500 * time.Millisecond // of the 3.0 s that the users allow for a leaving endpoint
+	applyTime  = 3 * time.Second         // the users' bound from the ack of a change until it is in force
+)
 
 // newRegions starts 66 instances in three regions, with links as at the users' deployments
 // and a table of one small row.
-func newRegions(t *testing.T) *region {
+func newRegions(t *testing.T) *region { return startRegions(t, 66, 3) }
+
+// startRegions is newRegions with other numbers of instances and regions.
+func startRegions(t *testing.T, instances, regions int) *region {
 	r := &region{t: t, changed: make(chan struct{}), random: rand.New(rand.NewPCG(3, 3)), version: 10, content: []byte(`{"version":1}`)}
-	for n := range 66 {
+	for n := range instances {
 		rate := slowLink
 		if n%5 == 0 {
 			rate = fastLink
 		}
 		i := r.add(instanceID(fmt.Sprintf("i%02d", n), "x", float64(rate)), rate)
-		i.begun, i.Settings.Region = time.Now(), fmt.Sprint("r", n%3)
+		i.begun, i.Settings.Region = time.Now(), fmt.Sprint("r", n%regions)
 	}
 	for _, i := range r.instances {
 		i.start()
@@ -107,6 +113,38 @@
 	}
 }
 
+// Guards against a change that is in force late, because the instances that poll the store for
+// the regions that are left are cut off from it without an error and tell the others that
+// nothing has changed: no other region has a later row then.
+func TestChangePassesAllReadersThatAreCutOff(t *testing.T) {
+	for _, x := range []struct{ instances, regions int }{{2, 1}, {22, 1}, {4, 2}} {
+		// The phase of the poll decides, and the pause of the readers after a change.
+		for after := time.Duration(0); after <= 3*time.Second; after += 300 * time.Millisecond {
+			t.Run(fmt.Sprintf("%d instances, %d regions, after %v", x.instances, x.regions, after), func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(t *testing.T) {
+					r := startRegions(t, x.instances, x.regions)
+					r.probe()
+					r.put([]byte(`{"version":2}`))
+					time.Sleep(after)
+					cut := map[*host]bool{}
+					for n := range x.regions {
+						cut[r.reader(fmt.Sprint("r", n)).host] = true
+					}
+					r.cut(func(h *host) bool { return cut[h] })
+					r.put([]byte(`{"version":3}`))
+					time.Sleep(applyTime)
+					for _, i := range r.list() {
+						if !cut[i.host] {
+							require.EqualValues(t, 3, i.Tables.Version(), i.id)
+						}
+					}
+				})
+			})
+		}
+	}
+}
+
 // Guards against calls to the store that the instances make because they believe to be
 // behind while nothing fails.
 func TestNobodyIsBehindInSteadyState(t *testing.T) {
--- a/process/gateway/poll_test.go
+++ b/process/gateway/poll_test.go
@@ -121,7 +121,7 @@
 		r.mu.Lock()
 		r.away = true
 		r.mu.Unlock()
-		time.Sleep(storeWait + feedMaxAge)
+		time.Sleep(settingTime + feedMaxAge)
 		for _, i := range list {
 			c, _ := i.feeds["t"].changes(0, 10, false)
 			require.False(t, c.Follows, "%s at an age of %v", i.id, c.Age)
--- a/process/gateway/spread_test.go
+++ b/process/gateway/spread_test.go
@@ -24,7 +24,6 @@
 	slowLink    = 10                     // Mbit/s
 	fastLink    = 200                    // Mbit/s
 	detectTime  = 2 * time.Second        // until the members show that one is gone
-	storeWait   = 3 * time.Second        // longest wait of a poll of the store
 	settingTime = 5 * time.Second
 )
 
@@ -116,7 +115,7 @@
 	i.listMembers, i.memberStatus = r.members, func(string) member.Status { return member.Alive }
 	i.peers.Dial = i.host.dial
 	table := &mirror.Table{
-		Name: "t", Wait: storeWait, BatchDelay: 250 * time.Millisecond, Log: i.Log, Changed: i.ConfigurationHandler("t", "config"),
+		Name: "t", BatchDelay: 250 * time.Millisecond, Log: i.Log, Changed: i.ConfigurationHandler("t", "config"),
 		List: func(ctx context.Context) (mirror.Page, error) { return r.read(ctx, i.host, 0, 0) },
 		Follow: func(ctx context.Context, after int64, wait time.Duration) (mirror.Page, error) {
 			return r.read(ctx, i.host, after, wait)
--- a/process/mirror/mirror.go
+++ b/process/mirror/mirror.go
@@ -20,6 +20,7 @@
 package mirror
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -33,6 +34,10 @@
 )
 
 const (
+	// defaultWait is Wait if that is 0. An instance that polls for others notices a silent
+	// store after this time, pollMargin and a pause of BatchDelay, and the others then need
+	// a call of their own: together less than the users' 3 s for changes.
+	defaultWait = 1500 * time.Millisecond
 	pollMargin  = 700 * time.Millisecond // a poll is cancelled this long after Wait
 	readTimeout = 2 * time.Second        // until the response to a read of the whole table makes progress
 	stallLimit  = time.Second            // longest pause in a response
@@ -82,7 +87,8 @@
 		// Follow waits at most wait for changes after a version and returns them.
 		// It fails with ErrGone if the store no longer keeps them.
 		Follow func(ctx context.Context, after int64, wait time.Duration) (Page, error)
-		Wait   time.Duration // longest wait of a poll
+		// Wait is the longest wait of a poll, 1.5 s if it is 0.
+		Wait time.Duration
 		// BatchDelay is the pause after a response with changes, so that changes that
 		// occur shortly after each other arrive in one response.
 		BatchDelay time.Duration
@@ -203,7 +209,7 @@
 	if t.gotChanges && t.BatchDelay > 0 {
 		sleep.For(ctx, t.BatchDelay)
 	}
-	wait := t.Wait
+	wait := cmp.Or(t.Wait, defaultWait)
 	for _, at := range t.missing {
 		wait = min(wait, max(at.Sub(t.now()), minPause))
 	}
