--- a/process/mirror/mirror.go
+++ b/process/mirror/mirror.go
@@ -34,9 +34,8 @@
 )
 
 const (
-	// defaultWait is Wait if that is 0. An instance that polls for others notices a silent
-	// store after this time, pollMargin and a pause of BatchDelay, and the others then need
-	// a call of their own: together less than the users' 3 s for changes.
+	// defaultWait is Wait if that is 0. A silent store is noticed after this time, BatchDelay and
+	// pollMargin; with one more call by those that were told nothing, that is below the users' 3 s.
 	defaultWait = 1500 * time.Millisecond
 	pollMargin  = 700 * time.Millisecond // a poll is cancelled this long after Wait
 	readTimeout = 2 * time.Second        // until the response to a read of the whole table makes progress
